Start the package: types, errors, messages, settings, declared objects

The skeleton that every later part builds on: typed ids, one errors module, wire messages as msgspec structs, strict YAML settings and the checks on declared services and pools.

--- /dev/null
+++ b/sesameward/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the controllers, each of which keeps one kind of state."""
--- /dev/null
+++ b/sesameward/messages.py
@@ -0,0 +1,212 @@
+"""Define the messages between callers, entries, agents and targets."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .types import AttemptId
+from .types import BookingKey
+from .types import Generation
+from .types import MissingReason
+from .types import NodeId
+from .types import Priority
+from .types import RecordVersion
+from .types import RefusalKind
+from .types import RequestId
+from .types import RunState
+from .types import ServiceName
+from .types import ShardId
+from .types import Snapshot
+from .types import TargetId
+from .types import ZoneName
+
+
+class Record(msgspec.Struct, frozen=True):
+    """Hold one record as its target returned it."""
+
+    key: str
+    version: RecordVersion
+    fields: msgspec.Raw = msgspec.Raw(b'{}')
+
+
+# Callers and entries.
+
+
+class QueryBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold what a caller asks of a service; keys None means all shards."""
+
+    match: msgspec.Raw = msgspec.Raw(b'{}')
+    keys: tuple[str, ...] | None = None
+    versions: tuple[RecordVersion, ...] | None = None
+
+
+class BookingBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold one booking of a caller; record_key names the shard's key."""
+
+    record_key: str
+    action: msgspec.Raw = msgspec.Raw(b'{}')
+
+
+class Missing(msgspec.Struct, frozen=True):
+    """Name one shard that an answer lacks, and why."""
+
+    shard: ShardId
+    reason: MissingReason
+
+
+class Open(msgspec.Struct, frozen=True, tag='open', tag_field='frame'):
+    """Begin an answer."""
+
+    request_id: RequestId
+    service: ServiceName
+    generation: Generation
+    snapshot: Snapshot
+    shards: int
+
+
+class Rows(msgspec.Struct, frozen=True, tag='rows', tag_field='frame'):
+    """Carry the records of one shard."""
+
+    shard: ShardId
+    records: tuple[Record, ...]
+
+
+class End(msgspec.Struct, frozen=True, tag='end', tag_field='frame'):
+    """End an answer with its coverage."""
+
+    request_id: RequestId
+    complete: bool
+    asked: int
+    answered: int
+    missing: tuple[Missing, ...] = ()
+    uncovered_records: int = 0
+    elapsed_ms: float = 0.0
+
+
+Frame = Open | Rows | End
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Tell a caller why its request was not served."""
+
+    kind: RefusalKind
+    problem: str
+    remedy: str
+    run: RunState
+    request_id: RequestId
+    retry_after_s: float | None = None
+
+
+class BookingResult(msgspec.Struct, frozen=True):
+    """Tell a caller what became of its booking."""
+
+    request_id: RequestId
+    key: BookingKey
+    run: RunState
+    repeated: bool
+    result: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class Address(msgspec.Struct, frozen=True):
+    """Name one entry that callers may use."""
+
+    node: NodeId
+    host: str
+    port: int
+    zone: ZoneName
+    weight: float
+
+
+class Addresses(msgspec.Struct, frozen=True):
+    """List entries to use, nearest zone first."""
+
+    addresses: tuple[Address, ...]
+    ttl_s: float
+
+
+# Entries and targets.
+
+
+class ShardQuery(msgspec.Struct, frozen=True):
+    """Ask one server for all of a query's shards which it holds."""
+
+    attempt: AttemptId
+    request: RequestId
+    service: ServiceName
+    generation: Generation
+    snapshot: Snapshot
+    shards: tuple[ShardId, ...]
+    versions: tuple[RecordVersion, ...]
+    remaining_ms: int
+    match: msgspec.Raw = msgspec.Raw(b'{}')
+    keys: tuple[str, ...] | None = None
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Hold what a target says of itself; it can lag or mislead."""
+
+    in_flight: int = 0
+    queued: int = 0
+    draining: bool = False
+    cold: bool = False
+    holds: dict[ShardId, tuple[Snapshot, ...]] | None = None
+
+
+class ShardReply(msgspec.Struct, frozen=True):
+    """Hold one shard's records; snapshot None means that it is lacking."""
+
+    shard: ShardId
+    snapshot: Snapshot | None = None
+    records: tuple[Record, ...] = ()
+
+
+class TargetReply(msgspec.Struct, frozen=True):
+    """Answer one sub-request."""
+
+    attempt: AttemptId
+    shards: tuple[ShardReply, ...] = ()
+    load: LoadReport | None = None
+
+
+class TargetRefusal(msgspec.Struct, frozen=True):
+    """Refuse one sub-request which the target did not run."""
+
+    attempt: AttemptId
+    kind: str
+    retry_after_ms: int = 0
+
+
+class TargetBooking(msgspec.Struct, frozen=True):
+    """Ask a server to run one booking."""
+
+    attempt: AttemptId
+    key: BookingKey
+    service: ServiceName
+    shard: ShardId
+    record_key: str
+    remaining_ms: int
+    action: msgspec.Raw = msgspec.Raw(b'{}')
+
+
+class TargetBookingReply(msgspec.Struct, frozen=True):
+    """Answer one booking which the target ran."""
+
+    attempt: AttemptId
+    result: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class QueryHead(msgspec.Struct, frozen=True):
+    """Hold what a caller's headers say about a request."""
+
+    priority: Priority | None = None
+    deadline_ms: int | None = None
+    attempt: int = 1
+
+
+class TargetStatus(msgspec.Struct, frozen=True):
+    """Hold what a node knows of one target at the moment."""
+
+    target: TargetId
+    live: bool = True
+    leaving: bool = False
+    report: LoadReport | None = None
--- /dev/null
+++ b/sesameward/settings.py
@@ -0,0 +1,136 @@
+"""Read the YAML settings of a process and check every field."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import msgspec
+import yaml
+
+from .exceptions import SettingsError
+from .types import NodeId
+from .types import ZoneName
+
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
+Fraction = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+
+
+class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Name one address by IP number."""
+
+    host: str
+    port: Port
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+class PlatformSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Say where the platform is and how much a process may ask of it."""
+
+    url: str
+    timeout_s: Seconds = 2.0
+    calls_per_s: Seconds = 50.0
+    burst: Count = 50
+
+
+class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bound what an entry takes on."""
+
+    max_body_bytes: Count = 65_536
+    body_timeout_s: Seconds = 5.0
+    idle_timeout_s: Seconds = 60.0
+    max_in_flight: Count = 256
+    max_queue: Count = 256
+    retry_budget: Fraction = 0.05
+    connection_reserve: Fraction = 0.2
+    drain_timeout_s: Seconds = 30.0
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the settings of one entry."""
+
+    node: NodeId
+    zone: ZoneName
+    listen: Endpoint
+    agent: Endpoint
+    platform: PlatformSettings
+    limits: LimitSettings = LimitSettings()
+    seed: int | None = None
+
+
+class MembershipSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Time the failure detector; keys[0] seals, all of them open."""
+
+    keys: tuple[str, ...]
+    period_s: Seconds = 0.5
+    probe_timeout_s: Seconds = 0.2
+    suspicion_mult: Count = 3
+    push_pull_s: Seconds = 15.0
+    datagram_bytes: Count = 1_400
+
+
+class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the settings of one agent."""
+
+    node: NodeId
+    zone: ZoneName
+    http: Endpoint
+    grpc: Endpoint
+    gossip: Endpoint
+    platform: PlatformSettings
+    membership: MembershipSettings
+    seeds: tuple[Endpoint, ...] = ()
+    probe_s: Seconds = 1.0
+    address_ttl_s: Seconds = 5.0
+    watchers_per_zone: Count = 2
+    seed: int | None = None
+
+
+Settings = typing.TypeVar('Settings', EntrySettings, AgentSettings)
+
+
+def load(path: str, kind: type[Settings]) -> Settings:
+    """Read settings of one kind from a file; raise SettingsError."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as exc:
+        raise SettingsError(
+            path, '-', exc.strerror or str(exc), 'name a readable file'
+        ) from exc
+    try:
+        data = yaml.safe_load(text)
+    except yaml.YAMLError as exc:
+        problem = ' '.join(str(exc).split())
+        raise SettingsError(path, '-', problem, 'write valid YAML') from exc
+    try:
+        return msgspec.convert(data, kind)
+    except msgspec.ValidationError as exc:
+        raise _explain(path, data, exc) from exc
+
+
+def _explain(
+    path: str, data: object, exc: msgspec.ValidationError
+) -> SettingsError:
+    problem, _, where = str(exc).partition(' - at ')
+    field = where.strip('`').removeprefix('$.') or '$'
+    value = _value_at(data, field)
+    return SettingsError(
+        path, field, f'{problem} (found {value!r})', 'correct this field'
+    )
+
+
+def _value_at(data: object, field: str) -> object:
+    value = data
+    for name in field.split('.'):
+        if not isinstance(value, dict) or name not in value:
+            return value if field == '$' else None
+        value = value[name]
+    return value
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,57 @@
+"""Hold the fixtures which all tests share."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+
+from sesameward import declared
+from sesameward.types import Generation
+from sesameward.types import RecordVersion
+from sesameward.types import ServiceName
+from sesameward.types import ShardId
+from sesameward.types import TargetId
+from sesameward.types import ZoneName
+
+hypothesis.settings.register_profile(
+    'ci', derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile('ci')
+
+
+@pytest.fixture
+def service():
+    """Declare a service of two shards."""
+    return declared.Service(
+        name='trip-desk',
+        maps=(
+            declared.ShardMap(
+                generation=Generation(1),
+                shards=(
+                    declared.Shard(id=ShardId('s0'), end='m'),
+                    declared.Shard(id=ShardId('s1'), start='m'),
+                ),
+            ),
+        ),
+        record_versions=(RecordVersion(1), RecordVersion(2)),
+        bookings=True,
+    )
+
+
+@pytest.fixture
+def pool():
+    """Declare two targets, each of which holds both shards."""
+    return declared.Pool(
+        name='trip-desk-0',
+        service=ServiceName('trip-desk'),
+        targets=tuple(
+            declared.Target(
+                id=TargetId(f't{index}'),
+                host='127.0.0.1',
+                port=9000 + index,
+                zone=ZoneName('a'),
+                shards=(ShardId('s0'), ShardId('s1')),
+            )
+            for index in range(2)
+        ),
+    )
