--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -6,13 +6,16 @@
 
 from .types import AttemptId
 from .types import BookingKey
+from .types import ChangeId
 from .types import Generation
+from .types import MemberState
 from .types import MissingReason
 from .types import NodeId
 from .types import Priority
 from .types import RecordVersion
 from .types import RefusalKind
 from .types import RequestId
+from .types import Revision
 from .types import RunState
 from .types import ServiceName
 from .types import ShardId
@@ -210,3 +213,54 @@
     live: bool = True
     leaving: bool = False
     report: LoadReport | None = None
+
+
+# The platform.
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """Hold one object of the platform; deleted ones keep their revision."""
+
+    kind: str
+    name: str
+    revision: Revision
+    value: bytes = b''
+    change: ChangeId = ChangeId('')
+    deleted: bool = False
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """Hold one row of the platform's VM list, which can lag."""
+
+    name: str
+    host: str
+    zone: ZoneName
+    leaving: bool = False
+
+
+# Agents among each other.
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Hold what one agent says of its VM; entries are its addresses."""
+
+    node: NodeId
+    zone: ZoneName
+    host: str
+    gossip_port: int
+    grpc_port: int
+    http_port: int
+    incarnation: int = 0
+    state: MemberState = MemberState.ALIVE
+    entries: tuple[Address, ...] = ()
+    leaving: bool = False
+
+
+class Rumor(msgspec.Struct, frozen=True):
+    """Carry a small fact to all agents; the highest version wins."""
+
+    topic: str
+    key: str
+    version: int
+    body: bytes = b''
+    ttl_s: float = 60.0
