--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,172 @@
+"""Test admission under load."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sesameward.admission import Admission
+from sesameward.admission import Admit
+from sesameward.admission import Queue
+from sesameward.admission import Refuse
+from sesameward.settings import LimitSettings
+from sesameward.types import Priority
+from sesameward.types import RefusalKind
+from sesameward.types import RequestId
+
+CFG = LimitSettings(max_in_flight=8, max_queue=4)
+
+
+@pytest.fixture
+def admission():
+    """Return an admission of at most 8 running and 4 waiting."""
+    return Admission(CFG, random.Random(1))
+
+
+def arrive(admission, name, priority=Priority.INTERACTIVE, by=1.0, now=0.0):
+    return admission.arrive(RequestId(name), priority, by, 1.0, now)
+
+
+def fill(admission, priority=Priority.INTERACTIVE, now=0.0):
+    running = []
+    for index in range(100):
+        action = arrive(admission, f'fill{index}', priority, 9.0, now)[-1]
+        if not isinstance(action, Admit):
+            return running
+        running.append(action.request_id)
+    raise AssertionError('never full')
+
+
+def test_idle_admits_at_once(admission):
+    assert arrive(admission, 'a') == [Admit(RequestId('a'))]
+
+
+def test_past_deadline_is_refused_for_good(admission):
+    refused = arrive(admission, 'a', by=0.0, now=0.0)[-1]
+    assert refused.kind is RefusalKind.DEADLINE_UNREACHABLE
+    assert refused.retry_after_s is None
+
+
+def test_finished_request_lets_the_next_in(admission):
+    running = fill(admission)
+    actions = admission.finished(running[0], 0.01, 0.01)
+    assert [type(action) for action in actions] == [Admit]
+
+
+def test_urgent_requests_leave_the_queue_first(admission):
+    running = fill(admission)
+    assert arrive(admission, 'n', Priority.NORMAL)[-1] == Queue('n')
+    assert arrive(admission, 'i', Priority.INTERACTIVE)[-1] == Queue('i')
+    admitted = []
+    for one in running[:4]:
+        admitted += admission.finished(one, 0.01, 0.01)
+    names = [action.request_id for action in admitted]
+    assert names.index('i') < (names + ['n']).index('n')
+
+
+def test_full_queue_drops_the_lowest_priority(admission):
+    fill(admission)
+    while admission.queued < CFG.max_queue:
+        arrive(admission, f'b{admission.queued}', Priority.NORMAL)
+    actions = arrive(admission, 'i', Priority.INTERACTIVE)
+    dropped, own = actions
+    assert isinstance(dropped, Refuse)
+    assert dropped.retry_after_s > 0.0
+    assert own == Queue(RequestId('i'))
+    assert admission.queued == CFG.max_queue
+
+
+def test_full_queue_refuses_its_equals_at_once(admission):
+    fill(admission)
+    while admission.queued < CFG.max_queue:
+        arrive(admission, f'i{admission.queued}')
+    refused = arrive(admission, 'late')[-1]
+    assert refused.kind is RefusalKind.OVERLOADED
+    assert refused.retry_after_s >= 0.1
+
+
+def test_lower_priorities_leave_room_for_urgent_ones(admission):
+    fill(admission, Priority.NORMAL)
+    assert isinstance(arrive(admission, 'i')[-1], Admit)
+
+
+def test_caller_who_hangs_up_frees_the_place(admission):
+    running = fill(admission)
+    queued = admission.queued
+    arrive(admission, 'w')
+    admission.gone(RequestId('w'), 0.0)
+    assert admission.queued == queued
+    assert admission.gone(running[0], 0.0)
+    assert admission.gone(RequestId('unknown'), 0.0) == []
+
+
+def test_unmeetable_request_leaves_the_queue(admission):
+    fill(admission)
+    arrive(admission, 'w', by=0.2)
+    actions = admission.tick(0.3)
+    assert Refuse('w', RefusalKind.DEADLINE_UNREACHABLE, None) in actions
+
+
+def test_wrong_estimate_is_corrected(admission):
+    for index in range(50):
+        arrive(admission, f'x{index}', by=100.0)
+        admission.finished(RequestId(f'x{index}'), 5.0, 0.1)
+    assert isinstance(arrive(admission, 'a', by=0.3, now=0.1)[-1], Admit)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['arrive', 'finish', 'gone', 'tick']),
+            st.sampled_from(Priority),
+            st.floats(0.0, 2.0),
+            st.floats(0.0, 0.3),
+        ),
+        max_size=80,
+    )
+)
+def test_every_request_is_settled_once_and_none_waits_in_vain(events):
+    admission = Admission(CFG, random.Random(1))
+    now = 0.0
+    deadlines = {}
+    running, waiting, settled = {}, set(), set()
+    for index, (event, priority, slack_s, step_s) in enumerate(events):
+        now += step_s
+        match event:
+            case 'arrive':
+                name = RequestId(f'r{index}')
+                deadlines[name] = now + slack_s
+                waiting.add(name)
+                actions = admission.arrive(
+                    name, priority, now + slack_s, 1.0, now
+                )
+                assert actions[-1].request_id == name
+            case 'finish' if running:
+                name = next(iter(running))
+                since = running.pop(name)
+                actions = admission.finished(name, now - since, now)
+            case 'gone' if deadlines:
+                name = list(deadlines)[index % len(deadlines)]
+                actions = admission.gone(name, now)
+                running.pop(name, None)
+                waiting.discard(name)
+                settled.add(name)
+            case _:
+                actions = admission.tick(now)
+        for action in actions:
+            match action:
+                case Admit(name):
+                    assert name in waiting and name not in settled
+                    assert deadlines[name] > now
+                    waiting.discard(name)
+                    running[name] = now
+                case Refuse(name, _, _):
+                    assert name in waiting and name not in settled
+                    waiting.discard(name)
+                    settled.add(name)
+        assert admission.in_flight == len(running) <= CFG.max_in_flight
+        assert admission.queued == len(waiting) <= CFG.max_queue
+        assert all(deadlines[name] > now for name in waiting)
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,82 @@
+"""Test when hedges are sent."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sesameward.hedging import HedgePolicy
+from sesameward.hedging import MAX_HEDGES
+from sesameward.latency import LatencyTracker
+
+RATIO = 0.05
+
+
+@pytest.fixture
+def tracker():
+    """Return a tracker which knows a body and 2% of stragglers."""
+    tracker = LatencyTracker()
+    rng = random.Random(1)
+    for _ in range(10_000):
+        latency_s = rng.lognormvariate(0.0, 0.3) * 0.01
+        if rng.random() < 0.02:
+            latency_s = 0.2
+        tracker.observe('k', latency_s, 0.0)
+    return tracker
+
+
+@pytest.fixture
+def policy(tracker):
+    """Return a policy over the tracker."""
+    return HedgePolicy(tracker, RATIO)
+
+
+def test_delay_lies_between_body_and_stragglers(policy):
+    assert 0.012 < policy.delay_s('k', 0.0) < 0.1
+
+
+def test_later_hedges_follow_sooner(policy):
+    assert policy.delay_s('k', 0.0, hedges=1) < policy.delay_s('k', 0.0)
+    assert policy.delay_s('k', 0.0, hedges=MAX_HEDGES) is None
+
+
+def test_bookings_are_never_hedged(policy):
+    assert policy.delay_s('k', 0.0, booking=True) is None
+
+
+def test_unknown_latency_gives_no_hedge(policy):
+    assert policy.delay_s('unknown', 0.0) is None
+
+
+def test_no_ratio_gives_no_hedge(tracker):
+    assert HedgePolicy(tracker, 0.0).delay_s('k', 0.0) is None
+
+
+@pytest.mark.parametrize('stragglers', [0.0, 0.02, 0.2])
+def test_share_of_hedges_stays_within_the_ratio(stragglers):
+    tracker = LatencyTracker()
+    policy = HedgePolicy(tracker, RATIO)
+    rng = random.Random(2)
+
+    def latency_s() -> float:
+        slow = 20.0 if rng.random() < stragglers else 1.0
+        return slow * rng.lognormvariate(0.0, 0.3) * 0.01
+
+    hedges = 0
+    for step in range(40_000):
+        now = step / 2_000
+        policy.sent('k', hedge=False)
+        left_s = latency_s()
+        elapsed_s = 0.0
+        sent = 0
+        while delay_s := policy.delay_s('k', now, hedges=sent):
+            if left_s <= delay_s:
+                break
+            policy.sent('k', hedge=True)
+            sent += 1
+            elapsed_s += delay_s
+            left_s = min(left_s - delay_s, latency_s())
+        hedges += sent
+        tracker.observe('k', elapsed_s + left_s, now)
+    assert hedges <= RATIO * 40_000
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,170 @@
+"""Test that connection limits hold whatever VMs believe."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sesameward.shares import connection_share
+from sesameward.shares import GONE_S
+from sesameward.shares import HolderCount
+from sesameward.shares import WarmPolicy
+from sesameward.types import NodeId
+from sesameward.types import TargetId
+
+RESERVE = 0.2
+VMS = [NodeId(f'vm{index}') for index in range(5)]
+SERVER = TargetId('t0')
+
+
+@pytest.fixture
+def counts():
+    """Return the counts of five VMs which know each other."""
+    counts = {node: HolderCount(node) for node in VMS}
+    for count in counts.values():
+        count.listed(VMS, VMS, 0.0)
+    for count in counts.values():
+        for node, other in counts.items():
+            count.told(node, other.holders, full=True)
+    return counts
+
+
+@pytest.mark.parametrize('limit', [25, 40, 100])
+@pytest.mark.parametrize('holders', [1, 5, 7])
+@pytest.mark.parametrize('entries', [1, 2])
+def test_shares_keep_the_reserve(limit, holders, entries):
+    share = connection_share(limit, holders, entries, RESERVE)
+    assert share * holders * entries <= limit * (1 - RESERVE)
+    assert (share + 1) * holders * entries > limit * (1 - RESERVE) - 1
+
+
+def test_five_vms_share_a_small_server(counts):
+    shares = [one.share(25, 1, RESERVE) for one in counts.values()]
+    assert shares == [4] * 5
+
+
+def test_cut_off_vm_never_grows(counts):
+    one = counts[VMS[0]]
+    one.listed(VMS, VMS[:1], 1_000.0)
+    assert one.share(25, 1, RESERVE) == 4
+    assert one.grows_at() is None
+
+
+def test_share_grows_after_the_list_confirms_the_loss(counts):
+    one = counts[VMS[0]]
+    one.listed(VMS[:4], VMS[:4], 0.0)
+    assert one.share(25, 1, RESERVE) == 4
+    assert one.grows_at() == GONE_S
+    one.listed(VMS[:4], VMS[:4], GONE_S)
+    assert one.share(25, 1, RESERVE) == 5
+
+
+def test_alive_member_missing_from_the_list_still_counts(counts):
+    one = counts[VMS[0]]
+    for now in (0.0, 100.0, 200.0):
+        one.listed(VMS[:4], VMS, now)
+    assert len(one.holders) == 5
+
+
+def test_member_back_in_the_list_starts_over(counts):
+    one = counts[VMS[0]]
+    one.listed(VMS[:4], VMS[:4], 0.0)
+    one.listed(VMS, VMS[:4], GONE_S)
+    one.listed(VMS[:4], VMS[:4], 2 * GONE_S)
+    assert len(one.holders) == 5
+
+
+def test_leaving_vm_gives_its_share_back(counts):
+    counts[VMS[0]].left(VMS[4])
+    assert counts[VMS[0]].share(25, 1, RESERVE) == 5
+
+
+def test_new_vm_takes_from_the_reserve_until_all_count_it(counts):
+    new = HolderCount(NodeId('new'))
+    assert new.share(25, 1, RESERVE) == 0
+    everyone = [*VMS, NodeId('new')]
+    new.listed(everyone, everyone, 0.0)
+    for node, count in counts.items():
+        new.told(node, count.holders, full=True)
+    assert new.share(25, 1, RESERVE) == 2
+    for node in VMS:
+        new.told(node, everyone, full=True)
+    assert new.share(25, 1, RESERVE) == 3
+
+
+class Fleet:
+    """Let VMs start and stop while each sees its own stale part."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.counts = {}
+        self.lists = [()]
+        self.read = {}
+
+    def start(self):
+        node = NodeId(f'n{100 - len(self.lists)}')
+        self.counts[node] = HolderCount(node)
+        self.read[node] = len(self.lists) - 1
+        self.lists.append(tuple(self.counts))
+
+    def stop(self, node):
+        del self.counts[node]
+        self.lists.append(tuple(self.counts))
+
+    def read_list(self, node, advance, alive):
+        last = len(self.lists) - 1
+        self.read[node] = min(self.read[node] + advance, last)
+        known = self.lists[self.read[node]]
+        self.counts[node].listed(known, alive, self.now)
+
+    def tell(self, node, other):
+        count = self.counts[node]
+        self.counts[other].told(node, count.holders, count.full)
+
+    def total(self, limit):
+        return sum(
+            count.share(limit, 1, RESERVE) for count in self.counts.values()
+        )
+
+
+@given(st.data(), st.sampled_from([25, 40, 100]))
+def test_totals_never_pass_the_limit(data, limit):
+    fleet = Fleet()
+    fleet.start()
+    for _ in range(data.draw(st.integers(1, 60))):
+        fleet.now += data.draw(st.sampled_from([0.1, 1.0, GONE_S]))
+        nodes = list(fleet.counts)
+        event = data.draw(st.sampled_from(['start', 'stop', 'list', 'tell']))
+        one = data.draw(st.sampled_from(nodes)) if nodes else None
+        match event:
+            case 'start' if len(fleet.lists) < 30:
+                fleet.start()
+            case 'stop' if nodes:
+                fleet.stop(one)
+            case 'list' if nodes:
+                alive = data.draw(st.sets(st.sampled_from(nodes)))
+                fleet.read_list(one, data.draw(st.integers(0, 9)), alive)
+            case 'tell' if nodes:
+                fleet.tell(one, data.draw(st.sampled_from(nodes)))
+        assert fleet.total(limit) <= limit
+
+
+def test_new_connections_are_spaced():
+    warm = WarmPolicy(random.Random(1))
+    granted = sum(
+        warm.grant(SERVER, 6.0, 5, step / 1_000) for step in range(10_000)
+    )
+    assert 10 <= granted <= 18
+    assert warm.ready_at(SERVER) > 9.0
+
+
+def test_servers_open_independently():
+    warm = WarmPolicy(random.Random(1))
+    assert warm.grant(SERVER, 6.0, 5, 0.0)
+    assert not warm.grant(SERVER, 6.0, 5, 0.0)
+    assert warm.grant(TargetId('t1'), 6.0, 5, 0.0)
+    warm.forget(SERVER)
+    assert warm.grant(SERVER, 6.0, 5, 0.0)
