--- /dev/null
+++ b/sesameward/agent.py
@@ -0,0 +1,422 @@
+"""Keep a VM's membership, configuration and target state."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+import typing
+
+from grpclib.server import Server
+import msgspec
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from . import feed
+from . import logs
+from . import settings
+from .admin import DrainRequest
+from .admin import make_app
+from .admin import NodeStatus
+from .codec import MsgpackCodec
+from .config_peers import PullClient
+from .config_peers import PullHandler
+from .controllers.configuration import Configuration
+from .controllers.feed_hub import FeedHub
+from .controllers.target_states import TargetStates
+from .controllers.vm_list import VmList
+from .exceptions import AdminError
+from .exceptions import RumorTooLargeError
+from .exceptions import SettingsError
+from .gossip import Gossip
+from .messages import Addresses
+from .messages import Member
+from .messages import Rumor
+from .messages import StoredObject
+from .messages import TargetStatus
+from .messages import Vm
+from .metrics import Metrics
+from .peers import SyncClient
+from .peers import SyncHandler
+from .platform_client import PlatformClient
+from .quarantine import TOPIC as QUARANTINE_TOPIC
+from .settings import AgentSettings
+from .settings import Endpoint
+from .shares import HolderCount
+from .spread import Spread
+from .types import MemberState
+from .types import NodeId
+from .types import TargetId
+
+EXIT_USAGE = 2
+NODES_PERIOD_S = 0.5
+HOLDERS_TOPIC = 'holders'
+HOLDERS_TTL_S = 60.0
+HOLDERS_REPEAT_S = 20.0
+DRAIN_TOPIC = 'drain'
+DRAIN_TTL_S = 3600.0
+
+
+class HoldersNote(msgspec.Struct, frozen=True, array_like=True):
+    """Tell which VMs an agent counts when it divides connections."""
+
+    holders: tuple[NodeId, ...]
+    full: bool
+
+
+class DrainNote(msgspec.Struct, frozen=True, array_like=True):
+    """Tell that an operator drains a target, or no longer does."""
+
+    drain: bool
+
+
+class Agent:
+    """Wire one agent's controllers together."""
+
+    def __init__(self, cfg: AgentSettings):
+        self.cfg = cfg
+        self.clock = time.monotonic
+        self.metrics = Metrics('agent')
+        self._rng = random.Random(cfg.seed)
+        self.platform = PlatformClient(cfg.platform, self.metrics, self._rng)
+        self._http_sockets = tornado.netutil.bind_sockets(
+            cfg.http.port, cfg.http.host
+        )
+        self.http_port = self._http_sockets[0].getsockname()[1]
+        self._grpc_sockets = tornado.netutil.bind_sockets(
+            cfg.grpc.port, cfg.grpc.host
+        )
+        self.grpc_port = self._grpc_sockets[0].getsockname()[1]
+        self._sync_client = SyncClient()
+        self._pull_client = PullClient(self.metrics)
+        self.gossip = Gossip(
+            cfg,
+            self._me(),
+            self.metrics,
+            self._rng,
+            transport=self._sync_client,
+        )
+        self.configuration = Configuration(
+            cfg.node,
+            Spread(cfg.node, cfg.zone, cfg.watchers_per_zone, self._rng),
+            self.platform,
+            self._pull_client.pull,
+            self.gossip.members,
+            self._publish,
+            self.metrics,
+            self._rng,
+        )
+        self.targets = TargetStates(
+            cfg.probe_s, self.metrics, self._rng, self.clock
+        )
+        self.vms = VmList(
+            self.platform,
+            lambda: len(self.gossip.members()),
+            lambda: self.configuration.watching,
+            self.metrics,
+            self._rng,
+        )
+        self.holders = HolderCount(cfg.node)
+        self.hub = FeedHub(self._first, self._nodes_update, self.clock)
+        self._grpc = Server(
+            [
+                self.hub,
+                SyncHandler(self.gossip.answer_sync),
+                PullHandler(self.configuration.answer),
+            ],
+            codec=MsgpackCodec(),
+        )
+        self._http = tornado.httpserver.HTTPServer(make_app(self))
+        self._tasks: list[asyncio.Task] = []
+        self._told_holders: HoldersNote | None = None
+        self._told_at = 0.0
+
+    async def start(self) -> None:
+        """Bring everything up; the store need not answer."""
+        self.targets.on_statuses = self._on_statuses
+        self.vms.on_vms = self._on_vms
+        self.hub.on_report = self._on_report
+        self.configuration.on_change(self._on_config)
+        self.gossip.on_change(self._on_member)
+        self.gossip.subscribe('config', self.configuration.hear)
+        self.gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
+        self.gossip.subscribe(HOLDERS_TOPIC, self._on_holders)
+        self.gossip.subscribe(DRAIN_TOPIC, self._on_drain)
+        await self.gossip.start()
+        await self._grpc.start(sock=self._grpc_sockets[0])
+        self._http.add_sockets(self._http_sockets)
+        self.configuration.start()
+        self.targets.start()
+        self.vms.start()
+        self._tasks.append(asyncio.ensure_future(self._tell_nodes()))
+        logs.change(
+            'agent_started', http=self.http_port, grpc=self.grpc_port
+        )
+
+    async def stop(self) -> None:
+        """Leave the membership and free everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.vms.stop()
+        await self.configuration.stop()
+        await self.targets.stop()
+        await self.gossip.stop()
+        self._http.stop()
+        self._grpc.close()
+        await self._grpc.wait_closed()
+        self._pull_client.close()
+        self._sync_client.close()
+        self.platform.close()
+
+    def status(self) -> NodeStatus:
+        """Return what this node has in force."""
+        return NodeStatus(
+            node=self.cfg.node,
+            zone=self.cfg.zone,
+            revision=self.configuration.revision,
+            watching=self.configuration.watching,
+            local_health=self.gossip.local_health,
+            holders=len(self.holders.holders),
+            entries=tuple(self.hub.reports()),
+        )
+
+    def ready(self) -> bool:
+        """Tell whether this node has a configuration."""
+        return self.configuration.ready.is_set()
+
+    def known_members(self) -> list[Member]:
+        """Return all members, also those which failed or left."""
+        return self.gossip.known()
+
+    def target_statuses(self) -> tuple[TargetStatus, ...]:
+        """Return what is known of all targets."""
+        return self.targets.statuses()
+
+    def drain(self, request: DrainRequest) -> None:
+        """Drain a target on all nodes, or this node; raise AdminError."""
+        if request.target is not None:
+            self._drain_target(request.target, request.drain)
+        elif request.node == self.cfg.node and request.drain:
+            self.hub.send(feed.LeaveUpdate())
+        else:
+            raise AdminError(
+                f'this agent can not drain {request.node}; '
+                'ask the agent of that node'
+            )
+
+    def _drain_target(self, target_id: TargetId, drain: bool) -> None:
+        self._publish(
+            Rumor(
+                DRAIN_TOPIC,
+                target_id,
+                time.time_ns(),
+                msgspec.msgpack.encode(DrainNote(drain)),
+                DRAIN_TTL_S,
+            )
+        )
+        self.targets.set_leaving(target_id, 'operator', drain)
+
+    def _me(self) -> Member:
+        cfg = self.cfg
+        return Member(
+            node=cfg.node,
+            zone=cfg.zone,
+            host=cfg.gossip.host,
+            gossip_port=cfg.gossip.port,
+            grpc_port=self.grpc_port,
+            http_port=self.http_port,
+        )
+
+    def _publish(self, rumor: Rumor) -> None:
+        try:
+            self.gossip.publish(rumor)
+        except RumorTooLargeError:
+            self.metrics.count('rumors_refused', 'too_large')
+
+    # What entries are told.
+
+    def _first(self) -> list[feed.Update]:
+        updates: list[feed.Update] = [self._nodes_update()]
+        if self.configuration.ready.is_set():
+            updates.append(self._config_update())
+        updates.append(feed.TargetsUpdate(self.targets.statuses()))
+        rumors = tuple(
+            r for r in self.gossip.rumors() if r.topic == QUARANTINE_TOPIC
+        )
+        updates.append(feed.RumorsUpdate(rumors))
+        return updates
+
+    def _config_update(self) -> feed.ConfigUpdate:
+        book = self.configuration.book
+        services = book.services()
+        pools = [p for name in services for p in book.pools(name)]
+        return feed.ConfigUpdate(
+            book.revision, tuple(services.values()), tuple(pools)
+        )
+
+    def _nodes_update(self) -> feed.NodesUpdate:
+        members = [m for m in self.gossip.members() if not m.leaving]
+        usable = tuple(
+            address
+            for member in members
+            if member.state is MemberState.ALIVE
+            for address in member.entries
+        )
+        live = {
+            (a.node, a.incarnation): a
+            for a in (
+                *(a for m in members for a in m.entries),
+                *(r.address for r in self.hub.reports()),
+            )
+        }
+        return feed.NodesUpdate(
+            Addresses(usable, self.cfg.address_ttl_s),
+            self._shares(),
+            tuple(live.values()),
+        )
+
+    def _shares(self) -> dict[int, int]:
+        entries = max(1, len(self.hub.reports()))
+        return {
+            limit: self.holders.share(
+                limit, entries, self.cfg.connection_reserve
+            )
+            for limit in self._connection_limits()
+        }
+
+    def _connection_limits(self) -> set[int]:
+        book = self.configuration.book
+        return {
+            target.connections
+            for name in book.services()
+            for pool in book.pools(name)
+            for target in pool.targets
+        }
+
+    async def _tell_nodes(self) -> None:
+        last: feed.NodesUpdate | None = None
+        while True:
+            self.gossip.update(entries=self.hub.addresses())
+            self._tell_holders()
+            update = self._nodes_update()
+            if update != last:
+                self.hub.send(update)
+                last = update
+            await asyncio.sleep(NODES_PERIOD_S)
+
+    def _tell_holders(self) -> None:
+        now = self.clock()
+        note = HoldersNote(
+            tuple(sorted(self.holders.holders)), self.holders.full
+        )
+        if note == self._told_holders and now < self._told_at:
+            return
+        self._told_holders = note
+        self._told_at = now + HOLDERS_REPEAT_S
+        self._publish(
+            Rumor(
+                HOLDERS_TOPIC,
+                self.cfg.node,
+                time.time_ns(),
+                msgspec.msgpack.encode(note),
+                HOLDERS_TTL_S,
+            )
+        )
+
+    # What changes.
+
+    def _on_config(self, changed: typing.Sequence[StoredObject]) -> None:
+        update = self._config_update()
+        self.targets.declare(t for p in update.pools for t in p.targets)
+        self.hub.send(update)
+        self.hub.send(self._nodes_update())
+
+    def _on_statuses(self, statuses: tuple[TargetStatus, ...]) -> None:
+        self.hub.send(feed.TargetsUpdate(statuses))
+
+    def _on_member(self, member: Member) -> None:
+        if member.state is MemberState.LEFT:
+            self.holders.left(member.node)
+        else:
+            self.holders.seen(member.node)
+
+    def _on_vms(self, vms: tuple[Vm, ...]) -> None:
+        nodes = [NodeId(vm.name) for vm in vms if vm.role == 'entry']
+        alive = [m.node for m in self.gossip.members()]
+        self.holders.listed(nodes, alive, self.clock())
+        self.gossip.set_hints(
+            Endpoint(vm.host, self.cfg.gossip.port)
+            for vm in vms
+            if vm.role == 'entry' and vm.name != self.cfg.node
+        )
+        leaving = {TargetId(vm.name) for vm in vms if vm.leaving}
+        for target_id in self.targets.leaving('vm_list') - leaving:
+            self.targets.set_leaving(target_id, 'vm_list', False)
+        for target_id in leaving:
+            self.targets.set_leaving(target_id, 'vm_list', True)
+
+    def _on_report(self, report: feed.Report) -> None:
+        for rumor in report.rumors:
+            self._publish(rumor)
+
+    def _on_quarantine(self, rumor: Rumor) -> None:
+        self.hub.send(feed.RumorsUpdate((rumor,)))
+
+    def _on_holders(self, rumor: Rumor) -> None:
+        try:
+            note = msgspec.msgpack.decode(rumor.body, type=HoldersNote)
+        except msgspec.DecodeError:
+            self.metrics.count('rumors_refused', 'malformed')
+            return
+        self.holders.told(NodeId(rumor.key), note.holders, note.full)
+
+    def _on_drain(self, rumor: Rumor) -> None:
+        try:
+            note = msgspec.msgpack.decode(rumor.body, type=DrainNote)
+        except msgspec.DecodeError:
+            self.metrics.count('rumors_refused', 'malformed')
+            return
+        target_id = TargetId(rumor.key)
+        self.targets.set_leaving(target_id, 'operator', note.drain)
+
+
+async def run(cfg: AgentSettings) -> int:
+    """Serve until a signal; return the exit code."""
+    agent = Agent(cfg)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await agent.start()
+    ports = {
+        'http': agent.http_port,
+        'grpc': agent.grpc_port,
+        'gossip': agent.gossip.me.gossip_port,
+    }
+    print(json.dumps(ports), flush=True)
+    await stop.wait()
+    await agent.stop()
+    return 0
+
+
+def main() -> None:
+    """Start the program: sesameward-agent SETTINGS_FILE."""
+    if len(sys.argv) != 2 or sys.argv[1] in ('-h', '--help'):
+        print('usage: sesameward-agent SETTINGS_FILE', file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        cfg = settings.load(sys.argv[1], AgentSettings)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    logs.start('agent', cfg.node)
+    sys.exit(asyncio.run(run(cfg)))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/sesameward/controllers/catalog.py
@@ -0,0 +1,34 @@
+"""Keep the declared configuration which is in force on an entry."""
+
+from __future__ import annotations
+
+from .. import declared
+from .. import logs
+from ..feed import ConfigUpdate
+from ..types import Revision
+from ..types import TargetId
+
+
+class Catalog:
+    """Hold the declared services and targets; never go back."""
+
+    def __init__(self):
+        self.revision = Revision(0)
+        self.ready = False
+        self.services: dict[str, declared.Service] = {}
+        self.targets: dict[TargetId, declared.Target] = {}
+        self.service_of: dict[TargetId, str] = {}
+
+    def apply(self, update: ConfigUpdate) -> bool:
+        """Put an update in force unless a later one is already."""
+        if self.ready and update.revision <= self.revision:
+            return False
+        self.revision = update.revision
+        self.ready = True
+        self.services = {s.name: s for s in update.services}
+        self.targets = {t.id: t for p in update.pools for t in p.targets}
+        self.service_of = {
+            t.id: p.service for p in update.pools for t in p.targets
+        }
+        logs.change('config_in_force', revision=self.revision)
+        return True
--- /dev/null
+++ b/sesameward/controllers/gate.py
@@ -0,0 +1,113 @@
+"""Let requests wait until admission settles them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..admission import Action
+from ..admission import Admission
+from ..admission import Admit
+from ..admission import Queue
+from ..admission import Refuse
+from ..exceptions import RefusalError
+from ..filters.exchange import Exchange
+from ..metrics import Metrics
+from ..types import RefusalKind
+from ..types import RequestId
+
+_TICK_S = 0.005
+
+
+class Gate:
+    """Carry requests to admission and its decisions back."""
+
+    def __init__(self, admission: Admission, metrics: Metrics, clock):
+        self._admission = admission
+        self._metrics = metrics
+        self._clock = clock
+        self._waiting: dict[RequestId, asyncio.Future[Action]] = {}
+        self._ticking: asyncio.TimerHandle | None = None
+        self._inside = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests run or wait."""
+        return self._inside + len(self._waiting)
+
+    async def enter(self, exchange: Exchange) -> None:
+        """Return once the request may run; raise RefusalError."""
+        actions = self._admission.arrive(
+            exchange.request_id,
+            exchange.priority,
+            exchange.deadline_at,
+            1.0,
+            self._clock(),
+        )
+        own = actions.pop()
+        self._settle(actions)
+        if isinstance(own, Queue):
+            own = await self._wait(exchange.request_id)
+        match own:
+            case Admit():
+                self._inside += 1
+            case Refuse(_, kind, retry_after_s):
+                raise _refusal(kind, retry_after_s)
+
+    def leave(self, exchange: Exchange, latency_s: float) -> None:
+        """Take in that an admitted request has ended."""
+        self._inside -= 1
+        self._settle(
+            self._admission.finished(
+                exchange.request_id, latency_s, self._clock()
+            )
+        )
+
+    async def _wait(self, request_id: RequestId) -> Action:
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = fut
+        self._metrics.count('requests_queued')
+        self._schedule()
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            if self._waiting.pop(request_id, None) is not None:
+                now = self._clock()
+                self._settle(self._admission.gone(request_id, now))
+            elif isinstance(fut.result(), Admit):
+                now = self._clock()
+                self._settle(self._admission.gone(request_id, now))
+            raise
+
+    def _schedule(self) -> None:
+        if self._ticking is None and self._waiting:
+            loop = asyncio.get_running_loop()
+            self._ticking = loop.call_later(_TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._ticking = None
+        self._settle(self._admission.tick(self._clock()))
+        self._schedule()
+
+    def _settle(self, actions: list[Action]) -> None:
+        for action in actions:
+            fut = self._waiting.pop(action.request_id, None)
+            if fut is not None and not fut.done():
+                fut.set_result(action)
+
+
+def _refusal(kind: RefusalKind, retry_after_s: float | None) -> RefusalError:
+    match kind:
+        case RefusalKind.DEADLINE_UNREACHABLE:
+            return RefusalError(
+                kind,
+                'the deadline can not be met',
+                'allow more time or come back later',
+                retry_after_s=retry_after_s or 1.0,
+            )
+        case _:
+            return RefusalError(
+                kind,
+                'this entry is overloaded',
+                'come back after the given time',
+                retry_after_s=retry_after_s,
+            )
--- /dev/null
+++ b/sesameward/controllers/routing.py
@@ -0,0 +1,167 @@
+"""Keep what an entry knows of the targets' state."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from .. import logs
+from ..declared import Service
+from ..declared import Target
+from ..messages import LoadReport
+from ..messages import TargetStatus
+from ..replicas import ReplicaChooser
+from ..snapshots import pin
+from ..snapshots import Pin
+from ..types import ShardId
+from ..types import Snapshot
+from ..types import TargetId
+from .catalog import Catalog
+
+# How long a target's own word that it leaves outweighs other reports.
+LEAVING_S = 10.0
+
+
+class Routing:
+    """Hold the targets' state and pin snapshots on it."""
+
+    def __init__(self, catalog: Catalog, chooser: ReplicaChooser, clock):
+        self.chooser = chooser
+        self._catalog = catalog
+        self._clock = clock
+        self._statuses: dict[TargetId, TargetStatus] = {}
+        self._leaving_until: dict[TargetId, float] = {}
+        self._lacking: dict[TargetId, set[tuple[ShardId, Snapshot]]] = {}
+        self._pins: dict[str, Pin | None] = {}
+        self._pins_until = math.inf
+
+    def declare(self) -> tuple[list[Target], list[TargetId]]:
+        """Take over the catalog; return the added and removed targets."""
+        declared = self._catalog.targets
+        removed = [t for t in self._statuses if t not in declared]
+        for target_id in removed:
+            del self._statuses[target_id]
+            self._leaving_until.pop(target_id, None)
+            self._lacking.pop(target_id, None)
+            self.chooser.forget(target_id)
+        added = []
+        for target in declared.values():
+            self.chooser.declare(target)
+            if target.id not in self._statuses:
+                self._statuses[target.id] = TargetStatus(target.id)
+                added.append(target)
+        self._pins.clear()
+        return added, removed
+
+    def take_status(self, status: TargetStatus) -> None:
+        """Take over what the agent found out about a target."""
+        before = self._statuses.get(status.target)
+        if before is None:
+            return
+        self._statuses[status.target] = status
+        if status.report is not None:
+            self.chooser.reported(status.target, status.report, self._clock())
+        if _routing_part(before) != _routing_part(status):
+            self._lacking.pop(status.target, None)
+            self._pins.clear()
+
+    def take_report(self, target_id: TargetId, report: LoadReport) -> None:
+        """Take over the load report that came with a reply."""
+        self.chooser.reported(target_id, report, self._clock())
+        if report.draining:
+            self.take_leaving(target_id)
+
+    def take_leaving(self, target_id: TargetId) -> None:
+        """Stop new work to a target which said that it is leaving."""
+        if target_id not in self._statuses:
+            return
+        now = self._clock()
+        if self._leaving_until.get(target_id, 0.0) <= now:
+            logs.change('target_leaving', target=target_id, signal='in_band')
+            self._pins.clear()
+        self._leaving_until[target_id] = now + LEAVING_S
+        self._pins_until = min(self._pins_until, now + LEAVING_S)
+
+    def take_lacking(
+        self,
+        target_id: TargetId,
+        shards: typing.Iterable[ShardId],
+        snapshot: Snapshot,
+    ) -> None:
+        """Remember that a target lacks a snapshot it was said to hold."""
+        lacking = self._lacking.setdefault(target_id, set())
+        lacking.update((shard, snapshot) for shard in shards)
+        self._pins.clear()
+
+    def leaving(self) -> tuple[TargetId, ...]:
+        """Return the targets which said that they are leaving."""
+        now = self._clock()
+        return tuple(t for t, at in self._leaving_until.items() if at > now)
+
+    def usable(self, target_id: TargetId) -> bool:
+        """Tell whether a target may get new work."""
+        status = self._statuses.get(target_id)
+        target = self._catalog.targets.get(target_id)
+        if status is None or target is None or target.drain:
+            return False
+        if not status.live or status.leaving:
+            return False
+        if status.report is not None and status.report.draining:
+            return False
+        return self._leaving_until.get(target_id, 0.0) <= self._clock()
+
+    def pin(self, service: Service) -> Pin | None:
+        """Pin the service's snapshot; None where no target is usable."""
+        now = self._clock()
+        if now >= self._pins_until:
+            self._pins.clear()
+            self._pins_until = math.inf
+        if service.name not in self._pins:
+            self._pins[service.name] = pin(service, self._holdings(service))
+            later = [t for t in self._leaving_until.values() if t > now]
+            self._pins_until = min(later, default=math.inf)
+        return self._pins[service.name]
+
+    def replicas(self, service: Service, shard: ShardId) -> list[TargetId]:
+        """Return the usable targets of one shard, best first."""
+        holders = [
+            target_id
+            for target_id, target in self._catalog.targets.items()
+            if self._catalog.service_of[target_id] == service.name
+            and shard in target.shards
+            and self.usable(target_id)
+        ]
+        ordered = []
+        while holders:
+            best = self.chooser.choose(holders, self._clock())
+            if best is None:
+                break
+            holders.remove(best)
+            ordered.append(best)
+        return ordered
+
+    def _holdings(
+        self, service: Service
+    ) -> dict[ShardId, dict[TargetId, typing.Collection[Snapshot]]]:
+        holdings: dict[
+            ShardId, dict[TargetId, typing.Collection[Snapshot]]
+        ] = {}
+        for target_id, name in self._catalog.service_of.items():
+            if name != service.name or not self.usable(target_id):
+                continue
+            report = self._statuses[target_id].report
+            if report is None or report.holds is None:
+                continue
+            lacking = self._lacking.get(target_id, ())
+            for shard, versions in report.holds.items():
+                held = [v for v in versions if (shard, v) not in lacking]
+                if held:
+                    holdings.setdefault(shard, {})[target_id] = held
+        return holdings
+
+
+def _routing_part(status: TargetStatus) -> tuple:
+    report = status.report
+    if report is None:
+        return (status.live, status.leaving, None, False)
+    return (status.live, status.leaving, report.holds, report.draining)
--- /dev/null
+++ b/sesameward/entry.py
@@ -0,0 +1,322 @@
+"""Serve callers: take a query, ask the targets, stream the answer."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import os
+import random
+import signal
+import sys
+import time
+
+import defopt
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from . import feed
+from . import handlers
+from . import logs
+from . import settings
+from .admission import Admission
+from .bookings import BookingSettings
+from .bookings import Claimer
+from .budget import BudgetBook
+from .controllers.agent_link import AgentLink
+from .controllers.catalog import Catalog
+from .controllers.gate import Gate
+from .controllers.leaving import Leaving
+from .controllers.nodes import Nodes
+from .controllers.routing import Routing
+from .controllers.suspects import Suspects
+from .exceptions import SettingsError
+from .filters import chain
+from .filters.admitting import Admit
+from .filters.answering import Answer
+from .filters.answering import AnswerParts
+from .filters.booking import Book
+from .filters.booking import BookingParts
+from .filters.parsing import ParseBooking
+from .filters.parsing import ParseQuery
+from .filters.pinning import PinSnapshot
+from .filters.quarantining import CheckQuarantine
+from .hedging import HedgePolicy
+from .latency import LatencyTracker
+from .messages import Address
+from .messages import Rumor
+from .metrics import Metrics
+from .platform_client import PlatformClient
+from .quarantine import Quarantine
+from .quarantine import QuarantineSettings
+from .replicas import ReplicaChooser
+from .settings import EntrySettings
+from .target_client import TargetClient
+
+EXIT_USAGE = 2
+EXIT_CUT_OFF = 4
+_MAX_HEADER_BYTES = 16_384
+_BODY_READ_FACTOR = 16
+
+
+class Entry:
+    """Wire one entry's filters and controllers together."""
+
+    def __init__(self, cfg: EntrySettings):
+        self.cfg = cfg
+        self.clock = time.monotonic
+        self.metrics = Metrics('entry')
+        self._rng = random.Random(cfg.seed)
+        self._sockets = tornado.netutil.bind_sockets(
+            cfg.listen.port, cfg.listen.host
+        )
+        self.address = Address(
+            node=cfg.node,
+            host=cfg.listen.host,
+            port=self._sockets[0].getsockname()[1],
+            zone=cfg.zone,
+            weight=1.0,
+            incarnation=time.time_ns(),
+        )
+        self.catalog = Catalog()
+        self.routing = Routing(
+            self.catalog, ReplicaChooser(cfg.zone, self._rng), self.clock
+        )
+        self.nodes = Nodes(self.address, self._rng)
+        self.leaving = Leaving()
+        self.client = TargetClient(self.metrics, self.clock)
+        self.platform = PlatformClient(cfg.platform, self.metrics, self._rng)
+        self.gate = Gate(
+            Admission(cfg.limits, self._rng), self.metrics, self.clock
+        )
+        self.suspects = Suspects(
+            Quarantine(
+                f'{cfg.node}/{self.address.incarnation}',
+                QuarantineSettings(),
+                self._rng,
+            ),
+            self.metrics,
+            self.clock,
+        )
+        self.suspects.spread = self._spread
+        self._rumors: collections.deque[Rumor] = collections.deque(maxlen=256)
+        self.link = AgentLink(
+            cfg.agent, self.address, self.metrics, self._rng
+        )
+        self.link.apply = self._apply
+        self.link.make_report = self._report
+        self.link.requeue = self._requeue
+        self.stop = asyncio.Event()
+        self._server: tornado.httpserver.HTTPServer | None = None
+        self.metrics.gauge('in_flight', lambda: self.gate.in_flight)
+        self.metrics.gauge('revision', lambda: self.catalog.revision)
+
+    def start(self) -> None:
+        """Listen and follow the agent."""
+        limits = self.cfg.limits
+        self._server = tornado.httpserver.HTTPServer(
+            self._app(),
+            max_header_size=_MAX_HEADER_BYTES,
+            max_body_size=limits.max_body_bytes * _BODY_READ_FACTOR,
+            idle_connection_timeout=limits.idle_timeout_s,
+        )
+        self._server.add_sockets(self._sockets)
+        self.link.start()
+        logs.change(
+            'entry_started', host=self.address.host, port=self.address.port
+        )
+
+    async def leave(self) -> int:
+        """Leave gracefully; return how much work was cut off."""
+        ttl_s = self.nodes.addresses(None).ttl_s
+        cut_off = await self.leaving.run(
+            ttl_s, self.cfg.limits.drain_timeout_s, self.link.hurry
+        )
+        self._server.stop()
+        await self.close()
+        return cut_off
+
+    async def close(self) -> None:
+        """Free everything."""
+        await self.link.stop()
+        self._server.stop()
+        await self._server.close_all_connections()
+        self.client.close()
+        self.platform.close()
+
+    def _app(self) -> tornado.web.Application:
+        front = handlers.Front(
+            queries=chain.link(self._query_filters()),
+            bookings=chain.link(self._booking_filters()),
+            leaving=self.leaving,
+            nodes=self.nodes,
+            limits=self.cfg.limits,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
+        shared = {'front': front}
+        return tornado.web.Application(
+            [
+                (
+                    '/v1/services/([^/]+)/query',
+                    handlers.QueryHandler,
+                    shared,
+                ),
+                (
+                    '/v1/services/([^/]+)/bookings',
+                    handlers.BookingHandler,
+                    shared,
+                ),
+                ('/v1/addresses', handlers.AddressesHandler, shared),
+                (
+                    '/metrics',
+                    handlers.MetricsHandler,
+                    {'metrics': self.metrics},
+                ),
+                (
+                    '/healthz',
+                    handlers.HealthHandler,
+                    {'ready': lambda: True},
+                ),
+                ('/readyz', handlers.HealthHandler, {'ready': self._ready}),
+            ],
+            log_function=lambda _: None,
+        )
+
+    def _query_filters(self) -> list[chain.Filter]:
+        latencies = LatencyTracker()
+        ratio = self.cfg.limits.retry_budget
+        parts = AnswerParts(
+            client=self.client,
+            routing=self.routing,
+            suspects=self.suspects,
+            budgets=BudgetBook(ratio),
+            hedges=HedgePolicy(latencies, ratio),
+            latencies=latencies,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
+        return [
+            ParseQuery(self.catalog),
+            CheckQuarantine(self.suspects, self.clock),
+            Admit(self.gate, self.clock),
+            PinSnapshot(self.routing),
+            Answer(parts),
+        ]
+
+    def _booking_filters(self) -> list[chain.Filter]:
+        parts = BookingParts(
+            client=self.client,
+            platform=self.platform,
+            routing=self.routing,
+            nodes=self.nodes,
+            leaving=self.leaving,
+            claimer=Claimer(self.cfg.node, self.address.incarnation),
+            cfg=BookingSettings(),
+            metrics=self.metrics,
+            clock=self.clock,
+            rng=self._rng,
+        )
+        return [
+            ParseBooking(self.catalog),
+            Admit(self.gate, self.clock),
+            Book(parts),
+        ]
+
+    def _ready(self) -> bool:
+        return (
+            self.catalog.ready
+            and self.nodes.connected
+            and handlers.serving(self.leaving)
+        )
+
+    def _apply(self, update: feed.Update) -> None:
+        match update:
+            case feed.ConfigUpdate():
+                if self.catalog.apply(update):
+                    self._declare()
+                    self.link.hurry()
+            case feed.TargetsUpdate(statuses):
+                for status in statuses:
+                    self.routing.take_status(status)
+            case feed.NodesUpdate():
+                self.nodes.apply(update)
+                self._share()
+            case feed.RumorsUpdate(rumors):
+                for rumor in rumors:
+                    self.suspects.heard(rumor)
+            case feed.LeaveUpdate():
+                self.stop.set()
+
+    def _declare(self) -> None:
+        _, removed = self.routing.declare()
+        for target_id in removed:
+            self.client.forget(target_id)
+        self._share()
+
+    def _share(self) -> None:
+        for target in self.catalog.targets.values():
+            self.client.declare(target, self.nodes.share(target.connections))
+
+    def _spread(self, rumor: Rumor) -> None:
+        self._rumors.append(rumor)
+        self.link.hurry()
+
+    def _report(self) -> feed.Report:
+        rumors = tuple(self._rumors)
+        self._rumors.clear()
+        return feed.Report(
+            node=self.cfg.node,
+            address=self.address,
+            revision=self.catalog.revision,
+            ready=self._ready(),
+            leaving=not handlers.serving(self.leaving),
+            in_flight=self.gate.in_flight,
+            leaving_targets=self.routing.leaving(),
+            rumors=rumors,
+        )
+
+    def _requeue(self, report: feed.Report) -> None:
+        self._rumors.extendleft(reversed(report.rumors))
+
+
+async def run(cfg: EntrySettings) -> int:
+    """Serve until a signal; return the exit code."""
+    entry = Entry(cfg)
+    loop = asyncio.get_running_loop()
+
+    def on_signal() -> None:
+        if entry.stop.is_set():
+            logs.change('entry_killed', in_flight=entry.leaving.in_flight)
+            os._exit(EXIT_CUT_OFF)
+        entry.stop.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    entry.start()
+    print(f'{{"port": {entry.address.port}}}', flush=True)
+    await entry.stop.wait()
+    return EXIT_CUT_OFF if await entry.leave() else 0
+
+
+def serve(settings_file: str) -> int:
+    """Run one entry.
+
+    :param settings_file: YAML file with this entry's settings
+    """
+    try:
+        cfg = settings.load(settings_file, EntrySettings)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_USAGE
+    logs.start('entry', cfg.node)
+    return asyncio.run(run(cfg))
+
+
+def main() -> None:
+    """Start the program."""
+    sys.exit(defopt.run(serve))
+
+
+if __name__ == '__main__':
+    main()
--- a/sesameward/exceptions.py
+++ b/sesameward/exceptions.py
@@ -88,6 +88,10 @@
     """Report that a watch asked for events no longer kept."""
 
 
+class AdminError(SesamewardError):
+    """Report an operator's request that can't be carried out."""
+
+
 class PeerUnavailableError(SesamewardError):
     """Report that another sesameward process did not answer."""
 
--- /dev/null
+++ b/sesameward/feed.py
@@ -0,0 +1,88 @@
+"""Define what an agent tells its entries, and they tell it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .declared import Pool
+from .declared import Service
+from .messages import Address
+from .messages import Addresses
+from .messages import Rumor
+from .messages import TargetStatus
+from .types import NodeId
+from .types import Revision
+from .types import TargetId
+
+WATCH = '/sesameward.Feed/Watch'
+REPORT = '/sesameward.Feed/Report'
+
+
+class WatchRequest(msgspec.Struct, frozen=True):
+    """Ask for all updates; address names the entry to callers."""
+
+    address: Address
+
+
+class ConfigUpdate(msgspec.Struct, frozen=True, tag='config'):
+    """Carry the whole declared configuration of one revision."""
+
+    revision: Revision
+    services: tuple[Service, ...]
+    pools: tuple[Pool, ...]
+
+
+class TargetsUpdate(msgspec.Struct, frozen=True, tag='targets'):
+    """Carry the targets whose state changed."""
+
+    statuses: tuple[TargetStatus, ...]
+
+
+class NodesUpdate(msgspec.Struct, frozen=True, tag='nodes'):
+    """Carry the live entries and how connections are divided.
+
+    shares maps a server's connection limit to an entry's part of it; live
+    also names the entries which callers should no longer use.
+    """
+
+    addresses: Addresses
+    shares: dict[int, int]
+    live: tuple[Address, ...] = ()
+
+
+class RumorsUpdate(msgspec.Struct, frozen=True, tag='rumors'):
+    """Carry facts which other entries spread."""
+
+    rumors: tuple[Rumor, ...]
+
+
+class LeaveUpdate(msgspec.Struct, frozen=True, tag='leave'):
+    """Ask the entry to leave."""
+
+
+Update = (
+    ConfigUpdate | TargetsUpdate | NodesUpdate | RumorsUpdate | LeaveUpdate
+)
+
+
+class UpdateEnvelope(msgspec.Struct, frozen=True):
+    """Wrap an update, so that one message type covers all."""
+
+    update: Update
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Tell the agent how an entry fares; revision is in force there."""
+
+    node: NodeId
+    address: Address
+    revision: Revision
+    ready: bool = False
+    leaving: bool = False
+    in_flight: int = 0
+    leaving_targets: tuple[TargetId, ...] = ()
+    rumors: tuple[Rumor, ...] = ()
+
+
+class ReportAck(msgspec.Struct, frozen=True):
+    """Acknowledge a report."""
--- /dev/null
+++ b/sesameward/filters/answering.py
@@ -0,0 +1,295 @@
+"""Ask the targets and stream what they answer."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+from ..budget import BudgetBook
+from ..controllers.routing import Routing
+from ..controllers.suspects import Suspects
+from ..fanout import Action
+from ..fanout import Cancel
+from ..fanout import Count
+from ..fanout import Emit
+from ..fanout import Fanout
+from ..fanout import FanoutRequest
+from ..fanout import Finish
+from ..fanout import Send
+from ..hedging import HedgePolicy
+from ..latency import LatencyTracker
+from ..messages import Open
+from ..messages import ShardQuery
+from ..metrics import Metrics
+from ..quarantine import Canary
+from ..quarantine import Lead
+from ..target_client import QueryResult
+from ..target_client import TargetClient
+from ..types import AttemptId
+from ..types import MissingReason
+from ..types import Outcome
+from ..types import ServiceName
+from ..types import TargetId
+from .chain import Proceed
+from .exchange import Exchange
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerParts:
+    """Hold what all answers of an entry share."""
+
+    client: TargetClient
+    routing: Routing
+    suspects: Suspects
+    budgets: BudgetBook
+    hedges: HedgePolicy
+    latencies: LatencyTracker
+    metrics: Metrics
+    clock: typing.Callable[[], float]
+
+
+class Answer:
+    """Fan a query out and stream its answer."""
+
+    def __init__(self, parts: AnswerParts):
+        self._parts = parts
+
+    async def __call__(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Return when the answer has ended or the caller is gone."""
+        run = _Run(exchange, self._parts)
+        try:
+            await run.finish()
+        finally:
+            run.close()
+        await proceed(exchange)
+
+
+class _ServiceBudget:
+    """Bind the budgets to one service."""
+
+    __slots__ = ('_book', '_service')
+
+    def __init__(self, book: BudgetBook, service: ServiceName):
+        self._book = book
+        self._service = service
+
+    def deposit(self, target: TargetId) -> None:
+        self._book.deposit(self._service, target)
+
+    def withdraw(self, target: TargetId) -> bool:
+        return self._book.withdraw(self._service, target)
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    target: TargetId
+    at: float
+
+
+class _Run:
+    """Carry one fan-out's actions to the targets and their replies back."""
+
+    def __init__(self, exchange: Exchange, parts: AnswerParts):
+        self._exchange = exchange
+        self._parts = parts
+        self._service = exchange.service.service
+        self._fp = exchange.fingerprint
+        self._sent: dict[AttemptId, _Sent] = {}
+        self._done = asyncio.get_running_loop().create_future()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._release_at: float | None = None
+        self._fanout = Fanout(
+            FanoutRequest(
+                exchange.request_id,
+                exchange.service.name,
+                exchange.pin,
+                exchange.versions,
+                exchange.received_at,
+                exchange.deadline_at,
+            ),
+            parts.routing.chooser,
+            _ServiceBudget(parts.budgets, self._service),
+            parts.hedges,
+        )
+
+    async def finish(self) -> None:
+        """Run until the answer has ended or the caller is gone."""
+        self._open()
+        self._carry_out(self._start())
+        gone = asyncio.ensure_future(self._exchange.gone.wait())
+        try:
+            await asyncio.wait(
+                {self._done, gone}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            gone.cancel()
+        if not self._done.done():
+            self._parts.metrics.count('callers_gone', 'mid_stream')
+
+    def close(self) -> None:
+        """Abandon what still runs at targets."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for attempt in list(self._sent):
+            self._cancel(attempt)
+
+    def _open(self) -> None:
+        exchange = self._exchange
+        exchange.caller.send(
+            Open(
+                request_id=exchange.request_id,
+                service=self._service,
+                generation=exchange.pin.shard_map.generation,
+                snapshot=exchange.pin.snapshot,
+                shards=self._fanout.asked,
+            )
+        )
+
+    def _start(self) -> list[Action]:
+        now = self._parts.clock()
+        match self._exchange.trial:
+            case Lead(wait_s):
+                self._release_at = now + wait_s
+                return self._fanout.start(now, one_first=True)
+            case Canary(broken):
+                return self._fanout.start(now, one_first=True, near=broken)
+            case _:
+                return self._fanout.start(now)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send():
+                    self._send(action)
+                case Emit(rows):
+                    self._exchange.caller.send(rows)
+                case Cancel(attempt):
+                    self._cancel(attempt)
+                case Count(name, reason, amount):
+                    self._parts.metrics.count(name, reason, amount)
+                case Finish(end):
+                    self._exchange.caller.send(end)
+                    if not self._done.done():
+                        self._done.set_result(None)
+        self._schedule()
+
+    def _send(self, send: Send) -> None:
+        exchange = self._exchange
+        parts = self._parts
+        now = parts.clock()
+        parts.metrics.count('sub_requests', send.reason)
+        parts.hedges.sent(self._service, send.reason == 'hedge')
+        parts.routing.chooser.started(send.target, now)
+        parts.suspects.sent(self._fp, send.target)
+        self._sent[send.attempt] = _Sent(send.target, now)
+        parts.client.query(
+            send.target,
+            ShardQuery(
+                attempt=send.attempt,
+                request=exchange.request_id,
+                service=self._service,
+                generation=exchange.pin.shard_map.generation,
+                snapshot=exchange.pin.snapshot,
+                shards=send.shards,
+                versions=exchange.versions,
+                remaining_ms=max(1, int((exchange.deadline_at - now) * 1000)),
+                match=exchange.query.match,
+                keys=exchange.query.keys,
+            ),
+            self._on_result,
+        )
+
+    def _cancel(self, attempt: AttemptId) -> None:
+        sent = self._sent.pop(attempt, None)
+        if sent is None:
+            return
+        self._parts.client.cancel(attempt)
+        self._account(sent, Outcome.CANCELLED)
+        self._parts.metrics.count('sub_requests_cancelled')
+
+    def _account(self, sent: _Sent, outcome: Outcome) -> None:
+        parts = self._parts
+        now = parts.clock()
+        latency_s = now - sent.at
+        parts.routing.chooser.finished(sent.target, outcome, latency_s, now)
+        parts.suspects.ended(self._fp, sent.target)
+        if outcome is Outcome.OK:
+            parts.latencies.observe(self._service, latency_s, now)
+
+    def _on_result(self, attempt: AttemptId, result: QueryResult) -> None:
+        sent = self._sent.pop(attempt, None)
+        if sent is None:
+            self._parts.metrics.count('replies_dropped', 'finished_request')
+            return
+        if result.outcome is Outcome.OK:
+            self._on_reply(attempt, sent, result)
+        else:
+            self._on_failure(attempt, sent, result)
+
+    def _on_reply(
+        self, attempt: AttemptId, sent: _Sent, result: QueryResult
+    ) -> None:
+        reply = result.reply
+        if reply.attempt != attempt:
+            self._parts.metrics.count('replies_dropped', 'unknown_attempt')
+            self._on_failure(attempt, sent, QueryResult(Outcome.ERROR))
+            return
+        self._account(sent, Outcome.OK)
+        self._parts.suspects.succeeded(self._fp, sent.target)
+        if reply.load is not None:
+            self._parts.routing.take_report(sent.target, reply.load)
+        pinned = self._exchange.pin.snapshot
+        lacking = [s.shard for s in reply.shards if s.snapshot != pinned]
+        if lacking:
+            self._parts.routing.take_lacking(sent.target, lacking, pinned)
+        now = self._parts.clock()
+        actions = self._fanout.replied(attempt, reply, now)
+        if self._fanout.holding:
+            actions += self._fanout.release(now)
+        self._carry_out(actions)
+
+    def _on_failure(
+        self, attempt: AttemptId, sent: _Sent, result: QueryResult
+    ) -> None:
+        parts = self._parts
+        parts.metrics.count('sub_requests_failed', result.outcome.value)
+        quarantined = False
+        if result.outcome is Outcome.BROKEN:
+            quarantined = parts.suspects.broke(self._fp, sent.target)
+        self._account(sent, result.outcome)
+        if result.outcome is Outcome.DRAINING:
+            parts.routing.take_leaving(sent.target)
+        now = parts.clock()
+        broke = result.outcome is Outcome.BROKEN
+        if quarantined or (broke and self._fanout.holding):
+            self._carry_out(
+                self._fanout.stop(MissingReason.QUARANTINED, now)
+            )
+            return
+        self._carry_out(self._fanout.failed(attempt, result.outcome, now))
+
+    def _schedule(self) -> None:
+        if self._done.done():
+            return
+        due_at = self._fanout.next_due()
+        if self._release_at is not None:
+            due_at = min(due_at, self._release_at)
+        if self._timer is not None:
+            if self._timer_at <= due_at:
+                return
+            self._timer.cancel()
+        delay_s = max(0.0, due_at - self._parts.clock())
+        loop = asyncio.get_running_loop()
+        self._timer_at = due_at
+        self._timer = loop.call_later(delay_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        now = self._parts.clock()
+        actions: list[Action] = []
+        if self._release_at is not None and now >= self._release_at:
+            self._release_at = None
+            actions += self._fanout.release(now)
+        self._carry_out(actions + self._fanout.due(now))
--- /dev/null
+++ b/sesameward/filters/booking.py
@@ -0,0 +1,288 @@
+"""Run a booking at most once."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+import typing
+
+import msgspec
+
+from .. import bookings
+from ..controllers.leaving import Leaving
+from ..controllers.nodes import Nodes
+from ..controllers.routing import Routing
+from ..exceptions import ConflictError
+from ..exceptions import NotFoundError
+from ..exceptions import PlatformError
+from ..exceptions import PlatformThrottledError
+from ..exceptions import RefusalError
+from ..messages import BookingResult
+from ..messages import StoredObject
+from ..messages import TargetBooking
+from ..metrics import Metrics
+from ..platform_client import PlatformClient
+from ..target_client import BookingAnswer
+from ..target_client import TargetClient
+from ..types import AttemptId
+from ..types import ChangeId
+from ..types import Outcome
+from ..types import RefusalKind
+from ..types import Revision
+from ..types import ShardId
+from .chain import Proceed
+from .exchange import Exchange
+
+NO_REPLICA_RETRY_S = 1.0
+_PROBLEMS = {
+    RefusalKind.KEY_REUSED: (
+        'this key was used for another booking',
+        'send a new key with a new booking',
+    ),
+    RefusalKind.IN_PROGRESS: (
+        'an equal booking is still running',
+        'send it again with the same key after the given time',
+    ),
+    RefusalKind.STORE_UNAVAILABLE: (
+        'the claim could not be stored',
+        'send it again with the same key after the given time',
+    ),
+}
+_OTHER_PROBLEM = (
+    'the booking could not be run',
+    'send it again with the same key after the given time',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BookingParts:
+    """Hold what all bookings of an entry share."""
+
+    client: TargetClient
+    platform: PlatformClient
+    routing: Routing
+    nodes: Nodes
+    leaving: Leaving
+    claimer: bookings.Claimer
+    cfg: bookings.BookingSettings
+    metrics: Metrics
+    clock: typing.Callable[[], float]
+    rng: random.Random
+
+
+class Book:
+    """Claim a booking's key, dispatch it once and store the outcome."""
+
+    def __init__(self, parts: BookingParts):
+        self._parts = parts
+
+    async def __call__(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Answer the caller; the outcome is stored in the background."""
+        run = _Run(exchange, self._parts)
+        self._parts.leaving.hold(run.ended)
+        exchange.caller.answer(await asyncio.shield(run.start()))
+        await proceed(exchange)
+
+
+class _Run:
+    """Carry one booking's actions to the store and to targets."""
+
+    def __init__(self, exchange: Exchange, parts: BookingParts):
+        self._exchange = exchange
+        self._parts = parts
+        self._shard = self._find_shard()
+        targets = parts.routing.replicas(exchange.service, self._shard)
+        loop = asyncio.get_running_loop()
+        self.ended: asyncio.Future[None] = loop.create_future()
+        self._told: asyncio.Future[BookingResult] = loop.create_future()
+        self._tasks: set[asyncio.Task] = set()
+        self._deadline = loop.call_later(
+            max(0.0, exchange.deadline_at - parts.clock()), self._on_deadline
+        )
+        self._booking = bookings.Booking(
+            bookings.BookingRequest(
+                request_id=exchange.request_id,
+                service=exchange.service.service,
+                key=exchange.key,
+                digest=bookings.digest(exchange.booking),
+                attempt=exchange.attempt,
+                deadline=exchange.deadline_at,
+                targets=tuple(targets),
+            ),
+            parts.claimer,
+            parts.cfg,
+            parts.rng,
+        )
+
+    def start(self) -> asyncio.Future[BookingResult]:
+        """Begin; the future holds the result or a RefusalError."""
+        now = self._parts.clock()
+        self._carry_out(self._booking.start(now, time.time()))
+        return self._told
+
+    def _find_shard(self) -> ShardId:
+        service = self._exchange.service
+        pin = self._parts.routing.pin(service)
+        if pin is None:
+            raise RefusalError(
+                RefusalKind.NO_REPLICA,
+                f'no target of {service.name} is live',
+                'come back later',
+                run=bookings.unclaimed_run(self._exchange.attempt),
+                retry_after_s=NO_REPLICA_RETRY_S,
+            )
+        return pin.shard_map.owner(self._exchange.booking.record_key).id
+
+    def _handle(self, event: bookings.Event) -> None:
+        now = self._parts.clock()
+        self._carry_out(self._booking.handle(event, now))
+
+    def _carry_out(self, actions: typing.Sequence[bookings.Action]) -> None:
+        for action in actions:
+            match action:
+                case bookings.CreateClaim():
+                    self._spawn(self._create(action))
+                case bookings.ReadClaim():
+                    self._spawn(self._read(action))
+                case bookings.Dispatch():
+                    self._dispatch(action)
+                case bookings.WriteOutcome() | bookings.ReleaseClaim():
+                    self._spawn(self._write(action))
+                case bookings.Reply(result):
+                    self._tell(result)
+                case bookings.Refuse():
+                    self._refuse(action)
+        if self._booking.ended and not self.ended.done():
+            self._deadline.cancel()
+            self.ended.set_result(None)
+
+    def _spawn(self, work: typing.Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _tell(self, result: BookingResult) -> None:
+        reason = 'repeated' if result.repeated else result.run.value
+        self._parts.metrics.count('bookings', reason)
+        self._told.set_result(result)
+
+    def _refuse(self, refuse: bookings.Refuse) -> None:
+        problem, remedy = _PROBLEMS.get(refuse.kind, _OTHER_PROBLEM)
+        self._told.set_exception(
+            RefusalError(
+                refuse.kind,
+                problem,
+                remedy,
+                run=refuse.run,
+                retry_after_s=refuse.retry_after_s,
+            )
+        )
+
+    def _on_deadline(self) -> None:
+        self._handle(bookings.DeadlinePassed())
+
+    async def _create(self, action: bookings.CreateClaim) -> None:
+        try:
+            revision = await self._put(
+                action.name, action.claim, action.replaces, 'claim'
+            )
+        except ConflictError:
+            self._handle(bookings.ClaimConflict())
+        except PlatformThrottledError:
+            self._parts.metrics.count('claims_failed', 'throttled')
+            self._handle(bookings.ClaimFailed())
+        except PlatformError:
+            self._parts.metrics.count('claims_failed', 'unsure')
+            self._handle(bookings.ClaimUnsure())
+        else:
+            self._handle(bookings.ClaimCreated(revision))
+
+    async def _read(self, action: bookings.ReadClaim) -> None:
+        if action.after_s:
+            await asyncio.sleep(action.after_s)
+        try:
+            found = await self._parts.platform.get(
+                bookings.KIND, action.name
+            )
+            stored = self._stored(found)
+        except NotFoundError:
+            self._handle(bookings.ClaimRead(None))
+        except (PlatformError, msgspec.DecodeError):
+            self._parts.metrics.count('claims_failed', 'unreadable')
+            self._handle(bookings.ReadFailed())
+        else:
+            self._handle(bookings.ClaimRead(stored))
+
+    def _stored(self, found: StoredObject) -> bookings.Stored:
+        claim = bookings.decode_claim(found.value)
+        alive = self._parts.nodes.alive(claim.node, claim.incarnation)
+        age_s = max(0.0, time.time() - claim.created_s)
+        return bookings.Stored(claim, found.revision, alive, age_s)
+
+    async def _write(
+        self, action: bookings.WriteOutcome | bookings.ReleaseClaim
+    ) -> None:
+        if action.after_s:
+            await asyncio.sleep(action.after_s)
+        try:
+            await self._put(
+                action.name, action.claim, action.revision, 'outcome'
+            )
+        except ConflictError:
+            self._handle(bookings.OutcomeConflict())
+        except PlatformError:
+            self._parts.metrics.count('outcomes_failed', 'store')
+            self._handle(bookings.OutcomeUnsure())
+        else:
+            self._handle(bookings.OutcomeWritten())
+
+    async def _put(
+        self,
+        name: str,
+        claim: bookings.Claim,
+        expected: Revision | None,
+        step: str,
+    ) -> Revision:
+        return await self._parts.platform.put(
+            bookings.KIND,
+            name,
+            bookings.encode_claim(claim),
+            expected,
+            ChangeId(f'{claim.nonce}-{step}'),
+        )
+
+    def _dispatch(self, action: bookings.Dispatch) -> None:
+        exchange = self._exchange
+        self._parts.metrics.count('booking_dispatches')
+
+        def finish(answer: BookingAnswer) -> None:
+            self._handle(_event(action.attempt, answer))
+
+        self._parts.client.book(
+            action.target,
+            TargetBooking(
+                attempt=action.attempt,
+                key=exchange.key,
+                service=exchange.service.service,
+                shard=self._shard,
+                record_key=exchange.booking.record_key,
+                remaining_ms=0,
+                action=exchange.booking.action,
+            ),
+            action.deadline,
+            finish,
+        )
+
+
+def _event(attempt: AttemptId, answer: BookingAnswer) -> bookings.Event:
+    if answer.reply is not None:
+        return bookings.TargetAnswered(attempt, answer.reply.result)
+    if answer.outcome in (Outcome.SHED, Outcome.DRAINING):
+        return bookings.TargetRefusedUnrun(
+            attempt, answer.retry_after_ms / 1000
+        )
+    if not answer.sent:
+        return bookings.ConnectFailed(attempt)
+    return bookings.ConnectionBroken(attempt)
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -118,6 +118,7 @@
     port: int
     zone: ZoneName
     weight: float
+    incarnation: int = 0
 
 
 class Addresses(msgspec.Struct, frozen=True):
@@ -236,6 +237,7 @@
     host: str
     zone: ZoneName
     leaving: bool = False
+    role: str = 'entry'
 
 
 # Agents among each other.
--- a/sesameward/settings.py
+++ b/sesameward/settings.py
@@ -48,7 +48,6 @@
     max_in_flight: Count = 256
     max_queue: Count = 256
     retry_budget: Fraction = 0.05
-    connection_reserve: Fraction = 0.2
     drain_timeout_s: Seconds = 30.0
 
 
@@ -91,6 +90,7 @@
     probe_s: Seconds = 1.0
     address_ttl_s: Seconds = 5.0
     watchers_per_zone: Count = 2
+    connection_reserve: Fraction = 0.2
     seed: int | None = None
 
 
--- /dev/null
+++ b/sesameward/transfers.py
@@ -0,0 +1,317 @@
+"""Run HTTP transfers on libcurl's multi interface and asyncio.
+
+Tornado's curl client sets up each transfer from nothing, which costs more
+than the transfer itself; here each handle is set up once for its server.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import os
+import typing
+import warnings
+
+import pycurl
+
+class Failure(enum.Enum):
+    """Name how a transfer failed."""
+
+    CONNECT = 'connect'
+    BROKEN = 'broken'
+    TIMEOUT = 'timeout'
+    TOO_LARGE = 'too_large'
+
+
+_CONNECT_ERRORS = frozenset(
+    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """Hold a finished transfer; sent tells whether bytes may have left."""
+
+    status: int
+    body: bytes
+    failure: Failure | None = None
+    sent: bool = True
+
+
+Done = typing.Callable[[Response], None]
+CloseSocket = typing.Callable[[int], int]
+
+
+class Transfer:
+    """Own one libcurl handle, used for one transfer at a time."""
+
+    __slots__ = ('aborted', 'chunks', 'curl', 'done', 'lane', 'size')
+
+    def __init__(self):
+        self.lane: Lane | None = None
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.aborted = False
+        self.done: Done | None = None
+        self.curl = pycurl.Curl()
+        self.curl.owner = self
+
+    def prepare(self, lane: Lane, close_socket: CloseSocket) -> None:
+        """Set the handle up for all transfers of one lane."""
+        self.lane = lane
+        curl = self.curl
+        curl.reset()
+        curl.setopt(pycurl.URL, lane.url)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.HTTPGET if lane.reads else pycurl.POST, 1)
+        curl.setopt(pycurl.HTTPHEADER, lane.headers)
+        curl.setopt(pycurl.PROXY, '')
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.WRITEFUNCTION, self._write)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
+        curl.setopt(pycurl.CLOSESOCKETFUNCTION, close_socket)
+        if lane.once:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+            curl.setopt(pycurl.FORBID_REUSE, 1)
+
+    def abort(self) -> None:
+        """Let libcurl fail the transfer the next time it looks at it."""
+        self.aborted = True
+        self.done = None
+        self.curl.setopt(pycurl.NOPROGRESS, 0)
+
+    def rearm(self) -> None:
+        """Make an aborted handle fit for use again."""
+        self.aborted = False
+        self.curl.setopt(pycurl.NOPROGRESS, 1)
+
+    def _progress(self, *_: float) -> int:
+        return int(self.aborted)
+
+    def _write(self, chunk: bytes) -> int | None:
+        self.size += len(chunk)
+        if self.size > self.lane.max_bytes:
+            return 0
+        self.chunks.append(chunk)
+        return None
+
+
+class Lane:
+    """Hold the idle handles for one URL.
+
+    A lane with once=True opens a connection for each transfer: libcurl
+    sends a request again when a reused connection turns out to be closed,
+    which a request that is not idempotent must never suffer.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        headers: list[str],
+        once: bool = False,
+        reads: bool = False,
+        max_bytes: int = 16_000_000,
+    ):
+        self.url = url
+        self.reads = reads
+        self.headers = ['Expect:', *headers]
+        self.once = once
+        self.max_bytes = max_bytes
+        self.idle: list[Transfer] = []
+
+
+class Transfers:
+    """Drive all transfers of this process."""
+
+    def __init__(self, max_connections: int = 10_000):
+        self._loop = asyncio.get_running_loop()
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._set_socket)
+        self._timer: asyncio.TimerHandle | None = None
+        self._kick: asyncio.Handle | None = None
+        self._wanted: dict[int, int] = {}
+        self._watched: dict[int, int] = {}
+        self._abort: asyncio.Handle | None = None
+        self._aborting: list[Transfer] = []
+        # Handles are kept until the end: an open connection refers to the
+        # handle which opened it, also when that handle is idle.
+        self._handles: list[Transfer] = []
+        self._spare: list[Transfer] = []
+
+    def submit(
+        self,
+        lane: Lane,
+        body: bytes,
+        done: Done,
+        timeout_ms: int = 0,
+    ) -> Transfer:
+        """Start a transfer; done is called once unless it is cancelled."""
+        transfer = lane.idle.pop() if lane.idle else self._create(lane)
+        transfer.done = done
+        transfer.size = 0
+        curl = transfer.curl
+        if not lane.reads:
+            curl.setopt(pycurl.POSTFIELDS, body)
+        if timeout_ms:
+            curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        self._multi.add_handle(curl)
+        return transfer
+
+    def cancel(self, transfer: Transfer) -> None:
+        """Abandon a transfer and close its connection."""
+        if transfer.done is None:
+            return
+        transfer.abort()
+        self._aborting.append(transfer)
+        if self._abort is None:
+            self._abort = self._loop.call_soon(self._on_abort)
+
+    def forget(self, lane: Lane) -> None:
+        """Make the lane's idle handles free for other lanes."""
+        self._spare.extend(lane.idle)
+        lane.idle.clear()
+
+    def close(self) -> None:
+        """Abandon all transfers and free libcurl's state."""
+        for handle in (self._timer, self._kick, self._abort):
+            if handle is not None:
+                handle.cancel()
+        with warnings.catch_warnings():
+            # Pycurl can't call back from here, so the sockets stay open.
+            warnings.simplefilter('ignore', RuntimeWarning)
+            self._multi.close()
+        for fd in tuple(self._watched):
+            self._close_socket(fd)
+        for transfer in self._handles:
+            transfer.curl.close()
+
+    def _create(self, lane: Lane) -> Transfer:
+        if self._spare:
+            transfer = self._spare.pop()
+        else:
+            transfer = Transfer()
+            self._handles.append(transfer)
+        transfer.prepare(lane, self._close_socket)
+        return transfer
+
+    def _release(self, transfer: Transfer) -> None:
+        transfer.done = None
+        transfer.chunks.clear()
+        if transfer.aborted:
+            transfer.rearm()
+        transfer.lane.idle.append(transfer)
+
+    def _set_timer(self, timeout_ms: int) -> None:
+        if timeout_ms == 0:
+            if self._kick is None:
+                self._kick = self._loop.call_soon(self._on_kick)
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if timeout_ms > 0:
+            self._timer = self._loop.call_later(
+                timeout_ms / 1000, self._on_timer
+            )
+
+    def _set_socket(self, event: int, fd: int, multi, data) -> None:
+        wanted = 0 if event == pycurl.POLL_REMOVE else event
+        self._wanted[fd] = wanted
+        watched = self._watched.get(fd, 0)
+        missing = wanted & ~watched
+        if missing & pycurl.POLL_IN:
+            self._loop.add_reader(fd, self._on_readable, fd)
+            watched |= pycurl.POLL_IN
+        if missing & pycurl.POLL_OUT:
+            self._loop.add_writer(fd, self._on_writable, fd)
+            watched |= pycurl.POLL_OUT
+        if watched & ~wanted & pycurl.POLL_OUT:
+            self._loop.remove_writer(fd)
+            watched &= ~pycurl.POLL_OUT
+        # The reader stays while the connection is idle, since the next
+        # transfer wants it again; _on_readable removes it when it fires.
+        self._watched[fd] = watched
+
+    def _unwatch(self, fd: int) -> None:
+        watched = self._watched.pop(fd, 0)
+        self._wanted.pop(fd, None)
+        if watched & pycurl.POLL_IN:
+            self._loop.remove_reader(fd)
+        if watched & pycurl.POLL_OUT:
+            self._loop.remove_writer(fd)
+
+    def _close_socket(self, fd: int) -> int:
+        self._unwatch(fd)
+        with contextlib.suppress(OSError):
+            os.close(fd)
+        return 0
+
+    def _on_readable(self, fd: int) -> None:
+        if self._wanted.get(fd, 0) & pycurl.POLL_IN:
+            self._act(fd, pycurl.CSELECT_IN)
+            return
+        self._loop.remove_reader(fd)
+        self._watched[fd] &= ~pycurl.POLL_IN
+
+    def _on_writable(self, fd: int) -> None:
+        self._act(fd, pycurl.CSELECT_OUT)
+
+    def _on_kick(self) -> None:
+        self._kick = None
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _on_abort(self) -> None:
+        self._abort = None
+        aborting, self._aborting = self._aborting, []
+        for transfer in aborting:
+            if transfer.aborted:
+                fd = transfer.curl.getinfo(pycurl.ACTIVESOCKET)
+                self._act(fd, pycurl.CSELECT_IN)
+
+    def _act(self, fd: int, action: int) -> None:
+        self._multi.socket_action(fd, action)
+        while True:
+            queued, finished, failed = self._multi.info_read()
+            for curl in finished:
+                self._finish(curl.owner, 0)
+            for curl, errno, _ in failed:
+                self._finish(curl.owner, errno)
+            if not queued:
+                break
+
+    def _finish(self, transfer: Transfer, errno: int) -> None:
+        curl = transfer.curl
+        self._multi.remove_handle(curl)
+        done = transfer.done
+        response = _response(transfer, errno)
+        self._release(transfer)
+        if done is not None:
+            done(response)
+
+
+def _response(transfer: Transfer, errno: int) -> Response:
+    curl = transfer.curl
+    if not errno:
+        chunks = transfer.chunks
+        body = chunks[0] if len(chunks) == 1 else b''.join(chunks)
+        return Response(curl.getinfo(pycurl.RESPONSE_CODE), body)
+    sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+    return Response(0, b'', _failure(errno, sent), sent)
+
+
+def _failure(errno: int, sent: bool) -> Failure:
+    if errno == pycurl.E_OPERATION_TIMEDOUT:
+        return Failure.TIMEOUT
+    if errno == pycurl.E_WRITE_ERROR:
+        return Failure.TOO_LARGE
+    if errno in _CONNECT_ERRORS or not sent:
+        return Failure.CONNECT
+    return Failure.BROKEN
