--- a/sesameward/exceptions.py
+++ b/sesameward/exceptions.py
@@ -27,9 +27,14 @@
     def __init__(self, field: str, problem: str, remedy: str):
         super().__init__(f'{field}: {problem}; {remedy}')
         self.field = field
+        self.problem = problem
         self.remedy = remedy
 
 
+class ReferencedError(DeclarationError):
+    """Report a change which contradicts other objects in the store."""
+
+
 class RefusalError(SesamewardError):
     """Refuse a request; retry_after_s is None where retrying is useless."""
 
@@ -57,6 +62,10 @@
     """Report that the platform did not answer within the deadline."""
 
 
+class UnsureWriteError(PlatformUnavailableError):
+    """Report a write of which it is unknown whether it took effect."""
+
+
 class PlatformThrottledError(PlatformError):
     """Report that the platform or the local budget refused the call."""
 
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -238,6 +238,20 @@
     leaving: bool = False
 
 
+class Listing(msgspec.Struct, frozen=True):
+    """Hold objects and the revision through which they are complete."""
+
+    revision: Revision
+    objects: tuple[StoredObject, ...] = ()
+
+
+class Written(msgspec.Struct, frozen=True):
+    """Name the newest revision of an object and the change behind it."""
+
+    revision: Revision
+    change: ChangeId = ChangeId('')
+
+
 # Agents among each other.
 
 
@@ -264,3 +278,61 @@
     version: int
     body: bytes = b''
     ttl_s: float = 60.0
+
+
+class Digest(msgspec.Struct, frozen=True):
+    """Sum up the declared objects which an agent holds."""
+
+    revision: Revision
+    checksum: int = 0
+
+
+class Pull(msgspec.Struct, frozen=True):
+    """Ask an agent for objects; hold the answer until it has wanted."""
+
+    digest: Digest
+    wanted: Revision = Revision(0)
+    wait_s: float = 0.0
+    after: Revision | None = None
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """Carry a page of objects; full means that absent ones are deleted.
+
+    A cursor names where the next page starts; None ends the last page.
+    """
+
+    since: Revision
+    revision: Revision
+    objects: tuple[StoredObject, ...] = ()
+    full: bool = False
+    cursor: Revision | None = None
+    checksum: int = 0
+
+
+# Agents and operators.
+
+
+class Rejected(msgspec.Struct, frozen=True):
+    """Name an object which a node keeps out of force, and why."""
+
+    kind: str
+    name: str
+    revision: Revision
+    problem: str
+
+
+class EntryStatus(msgspec.Struct, frozen=True):
+    """Name the revision in force on one entry."""
+
+    address: str
+    revision: Revision
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """Name the revision in force on one agent and its entries."""
+
+    node: NodeId
+    revision: Revision
+    entries: tuple[EntryStatus, ...] = ()
+    rejected: tuple[Rejected, ...] = ()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+
 import hypothesis
 import pytest
 
 from sesameward import declared
+from sesameward.metrics import Metrics
+from sesameward.platform_client import PlatformClient
+from sesameward.settings import PlatformSettings
+from sesameward.standin.platform import Platform
 from sesameward.types import Generation
 from sesameward.types import RecordVersion
 from sesameward.types import ServiceName
@@ -55,3 +62,30 @@
             for index in range(2)
         ),
     )
+
+
+@pytest.fixture
+def metrics():
+    """Count events of one test."""
+    return Metrics('test')
+
+
+@pytest.fixture
+def with_platform(metrics):
+    """Run a coroutine function with a platform and a client for it."""
+
+    def run(scenario, **settings):
+        async def main():
+            standin = Platform()
+            url = f'http://127.0.0.1:{standin.start()}'
+            cfg = PlatformSettings(url=url, **{'timeout_s': 0.5} | settings)
+            client = PlatformClient(cfg, metrics, random.Random(1))
+            try:
+                return await scenario(standin, client)
+            finally:
+                client.close()
+                await standin.stop()
+
+        return asyncio.run(main())
+
+    return run
