--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,238 @@
+"""Test how configuration reaches real agents over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+
+from grpclib import server
+import pytest
+
+from sesameward.codec import MsgpackCodec
+from sesameward.config_peers import PullClient
+from sesameward.config_peers import PullHandler
+from sesameward.controllers import configuration
+from sesameward.controllers.configuration import Configuration
+from sesameward import declared
+from sesameward.exceptions import ConflictError
+from sesameward.messages import Member
+from sesameward.messages import StoredObject
+from sesameward.platform_client import PlatformClient
+from sesameward.settings import PlatformSettings
+from sesameward.spread import Spread
+from sesameward.standin.platform import Faults
+
+PROMISE_S = 2.0
+
+
+class Agents:
+    """Run agents which hear each other's rumors at once."""
+
+    def __init__(self, url, metrics):
+        self.url = url
+        self.metrics = metrics
+        self.nodes = {}
+        self.servers = {}
+        self.members = {}
+        self.cut = set()
+
+    async def add(self, node, zone='a'):
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+        rng = random.Random(node)
+        cfg = PlatformSettings(url=self.url, timeout_s=0.5)
+        agent = Configuration(
+            node,
+            Spread(node, zone, 1, rng),
+            PlatformClient(cfg, self.metrics, rng),
+            PullClient(self.metrics, 0.5).pull,
+            lambda: [m for n, m in self.members.items() if n not in self.cut],
+            lambda rumor: self.tell(node, rumor),
+            self.metrics,
+            rng,
+        )
+        handler = PullHandler(agent.answer)
+        self.servers[node] = server.Server([handler], codec=MsgpackCodec())
+        await self.servers[node].start('127.0.0.1', port)
+        self.members[node] = Member(node, zone, '127.0.0.1', 0, port, 0)
+        self.nodes[node] = agent
+        agent.start()
+        return agent
+
+    def tell(self, source, rumor):
+        for node, agent in self.nodes.items():
+            if node != source and node not in self.cut:
+                agent.hear(rumor)
+
+    async def remove(self, node):
+        await self.nodes.pop(node).stop()
+        self.members.pop(node)
+        grpc = self.servers.pop(node)
+        grpc.close()
+        await grpc.wait_closed()
+
+    async def reach(self, revision, within_s=PROMISE_S):
+        async with asyncio.timeout(within_s):
+            while any(a.revision < revision for a in self.nodes.values()):
+                await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+def with_agents(with_platform, metrics, monkeypatch):
+    """Run a coroutine function with a platform, a client and five agents."""
+    monkeypatch.setattr(configuration, 'RECONCILE_S', 0.5)
+    monkeypatch.setattr(configuration, 'BACKOFF_CAP_S', 0.5)
+    monkeypatch.setattr(configuration, 'ROLE_S', 0.2)
+
+    def run(scenario, count=5):
+        async def with_client(standin, client):
+            agents = Agents(f'http://127.0.0.1:{standin.port}', metrics)
+            for index in range(count):
+                await agents.add(f'n{index}')
+            try:
+                await scenario(standin, client, agents)
+            finally:
+                for node in list(agents.nodes):
+                    await agents.remove(node)
+
+        with_platform(with_client)
+
+    return run
+
+
+async def write(client, service, expected=None, change='c1', **fields):
+    value = declared.encode(service)
+    return await client.put('service', service.name, value, expected, change)
+
+
+async def until(condition, within_s=5.0):
+    async with asyncio.timeout(within_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_change_is_in_force_on_all_of_five(with_agents, service):
+    async def scenario(standin, client, agents):
+        heard = []
+        agents.nodes['n3'].on_change(heard.extend)
+        await until(
+            lambda: all(a.ready.is_set() for a in agents.nodes.values())
+        )
+        await until(lambda: any(a.watching for a in agents.nodes.values()))
+        revision = None
+        for number in range(3):
+            revision = await write(client, service, revision, f'c{number}')
+            await agents.reach(revision)
+        await client.delete('service', service.name, revision, 'gone')
+        await agents.reach(revision + 1)
+        assert all(not a.book.in_force() for a in agents.nodes.values())
+        revisions = [o.revision for o in heard]
+        assert revisions == sorted(set(revisions)) and heard[-1].deleted
+
+    with_agents(scenario)
+
+
+def test_only_a_few_watch(with_agents, service):
+    async def scenario(standin, client, agents):
+        await until(lambda: standin.calls.waiting == 1)
+        await agents.reach(await write(client, service))
+        assert sum(a.watching for a in agents.nodes.values()) == 1
+
+    with_agents(scenario)
+
+
+def test_outage_keeps_configuration_and_fresh_agent_boots_from_peers(
+    with_agents, service
+):
+    async def scenario(standin, client, agents):
+        first = await write(client, service)
+        await agents.reach(first)
+        standin.faults = Faults(outage=True)
+        fresh = await agents.add('fresh')
+        await agents.reach(first)
+        assert fresh.book.service(service.service) == service
+        standin.faults = Faults()
+        await agents.reach(await write(client, service, first, 'c2'), 5.0)
+
+    with_agents(scenario)
+
+
+def test_fresh_agent_takes_the_highest_of_stale_peers(with_agents, service):
+    async def scenario(standin, client, agents):
+        first = await write(client, service)
+        await agents.reach(first)
+        agents.cut.add('n0')
+        await until(
+            lambda: any(
+                a.watching for n, a in agents.nodes.items() if n != 'n0'
+            )
+        )
+        stale = agents.nodes['n0']
+        await stale.stop()
+        second = await write(client, service, first, 'c2')
+        await until(lambda: agents.nodes['n1'].revision >= second)
+        standin.faults = Faults(outage=True)
+        agents.cut.clear()
+        await agents.add('fresh')
+        await until(lambda: agents.nodes['fresh'].revision >= second)
+        stale.start()
+        await agents.reach(second, 5.0)
+
+    with_agents(scenario)
+
+
+def test_watcher_that_dies_is_replaced(with_agents, service):
+    async def scenario(standin, client, agents):
+        await until(lambda: any(a.watching for a in agents.nodes.values()))
+        for number in range(3):
+            watcher = next(n for n, a in agents.nodes.items() if a.watching)
+            await agents.remove(watcher)
+            revision = await write(
+                client, service, number or None, f'c{number}'
+            )
+            await agents.reach(revision, 5.0)
+
+    with_agents(scenario)
+
+
+def test_restarted_store_with_lower_revisions_changes_nothing(
+    with_agents, service
+):
+    async def scenario(standin, client, agents):
+        revision = await write(client, service)
+        for number in range(5):
+            revision = await write(client, service, revision, f'c{number}')
+        await agents.reach(revision)
+        old = StoredObject('service', service.name, 1, b'{}')
+        for agent in agents.nodes.values():
+            assert agent.book.replace([old], 1) == []
+            assert agent.book.replace([], 2) == []
+            assert agent.revision == revision
+
+    with_agents(scenario)
+
+
+def test_racing_operators_leave_one_order(with_agents, service):
+    async def scenario(standin, client, agents):
+        standin.faults = Faults(lose_replies=3, lose_requests=3)
+        revision = await write(client, service)
+        history = [revision]
+
+        async def operator(name):
+            for number in range(5):
+                read = await client.get('service', service.name)
+                with contextlib.suppress(ConflictError):
+                    history.append(
+                        await write(
+                            client, service, read.revision, f'{name}-{number}'
+                        )
+                    )
+
+        await asyncio.gather(*map(operator, 'abc'))
+        assert len(set(history)) == len(history) == standin.store.revision
+        await agents.reach(max(history))
+
+    with_agents(scenario)
