--- a/sesameward/exceptions.py
+++ b/sesameward/exceptions.py
@@ -94,3 +94,17 @@
 
 class IntegrityError(SesamewardError):
     """Report a datagram which is not authentic, fresh or well formed."""
+
+    def __init__(self, reason: str, remedy: str):
+        super().__init__(f'datagram refused as {reason}; {remedy}')
+        self.reason = reason
+
+
+class RumorTooLargeError(SesamewardError):
+    """Report a rumor which does not fit a datagram."""
+
+    def __init__(self, size_bytes: int, limit_bytes: int):
+        super().__init__(
+            f'the rumor takes {size_bytes} bytes of {limit_bytes}; '
+            'publish a reference and fetch the rest from a peer'
+        )
--- a/sesameward/settings.py
+++ b/sesameward/settings.py
@@ -72,6 +72,8 @@
     keys: tuple[str, ...]
     period_s: Seconds = 0.5
     probe_timeout_s: Seconds = 0.2
+    probes_per_period: Count = 4
+    suspicion_s: Seconds = 1.8
     suspicion_mult: Count = 3
     push_pull_s: Seconds = 15.0
     datagram_bytes: Count = 1_400
--- /dev/null
+++ b/sesameward/swim.py
@@ -0,0 +1,864 @@
+"""Decide who is a member: SWIM with Lifeguard's local health."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import heapq
+import itertools
+import random
+import typing
+
+import msgspec
+
+from . import datagrams
+from .datagrams import Ack
+from .datagrams import Body
+from .datagrams import Claim
+from .datagrams import Datagram
+from .datagrams import Gossip
+from .datagrams import introduce
+from .datagrams import Introduction
+from .datagrams import Nack
+from .datagrams import Ping
+from .datagrams import PingRequest
+from .datagrams import rank_of
+from .datagrams import Update
+from .datagrams import WireRumor
+from .exceptions import RumorTooLargeError
+from .messages import Member
+from .messages import Rumor
+from .piggyback import Piggyback
+from .roster import is_live
+from .roster import Roster
+from .rumors import Rumors
+from .seals import OVERHEAD_BYTES
+from .settings import MembershipSettings
+from .suspicion import confirmations
+from .suspicion import LocalHealth
+from .suspicion import Suspicion
+from .types import MemberState
+from .types import NodeId
+
+HELPERS = 3
+GOSSIP_FANOUT = 2
+LEAVE_FANOUT = 8
+DEAD_PROBE_PERIODS = 20.0
+DEAD_MEMORY_S = 6 * 3_600.0
+SWEEP_S = 10.0
+MIN_SYNC_GAP_S = 5.0
+MAX_RUMOR_BYTES = 512
+REVIVAL_BYTES_PER_S = 800.0
+REVIVAL_BURST_BYTES = 800.0
+URGENT_BYTES_PER_S = 3_000.0
+URGENT_BURST_BYTES = 6_000.0
+GOSSIP_BACKLOG = 32
+BODY_BYTES = 160
+MAX_FIXED_ORDER = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """Tell that a sealed datagram came in from this address."""
+
+    host: str
+    port: int
+    message: Datagram
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Tell that time went on."""
+
+
+Event = Received | Tick
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Ask for a datagram to be sent."""
+
+    host: str
+    port: int
+    message: Datagram
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changed:
+    """Tell that a member was added or changed."""
+
+    member: Member
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RumorHeard:
+    """Tell of a rumor's new version, once."""
+
+    rumor: Rumor
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SyncWanted:
+    """Ask for an exchange of state with this member."""
+
+    member: Member
+
+
+Action = Send | Changed | RumorHeard | SyncWanted
+
+
+class _Timer(enum.Enum):
+    PROBE = enum.auto()
+    INDIRECT = enum.auto()
+    FAIL = enum.auto()
+    SUSPECT = enum.auto()
+    NACK = enum.auto()
+    DEAD_PROBE = enum.auto()
+    SYNC = enum.auto()
+    SWEEP = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class _Probe:
+    node: NodeId
+    helpers: int = 0
+    nacks: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Relay:
+    seq: int
+    host: str
+    port: int
+
+
+class _Bucket:
+    """Bound the bytes of updates per second."""
+
+    def __init__(self, rate: float, burst: float):
+        self._rate = rate
+        self._burst = burst
+        self._left = burst
+        self._at = 0.0
+
+    def left(self, now: float) -> int:
+        gained = max(0.0, now - self._at) * self._rate
+        self._left = min(self._burst, self._left + gained)
+        self._at = now
+        return max(0, int(self._left))
+
+    def spend(self, size: int) -> None:
+        self._left -= size
+
+
+class Swim:
+    """Detect failures and spread updates at a constant cost per node."""
+
+    def __init__(
+        self, me: Member, cfg: MembershipSettings, rng: random.Random
+    ):
+        self._me = me
+        self._cfg = cfg
+        self._rng = rng
+        self._health = LocalHealth()
+        self._roster = Roster()
+        self._roster.merge(me)
+        self._rumors = Rumors()
+        self._urgent = Piggyback()
+        self._revivals = Piggyback()
+        self._urgent_bytes = _Bucket(URGENT_BYTES_PER_S, URGENT_BURST_BYTES)
+        self._revival_bytes = _Bucket(REVIVAL_BYTES_PER_S, REVIVAL_BURST_BYTES)
+        self._pool = _Pool(rng)
+        self._dead: dict[NodeId, float] = {}
+        self._suspicions: dict[NodeId, Suspicion] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._seqs = itertools.count(1)
+        self._timers: list[tuple[float, int, _Timer, object]] = []
+        self._order = itertools.count()
+        self._ticked_at: float | None = None
+        self._synced_at = float('-inf')
+        self._actions: list[Action] = []
+        self._handlers = {
+            _Timer.PROBE: self._on_probe,
+            _Timer.INDIRECT: self._on_indirect,
+            _Timer.FAIL: self._on_fail,
+            _Timer.SUSPECT: self._on_suspect,
+            _Timer.NACK: self._on_nack,
+            _Timer.DEAD_PROBE: self._on_dead_probe,
+            _Timer.SYNC: self._on_sync,
+            _Timer.SWEEP: self._on_sweep,
+        }
+
+    # What others ask of it.
+
+    @property
+    def me(self) -> Member:
+        """Return the own record."""
+        return self._me
+
+    @property
+    def local_health(self) -> int:
+        """Return the local health score; 0 is well."""
+        return self._health.score
+
+    @property
+    def next_at(self) -> float:
+        """Return when the next Tick is due."""
+        return self._timers[0][0] if self._timers else 0.0
+
+    def members(self) -> list[Member]:
+        """Return all members which are not dead and have not left."""
+        return [member for member in self._roster if is_live(member)]
+
+    def known(self) -> list[Member]:
+        """Return all members, also those which are dead or have left."""
+        return list(self._roster)
+
+    def get(self, node: NodeId) -> Member | None:
+        """Return one member or None."""
+        return self._roster.get(node)
+
+    def start(self, now: float) -> None:
+        """Begin to probe."""
+        cfg = self._cfg
+        step_s = cfg.period_s / cfg.probes_per_period
+        self._ticked_at = now
+        self._at(now + self._rng.uniform(0, step_s), _Timer.PROBE)
+        self._at(
+            now + self._rng.uniform(0, DEAD_PROBE_PERIODS * cfg.period_s),
+            _Timer.DEAD_PROBE,
+        )
+        self._at(now + self._rng.uniform(0, cfg.push_pull_s), _Timer.SYNC)
+        self._at(now + SWEEP_S, _Timer.SWEEP)
+        self._urgent.put(('m', self._me.node), introduce(self._me))
+
+    def join(self, host: str, port: int) -> Send:
+        """Greet whoever listens at this address."""
+        message = Datagram(self._me.node, Ping(0), (introduce(self._me),))
+        return Send(host, port, message)
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event and return what follows from it."""
+        self._actions = []
+        self._skip_pause(now)
+        match event:
+            case Received(host, port, message):
+                self._receive(now, host, port, message)
+            case Tick():
+                self._run_timers(now)
+        return self._actions
+
+    def update(self, now: float, me: Member) -> list[Action]:
+        """Change the own record; the incarnation is raised here."""
+        self._actions = []
+        self._set_me(
+            msgspec.structs.replace(
+                me,
+                incarnation=self._me.incarnation + 1,
+                state=MemberState.ALIVE,
+            )
+        )
+        self._urgent.put(('m', self._me.node), introduce(self._me))
+        self._gossip(now)
+        return self._actions
+
+    def leave(self, now: float) -> list[Action]:
+        """Tell several members that this one leaves for good."""
+        self._actions = []
+        self._set_me(msgspec.structs.replace(self._me, state=MemberState.LEFT))
+        claim = self._claim(self._me)
+        for node in self._pool.sample(LEAVE_FANOUT):
+            self._send_to(now, node, Gossip(), [claim])
+        return self._actions
+
+    def publish(self, now: float, rumor: Rumor) -> list[Action]:
+        """Spread a rumor; raise RumorTooLargeError."""
+        size = len(datagrams.encode(_wire(rumor)))
+        limit = min(MAX_RUMOR_BYTES, self._room() - BODY_BYTES)
+        if size > limit:
+            raise RumorTooLargeError(size, limit)
+        self._actions = []
+        self._hear(now, rumor)
+        self._gossip(now)
+        return self._actions
+
+    # Anti-entropy.
+
+    def digests(self) -> bytes:
+        """Return the digest of each bucket of members."""
+        return self._roster.digests()
+
+    def differing(self, digests: bytes) -> list[int]:
+        """Return the buckets in which another's digests differ."""
+        return self._roster.differing(digests)
+
+    def snapshot(
+        self, buckets: typing.Iterable[int] | None = None
+    ) -> list[Member]:
+        """Return all records, or those of some buckets."""
+        if buckets is None:
+            return list(self._roster)
+        return [
+            member
+            for bucket in buckets
+            for member in self._roster.bucket(bucket)
+        ]
+
+    def merge(
+        self, now: float, members: typing.Iterable[Member]
+    ) -> list[Action]:
+        """Take in another's records."""
+        self._actions = []
+        for member in members:
+            self._merge(now, member)
+        return self._actions
+
+    def claims(self, buckets: typing.Iterable[int]) -> list[Claim]:
+        """Return the compact records of some buckets."""
+        return [self._claim(member) for member in self.snapshot(buckets)]
+
+    def merge_claims(
+        self, now: float, claims: typing.Iterable[Claim]
+    ) -> tuple[list[Action], list[NodeId]]:
+        """Take in compact records; also return who must be introduced."""
+        self._actions = []
+        wanted = []
+        for claim in claims:
+            if claim.state is MemberState.SUSPECT:
+                alive = rank_of(MemberState.ALIVE)
+                claim = msgspec.structs.replace(claim, rank=alive)
+            if self._take_claim(now, claim):
+                wanted.append(claim.node)
+        return self._actions, wanted
+
+    def is_news(self, claim: Claim) -> bool:
+        """Tell whether the own record overrides this claim."""
+        own = self._roster.get(claim.node)
+        if own is None:
+            return False
+        theirs = (claim.incarnation, claim.rank, claim.content)
+        return self._rank(own) > theirs
+
+    def _rank(self, member: Member) -> tuple[int, int, int]:
+        content = self._roster.content(member.node)
+        return member.incarnation, rank_of(member.state), content
+
+    def rumors(self, now: float) -> list[Rumor]:
+        """Return all rumors which have not expired."""
+        return self._rumors.current(now)
+
+    def rumors_digest(self, now: float) -> int:
+        """Return one digest of all rumors."""
+        return self._rumors.digest(now)
+
+    def merge_rumors(
+        self, now: float, rumors: typing.Iterable[Rumor]
+    ) -> list[Action]:
+        """Take in another's rumors."""
+        self._actions = []
+        for rumor in rumors:
+            self._hear(now, rumor)
+        return self._actions
+
+    # Timers.
+
+    def _at(self, at: float, timer: _Timer, what: object = None) -> None:
+        heapq.heappush(self._timers, (at, next(self._order), timer, what))
+
+    def _skip_pause(self, now: float) -> None:
+        """Push all timers off by the time that this process did not run."""
+        last = self._ticked_at
+        self._ticked_at = now if last is None else max(now, last)
+        if last is None or now - last <= self._cfg.period_s:
+            return
+        gap_s = now - last
+        self._timers = [
+            (at + gap_s, order, timer, what)
+            for at, order, timer, what in self._timers
+        ]
+        for suspicion in self._suspicions.values():
+            suspicion.started_at += gap_s
+            suspicion.armed_at += gap_s
+        self._health.add(1)
+
+    def _run_timers(self, now: float) -> None:
+        while self._timers and self._timers[0][0] <= now:
+            _, _, timer, what = heapq.heappop(self._timers)
+            self._handlers[timer](now, what)
+
+    def _on_probe(self, now: float, _: object) -> None:
+        cfg = self._cfg
+        fanout = min(cfg.probes_per_period, max(1, len(self._pool)))
+        self._at(now + cfg.period_s / fanout, _Timer.PROBE)
+        node = self._pool.next()
+        if node is not None:
+            self._probe(now, node)
+        self._gossip(now)
+
+    def _probe(self, now: float, node: NodeId) -> None:
+        cfg = self._cfg
+        seq = next(self._seqs)
+        self._probes[seq] = _Probe(node)
+        self._send_to(now, node, Ping(seq, node))
+        timeout_s = self._health.stretch(cfg.probe_timeout_s)
+        self._at(now + timeout_s, _Timer.INDIRECT, seq)
+        timeout_s = self._health.stretch(cfg.period_s)
+        self._at(now + timeout_s, _Timer.FAIL, seq)
+
+    def _on_indirect(self, now: float, seq: int) -> None:
+        probe = self._probes.get(seq)
+        if probe is None:
+            return
+        for helper in self._pool.sample(HELPERS, but=probe.node):
+            probe.helpers += 1
+            self._send_to(now, helper, PingRequest(seq, probe.node))
+
+    def _on_fail(self, now: float, seq: int) -> None:
+        probe = self._probes.pop(seq, None)
+        if probe is None:
+            return
+        member = self._roster.get(probe.node)
+        if member is None or not is_live(member):
+            return
+        silent = probe.helpers - probe.nacks if probe.helpers else 1
+        self._health.add(silent)
+        suspicion = self._suspicion(now, member)
+        suspicion.failures += 1
+        me = self._me.node
+        if suspicion.failures > 1 and me not in suspicion.origins:
+            suspicion.origins.add(me)
+            self._announce(now, member, me)
+        self._arm(now, probe.node, suspicion)
+        self._probe(now, probe.node)
+
+    def _suspicion(self, now: float, member: Member) -> Suspicion:
+        suspicion = self._suspicions.get(member.node)
+        if suspicion is None:
+            suspicion = Suspicion(member.incarnation, now)
+            self._suspicions[member.node] = suspicion
+        return suspicion
+
+    def _arm(self, now: float, node: NodeId, suspicion: Suspicion) -> None:
+        """Set the timer of a suspicion unless an earlier one is set."""
+        if not suspicion.origins:
+            return
+        members = len(self._pool) + 1
+        at = suspicion.deadline(self._me.node, members, self._cfg)
+        if now < suspicion.armed_at <= at:
+            return
+        suspicion.armed_at = at
+        self._at(at, _Timer.SUSPECT, node)
+
+    def _announce(self, now: float, member: Member, origin: NodeId) -> None:
+        suspect = msgspec.structs.replace(member, state=MemberState.SUSPECT)
+        if self._roster.merge(suspect):
+            self._actions.append(Changed(suspect))
+        self._urgent.put(
+            ('s', member.node, origin), self._claim(suspect, origin)
+        )
+
+    def _on_suspect(self, now: float, node: NodeId) -> None:
+        suspicion = self._suspicions.get(node)
+        if suspicion is None or not suspicion.origins:
+            return
+        deadline = suspicion.deadline(
+            self._me.node, len(self._pool) + 1, self._cfg
+        )
+        if deadline > now:
+            self._arm(now, node, suspicion)
+            return
+        member = self._roster.get(node)
+        dead = msgspec.structs.replace(member, state=MemberState.DEAD)
+        self._adopt(now, dead, self._claim(dead, self._me.node))
+
+    def _on_nack(self, now: float, seq: int) -> None:
+        relay = self._relays.pop(seq, None)
+        if relay is not None:
+            self._send(now, relay.host, relay.port, Nack(relay.seq))
+
+    def _on_dead_probe(self, now: float, _: object) -> None:
+        interval_s = DEAD_PROBE_PERIODS * self._cfg.period_s
+        self._at(now + interval_s, _Timer.DEAD_PROBE)
+        dead = [
+            node
+            for node in self._dead
+            if self._roster.get(node).state is MemberState.DEAD
+        ]
+        if dead:
+            node = self._rng.choice(dead)
+            self._send_to(now, node, Ping(0, node))
+
+    def _on_sync(self, now: float, _: object) -> None:
+        interval_s = self._cfg.push_pull_s * self._rng.uniform(0.8, 1.2)
+        self._at(now + interval_s, _Timer.SYNC)
+        for node in self._pool.sample(1):
+            self._want_sync(now, node)
+
+    def _on_sweep(self, now: float, _: object) -> None:
+        self._at(now + SWEEP_S, _Timer.SWEEP)
+        self._rumors.expire(now)
+        for node, died_at in list(self._dead.items()):
+            if now - died_at > DEAD_MEMORY_S:
+                del self._dead[node]
+                self._roster.remove(node)
+
+    # Datagrams.
+
+    def _receive(
+        self, now: float, host: str, port: int, message: Datagram
+    ) -> None:
+        if message.sender == self._me.node:
+            return
+        stranger = self._roster.get(message.sender) is None
+        doubted = False
+        for update in message.updates:
+            self._take(now, message.sender, update)
+            doubted = doubted or self._is_doubt(update)
+        match message.body:
+            case Ping(seq, target):
+                if target in ('', self._me.node):
+                    self._answer(now, host, port, message, seq, stranger)
+            case Ack(seq):
+                self._on_ack(now, seq, message.sender)
+            case PingRequest(seq, target):
+                self._relay(now, host, port, seq, target)
+            case Nack(seq):
+                probe = self._probes.get(seq)
+                if probe is not None:
+                    probe.nacks += 1
+        if doubted:
+            claim = self._claim(self._me)
+            self._send(now, host, port, Gossip(), [claim])
+
+    def _is_doubt(self, update: Update) -> bool:
+        """Tell whether the sender should hear that this agent lives."""
+        return (
+            isinstance(update, Claim)
+            and update.node == self._me.node
+            and update.state is not MemberState.ALIVE
+        )
+
+    def _answer(
+        self,
+        now: float,
+        host: str,
+        port: int,
+        message: Datagram,
+        seq: int,
+        stranger: bool,
+    ) -> None:
+        extra: list[Update] = self._doubts(message.sender)
+        if stranger or seq == 0:
+            extra.append(introduce(self._me))
+        self._send(now, host, port, Ack(seq), extra)
+        if stranger:
+            self._welcome(now, host, port)
+
+    def _welcome(self, now: float, host: str, port: int) -> None:
+        """Introduce as many members as one datagram takes."""
+        left = self._room() - BODY_BYTES
+        extra: list[Update] = []
+        for node in self._pool.sample(len(self._pool)):
+            introduction = introduce(self._roster.get(node))
+            left -= len(datagrams.encode(introduction))
+            if left < 0:
+                break
+            extra.append(introduction)
+        message = Datagram(self._me.node, Gossip(), tuple(extra))
+        self._actions.append(Send(host, port, message))
+
+    def _on_ack(self, now: float, seq: int, sender: NodeId) -> None:
+        relay = self._relays.pop(seq, None)
+        if relay is not None:
+            self._send(now, relay.host, relay.port, Ack(relay.seq))
+            return
+        probe = self._probes.pop(seq, None)
+        if probe is None:
+            return
+        self._health.add(-1)
+        suspicion = self._suspicions.get(probe.node)
+        if suspicion is None:
+            return
+        suspicion.failures = 0
+        suspicion.origins.discard(self._me.node)
+        if not suspicion.origins:
+            del self._suspicions[probe.node]
+        else:
+            suspicion.started_at = now
+
+    def _relay(
+        self, now: float, host: str, port: int, seq: int, target: NodeId
+    ) -> None:
+        member = self._roster.get(target)
+        if member is None:
+            self._send(now, host, port, Nack(seq))
+            return
+        own = next(self._seqs)
+        self._relays[own] = _Relay(seq, host, port)
+        self._send_to(now, target, Ping(own, target))
+        self._at(now + self._cfg.probe_timeout_s, _Timer.NACK, own)
+
+    # Updates.
+
+    def _take(self, now: float, sender: NodeId, update: Update) -> None:
+        match update:
+            case Claim():
+                if self._take_claim(now, update):
+                    self._want_sync(now, sender)
+            case Introduction():
+                self._merge(now, update.to_member())
+            case WireRumor():
+                self._hear(now, update.to_rumor())
+
+    def _take_claim(self, now: float, claim: Claim) -> bool:
+        """Apply a claim; tell whether the full record must be fetched."""
+        if claim.node == self._me.node:
+            self._refute(claim.incarnation, claim.state, claim.content)
+            return False
+        member = self._roster.get(claim.node)
+        if member is None:
+            return claim.state is MemberState.ALIVE
+        if claim.incarnation < member.incarnation:
+            return False
+        if claim.content != self._roster.content(claim.node):
+            theirs = (claim.incarnation, claim.rank, claim.content)
+            return theirs > self._rank(member)
+        if claim.state is MemberState.SUSPECT:
+            self._confirm(now, member, claim)
+            return False
+        self._adopt(
+            now,
+            msgspec.structs.replace(
+                member, incarnation=claim.incarnation, state=claim.state
+            ),
+            claim,
+        )
+        return False
+
+    def _confirm(self, now: float, member: Member, claim: Claim) -> None:
+        suspect = msgspec.structs.replace(
+            member,
+            incarnation=claim.incarnation,
+            state=MemberState.SUSPECT,
+        )
+        if claim.incarnation > member.incarnation:
+            self._settle(member.node)
+        elif not is_live(member):
+            return
+        suspicion = self._suspicion(now, suspect)
+        if len(suspicion.origins) > confirmations(len(self._pool) + 1):
+            return
+        if claim.origin in suspicion.origins:
+            return
+        suspicion.origins.add(claim.origin)
+        if not is_live(member):
+            self._dead.pop(member.node, None)
+            self._pool.add(member.node)
+        self._announce(now, suspect, claim.origin)
+        self._arm(now, member.node, suspicion)
+
+    def _merge(self, now: float, member: Member) -> None:
+        if member.node == self._me.node:
+            content = datagrams.content_of(member)
+            self._refute(member.incarnation, member.state, content)
+            return
+        known = self._roster.get(member.node)
+        if known is None and not is_live(member):
+            return
+        if member.state is MemberState.SUSPECT:
+            member = msgspec.structs.replace(member, state=MemberState.ALIVE)
+        self._adopt(now, member, introduce(member))
+
+    def _adopt(self, now: float, member: Member, update: Update) -> None:
+        """Merge a record whose content is known and pass it on."""
+        known = self._roster.get(member.node)
+        content = self._roster.content(member.node) if known else None
+        if not self._roster.merge(member):
+            return
+        if content == self._roster.content(member.node):
+            update = self._claim(member)
+        self._settle(member.node)
+        self._actions.append(Changed(member))
+        was_live = known is not None and is_live(known)
+        revived = known is not None and not was_live and is_live(member)
+        if is_live(member):
+            self._dead.pop(member.node, None)
+            self._pool.add(member.node)
+        else:
+            self._dead.setdefault(member.node, now)
+            self._pool.remove(member.node)
+        key = ('m', member.node)
+        self._urgent.drop(key)
+        self._revivals.drop(key)
+        queue = self._revivals if revived else self._urgent
+        queue.put(key, update)
+
+    def _settle(self, node: NodeId) -> None:
+        """Drop the suspicion, which a newer record has answered."""
+        suspicion = self._suspicions.pop(node, None)
+        if suspicion is not None:
+            for origin in suspicion.origins:
+                self._urgent.drop(('s', node, origin))
+
+    def _refute(
+        self, incarnation: int, state: MemberState, content: int
+    ) -> None:
+        """Override what others hold of this agent."""
+        me = self._me
+        if me.state is MemberState.LEFT or incarnation < me.incarnation:
+            return
+        same = content == self._roster.content(me.node)
+        if state is MemberState.ALIVE and same:
+            if incarnation == me.incarnation:
+                return
+        if state is MemberState.SUSPECT:
+            self._health.add(1)
+        self._set_me(msgspec.structs.replace(me, incarnation=incarnation + 1))
+        update = self._claim(self._me) if same else introduce(self._me)
+        self._urgent.put(('m', me.node), update)
+
+    def _set_me(self, me: Member) -> None:
+        self._me = me
+        self._roster.merge(me)
+        self._actions.append(Changed(me))
+
+    def _hear(self, now: float, rumor: Rumor) -> None:
+        if not self._rumors.merge(rumor, now):
+            return
+        self._actions.append(RumorHeard(rumor))
+        self._urgent.put(('r', rumor.topic, rumor.key), _wire(rumor))
+
+    # Sending.
+
+    def _claim(self, member: Member, origin: NodeId = NodeId('')) -> Claim:
+        content = self._roster.content(member.node)
+        return Claim(
+            member.node,
+            member.incarnation,
+            rank_of(member.state),
+            content,
+            origin,
+        )
+
+    def _doubts(self, node: NodeId) -> list[Update]:
+        """Return the claim which the node should refute, if any."""
+        member = self._roster.get(node)
+        if member is None or member.state is MemberState.ALIVE:
+            return []
+        return [self._claim(member, self._me.node)]
+
+    def _send_to(
+        self,
+        now: float,
+        node: NodeId,
+        body: Body,
+        extra: typing.Iterable[Update] = (),
+    ) -> None:
+        member = self._roster.get(node)
+        updates = [*extra, *self._doubts(node)]
+        self._send(now, member.host, member.gossip_port, body, updates)
+
+    def _send(
+        self,
+        now: float,
+        host: str,
+        port: int,
+        body: Body,
+        extra: typing.Sequence[Update] = (),
+    ) -> None:
+        room = self._room() - BODY_BYTES
+        room -= sum(len(datagrams.encode(update)) for update in extra)
+        updates = (*extra, *self._fill(now, room))
+        message = Datagram(self._me.node, body, updates)
+        self._actions.append(Send(host, port, message))
+
+    def _fill(self, now: float, room: int) -> list[Update]:
+        members = len(self._pool) + 1
+        taken: list[Update] = []
+        for queue, tokens in (
+            (self._urgent, self._urgent_bytes),
+            (self._revivals, self._revival_bytes),
+        ):
+            if not len(queue):
+                continue
+            most = min(room, tokens.left(now))
+            updates, size = queue.take(most, members)
+            tokens.spend(size)
+            room -= size
+            taken += updates
+        return taken
+
+    def _gossip(self, now: float) -> None:
+        """Send recent updates at once while there are few of them."""
+        if not 0 < len(self._urgent) <= GOSSIP_BACKLOG:
+            return
+        for node in self._pool.sample(GOSSIP_FANOUT):
+            self._send_to(now, node, Gossip())
+
+    def _room(self) -> int:
+        return self._cfg.datagram_bytes - OVERHEAD_BYTES
+
+    def _want_sync(self, now: float, node: NodeId) -> None:
+        member = self._roster.get(node)
+        if member is None or now - self._synced_at < MIN_SYNC_GAP_S:
+            return
+        self._synced_at = now
+        self._actions.append(SyncWanted(member))
+
+
+class _Pool:
+    """Deal out the probed members in a random order, each once a round."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._nodes: list[NodeId] = []
+        self._index: dict[NodeId, int] = {}
+        self._round: list[NodeId] = []
+
+    def __len__(self) -> int:
+        return len(self._nodes)
+
+    def add(self, node: NodeId) -> None:
+        if node in self._index:
+            return
+        self._index[node] = len(self._nodes)
+        self._nodes.append(node)
+        place = self._rng.randint(0, len(self._round))
+        self._round.insert(place, node)
+
+    def remove(self, node: NodeId) -> None:
+        index = self._index.pop(node, None)
+        if index is None:
+            return
+        last = self._nodes.pop()
+        if last != node:
+            self._nodes[index] = last
+            self._index[last] = index
+
+    def next(self) -> NodeId | None:
+        if not self._nodes:
+            return None
+        while True:
+            if not self._round:
+                self._round = list(self._nodes)
+                if len(self._round) > MAX_FIXED_ORDER:
+                    self._rng.shuffle(self._round)
+            node = self._round.pop()
+            if node in self._index:
+                return node
+
+    def sample(self, count: int, but: NodeId = NodeId('')) -> list[NodeId]:
+        more = min(count + 1, len(self._nodes))
+        nodes = self._rng.sample(self._nodes, more)
+        return [node for node in nodes if node != but][:count]
+
+
+def _wire(rumor: Rumor) -> WireRumor:
+    return WireRumor(
+        rumor.topic,
+        rumor.key,
+        rumor.version,
+        rumor.body,
+        int(rumor.ttl_s * 1_000),
+    )
