--- a/sesameward/admin.py
+++ b/sesameward/admin.py
@@ -85,9 +85,7 @@
 class _DrainHandler(_Handler):
     def post(self):
         try:
-            request = msgspec.json.decode(
-                self.request.body, type=DrainRequest
-            )
+            request = msgspec.json.decode(self.request.body, type=DrainRequest)
             self.agent.drain(request)
         except (msgspec.DecodeError, SesamewardError) as exc:
             self.send({'problem': str(exc)}, STATUS_BAD_REQUEST)
--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -40,8 +40,8 @@
 from .messages import TargetStatus
 from .messages import Vm
 from .metrics import Metrics
-from .peers import SyncClient
-from .peers import SyncHandler
+from .peers import PeerClient
+from .peers import PeerHandler
 from .platform_client import PlatformClient
 from .quarantine import TOPIC as QUARANTINE_TOPIC
 from .settings import AgentSettings
@@ -54,6 +54,9 @@
 
 EXIT_USAGE = 2
 NODES_PERIOD_S = 0.5
+# An entry which is stopped at the same time reports it within this time.
+STOP_GRACE_S = 0.5
+STOP_LIMIT_S = 60.0
 HOLDERS_TOPIC = 'holders'
 HOLDERS_TTL_S = 60.0
 HOLDERS_REPEAT_S = 20.0
@@ -91,7 +94,7 @@
             cfg.grpc.port, cfg.grpc.host
         )
         self.grpc_port = self._grpc_sockets[0].getsockname()[1]
-        self._sync_client = SyncClient()
+        self._sync_client = PeerClient()
         self._pull_client = PullClient(self.metrics)
         self.gossip = Gossip(
             cfg,
@@ -125,7 +128,7 @@
         self._grpc = Server(
             [
                 self.hub,
-                SyncHandler(self.gossip.answer_sync),
+                PeerHandler(self.gossip.answer_sync),
                 PullHandler(self.configuration.answer),
             ],
             codec=MsgpackCodec(),
@@ -153,26 +156,36 @@
         self.targets.start()
         self.vms.start()
         self._tasks.append(asyncio.ensure_future(self._tell_nodes()))
-        logs.change(
-            'agent_started', http=self.http_port, grpc=self.grpc_port
-        )
+        logs.change('agent_started', http=self.http_port, grpc=self.grpc_port)
 
     async def stop(self) -> None:
-        """Leave the membership and free everything."""
+        """Leave the membership and free everything.
+
+        Others may use this VM's part of the connections once it has left,
+        so it leaves only when no entry of the VM is running any more.
+        """
+        await self._wait_for_leaving_entries()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.vms.stop()
         await self.configuration.stop()
         await self.targets.stop()
-        await self.gossip.stop()
+        await self.gossip.stop(leave=not self.hub.reports())
         self._http.stop()
         self._grpc.close()
         await self._grpc.wait_closed()
         self._pull_client.close()
-        self._sync_client.close()
         self.platform.close()
 
+    async def _wait_for_leaving_entries(self) -> None:
+        await asyncio.sleep(STOP_GRACE_S)
+        until = self.clock() + STOP_LIMIT_S
+        while self.clock() < until:
+            if not any(report.leaving for report in self.hub.reports()):
+                return
+            await asyncio.sleep(STOP_GRACE_S)
+
     def status(self) -> NodeStatus:
         """Return what this node has in force."""
         return NodeStatus(
--- a/sesameward/controllers/suspects.py
+++ b/sesameward/controllers/suspects.py
@@ -26,9 +26,7 @@
         self._quarantine = quarantine
         self._metrics = metrics
         self._clock = clock
-        self._running: dict[
-            TargetId, collections.Counter[Fingerprint]
-        ] = {}
+        self._running: dict[TargetId, collections.Counter[Fingerprint]] = {}
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
     def admit(self, fp: Fingerprint) -> Admission:
@@ -55,9 +53,7 @@
 
     def succeeded(self, fp: Fingerprint, target: TargetId) -> None:
         """Take in that a target survived the request."""
-        self._carry_out(
-            self._quarantine.succeeded(fp, target, self._clock())
-        )
+        self._carry_out(self._quarantine.succeeded(fp, target, self._clock()))
 
     def trial_ended(self, fp: Fingerprint) -> None:
         """Take in that a trial proved nothing."""
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -31,12 +31,13 @@
 from .controllers.routing import Routing
 from .controllers.suspects import Suspects
 from .exceptions import SettingsError
-from .filters import chain
 from .filters.admitting import Admit
 from .filters.answering import Answer
 from .filters.answering import AnswerParts
 from .filters.booking import Book
 from .filters.booking import BookingParts
+from .filters.chain import Filter
+from .filters.chain import link
 from .filters.parsing import ParseBooking
 from .filters.parsing import ParseQuery
 from .filters.pinning import PinSnapshot
@@ -100,9 +101,7 @@
         )
         self.suspects.spread = self._spread
         self._rumors: collections.deque[Rumor] = collections.deque(maxlen=256)
-        self.link = AgentLink(
-            cfg.agent, self.address, self.metrics, self._rng
-        )
+        self.link = AgentLink(cfg.agent, self.address, self.metrics, self._rng)
         self.link.apply = self._apply
         self.link.make_report = self._report
         self.link.requeue = self._requeue
@@ -146,8 +145,8 @@
 
     def _app(self) -> tornado.web.Application:
         front = handlers.Front(
-            queries=chain.link(self._query_filters()),
-            bookings=chain.link(self._booking_filters()),
+            queries=link(self._query_filters()),
+            bookings=link(self._booking_filters()),
             leaving=self.leaving,
             nodes=self.nodes,
             limits=self.cfg.limits,
@@ -183,7 +182,7 @@
             log_function=lambda _: None,
         )
 
-    def _query_filters(self) -> list[chain.Filter]:
+    def _query_filters(self) -> list[Filter]:
         latencies = LatencyTracker()
         ratio = self.cfg.limits.retry_budget
         parts = AnswerParts(
@@ -204,7 +203,7 @@
             Answer(parts),
         ]
 
-    def _booking_filters(self) -> list[chain.Filter]:
+    def _booking_filters(self) -> list[Filter]:
         parts = BookingParts(
             client=self.client,
             platform=self.platform,
--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -188,9 +188,7 @@
         for group in pin.groups:
             target = self._chooser.choose(group.candidates, now)
             for shard in group.shards:
-                self._wanted[shard] = _Wanted(
-                    ranges[shard], group.candidates
-                )
+                self._wanted[shard] = _Wanted(ranges[shard], group.candidates)
             if target is None:
                 for shard in group.shards:
                     self._give_up(shard, MissingReason.NO_REPLICA)
--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -264,9 +264,7 @@
         now = parts.clock()
         broke = result.outcome is Outcome.BROKEN
         if quarantined or (broke and self._fanout.holding):
-            self._carry_out(
-                self._fanout.stop(MissingReason.QUARANTINED, now)
-            )
+            self._carry_out(self._fanout.stop(MissingReason.QUARANTINED, now))
             return
         self._carry_out(self._fanout.failed(attempt, result.outcome, now))
 
--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -203,9 +203,7 @@
         if action.after_s:
             await asyncio.sleep(action.after_s)
         try:
-            found = await self._parts.platform.get(
-                bookings.KIND, action.name
-            )
+            found = await self._parts.platform.get(bookings.KIND, action.name)
             stored = self._stored(found)
         except NotFoundError:
             self._handle(bookings.ClaimRead(None))
--- a/sesameward/filters/parsing.py
+++ b/sesameward/filters/parsing.py
@@ -132,9 +132,7 @@
     )
 
 
-def _versions(
-    query: QueryBody, service: Service
-) -> tuple[RecordVersion, ...]:
+def _versions(query: QueryBody, service: Service) -> tuple[RecordVersion, ...]:
     if query.versions is None:
         return service.record_versions
     uncovered = sorted(set(query.versions) - set(service.record_versions))
--- a/sesameward/handlers.py
+++ b/sesameward/handlers.py
@@ -35,6 +35,7 @@
     RefusalKind.UNKNOWN_SERVICE: 404,
     RefusalKind.IN_PROGRESS: 409,
     RefusalKind.KEY_REUSED: 409,
+    RefusalKind.SUPERSEDED: 409,
     RefusalKind.TOO_LARGE: 413,
 }
 _UNAVAILABLE = 503
--- a/sesameward/standin/cmdline.py
+++ b/sesameward/standin/cmdline.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from .platform import Platform
+from .target import serve as serve_target
+from .target import TargetState
 
 
 async def serve_until_signal(start) -> None:
@@ -18,8 +20,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    port = start()
-    sys.stdout.buffer.write(msgspec.json.encode({'port': port}) + b'\n')
+    started = start()
+    name = 'port' if isinstance(started, int) else 'ports'
+    sys.stdout.buffer.write(msgspec.json.encode({name: started}) + b'\n')
     sys.stdout.flush()
     await stopped.wait()
 
@@ -41,7 +44,38 @@
     asyncio.run(serve())
 
 
-COMMANDS = {'platform': platform}
+def target(
+    *,
+    shards: list[str],
+    host: str = '127.0.0.1',
+    ports: tuple[int, ...] = (0,),
+    slots: int = 2,
+    latency_ms: float = 2.0,
+    records: int = 10,
+    seed: int = 1,
+) -> None:
+    """Serve one or more targets which hold the same shards.
+
+    :param shards: ids of the shards, separated by spaces
+    :param ports: one port for each target; 0 picks a free one
+    """
+
+    async def serve() -> None:
+        states = [
+            TargetState(tuple(shards), slots, latency_ms, records, seed + i)
+            for i in range(len(ports))
+        ]
+
+        def start() -> tuple[int, ...]:
+            bound = zip(states, ports, strict=True)
+            return tuple(serve_target(s, host, p) for s, p in bound)
+
+        await serve_until_signal(start)
+
+    asyncio.run(serve())
+
+
+COMMANDS = {'platform': platform, 'target': target}
 
 
 def main(argv: list[str] | None = None) -> None:
--- a/sesameward/standin/target.py
+++ b/sesameward/standin/target.py
@@ -259,14 +259,12 @@
 
 class _CallsHandler(_Handler):
     def get(self):
-        self.send(dataclasses.asdict(self.state.calls))
+        self.send(self.state.calls)
 
 
 class _FaultsHandler(_Handler):
     def post(self):
-        self.state.faults = msgspec.json.decode(
-            self.request.body, type=Faults
-        )
+        self.state.faults = msgspec.json.decode(self.request.body, type=Faults)
         self.send(self.state.faults)
 
 
@@ -292,9 +290,7 @@
         calls = self._calls
         calls.connections += 1
         calls.opened += 1
-        calls.peak_connections = max(
-            calls.peak_connections, calls.connections
-        )
+        calls.peak_connections = max(calls.peak_connections, calls.connections)
         super().handle_stream(stream, address)
 
     def on_close(self, server_conn):
--- a/sesameward/target_client.py
+++ b/sesameward/target_client.py
@@ -128,9 +128,7 @@
         while link.waiting:
             waiting = link.waiting.popleft()
             del self._queued[waiting.attempt]
-            waiting.done(
-                waiting.attempt, QueryResult(Outcome.CONNECT_FAILED)
-            )
+            waiting.done(waiting.attempt, QueryResult(Outcome.CONNECT_FAILED))
 
     def query(
         self, target_id: TargetId, query: ShardQuery, done: QueryDone
--- a/sesameward/transfers.py
+++ b/sesameward/transfers.py
@@ -16,6 +16,7 @@
 
 import pycurl
 
+
 class Failure(enum.Enum):
     """Name how a transfer failed."""
 
