--- a/sesameward/operations.py
+++ b/sesameward/operations.py
@@ -236,7 +236,7 @@
     except DeclarationError as exc:
         raise ReferencedError(
             f'service {service.name}: maps',
-            f'pool {pool.name} {exc.field} names a shard that is not in them',
+            f'pool {pool.name} {exc.field}: {exc.problem}',
             'take the shard out of the pool first, or keep it in a map',
         ) from exc
 
--- a/sesameward/standin/platform.py
+++ b/sesameward/standin/platform.py
@@ -161,6 +161,7 @@
                 (r'/standin/vms', SetVmsHandler, args),
                 (r'/standin/calls', CallsHandler, args),
                 (r'/standin/compact', CompactHandler, args),
+                (r'/standin/clear', ClearHandler, args),
             ],
             log_function=lambda handler: None,
         )
@@ -362,3 +363,15 @@
         store = self.platform.store
         store.compact(store.revision)
         self.reply(Written(store.revision))
+
+
+class ClearHandler(Handler):
+    """Delete objects."""
+
+    def post(self) -> None:
+        """Delete all objects."""
+        store = self.platform.store
+        for (kind, name), stored in list(store.objects.items()):
+            if not stored.deleted:
+                store.write(kind, name, b'', 'clear', deleted=True)
+        self.reply(Written(store.revision))
