--- /dev/null
+++ b/benchmark/virtual.py
@@ -0,0 +1,227 @@
+"""Run many agents' membership decisions in one process's virtual time."""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import random
+import typing
+
+from sesameward import antientropy
+from sesameward import datagrams
+from sesameward.antientropy import AntiEntropy
+from sesameward.messages import Member
+from sesameward.seals import OVERHEAD_BYTES
+from sesameward.settings import MembershipSettings
+from sesameward.swim import Action
+from sesameward.swim import Changed
+from sesameward.swim import Received
+from sesameward.swim import Send
+from sesameward.swim import Swim
+from sesameward.swim import SyncWanted
+from sesameward.swim import Tick
+from sesameward.types import NodeId
+from sesameward.types import ZoneName
+
+HOST = '10.0.0.1'
+FIRST_PORT = 10_000
+IP_UDP_BYTES = 28
+SYNC_CONNECTION_BYTES = 1_200
+MIN_DELAY_S = 0.0005
+MAX_DELAY_S = 0.003
+
+Observer = typing.Callable[[float, int, Member], None]
+
+
+class Agent:
+    """Hold one agent's decisions and whether it runs."""
+
+    def __init__(self, index: int, swim: Swim, rng: random.Random):
+        self.index = index
+        self.swim = swim
+        self.anti_entropy = AntiEntropy(swim, rng)
+        self.alive = True
+        self.frozen_until = 0.0
+        self.tick_at = float('inf')
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+
+class Cluster:
+    """Carry the agents' actions to each other, with loss and cuts."""
+
+    def __init__(
+        self,
+        members: list[Member],
+        cfg: MembershipSettings,
+        seed: int,
+        loss: float = 0.0,
+        observer: Observer | None = None,
+        kind: type[Swim] = Swim,
+        counts_bytes: bool = False,
+    ):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.observer = observer
+        self.side: typing.Callable[[int], int] | None = None
+        self.syncs = 0
+        self._counts_bytes = counts_bytes
+        self._events: list[tuple] = []
+        self._order = itertools.count()
+        self._cfg = cfg
+        self._kind = kind
+        self.agents = [
+            self._build(index, member) for index, member in enumerate(members)
+        ]
+        for agent in self.agents:
+            agent.swim.start(self.now)
+            self._schedule(agent)
+
+    def know_each_other(self) -> None:
+        """Let all agents start with the whole roster."""
+        members = [agent.swim.me for agent in self.agents]
+        for agent in self.agents:
+            agent.swim.merge(self.now, members)
+            agent.swim.forget_updates()
+
+    def run(self, until: float) -> None:
+        """Let virtual time go on."""
+        while self._events and self._events[0][0] <= until:
+            at, _, agent, message, source = heapq.heappop(self._events)
+            self.now = at
+            if callable(agent):
+                agent()
+            elif message is None:
+                self._tick(agent, at)
+            else:
+                self._deliver(agent, message, source)
+        self.now = until
+
+    def at(self, at: float, action: typing.Callable[[], None]) -> None:
+        """Run an action at a virtual time."""
+        self._push(at, action, None, 0)
+
+    def kill(self, index: int) -> None:
+        """End an agent without a word."""
+        self.agents[index].alive = False
+
+    def freeze(self, index: int, seconds: float) -> None:
+        """Stop an agent; what it is sent waits in its socket."""
+        agent = self.agents[index]
+        agent.frozen_until = self.now + seconds
+        self._push(agent.frozen_until, agent, None, 0)
+        agent.tick_at = agent.frozen_until
+
+    def act(self, agent: Agent, actions: list[Action]) -> None:
+        """Carry out the actions of one agent."""
+        for action in actions:
+            match action:
+                case Send():
+                    self._send(agent, action)
+                case Changed(member):
+                    if self.observer is not None:
+                        self.observer(self.now, agent.index, member)
+                case SyncWanted(member):
+                    self._sync(agent, member)
+        self._schedule(agent)
+
+    def reset_bytes(self) -> None:
+        """Start to count bytes anew."""
+        for agent in self.agents:
+            agent.sent_bytes = agent.received_bytes = 0
+
+    def _build(self, index: int, member: Member) -> Agent:
+        rng = random.Random(f'{self.rng.random()}')
+        return Agent(index, self._kind(member, self._cfg, rng), rng)
+
+    def _push(self, at: float, agent, message, source: int) -> None:
+        event = (at, next(self._order), agent, message, source)
+        heapq.heappush(self._events, event)
+
+    def _schedule(self, agent: Agent) -> None:
+        at = max(agent.swim.next_at, agent.frozen_until)
+        if at < agent.tick_at:
+            agent.tick_at = at
+            self._push(at, agent, None, 0)
+
+    def _tick(self, agent: Agent, at: float) -> None:
+        if not agent.alive or at != agent.tick_at:
+            return
+        agent.tick_at = float('inf')
+        self.act(agent, agent.swim.handle(self.now, Tick()))
+
+    def _send(self, agent: Agent, send: Send) -> None:
+        index = send.port - FIRST_PORT
+        size = 0
+        if self._counts_bytes:
+            size = len(datagrams.encode(send.message))
+            size += OVERHEAD_BYTES + IP_UDP_BYTES
+            agent.sent_bytes += size
+        if self.rng.random() < self.loss or self._is_cut(agent.index, index):
+            return
+        receiver = self.agents[index]
+        receiver.received_bytes += size
+        delay_s = self.rng.uniform(MIN_DELAY_S, MAX_DELAY_S)
+        self._push(self.now + delay_s, receiver, send.message, agent.index)
+
+    def _deliver(self, agent: Agent, message, source: int) -> None:
+        if not agent.alive:
+            return
+        if self.now < agent.frozen_until:
+            self._push(agent.frozen_until, agent, message, source)
+            return
+        event = Received(HOST, FIRST_PORT + source, message)
+        self.act(agent, agent.swim.handle(self.now, event))
+
+    def _is_cut(self, one: int, other: int) -> bool:
+        return self.side is not None and self.side(one) != self.side(other)
+
+    def _sync(self, agent: Agent, member: Member) -> None:
+        index = member.gossip_port - FIRST_PORT
+        peer = self.agents[index]
+        asleep = self.now < peer.frozen_until
+        if not peer.alive or asleep or self._is_cut(agent.index, index):
+            return
+        self.syncs += 1
+        req = agent.anti_entropy.begin(self.now)
+        self._count_sync(agent, peer, SYNC_CONNECTION_BYTES)
+        self._count_sync(peer, agent, SYNC_CONNECTION_BYTES)
+        while req is not None:
+            self._count_sync(agent, peer, self._size(req))
+            reply, theirs = peer.anti_entropy.answer(self.now, req)
+            self._count_sync(peer, agent, self._size(reply))
+            req, ours = agent.anti_entropy.follow_up(self.now, reply)
+            self.act(peer, theirs)
+            self.act(agent, ours)
+
+    def _size(self, message) -> int:
+        if not self._counts_bytes:
+            return 0
+        return len(antientropy.encode(message)) + OVERHEAD_BYTES
+
+    def _count_sync(self, sender: Agent, receiver: Agent, size: int) -> None:
+        sender.sent_bytes += size
+        receiver.received_bytes += size
+
+
+def build_members(count: int) -> list[Member]:
+    """Return members with names and zones like those of a fleet."""
+    return [
+        Member(
+            node=NodeId(f'erie-{index % 13:02}-{index:04}'),
+            zone=ZoneName(f'zone-{index % 13}'),
+            host=HOST,
+            gossip_port=FIRST_PORT + index,
+            grpc_port=7_001,
+            http_port=7_002,
+            incarnation=1_790_000_000,
+        )
+        for index in range(count)
+    ]
+
+
+def count_states(agent: Agent) -> collections.Counter:
+    """Return how many members one agent holds in each state."""
+    return collections.Counter(m.state for m in agent.swim.known())
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -283,6 +283,11 @@
         self._gossip(now)
         return self._actions
 
+    def forget_updates(self) -> None:
+        """Stop to pass on what was heard so far."""
+        self._urgent = Piggyback()
+        self._revivals = Piggyback()
+
     # Anti-entropy.
 
     def digests(self) -> bytes:
@@ -756,8 +761,14 @@
         extra: typing.Iterable[Update] = (),
     ) -> None:
         member = self._roster.get(node)
-        updates = [*extra, *self._doubts(node)]
-        self._send(now, member.host, member.gossip_port, body, updates)
+        host, port = member.host, member.gossip_port
+        doubts = self._doubts(node)
+        if doubts or node in self._suspicions:
+            # It may be gone; what it is sent must not count as spread.
+            message = Datagram(self._me.node, body, (*extra, *doubts))
+            self._actions.append(Send(host, port, message))
+            return
+        self._send(now, host, port, body, tuple(extra))
 
     def _send(
         self,
@@ -794,7 +805,8 @@
         if not 0 < len(self._urgent) <= GOSSIP_BACKLOG:
             return
         for node in self._pool.sample(GOSSIP_FANOUT):
-            self._send_to(now, node, Gossip())
+            if node not in self._suspicions:
+                self._send_to(now, node, Gossip())
 
     def _room(self) -> int:
         return self._cfg.datagram_bytes - OVERHEAD_BYTES
