--- a/benchmark/virtual.py
+++ b/benchmark/virtual.py
@@ -9,8 +9,8 @@
 import typing
 
 from sesameward import antientropy
-from sesameward import datagrams
 from sesameward.antientropy import AntiEntropy
+from sesameward import datagrams
 from sesameward.messages import Member
 from sesameward.seals import OVERHEAD_BYTES
 from sesameward.settings import MembershipSettings
