--- /dev/null
+++ b/sesameward/quarantine.py
@@ -0,0 +1,519 @@
+"""Decide which requests may crash targets and hold them back."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Collection
+import enum
+import hashlib
+import random
+
+import msgspec
+
+from .messages import BookingBody
+from .messages import QueryBody
+from .messages import Rumor
+from .types import Fingerprint
+from .types import ServiceName
+from .types import TargetId
+
+TOPIC = 'quarantine'
+FINGERPRINT_BYTES = 12
+MAX_RUMOR_BYTES = 256
+MAX_STRIKES = 16
+
+PROVEN_WEIGHT = 0.1
+PLAIN_WEIGHT = 1.0
+TRIAL_WEIGHT = 100.0
+LEAD_BLAME = 0.5
+
+
+class QuarantineSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Time suspicion and quarantine, and bound their memory."""
+
+    lead_s: float = 0.005
+    suspect_s: float = 60.0
+    alarm_s: float = 10.0
+    quarantine_s: float = 30.0
+    max_quarantine_s: float = 900.0
+    jitter: float = 0.2
+    blame_limit: float = 0.75
+    window_s: float = 1.0
+    same_break_s: float = 0.05
+    trial_timeout_s: float = 5.0
+    trial_retry_s: float = 0.02
+    hold_s: float = 0.05
+    max_suspects: int = 4_096
+    max_proven: int = 50_000
+
+
+# What admit() decides.
+
+
+class Allow(msgspec.Struct, frozen=True):
+    """Send all sub-requests at once."""
+
+
+class Lead(msgspec.Struct, frozen=True):
+    """Send one sub-request; the rest after wait_s unless it breaks."""
+
+    wait_s: float
+
+
+class Canary(msgspec.Struct, frozen=True):
+    """Send one sub-request; the rest only after it has succeeded.
+
+    Use a replica of the shards of broken, where it is given.
+    """
+
+    broken: TargetId | None = None
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """Refuse the request, or wait where its trial is still running."""
+
+    retry_after_s: float
+    on_trial: bool = False
+
+
+Admission = Allow | Lead | Canary | Refuse
+
+
+# What broke() asks for.
+
+
+class Spread(msgspec.Struct, frozen=True):
+    """Send a rumor to the other entries at once."""
+
+    rumor: Rumor
+
+
+class HoldAnswer(msgspec.Struct, frozen=True):
+    """Delay the caller's answer until the rumor has had time to spread."""
+
+    hold_s: float
+
+
+class Suspected(msgspec.Struct, frozen=True):
+    """Report that a fingerprint came under suspicion."""
+
+    fp: Fingerprint
+
+
+class Quarantined(msgspec.Struct, frozen=True):
+    """Report that a fingerprint is refused for a time."""
+
+    fp: Fingerprint
+    for_s: float
+
+
+class Cleared(msgspec.Struct, frozen=True):
+    """Report that a fingerprint has proved harmless."""
+
+    fp: Fingerprint
+
+
+Action = Spread | HoldAnswer | Suspected | Quarantined | Cleared
+
+
+class Verdict(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what one entry says of a fingerprint, as a rumor's body."""
+
+    fp: Fingerprint
+    origin: str
+    crashes: int = 0
+    blame: float = 0.0
+    strikes: int = 0
+    remaining_s: float = 0.0
+    cleared: bool = False
+
+
+_verdicts = msgspec.msgpack.Decoder(Verdict)
+
+
+def to_rumor(verdict: Verdict, version: int, ttl_s: float) -> Rumor:
+    """Return the rumor which carries a verdict."""
+    return Rumor(
+        topic=TOPIC,
+        key=f'{verdict.fp}:{verdict.origin}',
+        version=version,
+        body=msgspec.msgpack.encode(verdict),
+        ttl_s=ttl_s,
+    )
+
+
+def from_rumor(rumor: Rumor) -> Verdict | None:
+    """Return the rumor's verdict, or None where it is not one."""
+    if rumor.topic != TOPIC or len(rumor.body) > MAX_RUMOR_BYTES:
+        return None
+    try:
+        return _verdicts.decode(rumor.body)
+    except msgspec.DecodeError:
+        return None
+
+
+def fingerprint(
+    service: ServiceName, body: QueryBody | BookingBody
+) -> Fingerprint:
+    """Return what equal requests of all callers have in common."""
+    match body:
+        case QueryBody(match, keys, versions):
+            parts = (
+                'query',
+                service,
+                msgspec.json.decode(match),
+                sorted(set(keys)) if keys is not None else None,
+                sorted(set(versions)) if versions is not None else None,
+            )
+        case BookingBody(record_key, action):
+            parts = (
+                'booking',
+                service,
+                record_key,
+                msgspec.json.decode(action),
+            )
+    data = msgspec.json.encode(parts, order='sorted')
+    hashed = hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES)
+    return Fingerprint(hashed.hexdigest())
+
+
+class TrialKind(enum.Enum):
+    """Name how a request on trial is sent."""
+
+    LEAD = 'lead'
+    CANARY = 'canary'
+
+
+_BLAME = {TrialKind.LEAD: LEAD_BLAME, TrialKind.CANARY: 1.0}
+
+
+class _Trial(msgspec.Struct):
+    kind: TrialKind
+    since: float
+
+
+class _Blame(msgspec.Struct):
+    crashes: int = 0
+    blame: float = 0.0
+
+
+class _Suspect(msgspec.Struct):
+    """Hold what is known against one fingerprint; own is at origin ''."""
+
+    until: float = 0.0
+    forget_at: float = 0.0
+    strikes: int = 0
+    broken: TargetId | None = None
+    by_origin: dict[str, _Blame] = msgspec.field(default_factory=dict)
+
+    @property
+    def crashes(self) -> int:
+        return sum(b.crashes for b in self.by_origin.values())
+
+    @property
+    def blame(self) -> float:
+        return sum(b.blame for b in self.by_origin.values())
+
+
+class _Break(msgspec.Struct):
+    """Hold one target's break with the weights at its moment."""
+
+    target: TargetId
+    at: float
+    weights: dict[Fingerprint, float]
+    counted: set[Fingerprint] = msgspec.field(default_factory=set)
+
+
+class Quarantine:
+    """Keep requests from crashing one target after another.
+
+    origin must differ between processes and between their restarts.
+    """
+
+    def __init__(
+        self, origin: str, cfg: QuarantineSettings, rng: random.Random
+    ):
+        self._origin = origin
+        self._cfg = cfg
+        self._rng = rng
+        self._version = 0
+        self._alarm_until = 0.0
+        self._suspects: collections.OrderedDict[Fingerprint, _Suspect] = (
+            collections.OrderedDict()
+        )
+        self._proven: collections.OrderedDict[Fingerprint, None] = (
+            collections.OrderedDict()
+        )
+        self._trials: collections.OrderedDict[Fingerprint, _Trial] = (
+            collections.OrderedDict()
+        )
+        self._heard: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._breaks: collections.deque[_Break] = collections.deque(maxlen=256)
+
+    @property
+    def suspects(self) -> int:
+        """Return how many fingerprints are suspected or refused."""
+        return len(self._suspects)
+
+    def admit(self, fp: Fingerprint, now: float) -> Admission:
+        """Decide how a request may be sent."""
+        suspect = self._suspect(fp, now)
+        if suspect is not None and now < suspect.until:
+            return Refuse(suspect.until - now)
+        if suspect is None and fp in self._proven:
+            self._proven.move_to_end(fp)
+            return Allow()
+        if self._trial(fp, now) is not None:
+            return Refuse(self._cfg.trial_retry_s, on_trial=True)
+        if suspect is not None:
+            self._begin_trial(fp, TrialKind.CANARY, now)
+            return Canary(suspect.broken)
+        if now < self._alarm_until:
+            self._begin_trial(fp, TrialKind.CANARY, now)
+            return Canary()
+        if self._cfg.lead_s <= 0.0:
+            return Allow()
+        self._begin_trial(fp, TrialKind.LEAD, now)
+        return Lead(self._cfg.lead_s)
+
+    def broke(
+        self,
+        fp: Fingerprint,
+        target: TargetId,
+        in_flight: Collection[Fingerprint],
+        now: float,
+    ) -> list[Action]:
+        """Count a connection which broke after this request's dispatch."""
+        broken = self._record(fp, target, in_flight, now)
+        if fp in broken.counted:
+            return []
+        broken.counted.add(fp)
+        is_new = self._suspect(fp, now) is None
+        suspect = self._touch_suspect(fp)
+        own = suspect.by_origin.setdefault('', _Blame())
+        own.crashes += 1
+        if self._on_trial(fp, now):
+            trial = self._trials.pop(fp)
+            own.blame += self._share(fp, broken, now) * _BLAME[trial.kind]
+            self._alarm_until = now + self._cfg.alarm_s
+        suspect.broken = target
+        suspect.forget_at = max(suspect.forget_at, now + self._cfg.suspect_s)
+        actions: list[Action] = [Suspected(fp)] if is_new else []
+        actions += self._judge(fp, suspect, now)
+        actions.append(self._spread(fp, suspect, now))
+        actions.append(HoldAnswer(self._cfg.hold_s))
+        return actions
+
+    def succeeded(
+        self, fp: Fingerprint, target: TargetId, now: float
+    ) -> list[Action]:
+        """Clear a fingerprint whose trial ended well."""
+        trial = self._trials.pop(fp, None)
+        suspect = self._suspects.get(fp)
+        if suspect is None:
+            self._prove(fp)
+            return []
+        if trial is None or now < suspect.until:
+            return []
+        del self._suspects[fp]
+        self._prove(fp)
+        verdict = Verdict(fp, self._origin, cleared=True)
+        return [Cleared(fp), Spread(self._rumor(verdict))]
+
+    def ended(self, fp: Fingerprint) -> None:
+        """End a trial which proved nothing, such as a cancelled one."""
+        self._trials.pop(fp, None)
+
+    def heard(self, rumor: Rumor, now: float) -> list[Action]:
+        """Take over what another entry says of a fingerprint."""
+        verdict = from_rumor(rumor)
+        if verdict is None or verdict.origin == self._origin:
+            return []
+        if rumor.version <= self._heard.get(rumor.key, 0):
+            return []
+        self._remember_version(rumor)
+        if verdict.cleared:
+            return self._hear_cleared(verdict, now)
+        if verdict.blame > 0.0 or verdict.remaining_s > 0.0:
+            self._alarm_until = now + self._cfg.alarm_s
+        is_new = self._suspect(verdict.fp, now) is None
+        suspect = self._touch_suspect(verdict.fp)
+        suspect.by_origin[verdict.origin] = _Blame(
+            verdict.crashes, verdict.blame
+        )
+        suspect.forget_at = max(suspect.forget_at, now + self._cfg.suspect_s)
+        actions: list[Action] = [Suspected(verdict.fp)] if is_new else []
+        if verdict.remaining_s > 0.0:
+            return actions + self._hear_quarantine(suspect, verdict, now)
+        return actions + self._judge(verdict.fp, suspect, now)
+
+    # Blame.
+
+    def _record(
+        self,
+        fp: Fingerprint,
+        target: TargetId,
+        in_flight: Collection[Fingerprint],
+        now: float,
+    ) -> _Break:
+        """Return the one record of the break that all its requests share."""
+        broken = self._find_break(fp, target, now)
+        if broken is None:
+            fps = {fp, *in_flight}
+            weights = {each: self._weight(each, now) for each in fps}
+            broken = _Break(target, now, weights)
+            self._breaks.append(broken)
+        return broken
+
+    def _share(self, fp: Fingerprint, broken: _Break, now: float) -> float:
+        share = broken.weights[fp] / sum(broken.weights.values())
+        return share / (1 + self._unexplained(fp, now))
+
+    def _find_break(
+        self, fp: Fingerprint, target: TargetId, now: float
+    ) -> _Break | None:
+        for broken in reversed(self._breaks):
+            if now - broken.at > self._cfg.same_break_s:
+                return None
+            if broken.target == target and fp in broken.weights:
+                return broken
+        return None
+
+    def _unexplained(self, fp: Fingerprint, now: float) -> int:
+        since = now - self._cfg.window_s
+        return len(
+            {
+                broken.target
+                for broken in self._breaks
+                if broken.at >= since and fp not in broken.weights
+            }
+        )
+
+    def _weight(self, fp: Fingerprint, now: float) -> float:
+        if self._on_trial(fp, now):
+            return TRIAL_WEIGHT
+        return PROVEN_WEIGHT if fp in self._proven else PLAIN_WEIGHT
+
+    def _judge(
+        self, fp: Fingerprint, suspect: _Suspect, now: float
+    ) -> list[Action]:
+        if suspect.crashes < 2 or suspect.blame < self._cfg.blame_limit:
+            return []
+        if now < suspect.until:
+            return []
+        cfg = self._cfg
+        for_s = min(
+            cfg.quarantine_s * 2**suspect.strikes, cfg.max_quarantine_s
+        ) * self._rng.uniform(1.0, 1.0 + cfg.jitter)
+        suspect.strikes = min(suspect.strikes + 1, MAX_STRIKES)
+        self._refuse_until(suspect, now + for_s)
+        return [Quarantined(fp, for_s)]
+
+    def _refuse_until(self, suspect: _Suspect, until: float) -> None:
+        """Refuse until then; one crash of the canary renews it after that."""
+        suspect.until = until
+        suspect.forget_at = until + self._cfg.suspect_s
+        suspect.by_origin = {'': _Blame(crashes=1)}
+
+    # Trials.
+
+    def _begin_trial(
+        self, fp: Fingerprint, kind: TrialKind, now: float
+    ) -> None:
+        self._trials[fp] = _Trial(kind, now)
+        if len(self._trials) > self._cfg.max_suspects:
+            self._trials.popitem(last=False)
+
+    def _trial(self, fp: Fingerprint, now: float) -> _Trial | None:
+        trial = self._trials.get(fp)
+        if trial is None:
+            return None
+        if now - trial.since > self._cfg.trial_timeout_s:
+            del self._trials[fp]
+            return None
+        return trial
+
+    def _on_trial(self, fp: Fingerprint, now: float) -> bool:
+        """Tell whether only one sub-request of it is out."""
+        trial = self._trial(fp, now)
+        if trial is None:
+            return False
+        led_s = now - trial.since
+        return trial.kind is TrialKind.CANARY or led_s <= self._cfg.lead_s
+
+    # Memory.
+
+    def _suspect(self, fp: Fingerprint, now: float) -> _Suspect | None:
+        suspect = self._suspects.get(fp)
+        if suspect is not None and now > suspect.forget_at:
+            del self._suspects[fp]
+            return None
+        return suspect
+
+    def _touch_suspect(self, fp: Fingerprint) -> _Suspect:
+        self._proven.pop(fp, None)
+        suspect = self._suspects.setdefault(fp, _Suspect())
+        self._suspects.move_to_end(fp)
+        if len(self._suspects) > self._cfg.max_suspects:
+            self._suspects.popitem(last=False)
+        return suspect
+
+    def _prove(self, fp: Fingerprint) -> None:
+        self._proven[fp] = None
+        self._proven.move_to_end(fp)
+        if len(self._proven) > self._cfg.max_proven:
+            self._proven.popitem(last=False)
+
+    # Rumors.
+
+    def _spread(
+        self, fp: Fingerprint, suspect: _Suspect, now: float
+    ) -> Spread:
+        own = suspect.by_origin.get('', _Blame())
+        verdict = Verdict(
+            fp,
+            self._origin,
+            crashes=own.crashes,
+            blame=own.blame,
+            strikes=suspect.strikes,
+            remaining_s=max(suspect.until - now, 0.0),
+        )
+        return Spread(self._rumor(verdict))
+
+    def _rumor(self, verdict: Verdict) -> Rumor:
+        self._version += 1
+        ttl_s = max(verdict.remaining_s, self._cfg.suspect_s)
+        return to_rumor(verdict, self._version, ttl_s)
+
+    def _remember_version(self, rumor: Rumor) -> None:
+        self._heard[rumor.key] = rumor.version
+        self._heard.move_to_end(rumor.key)
+        if len(self._heard) > self._cfg.max_suspects:
+            self._heard.popitem(last=False)
+
+    def _hear_cleared(self, verdict: Verdict, now: float) -> list[Action]:
+        suspect = self._suspects.get(verdict.fp)
+        if suspect is None or now < suspect.until:
+            return []
+        del self._suspects[verdict.fp]
+        self._prove(verdict.fp)
+        return [Cleared(verdict.fp)]
+
+    def _hear_quarantine(
+        self, suspect: _Suspect, verdict: Verdict, now: float
+    ) -> list[Action]:
+        remaining_s = min(
+            verdict.remaining_s,
+            self._cfg.max_quarantine_s * (1.0 + self._cfg.jitter),
+        )
+        was_refused = now < suspect.until
+        suspect.strikes = max(
+            suspect.strikes, min(verdict.strikes, MAX_STRIKES)
+        )
+        until = max(suspect.until, now + remaining_s)
+        self._refuse_until(suspect, until)
+        return [] if was_refused else [Quarantined(verdict.fp, remaining_s)]
--- a/sesameward/types.py
+++ b/sesameward/types.py
@@ -74,6 +74,7 @@
     NO_REPLICA = 'no_replica'
     STORE_UNAVAILABLE = 'store_unavailable'
     IN_PROGRESS = 'in_progress'
+    SUPERSEDED = 'superseded'
 
 
 class Outcome(enum.Enum):
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,186 @@
+"""Test that a request which crashes targets is held back."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from sesameward.messages import BookingBody
+from sesameward.messages import QueryBody
+from sesameward import quarantine
+from sesameward.types import Fingerprint
+from sesameward.types import ServiceName
+from sesameward.types import TargetId
+
+CFG = quarantine.QuarantineSettings()
+BAD = Fingerprint('bad')
+GOOD = Fingerprint('good')
+T0, T1, T2 = (TargetId(f't{index}') for index in range(3))
+
+
+def make(origin='e0', **changes):
+    cfg = msgspec.structs.replace(CFG, **changes)
+    return quarantine.Quarantine(origin, cfg, random.Random(1))
+
+
+def rumors(actions):
+    return [a.rumor for a in actions if isinstance(a, quarantine.Spread)]
+
+
+@pytest.fixture
+def crashed_once():
+    """Return a quarantine that saw one crash, and its rumors."""
+    keeper = make()
+    assert isinstance(keeper.admit(BAD, 0.0), quarantine.Lead)
+    return keeper, rumors(keeper.broke(BAD, T0, {BAD}, 0.002))
+
+
+@pytest.fixture
+def crashed_twice(crashed_once):
+    """Return a quarantine whose canary crashed too, and its rumors."""
+    keeper, _ = crashed_once
+    assert keeper.admit(BAD, 1.0) == quarantine.Canary(T0)
+    return keeper, rumors(keeper.broke(BAD, T1, {BAD}, 1.1))
+
+
+def test_second_crash_quarantines(crashed_twice):
+    keeper, _ = crashed_twice
+    refusal = keeper.admit(BAD, 1.2)
+    assert isinstance(refusal, quarantine.Refuse)
+    assert CFG.quarantine_s * 0.9 < refusal.retry_after_s
+    assert isinstance(keeper.admit(GOOD, 1.2), quarantine.Canary)
+
+
+def test_one_canary_at_a_time(crashed_once):
+    keeper, _ = crashed_once
+    assert isinstance(keeper.admit(BAD, 1.0), quarantine.Canary)
+    waiting = keeper.admit(BAD, 1.0)
+    assert waiting == quarantine.Refuse(CFG.trial_retry_s, on_trial=True)
+    keeper.ended(BAD)
+    assert isinstance(keeper.admit(BAD, 1.0), quarantine.Canary)
+
+
+def test_lost_canary_times_out(crashed_once):
+    keeper, _ = crashed_once
+    keeper.admit(BAD, 1.0)
+    later = 1.1 + CFG.trial_timeout_s
+    assert isinstance(keeper.admit(BAD, later), quarantine.Canary)
+
+
+def test_success_of_the_canary_clears(crashed_once):
+    keeper, heard = crashed_once
+    other = make('e1')
+    other.heard(heard[0], 0.1)
+    keeper.admit(BAD, 1.0)
+    actions = keeper.succeeded(BAD, T1, 1.1)
+    assert quarantine.Cleared(BAD) in actions
+    assert keeper.admit(BAD, 1.2) == quarantine.Allow()
+    other.heard(rumors(actions)[0], 1.3)
+    assert other.admit(BAD, 1.4) == quarantine.Allow()
+
+
+def test_release_needs_a_canary_and_repeats_double(crashed_twice):
+    keeper, _ = crashed_twice
+    now, waits = 1.2, []
+    for _ in range(8):
+        refusal = keeper.admit(BAD, now)
+        waits.append(refusal.retry_after_s)
+        now += refusal.retry_after_s + 0.001
+        assert isinstance(keeper.admit(BAD, now), quarantine.Canary)
+        keeper.broke(BAD, T2, {BAD}, now + 0.1)
+        now += 0.2
+    assert waits[1] > 1.5 * waits[0]
+    assert max(waits) <= CFG.max_quarantine_s * (1 + CFG.jitter)
+
+
+def test_suspicion_and_quarantine_reach_other_entries(crashed_twice):
+    keeper, heard = crashed_twice
+    other = make('e1')
+    other.heard(heard[0], 1.2)
+    assert isinstance(other.admit(BAD, 1.3), quarantine.Refuse)
+    assert keeper.heard(heard[0], 1.3) == []
+
+
+def test_crashes_at_two_entries_add_up(crashed_once):
+    _, heard = crashed_once
+    other = make('e1')
+    other.admit(BAD, 0.0)
+    other.broke(BAD, T1, {BAD}, 0.002)
+    other.heard(heard[0], 0.5)
+    assert isinstance(other.admit(BAD, 0.6), quarantine.Refuse)
+
+
+def test_old_and_foreign_rumors_are_ignored(crashed_once):
+    _, (rumor,) = crashed_once
+    other = make('e1')
+    assert other.heard(rumor, 0.1)
+    assert other.heard(rumor, 0.2) == []
+    broken = msgspec.structs.replace(rumor, version=9, body=b'\xff')
+    assert other.heard(broken, 0.3) == []
+    large = msgspec.structs.replace(rumor, version=9, body=b'0' * 300)
+    assert other.heard(large, 0.3) == []
+
+
+def test_rumors_are_small(crashed_twice):
+    _, heard = crashed_twice
+    assert len(msgspec.msgpack.encode(heard[0])) < 120
+
+
+def restart(keeper, target, fps, now):
+    """Break all connections of a target at once."""
+    return [a for fp in fps for a in keeper.broke(fp, target, fps, now)]
+
+
+def test_restarts_do_not_quarantine_innocents():
+    keeper = make()
+    fps = [Fingerprint(f'f{index}') for index in range(10)]
+    for fp in fps[:5]:
+        keeper.succeeded(fp, T1, 0.0)
+    restart(keeper, T0, fps, 1.0)
+    for fp in fps:
+        assert isinstance(keeper.admit(fp, 1.2), quarantine.Canary)
+    actions = restart(keeper, T1, fps, 1.3)
+    assert not [a for a in actions if isinstance(a, quarantine.Quarantined)]
+    for fp in fps:
+        assert isinstance(keeper.admit(fp, 1.4), quarantine.Canary)
+        keeper.succeeded(fp, T2, 1.5)
+        assert keeper.admit(fp, 1.6) == quarantine.Allow()
+
+
+def test_canary_broken_amid_other_breaks_is_not_blamed_alone(crashed_once):
+    keeper, _ = crashed_once
+    keeper.admit(BAD, 1.0)
+    for index in range(5):
+        fps = {Fingerprint(f'f{index}')}
+        restart(keeper, TargetId(f'u{index}'), fps, 1.05)
+    actions = keeper.broke(BAD, T1, {BAD}, 1.1)
+    assert not [a for a in actions if isinstance(a, quarantine.Quarantined)]
+
+
+def test_memory_is_bounded():
+    keeper = make(max_suspects=10, max_proven=10)
+    for index in range(100):
+        fp = Fingerprint(f'f{index}')
+        keeper.broke(fp, TargetId(f't{index}'), {fp}, index * 0.1)
+        keeper.succeeded(Fingerprint(f'g{index}'), T0, 0.0)
+        keeper.admit(Fingerprint(f'h{index}'), 0.0)
+    assert keeper.suspects == 10
+    assert len(keeper._proven) == 10
+    assert len(keeper._trials) <= 10
+
+
+def test_fingerprint_is_of_the_content():
+    service = ServiceName('trip-desk')
+
+    def of(match, keys=None, to=service):
+        body = QueryBody(match=msgspec.Raw(match), keys=keys)
+        return quarantine.fingerprint(to, body)
+
+    assert of(b'{"a":1,"b":2}') == of(b'{"b": 2, "a": 1}')
+    assert of(b'{}', ('x', 'y')) == of(b'{}', ('y', 'x'))
+    assert of(b'{"a":1}') != of(b'{"a":2}')
+    assert of(b'{}') != of(b'{}', to=ServiceName('roster'))
+    booking = BookingBody('k', msgspec.Raw(b'{}'))
+    assert quarantine.fingerprint(service, booking) != of(b'{}')
