--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -25,6 +25,7 @@
 PROVEN_WEIGHT = 0.1
 PLAIN_WEIGHT = 1.0
 TRIAL_WEIGHT = 100.0
+LEAD_BLAME = 0.5
 
 
 class QuarantineSettings(
@@ -185,6 +186,9 @@
     CANARY = 'canary'
 
 
+_BLAME = {TrialKind.LEAD: LEAD_BLAME, TrialKind.CANARY: 1.0}
+
+
 class _Trial(msgspec.Struct):
     kind: TrialKind
     since: float
@@ -293,9 +297,9 @@
         own = suspect.by_origin.setdefault('', _Blame())
         own.crashes += 1
         if self._on_trial(fp, now):
-            own.blame += self._share(fp, broken, now)
+            trial = self._trials.pop(fp)
+            own.blame += self._share(fp, broken, now) * _BLAME[trial.kind]
             self._alarm_until = now + self._cfg.alarm_s
-            del self._trials[fp]
         suspect.broken = target
         suspect.forget_at = max(suspect.forget_at, now + self._cfg.suspect_s)
         actions: list[Action] = [Suspected(fp)] if is_new else []
