--- a/sesameward/transfers.py
+++ b/sesameward/transfers.py
@@ -10,9 +10,8 @@
 import contextlib
 import dataclasses
 import enum
-import os
+import select
 import typing
-import warnings
 
 import pycurl
 
@@ -42,7 +41,13 @@
 
 
 Done = typing.Callable[[Response], None]
-CloseSocket = typing.Callable[[int], int]
+
+_EPOLL = {
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
+}
+_ERRORS = select.EPOLLERR | select.EPOLLHUP
 
 
 class Transfer:
@@ -59,7 +64,7 @@
         self.curl = pycurl.Curl()
         self.curl.owner = self
 
-    def prepare(self, lane: Lane, close_socket: CloseSocket) -> None:
+    def prepare(self, lane: Lane) -> None:
         """Set the handle up for all transfers of one lane."""
         self.lane = lane
         curl = self.curl
@@ -72,7 +77,6 @@
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
-        curl.setopt(pycurl.CLOSESOCKETFUNCTION, close_socket)
         if lane.once:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
@@ -134,13 +138,13 @@
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._set_socket)
         self._timer: asyncio.TimerHandle | None = None
         self._kick: asyncio.Handle | None = None
+        # An epoll object of its own costs less than the event loop's, and
+        # drops by itself the sockets which libcurl closes unannounced.
+        self._epoll = select.epoll()
+        self._loop.add_reader(self._epoll.fileno(), self._on_ready)
         self._wanted: dict[int, int] = {}
-        self._watched: dict[int, int] = {}
         self._abort: asyncio.Handle | None = None
         self._aborting: list[Transfer] = []
-        # Handles are kept until the end: an open connection refers to the
-        # handle which opened it, also when that handle is idle.
-        self._handles: list[Transfer] = []
         self._spare: list[Transfer] = []
 
     def submit(
@@ -181,22 +185,16 @@
         for handle in (self._timer, self._kick, self._abort):
             if handle is not None:
                 handle.cancel()
-        with warnings.catch_warnings():
-            # Pycurl can't call back from here, so the sockets stay open.
-            warnings.simplefilter('ignore', RuntimeWarning)
-            self._multi.close()
-        for fd in tuple(self._watched):
-            self._close_socket(fd)
-        for transfer in self._handles:
-            transfer.curl.close()
+        self._loop.remove_reader(self._epoll.fileno())
+        self._multi.close()
+        self._epoll.close()
 
     def _create(self, lane: Lane) -> Transfer:
         if self._spare:
             transfer = self._spare.pop()
         else:
             transfer = Transfer()
-            self._handles.append(transfer)
-        transfer.prepare(lane, self._close_socket)
+        transfer.prepare(lane)
         return transfer
 
     def _release(self, transfer: Transfer) -> None:
@@ -220,46 +218,35 @@
             )
 
     def _set_socket(self, event: int, fd: int, multi, data) -> None:
-        wanted = 0 if event == pycurl.POLL_REMOVE else event
-        self._wanted[fd] = wanted
-        watched = self._watched.get(fd, 0)
-        missing = wanted & ~watched
-        if missing & pycurl.POLL_IN:
-            self._loop.add_reader(fd, self._on_readable, fd)
-            watched |= pycurl.POLL_IN
-        if missing & pycurl.POLL_OUT:
-            self._loop.add_writer(fd, self._on_writable, fd)
-            watched |= pycurl.POLL_OUT
-        if watched & ~wanted & pycurl.POLL_OUT:
-            self._loop.remove_writer(fd)
-            watched &= ~pycurl.POLL_OUT
-        # The reader stays while the connection is idle, since the next
-        # transfer wants it again; _on_readable removes it when it fires.
-        self._watched[fd] = watched
-
-    def _unwatch(self, fd: int) -> None:
-        watched = self._watched.pop(fd, 0)
-        self._wanted.pop(fd, None)
-        if watched & pycurl.POLL_IN:
-            self._loop.remove_reader(fd)
-        if watched & pycurl.POLL_OUT:
-            self._loop.remove_writer(fd)
-
-    def _close_socket(self, fd: int) -> int:
-        self._unwatch(fd)
-        with contextlib.suppress(OSError):
-            os.close(fd)
-        return 0
-
-    def _on_readable(self, fd: int) -> None:
-        if self._wanted.get(fd, 0) & pycurl.POLL_IN:
-            self._act(fd, pycurl.CSELECT_IN)
+        if event == pycurl.POLL_REMOVE:
+            # The socket stays registered while its connection is idle,
+            # since the next transfer wants it again.
+            self._wanted[fd] = 0
             return
-        self._loop.remove_reader(fd)
-        self._watched[fd] &= ~pycurl.POLL_IN
-
-    def _on_writable(self, fd: int) -> None:
-        self._act(fd, pycurl.CSELECT_OUT)
+        self._wanted[fd] = _EPOLL[event]
+        try:
+            self._epoll.modify(fd, _EPOLL[event])
+        except FileNotFoundError:
+            self._epoll.register(fd, _EPOLL[event])
+
+    def _on_ready(self) -> None:
+        for fd, events in self._epoll.poll(0):
+            wanted = self._wanted.get(fd, 0)
+            if not wanted:
+                # A server closed an idle connection.
+                with contextlib.suppress(OSError):
+                    self._epoll.unregister(fd)
+                continue
+            action = 0
+            if events & (select.EPOLLIN | _ERRORS) and (
+                wanted & select.EPOLLIN
+            ):
+                action |= pycurl.CSELECT_IN
+            if events & (select.EPOLLOUT | _ERRORS) and (
+                wanted & select.EPOLLOUT
+            ):
+                action |= pycurl.CSELECT_OUT
+            self._act(fd, action)
 
     def _on_kick(self) -> None:
         self._kick = None
