--- a/sesameward/config_peers.py
+++ b/sesameward/config_peers.py
@@ -20,6 +20,7 @@
 from .types import NodeId
 
 PULL_METHOD = '/sesameward.Peer/Pull'
+PULL_TIMEOUT_S = 1.0
 MAX_CHANNELS = 16
 MAX_PAGES = 1_000
 
@@ -48,7 +49,7 @@
 class PullClient:
     """Pull objects from other agents; keep a few channels."""
 
-    def __init__(self, metrics: Metrics, timeout_s: float = 2.0):
+    def __init__(self, metrics: Metrics, timeout_s: float = PULL_TIMEOUT_S):
         self._metrics = metrics
         self._timeout_s = timeout_s
         self._channels: dict[NodeId, tuple[tuple, client.Channel]] = {}
--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import itertools
 import random
 
 from .. import declared
@@ -35,8 +36,8 @@
 BACKOFF_CAP_S = 30.0
 RECONCILE_S = 10.0
 BOOT_PEERS = 3
-BOOT_ROUND_S = 2.0
-PULL_WAIT_S = 2.0
+BOOT_PEER_TRIES = 5
+PULL_WAIT_S = 1.0
 WATCHER_PATIENCE_S = 1.0
 RELIST_S = 60.0
 PULL_TRIES = 8
@@ -169,12 +170,18 @@
 
     async def _boot(self) -> None:
         backoff = Backoff(self._rng, BACKOFF_BASE_S, BACKOFF_CAP_S)
-        while not self.ready.is_set():
+        for attempt in itertools.count():
             await self._boot_from_peers()
-            if not self.ready.is_set():
+            if self.ready.is_set():
+                return
+            # The others wait for their watchers, so that a fleet which starts
+            # all at once doesn't fall upon the store.
+            watches = self._spread.watches(self._members())
+            if watches or attempt >= BOOT_PEER_TRIES:
                 await self._list_or_count()
-            if not self.ready.is_set():
-                await asyncio.sleep(backoff.next_s())
+            if self.ready.is_set():
+                return
+            await asyncio.sleep(backoff.next_s())
 
     async def _boot_from_peers(self) -> None:
         peers = self._spread.others(self._members(), BOOT_PEERS)
@@ -192,9 +199,10 @@
     async def _watch(self) -> None:
         backoff = Backoff(self._rng, BACKOFF_BASE_S, BACKOFF_CAP_S)
         position = Revision(0)
+        await self.ready.wait()
         while True:
             self._set_watching(self._spread.watches(self._members()))
-            if not self._watching or not self.ready.is_set():
+            if not self._watching:
                 position = Revision(0)
                 await asyncio.sleep(self._rng.uniform(0.5, 1.0) * ROLE_S)
                 continue
--- a/sesameward/fleet.py
+++ b/sesameward/fleet.py
@@ -8,10 +8,10 @@
 import typing
 
 import msgspec
-from tornado import curl_httpclient
 from tornado import httpclient
 
 from .exceptions import PeerUnavailableError
+from .http_client import CurlClient
 from .messages import Member
 from .messages import NodeStatus
 from .types import Clock
@@ -47,9 +47,7 @@
     def __init__(self, agent: str, clock: Clock = time.monotonic):
         self._agent = agent
         self._clock = clock
-        self._http = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+        self._http = CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
         self._slots = asyncio.Semaphore(MAX_CLIENTS)
 
     def close(self) -> None:
--- /dev/null
+++ b/sesameward/http_client.py
@@ -0,0 +1,20 @@
+"""Adapt tornado's curl client to processes which stop during a call."""
+
+from __future__ import annotations
+
+from tornado import curl_httpclient
+
+
+class CurlClient(curl_httpclient.CurlAsyncHTTPClient):
+    """Ignore the timers which libcurl sets while it is being closed."""
+
+    _closing = False
+
+    def close(self) -> None:
+        """Close all connections, also those in use."""
+        self._closing = True
+        super().close()
+
+    def _set_timeout(self, msecs: int) -> None:
+        if not self._closing:
+            super()._set_timeout(msecs)
--- a/sesameward/platform_client.py
+++ b/sesameward/platform_client.py
@@ -11,7 +11,6 @@
 
 import msgspec
 import pycurl
-from tornado import curl_httpclient
 from tornado import httpclient
 
 from .exceptions import CompactedError
@@ -22,6 +21,7 @@
 from .exceptions import PlatformThrottledError
 from .exceptions import PlatformUnavailableError
 from .exceptions import UnsureWriteError
+from .http_client import CurlClient
 from .messages import Listing
 from .messages import StoredObject
 from .messages import Vm
@@ -57,9 +57,7 @@
         self._clock = clock
         self._seen = Revision(0)
         self._budget = TokenBucket(cfg.calls_per_s, cfg.burst, clock())
-        self._http = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+        self._http = CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
 
     def close(self) -> None:
         """Close all connections."""
--- a/sesameward/spread.py
+++ b/sesameward/spread.py
@@ -27,41 +27,42 @@
         self._zone = zone
         self._watchers = watchers
         self._rng = rng
+        self._members: collections.abc.Sequence[Member] = ()
+        self._ranked: list[NodeId] = [node]
+        self._others: dict[NodeId, Member] = {}
 
-    def watches(self, members: collections.abc.Iterable[Member]) -> bool:
+    def watches(self, members: collections.abc.Sequence[Member]) -> bool:
         """Tell whether this agent watches the store."""
-        return self._node in pick(
-            self._key, self._neighbours(members), self._watchers
-        )
+        return self._node in self._rank(members)[: self._watchers]
 
     def parent(
         self, members: collections.abc.Sequence[Member], origin: NodeId
     ) -> Member | None:
         """Return the agent to pull a new revision from."""
-        by_node = {m.node: m for m in members if m.node != self._node}
-        nodes = self._neighbours(members)
-        ranked = pick(self._key, nodes, len(nodes))
+        ranked = self._rank(members)
         rank = ranked.index(self._node)
         if rank < self._watchers:
-            return by_node.get(origin)
+            return self._others.get(origin)
         above = ranked[(rank - self._watchers) // FANOUT]
-        return by_node.get(above) or by_node.get(origin)
+        return self._others.get(above) or self._others.get(origin)
 
     def others(
         self, members: collections.abc.Sequence[Member], count: int
     ) -> list[Member]:
         """Return a few other members at random."""
-        others = [m for m in members if m.node != self._node]
-        return self._rng.sample(others, min(count, len(others)))
-
-    @property
-    def _key(self) -> str:
-        return f'config-watch:{self._zone}'
-
-    def _neighbours(
-        self, members: collections.abc.Iterable[Member]
-    ) -> set[NodeId]:
-        return {m.node for m in members if m.zone == self._zone} | {self._node}
+        sample = self._rng.sample(members, min(count + 1, len(members)))
+        return [m for m in sample if m.node != self._node][:count]
+
+    def _rank(self, members: collections.abc.Sequence[Member]) -> list[NodeId]:
+        # A tuple can't change, so its ranking holds while it is the same.
+        if members is self._members and isinstance(members, tuple):
+            return self._ranked
+        nodes = {m.node for m in members if m.zone == self._zone}
+        nodes.add(self._node)
+        self._members = members
+        self._others = {m.node: m for m in members if m.node != self._node}
+        self._ranked = pick(f'config:{self._zone}', nodes, len(nodes))
+        return self._ranked
 
 
 class Backoff:
--- a/sesameward/standin/platform.py
+++ b/sesameward/standin/platform.py
@@ -101,9 +101,10 @@
 
     async def wait(self, kinds: set[str], since: int, wait_s: float) -> None:
         """Return when there are events or the time is over."""
-        deadline = time.monotonic() + wait_s
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
         while not self.events(kinds, since):
-            rest_s = deadline - time.monotonic()
+            rest_s = deadline - loop.time()
             if rest_s <= 0.0:
                 return
             try:
