Keep up through false hints and faults; pace operators' calls

apply of 60 pools failed midway when the local budget was spent, in the listing that confirms it; throttled calls are now repeated when the budget allows, since a throttled call has no effect.

--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -19,6 +19,7 @@
 
 from . import declared
 from . import operations
+from .exceptions import AgentRefusalError
 from .exceptions import ConflictError
 from .exceptions import DeclarationError
 from .exceptions import NotFoundError
@@ -269,6 +270,8 @@
     match exc:
         case ReferencedError() | ConflictError() | NotFoundError():
             return ExitCode.REFUSED
+        case AgentRefusalError():
+            return ExitCode.REFUSED
         case PlatformError() | PeerUnavailableError():
             return ExitCode.UNAVAILABLE
         case _:
@@ -297,7 +300,7 @@
 ) -> list[Lag]:
     try:
         return await fleet.wait(outcome.revision, wait_s)
-    except PeerUnavailableError as exc:
+    except (AgentRefusalError, PeerUnavailableError) as exc:
         return [Lag('all nodes', str(exc))]
 
 
--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -40,6 +40,7 @@
 PULL_WAIT_S = 1.0
 WATCHER_PATIENCE_S = 1.0
 RELIST_S = 60.0
+FAULT_S = 2.0
 PULL_TRIES = 8
 PULL_PAUSE_S = 0.2
 MAX_HELD_PULLS = 64
@@ -101,13 +102,8 @@
 
     def start(self) -> None:
         """Start to boot, watch, follow hints and reconcile."""
-        for loop in (
-            self._boot(),
-            self._watch(),
-            self._follow(),
-            self._reconcile(),
-        ):
-            self._tasks.append(asyncio.ensure_future(loop))
+        for loop in (self._boot, self._watch, self._follow, self._reconcile):
+            self._tasks.append(asyncio.ensure_future(self._keep_up(loop)))
 
     async def stop(self) -> None:
         """End all loops."""
@@ -116,6 +112,19 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks.clear()
 
+    async def _keep_up(
+        self, loop: collections.abc.Callable[[], collections.abc.Awaitable]
+    ) -> None:
+        # A fault in one loop must not leave the node on an old revision.
+        while True:
+            try:
+                return await loop()
+            except Exception as exc:
+                reason = type(exc).__name__
+                self._metrics.count('config_faults', reason)
+                logs.change('config_fault', loop=loop.__name__, error=str(exc))
+                await asyncio.sleep(self._rng.uniform(0.5, 1.0) * FAULT_S)
+
     def hear(self, rumor: Rumor) -> None:
         """Note that another agent has a higher revision."""
         if rumor.topic != TOPIC or rumor.key != HINT_KEY:
@@ -269,7 +278,7 @@
             return
         for attempt in range(PULL_TRIES):
             members = self._members()
-            origin = NodeId(self._hint.body.decode())
+            origin = NodeId(self._hint.body.decode(errors='replace'))
             peer = self._spread.parent(members, origin)
             if attempt or peer is None:
                 peer = next(iter(self._spread.others(members, 1)), None)
@@ -279,7 +288,9 @@
                 return
             pause_s = PULL_PAUSE_S * 2.0 ** min(attempt, 4)
             await asyncio.sleep(self._rng.uniform(0.0, pause_s))
+        # Forget the hint, so that one false hint doesn't hide true ones.
         self._metrics.count('config_pulls', 'gave_up')
+        self._hint = Rumor(TOPIC, HINT_KEY, self.revision)
 
     async def _reconcile(self) -> None:
         while True:
--- a/sesameward/exceptions.py
+++ b/sesameward/exceptions.py
@@ -101,5 +101,9 @@
     """Report that another sesameward process did not answer."""
 
 
+class AgentRefusalError(SesamewardError):
+    """Report that an agent refused what an operator asked."""
+
+
 class IntegrityError(SesamewardError):
     """Report a datagram which is not authentic, fresh or well formed."""
--- a/sesameward/fleet.py
+++ b/sesameward/fleet.py
@@ -10,6 +10,7 @@
 import msgspec
 from tornado import httpclient
 
+from .exceptions import AgentRefusalError
 from .exceptions import PeerUnavailableError
 from .http_client import CurlClient
 from .messages import Member
@@ -88,7 +89,7 @@
         async with self._slots:
             try:
                 status = await self._get(address, '/v1/status', NodeStatus)
-            except PeerUnavailableError:
+            except (AgentRefusalError, PeerUnavailableError):
                 status = None
         if status is not None and status.node != member.node:
             status = None
@@ -117,14 +118,28 @@
                 connect_timeout=TIMEOUT_S,
                 request_timeout=TIMEOUT_S,
             )
-        except (httpclient.HTTPError, OSError) as exc:
-            raise PeerUnavailableError(
-                f'agent {address} did not serve {path} ({exc}); '
-                'name another agent by --agent'
-            ) from exc
+        except httpclient.HTTPClientError as exc:
+            if 400 <= exc.code < 500:
+                text = exc.response.body.decode(errors='replace').strip()
+                raise AgentRefusalError(
+                    f'agent {address} refused {path}: {text or exc.message}; '
+                    'correct the request'
+                ) from exc
+            raise _unavailable(address, path, exc) from exc
+        except OSError as exc:
+            raise _unavailable(address, path, exc) from exc
         return resp.body
 
 
+def _unavailable(
+    address: str, path: str, exc: Exception
+) -> PeerUnavailableError:
+    return PeerUnavailableError(
+        f'agent {address} did not serve {path} ({exc}); '
+        'name another agent by --agent'
+    )
+
+
 def lagging(
     views: collections.abc.Iterable[NodeView], revision: Revision
 ) -> list[Lag]:
--- a/sesameward/operations.py
+++ b/sesameward/operations.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
+import functools
 import pathlib
+import typing
 import uuid
 
 import msgspec
@@ -16,6 +19,8 @@
 from .exceptions import ConflictError
 from .exceptions import DeclarationError
 from .exceptions import PlatformError
+from .exceptions import PlatformThrottledError
+from .exceptions import PlatformUnavailableError
 from .exceptions import ReferencedError
 from .messages import StoredObject
 from .platform_client import PlatformClient
@@ -23,6 +28,9 @@
 from .types import Revision
 
 Key = tuple[str, str]
+Value = typing.TypeVar('Value')
+
+THROTTLED_TRIES = 10
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -43,10 +51,13 @@
 
     @property
     def before(self) -> declared.Declared | None:
-        """Return what is declared now."""
+        """Return what is declared now, where it is valid."""
         if self.stored is None:
             return None
-        return declared.decode(self.stored.kind, self.stored.value)
+        try:
+            return declared.decode(self.stored.kind, self.stored.value)
+        except DeclarationError:
+            return None
 
     @property
     def changes(self) -> bool:
@@ -120,7 +131,14 @@
         raise DeclarationError('$', 'is no mapping', 'start with kind:')
     fields = {str(k): v for k, v in document.items()}
     kind = fields.pop('kind', None)
-    return declared.decode(str(kind), msgspec.json.encode(fields))
+    try:
+        data = msgspec.json.encode(fields)
+    except (RecursionError, TypeError) as exc:
+        raise DeclarationError('$', str(exc), 'write plain YAML') from exc
+    # What is stored has all fields, so it can be larger than the file.
+    return declared.decode(
+        str(kind), declared.encode(declared.decode(str(kind), data))
+    )
 
 
 class Operations:
@@ -133,7 +151,9 @@
         """Return all declared objects of the store."""
         found: dict[Key, StoredObject] = {}
         for kind in declared.KINDS:
-            _, objects = await self._platform.list(kind)
+            _, objects = await _paced(
+                functools.partial(self._platform.list, kind)
+            )
             found.update({(o.kind, o.name): o for o in objects})
         return found
 
@@ -159,9 +179,11 @@
         if not step.changes:
             return Applied(kind, name, step.stored.revision, False)
         value = declared.encode(step.item)
-        declared.decode(kind, value)
-        revision = await self._platform.put(
-            kind, name, value, step.expected, ChangeId(uuid.uuid4().hex)
+        change = ChangeId(uuid.uuid4().hex)
+        revision = await _paced(
+            lambda: self._platform.put(
+                kind, name, value, step.expected, change
+            )
         )
         return Applied(kind, name, revision, True)
 
@@ -176,7 +198,34 @@
             key = done.kind, done.name
             if key not in world:
                 raise ConflictError(' '.join(key), stored_revision(stored))
-            _check_change(world[key], world)
+            _check_confirmed(world[key], world)
+
+
+async def _paced(
+    call: collections.abc.Callable[[], collections.abc.Awaitable[Value]],
+) -> Value:
+    for _ in range(THROTTLED_TRIES):
+        try:
+            return await call()
+        except PlatformThrottledError as exc:
+            await asyncio.sleep(exc.retry_after_s)
+    raise PlatformUnavailableError(
+        f'the platform was over its rates {THROTTLED_TRIES} times; '
+        'try again later'
+    )
+
+
+def _check_confirmed(
+    item: declared.Declared, world: dict[Key, declared.Declared]
+) -> None:
+    try:
+        _check_change(item, world)
+    except ReferencedError as exc:
+        raise ReferencedError(
+            exc.field,
+            f'was written, but after another change {exc.problem}',
+            exc.remedy,
+        ) from exc
 
 
 def stored_revision(stored: dict[Key, StoredObject]) -> Revision:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -18,6 +18,7 @@
 from sesameward import declared
 from sesameward.exceptions import ConflictError
 from sesameward.messages import Member
+from sesameward.messages import Rumor
 from sesameward.messages import StoredObject
 from sesameward.platform_client import PlatformClient
 from sesameward.settings import PlatformSettings
@@ -236,3 +237,38 @@
         await agents.reach(max(history))
 
     with_agents(scenario)
+
+
+def test_compaction_leads_to_a_listing(with_agents, service):
+    async def scenario(standin, client, agents):
+        first = await write(client, service)
+        await agents.reach(first)
+        standin.faults = Faults(outage=True)
+        store = standin.store
+        store.write('service', service.name, b'', 'c2', deleted=True)
+        store.compact(store.revision)
+        standin.faults = Faults()
+        await agents.reach(store.revision, 5.0)
+        assert not any(a.book.in_force() for a in agents.nodes.values())
+
+    with_agents(scenario)
+
+
+def test_false_hint_and_faulty_callback_stop_nothing(
+    with_agents, service, metrics, monkeypatch
+):
+    monkeypatch.setattr(configuration, 'PULL_TRIES', 1)
+    monkeypatch.setattr(configuration, 'FAULT_S', 0.1)
+
+    async def scenario(standin, client, agents):
+        def fail(changed):
+            raise ValueError('fault in a callback')
+
+        for agent in agents.nodes.values():
+            agent.on_change(fail)
+            agent.hear(Rumor('config', 'revision', 10**9, b'\xff'))
+        await until(lambda: metrics.value('config_pulls', 'gave_up') >= 4)
+        await agents.reach(await write(client, service), 5.0)
+        assert metrics.value('config_faults', 'ValueError')
+
+    with_agents(scenario)
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,100 @@
+"""Test how operators' changes are read, ordered and raced."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from sesameward import declared
+from sesameward.exceptions import ConflictError
+from sesameward.exceptions import DeclarationError
+from sesameward.exceptions import ReferencedError
+from sesameward import operations
+from sesameward.operations import Operations
+from sesameward.standin.platform import Faults
+
+
+def without_shards(service):
+    shard_map = declared.ShardMap(2, (declared.Shard('s9'),))
+    return msgspec.structs.replace(service, maps=(shard_map,))
+
+
+def test_race_on_one_object_names_the_other_change(
+    with_platform, service, monkeypatch
+):
+    async def scenario(standin, client):
+        ops = Operations(client)
+        assert isinstance(await ops.apply([service]), Success)
+        plan = ops.plan
+
+        async def slow_plan(items):
+            steps = await plan(items)
+            value = declared.encode(service)
+            standin.store.write(
+                'service', service.name, value, 'theirs', False
+            )
+            return steps
+
+        monkeypatch.setattr(ops, 'plan', slow_plan)
+        changed = msgspec.structs.replace(service, bookings=False)
+        match await ops.apply([changed]):
+            case Failure(outcome):
+                assert isinstance(outcome.error, ConflictError)
+                assert outcome.error.change == 'theirs'
+                assert outcome.applied == ()
+
+    with_platform(scenario)
+
+
+def test_race_on_both_sides_of_a_reference_is_told(
+    with_platform, service, pool, monkeypatch
+):
+    async def scenario(standin, client):
+        ops = Operations(client)
+        await ops.apply([service])
+        plan = ops.plan
+
+        async def slow_plan(items):
+            steps = await plan(items)
+            value = declared.encode(without_shards(service))
+            standin.store.write(
+                'service', service.name, value, 'theirs', False
+            )
+            return steps
+
+        monkeypatch.setattr(ops, 'plan', slow_plan)
+        result = await ops.apply([pool])
+        outcome = result.failure()
+        assert [a.name for a in outcome.applied] == [pool.name]
+        with pytest.raises(ReferencedError, match='was written'):
+            raise outcome.error
+
+    with_platform(scenario)
+
+
+def test_unsure_write_is_settled(with_platform, service, pool):
+    async def scenario(standin, client):
+        standin.faults = Faults(lose_replies=2)
+        result = await Operations(client).apply([pool, service])
+        assert result.unwrap().revision == 2
+
+    with_platform(scenario)
+
+
+@pytest.mark.parametrize(
+    'text, field',
+    [
+        ('- 1', '$'),
+        ('name: a', 'kind'),
+        ('{kind: service, name: &a [*a]}', '$'),
+        ('kind: [', 'objects.yaml'),
+    ],
+)
+def test_bad_files_name_the_place(tmp_path, text, field):
+    path = tmp_path / 'objects.yaml'
+    path.write_text(text)
+    with pytest.raises(DeclarationError) as caught:
+        operations.read([str(path)])
+    assert field in caught.value.field
