Write the fleet's summary under a lease

The summary is the lease's own body, so one conditional write renews and writes, and a former holder's write is refused by its revision. A former holder takes its own lease again at once: the revision proves that nobody else had it.

--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -18,7 +18,7 @@
 import yaml
 
 from . import declared
-from . import operations
+from .controllers import rollup
 from .exceptions import AgentRefusalError
 from .exceptions import ConflictError
 from .exceptions import DeclarationError
@@ -32,12 +32,14 @@
 from .fleet import NodeView
 from .messages import StoredObject
 from .metrics import Metrics
+from . import operations
 from .platform_client import PlatformClient
 from .settings import PlatformSettings
 
 PLATFORM = os.environ.get('SESAMEWARD_PLATFORM', '')
 AGENT = os.environ.get('SESAMEWARD_AGENT', '')
 CALLS_PER_S = 200.0
+READABLE = [*declared.KINDS, rollup.KIND]
 
 Output = typing.Literal['table', 'json']
 Row = dict[str, object]
@@ -126,8 +128,10 @@
     """Show the stored objects of a kind, or one of them as YAML."""
 
     async def run() -> ExitCode:
-        if kind not in declared.KINDS:
-            declared.decode(kind, b'')
+        if kind not in READABLE:
+            raise DeclarationError(
+                'kind', f'unknown kind {kind!r}', f'use one of {READABLE}'
+            )
         async with _platform(platform) as client:
             if not name:
                 _, objects = await client.list(kind)
--- a/sesameward/leases.py
+++ b/sesameward/leases.py
@@ -89,10 +89,15 @@
             if now - self._held_from < self._times.renew_s:
                 return None
             return self._claim_term(value.term, body)
-        if not value.released and now - self._seen_at < self._times.ttl_s:
+        if not self._is_free(value, now):
             return None
         return self._claim_term(value.term + 1, body)
 
+    def _is_free(self, value: LeaseValue, now: float) -> bool:
+        if value.released or value.holder == self._node:
+            return True
+        return now - self._seen_at >= self._times.ttl_s
+
     def _claim_term(self, term: int, body: msgspec.Raw) -> Claim:
         return Claim(LeaseValue(self._node, term, body=body), self._revision)
 
--- /dev/null
+++ b/tests/test_rollup.py
@@ -0,0 +1,134 @@
+"""Test that one node at a time writes the summary of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from sesameward.controllers.rollup import FleetSummary
+from sesameward.controllers.rollup import KIND
+from sesameward.controllers.rollup import NAME
+from sesameward.controllers.rollup import Rollup
+from sesameward.controllers.rollup import ZoneSummary
+from sesameward.leases import LeaseValue
+from sesameward.messages import Member
+from sesameward.standin.platform import Faults
+from sesameward.types import MemberState
+
+MEMBERS = [
+    Member('a', 'z1', '', 0, 0, 0),
+    Member('b', 'z2', '', 0, 0, 0, state=MemberState.SUSPECT),
+    Member('c', 'z2', '', 0, 0, 0, leaving=True),
+]
+
+
+class Clock:
+    """Stand at a time which the test moves."""
+
+    now = 1_000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def with_rollups(with_platform, metrics):
+    """Run a coroutine function with a platform, two rollups, their clocks."""
+
+    def run(scenario):
+        async def with_client(standin, client):
+            clocks = Clock(), Clock()
+            first, second = (
+                Rollup(
+                    node,
+                    client,
+                    lambda: MEMBERS,
+                    lambda: 7,
+                    metrics,
+                    random.Random(node),
+                    clock=clock,
+                )
+                for node, clock in zip('ab', clocks)
+            )
+            await scenario(standin, first, second, clocks)
+
+        with_platform(with_client)
+
+    return run
+
+
+def stored(standin):
+    return msgspec.json.decode(
+        standin.store.find(KIND, NAME).value, type=LeaseValue
+    )
+
+
+def test_holder_writes_the_summary_and_renews(with_rollups):
+    async def scenario(standin, first, second, clocks):
+        await first.step()
+        await second.step()
+        assert first.holds() and not second.holds()
+        body = msgspec.json.decode(stored(standin).body, type=FleetSummary)
+        assert body.revision == 7
+        assert body.zones['z2'] == ZoneSummary(2, 1, 1)
+        for _ in range(10):
+            for clock in clocks:
+                clock.now += 4.0
+            await first.step()
+            await second.step()
+        assert first.holds() and stored(standin).term == 1
+        assert standin.store.revision > 3
+        await first.release()
+        await second.step()
+        assert second.holds() and stored(standin).term == 2
+
+    with_rollups(scenario)
+
+
+def test_paused_holder_writes_nothing(with_rollups, metrics):
+    async def scenario(standin, first, second, clocks):
+        await first.step()
+        await second.step()
+        put = first._platform.put
+        resumed = asyncio.Event()
+
+        async def paused_put(*args):
+            await resumed.wait()
+            return await put(*args)
+
+        first._platform.put = paused_put
+        clocks[0].now += 6.0
+        renewal = asyncio.ensure_future(first.step())
+        await asyncio.sleep(0.05)
+        first._platform.put = put
+        clocks[1].now += 16.0
+        await second.step()
+        assert second.holds()
+        before = standin.store.find(KIND, NAME)
+        resumed.set()
+        await renewal
+        assert not first.holds()
+        assert standin.store.find(KIND, NAME) == before
+        assert metrics.value('rollup_refused', 'lease_taken') == 1
+
+    with_rollups(scenario)
+
+
+def test_outage_ends_the_holding_before_another_may_claim(with_rollups):
+    async def scenario(standin, first, second, clocks):
+        await first.step()
+        await second.step()
+        standin.faults = Faults(outage=True)
+        clocks[0].now += 10.0
+        assert not first.holds()
+        standin.faults = Faults()
+        clocks[1].now += 14.9
+        await second.step()
+        assert not second.holds()
+        await first.step()
+        assert first.holds() and stored(standin).holder == 'a'
+
+    with_rollups(scenario)
