--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -18,6 +18,7 @@
 import yaml
 
 from . import declared
+from . import operations
 from .controllers import rollup
 from .exceptions import AgentRefusalError
 from .exceptions import ConflictError
@@ -32,7 +33,6 @@
 from .fleet import NodeView
 from .messages import StoredObject
 from .metrics import Metrics
-from . import operations
 from .platform_client import PlatformClient
 from .settings import PlatformSettings
 
