--- a/benchmark/configuration.py
+++ b/benchmark/configuration.py
@@ -16,6 +16,7 @@
 import resource
 import socket
 import time
+import tracemalloc
 
 import defopt
 from grpclib import server
@@ -31,6 +32,7 @@
 from sesameward.exceptions import PlatformThrottledError
 from sesameward.exceptions import PlatformUnavailableError
 from sesameward.messages import Delta
+from sesameward.messages import Digest
 from sesameward.messages import Member
 from sesameward.messages import Pull
 from sesameward.messages import Rumor
@@ -66,6 +68,9 @@
 HTTP2_BYTES = 250
 READS_PER_S = 2_000.0
 BOOT_S = 10.0
+TARGETS = 30_000
+TARGETS_PER_POOL = 100
+BOOK_CHANGES = 500
 OUTAGE_S = 3_600.0
 CALM_S = 30.0
 OUTAGE_NODES = 240
@@ -357,6 +362,58 @@
     }
 
 
+def run_book(targets: int) -> dict:
+    """Hold all targets in one book; time its updates and its delta."""
+    shards = tuple(f's{index}' for index in range(4))
+    objects = []
+    for start in range(0, targets, TARGETS_PER_POOL):
+        name = f'pool-{start}'
+        pool = declared.Pool(
+            name=name,
+            service='trip-desk',
+            targets=tuple(
+                declared.Target(
+                    id=f't{index}',
+                    host=f'10.{index >> 16}.{index >> 8 & 255}.{index & 255}',
+                    port=9_000,
+                    zone=f'z{index % ZONES}',
+                    shards=shards,
+                )
+                for index in range(start, start + TARGETS_PER_POOL)
+            ),
+        )
+        value = declared.encode(pool)
+        objects.append(StoredObject('pool', name, len(objects) + 1, value))
+    tracemalloc.start()
+    book = ObjectBook()
+    copies = [
+        msgspec.structs.replace(o, value=bytes(bytearray(o.value)))
+        for o in objects
+    ]
+    book.apply(copies, len(objects))
+    held_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    newest = len(objects)
+    started = time.process_time()
+    for number in range(BOOK_CHANGES):
+        newest += 1
+        stored = objects[number % len(objects)]
+        book.apply([msgspec.structs.replace(stored, revision=newest)], newest)
+    apply_s = time.process_time() - started
+    started = time.process_time()
+    book.delta(Digest(newest - 1))
+    delta_s = time.process_time() - started
+    started = time.process_time()
+    book.pools('trip-desk')
+    return {
+        'targets': targets,
+        'held_mb': round(held_bytes / 1e6, 2),
+        'apply_ms_per_change': round(apply_s / BOOK_CHANGES * 1e3, 3),
+        'delta_ms': round(delta_s * 1e3, 3),
+        'decode_all_ms': round((time.process_time() - started) * 1e3, 1),
+    }
+
+
 async def until(condition, within_s: float) -> None:
     """Wait for a condition."""
     async with asyncio.timeout(within_s):
@@ -450,6 +507,7 @@
 ) -> None:
     """Print the figures as JSON."""
     result = {'five': asyncio.run(run_five(changes, seed))}
+    result['book'] = run_book(TARGETS)
     start = time.process_time()
     result['many'] = virtual.run(run_many(nodes, WATCHERS, seed))
     result['many']['processor_s'] = round(time.process_time() - start, 1)
--- a/sesameward/objects.py
+++ b/sesameward/objects.py
@@ -30,6 +30,7 @@
     newest: StoredObject
     valid: StoredObject | None = None
     problem: str = ''
+    service: ServiceName | None = None
 
 
 class ObjectBook:
@@ -133,7 +134,7 @@
     def service(self, name: ServiceName) -> declared.Service | None:
         """Return the service in force."""
         held = self._held.get(('service', name))
-        return _decode(held.valid) if held else None
+        return declared_of(held.valid) if held else None
 
     def services(self) -> dict[ServiceName, declared.Service]:
         """Return the services in force."""
@@ -147,15 +148,19 @@
         """Return the pools of a service in force."""
         return [
             item
-            for item in self._decoded('pool')
-            if isinstance(item, declared.Pool) and item.service == service
+            for item in self._decoded('pool', service)
+            if isinstance(item, declared.Pool)
         ]
 
-    def _decoded(self, kind: str) -> collections.abc.Iterator:
+    def _decoded(
+        self, kind: str, service: ServiceName | None = None
+    ) -> collections.abc.Iterator[declared.Declared]:
         for (held_kind, _), held in sorted(self._held.items()):
             if held_kind != kind:
                 continue
-            item = _decode(held.valid)
+            if service is not None and held.service != service:
+                continue
+            item = declared_of(held.valid)
             if item is not None:
                 yield item
 
@@ -198,14 +203,17 @@
     def _validate(
         self, held: _Held, stored: StoredObject
     ) -> list[StoredObject]:
-        problem = _problem(stored)
-        if stored is held.newest:
-            held.problem = problem
-        if problem:
+        try:
+            item = _checked(stored)
+        except DeclarationError as exc:
             if stored is held.newest:
+                held.problem = str(exc)
                 self._count('invalid')
             return []
+        if stored is held.newest:
+            held.problem = ''
         held.valid = stored
+        held.service = getattr(item, 'service', None)
         return [stored]
 
     def _forget(self, key: Key) -> None:
@@ -245,24 +253,24 @@
             self._metrics.count('config_refused', reason)
 
 
-def _problem(stored: StoredObject) -> str:
-    if stored.deleted:
-        return ''
-    try:
-        item = declared.decode(stored.kind, stored.value)
-    except DeclarationError as exc:
-        return str(exc)
-    if item.name != stored.name:
-        return f'name: is {item.name}, not the object name; make them equal'
-    return ''
-
-
-def _decode(stored: StoredObject | None) -> declared.Declared | None:
+def declared_of(stored: StoredObject | None) -> declared.Declared | None:
+    """Decode a valid object; None where it is deleted."""
     if stored is None or stored.deleted:
         return None
     return msgspec.json.decode(stored.value, type=declared.KINDS[stored.kind])
 
 
+def _checked(stored: StoredObject) -> declared.Declared | None:
+    if stored.deleted:
+        return None
+    item = declared.decode(stored.kind, stored.value)
+    if item.name != stored.name:
+        raise DeclarationError(
+            'name', f'is {item.name}, not {stored.name}', 'make them equal'
+        )
+    return item
+
+
 def _revision(stored: StoredObject | None) -> Revision:
     return stored.revision if stored else Revision(0)
 
