--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -19,6 +19,8 @@
 
 from . import declared
 from . import operations
+from .controllers import rollup
+from .exceptions import AgentRefusalError
 from .exceptions import ConflictError
 from .exceptions import DeclarationError
 from .exceptions import NotFoundError
@@ -37,6 +39,7 @@
 PLATFORM = os.environ.get('SESAMEWARD_PLATFORM', '')
 AGENT = os.environ.get('SESAMEWARD_AGENT', '')
 CALLS_PER_S = 200.0
+READABLE = [*declared.KINDS, rollup.KIND]
 
 Output = typing.Literal['table', 'json']
 Row = dict[str, object]
@@ -125,8 +128,10 @@
     """Show the stored objects of a kind, or one of them as YAML."""
 
     async def run() -> ExitCode:
-        if kind not in declared.KINDS:
-            declared.decode(kind, b'')
+        if kind not in READABLE:
+            raise DeclarationError(
+                'kind', f'unknown kind {kind!r}', f'use one of {READABLE}'
+            )
         async with _platform(platform) as client:
             if not name:
                 _, objects = await client.list(kind)
@@ -269,6 +274,8 @@
     match exc:
         case ReferencedError() | ConflictError() | NotFoundError():
             return ExitCode.REFUSED
+        case AgentRefusalError():
+            return ExitCode.REFUSED
         case PlatformError() | PeerUnavailableError():
             return ExitCode.UNAVAILABLE
         case _:
@@ -297,7 +304,7 @@
 ) -> list[Lag]:
     try:
         return await fleet.wait(outcome.revision, wait_s)
-    except PeerUnavailableError as exc:
+    except (AgentRefusalError, PeerUnavailableError) as exc:
         return [Lag('all nodes', str(exc))]
 
 
