--- a/sesameward/bookings.py
+++ b/sesameward/bookings.py
@@ -373,6 +373,8 @@
                 return self._on_unsure(now)
             case ClaimConflict(existing) | ClaimRead(existing):
                 return self._on_read(existing, now)
+            case ClaimFailed() if self._settled:
+                return self._end(self._refuse_unclaimed(_STORE_DOWN))
             case ClaimFailed() | ReadFailed():
                 return self._on_unsure(now)
             case DeadlinePassed():
@@ -386,6 +388,11 @@
 
     # The claim.
 
+    @property
+    def _settled(self) -> bool:
+        """Tell whether no earlier create may still take effect."""
+        return self.phase is Phase.CLAIMING and self._tries == 0
+
     def _create(self) -> CreateClaim:
         self.phase = Phase.CLAIMING
         return CreateClaim(self.name, self._claim, self._replaces)
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -33,7 +33,7 @@
 ):
     """Time suspicion and quarantine, and bound their memory."""
 
-    lead_s: float = 0.005
+    lead_s: float = 0.05
     suspect_s: float = 60.0
     alarm_s: float = 10.0
     quarantine_s: float = 30.0
@@ -57,7 +57,11 @@
 
 
 class Lead(msgspec.Struct, frozen=True):
-    """Send one sub-request; the rest after wait_s unless it breaks."""
+    """Send one sub-request; the rest when it succeeds or after wait_s.
+
+    Where it breaks, none of the rest is sent. Choose its target as for a
+    canary.
+    """
 
     wait_s: float
 
@@ -65,7 +69,8 @@
 class Canary(msgspec.Struct, frozen=True):
     """Send one sub-request; the rest only after it has succeeded.
 
-    Use a replica of the shards of broken, where it is given.
+    Choose a target whose shards all keep another live replica should it
+    crash; so keep away from the shards of broken, where it is given.
     """
 
     broken: TargetId | None = None
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -134,6 +134,30 @@
     assert refusal.retry_after_s > 0
 
 
+def test_send_older_than_the_release_never_runs(claimed):
+    _, claim, _ = claimed
+    released = msgspec.structs.replace(
+        claim, state=bookings.ClaimState.RELEASED, attempt=2
+    )
+    older = make_booking(seed=2, attempt=1)
+    older.start(0.0, 0.0)
+    conflict = bookings.ClaimConflict(stored(released))
+    refusal = only(older.handle(conflict, 0.1), bookings.Refuse)
+    assert refusal.kind is RefusalKind.SUPERSEDED
+    newer = make_booking(seed=3, attempt=3)
+    newer.start(0.0, 0.0)
+    create = only(newer.handle(conflict, 0.1), bookings.CreateClaim)
+    assert create.replaces == 5
+
+
+def test_throttled_claim_is_refused_without_a_read():
+    booking = make_booking()
+    booking.start(0.0, 0.0)
+    actions = booking.handle(bookings.ClaimFailed(), 0.1)
+    assert only(actions, bookings.Refuse).run is RunState.NO
+    assert booking.ended
+
+
 def test_late_claim_of_a_refused_booking_is_released():
     booking = make_booking()
     create = only(booking.start(0.0, 0.0), bookings.CreateClaim)
@@ -281,7 +305,7 @@
         for call in self.calls:
             if self.runs(call) and not call.answered:
                 steps += [(self.answer, call)] * 2
-                steps.append((self.lose_answer, call))
+                steps.append((self.lose_answer, call, extra))
             elif not call.applied:
                 steps.append((self.apply, call))
         for sending in self.sendings:
@@ -364,10 +388,13 @@
         call.answered = True
         self.feed(call, call.reply)
 
-    def lose_answer(self, call):
-        """Time out a call which has taken effect, or will yet."""
+    def lose_answer(self, call, extra):
+        """Lose a call's answer; it can still take effect later."""
         call.answered = True
         match call.action:
+            case bookings.CreateClaim() if not call.applied and extra % 2:
+                call.applied = True
+                self.feed(call, bookings.ClaimFailed())
             case bookings.CreateClaim():
                 self.feed(call, bookings.ClaimUnsure())
             case bookings.ReadClaim():
