--- /dev/null
+++ b/tests/histories/__init__.py
@@ -0,0 +1,1 @@
+"""Check the promises on records: read records, checks, then shrink."""
--- /dev/null
+++ b/tests/histories/generate.py
@@ -0,0 +1,276 @@
+"""Make histories of a correct system, or of one broken in one way."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+from sesameward.messages import End
+from sesameward.messages import Missing
+from sesameward.messages import Open
+from sesameward.types import BookingKey
+from sesameward.types import Generation
+from sesameward.types import MissingReason
+from sesameward.types import NodeId
+from sesameward.types import RequestId
+from sesameward.types import Revision
+from sesameward.types import RunState
+from sesameward.types import ServiceName
+from sesameward.types import ShardId
+from sesameward.types import Snapshot
+from sesameward.types import TargetId
+
+from . import checks
+from . import records as rec
+
+SERVICE = ServiceName('trip-desk')
+ENTRIES = tuple(NodeId(f'e{index}') for index in range(3))
+SHARDS = tuple(ShardId(f's{index}') for index in range(4))
+LENGTH_S = 60.0
+OBJECT = 'service/trip-desk'
+
+
+class Mutation(enum.Enum):
+    """Name one way to break a promise."""
+
+    MIXED_SNAPSHOT = enum.auto()
+    COVERAGE_OVERSTATED = enum.auto()
+    ROW_LOST = enum.auto()
+    ROW_TWICE = enum.auto()
+    SHARD_FORGOTTEN = enum.auto()
+    REPLY_CROSSED = enum.auto()
+    ID_SHARED = enum.auto()
+    REFUSED_AFTER_RUN = enum.auto()
+    FALSE_NO = enum.auto()
+    BOOKING_RETRIED = enum.auto()
+    FALSE_YES = enum.auto()
+    LEAVING_WORKED = enum.auto()
+    CUT_BY_SHUTDOWN = enum.auto()
+    REVISION_LOWERED = enum.auto()
+    REVISION_LATE = enum.auto()
+    REVISION_UNKNOWN = enum.auto()
+
+
+CAUGHT_BY = {
+    Mutation.MIXED_SNAPSHOT: 'one_snapshot',
+    Mutation.COVERAGE_OVERSTATED: 'true_coverage',
+    Mutation.ROW_LOST: 'true_coverage',
+    Mutation.ROW_TWICE: 'true_coverage',
+    Mutation.SHARD_FORGOTTEN: 'true_coverage',
+    Mutation.REPLY_CROSSED: 'no_cross_talk',
+    Mutation.ID_SHARED: 'no_cross_talk',
+    Mutation.REFUSED_AFTER_RUN: 'not_run',
+    Mutation.FALSE_NO: 'not_run',
+    Mutation.BOOKING_RETRIED: 'booked_once',
+    Mutation.FALSE_YES: 'booked_once',
+    Mutation.LEAVING_WORKED: 'leaving_rests',
+    Mutation.CUT_BY_SHUTDOWN: 'shutdown_cuts_nothing',
+    Mutation.REVISION_LOWERED: 'revisions_rise',
+    Mutation.REVISION_LATE: 'revisions_rise',
+    Mutation.REVISION_UNKNOWN: 'revisions_rise',
+}
+
+
+class Generator:
+    """Write one history; a mutation strikes once, at a random place."""
+
+    def __init__(self, seed: int, mutation: Mutation | None = None):
+        self._rng = random.Random(seed)
+        self._mutation = mutation
+        self._struck = False
+        self._history: list[rec.Record] = []
+        self._published: dict[int, dict[ShardId, tuple[str, ...]]] = {}
+        self._numbers = 0
+
+    def run(self) -> list[rec.Record]:
+        """Return the records in the order of time."""
+        self._publish()
+        self._configure()
+        self._leave()
+        for _ in range(20):
+            self._query(self._rng.uniform(1.0, LENGTH_S - 5.0))
+        for _ in range(10):
+            self._book(self._rng.uniform(1.0, LENGTH_S - 5.0))
+        self._shut_down()
+        return sorted(self._history, key=lambda record: record.at)
+
+    def _strikes(self, mutation: Mutation) -> bool:
+        """Tell whether to break the promise here."""
+        if mutation is not self._mutation or self._struck:
+            return False
+        self._struck = self._rng.random() < 0.3
+        return self._struck
+
+    def _add(self, record: rec.Record) -> None:
+        self._history.append(record)
+
+    def _number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    # Queries.
+
+    def _publish(self) -> None:
+        for snapshot in range(1, 4):
+            shards = {
+                shard: tuple(f'{shard}-{n}' for n in range(snapshot + 1))
+                for shard in SHARDS
+            }
+            self._published[snapshot] = shards
+            self._add(
+                rec.Published(
+                    0.0, SERVICE, Generation(1), Snapshot(snapshot), shards
+                )
+            )
+
+    def _query(self, at: float) -> None:
+        send = f'q{self._number()}'
+        entry = self._rng.choice(ENTRIES)
+        self._add(rec.QuerySent(at, send, entry, SERVICE))
+        if self._rng.random() < 0.15:
+            return self._refuse(send, at + 0.01)
+        if self._rng.random() < 0.1:
+            self._add(rec.EntryKilled(at + 0.005, entry))
+            self._add(rec.Cut(at + 0.01, send))
+            self._add(rec.EntryStarted(at + 0.02, entry))
+            return
+        self._answer(send, at)
+
+    def _refuse(self, send: str, at: float) -> None:
+        told = rec.Told(at, send, RunState.NO, refused=True)
+        if self._strikes(Mutation.REFUSED_AFTER_RUN):
+            self._add(rec.TargetRan(at + 1.0, TargetId('t0'), send))
+        self._add(told)
+
+    def _answer(self, send: str, at: float) -> None:
+        snapshot = Snapshot(self._rng.randrange(1, 4))
+        request = RequestId(f'r-{send}')
+        if self._strikes(Mutation.ID_SHARED):
+            for early in checks.of(self._history, rec.OpenReceived):
+                request = early.frame.request_id
+        opened = Open(request, SERVICE, Generation(1), snapshot, len(SHARDS))
+        self._add(rec.OpenReceived(at + 0.01, send, opened))
+        missing = []
+        for shard in SHARDS:
+            late = self._rng.random() < 0.1
+            if late and not self._strikes(Mutation.COVERAGE_OVERSTATED):
+                missing.append(Missing(shard, MissingReason.DEADLINE))
+            elif not late:
+                self._shard(send, shard, snapshot, at + 0.02)
+        self._end(send, request, missing, at + 0.05)
+
+    def _shard(
+        self, send: str, shard: ShardId, snapshot: Snapshot, at: float
+    ) -> None:
+        target = TargetId(f't{self._rng.randrange(2)}-{shard}')
+        self._add(rec.TargetGot(at, target, send))
+        self._add(rec.TargetRan(at, target, send))
+        held = snapshot
+        if self._strikes(Mutation.MIXED_SNAPSHOT):
+            held = Snapshot(snapshot % 3 + 1)
+        keys = list(self._published[snapshot][shard])
+        if self._strikes(Mutation.ROW_LOST):
+            keys.pop()
+        if self._strikes(Mutation.ROW_TWICE):
+            keys.append(keys[0])
+        token = 'other' if self._strikes(Mutation.REPLY_CROSSED) else send
+        rows = tuple(rec.Row(key, held, token) for key in keys)
+        self._add(rec.RowsReceived(at + 0.01, send, shard, rows))
+
+    def _end(
+        self, send: str, request: RequestId, missing: list, at: float
+    ) -> None:
+        asked = len(SHARDS)
+        if missing and self._strikes(Mutation.SHARD_FORGOTTEN):
+            missing, asked = missing[1:], asked - 1
+        frame = End(
+            request,
+            not missing,
+            asked,
+            asked - len(missing),
+            tuple(missing),
+        )
+        self._add(rec.EndReceived(at, send, frame))
+
+    # Bookings.
+
+    def _book(self, at: float) -> None:
+        key = BookingKey(f'k{self._number()}')
+        ran = False
+        for attempt in range(1, self._rng.randrange(2, 4)):
+            at += self._rng.uniform(0.5, 1.0)
+            ran = self._book_once(key, attempt, ran, at)
+
+    def _book_once(
+        self, key: BookingKey, attempt: int, ran: bool, at: float
+    ) -> bool:
+        send = f'b{self._number()}'
+        entry = self._rng.choice(ENTRIES)
+        self._add(rec.BookingSent(at, send, entry, key, 'd', attempt))
+        may_run = self._rng.random() < 0.7
+        run_now = may_run and not ran
+        if ran and self._strikes(Mutation.BOOKING_RETRIED):
+            run_now = True
+        if run_now:
+            target = TargetId('t0-s0')
+            self._add(rec.TargetGot(at + 0.01, target, send))
+            self._add(rec.TargetBooked(at + 0.01, target, send, key, 'd'))
+        ran = ran or run_now
+        run = RunState.YES if ran else RunState.NO
+        if ran and self._strikes(Mutation.FALSE_NO):
+            run = RunState.NO
+        elif not ran and self._strikes(Mutation.FALSE_YES):
+            run = RunState.YES
+        elif self._rng.random() < 0.2:
+            run = RunState.UNKNOWN
+        self._add(rec.Told(at + 0.05, send, run))
+        return ran
+
+    # Targets that leave, entries that stop, configuration.
+
+    def _leave(self) -> None:
+        target = TargetId('leaving')
+        self._add(rec.TargetLeaving(10.0, target))
+        late = self._strikes(Mutation.LEAVING_WORKED)
+        for at in (9.0, 12.0, 15.0 if late else 12.9):
+            self._add(rec.TargetGot(at, target, f'w{at}'))
+        self._add(rec.TargetBack(20.0, target))
+        self._add(rec.TargetGot(30.0, target, 'back'))
+
+    def _shut_down(self) -> None:
+        entry = self._rng.choice(ENTRIES)
+        for index in range(4):
+            at = LENGTH_S - 1.0 - index * 0.1
+            send = f'q{self._number()}'
+            self._add(rec.QuerySent(at, send, entry, SERVICE))
+            if self._strikes(Mutation.CUT_BY_SHUTDOWN):
+                self._add(rec.Cut(LENGTH_S + 0.1, send))
+            else:
+                self._answer(send, at + 1.1)
+        self._add(rec.EntryStopping(LENGTH_S, entry))
+
+    def _configure(self) -> None:
+        for index in range(1, 5):
+            at, revision = index * 10.0, Revision(index * 7)
+            self._add(rec.ObjectWritten(at, OBJECT, revision))
+            self._add(rec.Accepted(at + 0.01, OBJECT, revision))
+            for entry in ENTRIES:
+                self._in_force(entry, at, revision)
+
+    def _in_force(self, entry: NodeId, at: float, revision: Revision) -> None:
+        takes_s = self._rng.uniform(0.1, 2.0)
+        if self._strikes(Mutation.REVISION_LATE):
+            takes_s = checks.IN_FORCE_S + 2.0
+        for after_s in range(1, 10):
+            shown = revision if after_s >= takes_s else Revision(revision - 7)
+            if shown and self._strikes(Mutation.REVISION_UNKNOWN):
+                shown = Revision(revision - 1)
+            if after_s == 9 and self._strikes(Mutation.REVISION_LOWERED):
+                shown = Revision(revision - 7)
+            if shown:
+                self._add(rec.InForce(at + after_s, entry, 1, OBJECT, shown))
+
+
+def generate(seed: int, mutation: Mutation | None = None) -> list[rec.Record]:
+    """Return the history of one seed."""
+    return Generator(seed, mutation).run()
