--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -69,8 +69,9 @@
 class Canary(msgspec.Struct, frozen=True):
     """Send one sub-request; the rest only after it has succeeded.
 
-    Choose a target whose shards all keep another live replica should it
-    crash; so keep away from the shards of broken, where it is given.
+    Choose a target which runs no other trial and whose shards all keep
+    another live replica should it crash; so keep away from the shards of
+    broken, where it is given.
     """
 
     broken: TargetId | None = None
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,8 @@
 
 import random
 
+import hypothesis
+from hypothesis import strategies as st
 import msgspec
 import pytest
 
@@ -184,3 +186,97 @@
     assert of(b'{}') != of(b'{}', to=ServiceName('roster'))
     booking = BookingBody('k', msgspec.Raw(b'{}'))
     assert quarantine.fingerprint(service, booking) != of(b'{}')
+
+
+class Fleet:
+    """Run a caller that sends the poison to one entry after another.
+
+    Innocent requests run beside it. Rumors arrive before the caller has its
+    answer, as HoldAnswer asks.
+    """
+
+    def __init__(self, keeper_type, schedule):
+        rng = random.Random(1)
+        self.keepers = [keeper_type(f'e{i}', CFG, rng) for i in range(4)]
+        self.schedule = schedule
+        self.now = 0.0
+        self.crashes = 0
+        self.refused = set()
+
+    def run(self):
+        for number, choice in enumerate(self.schedule):
+            self.now += 0.1
+            keeper = self.keepers[choice % 4]
+            innocents = {
+                Fingerprint(f'i{(choice + n) % 5}')
+                for n in range(choice // 4 % 4)
+            }
+            for fp in innocents:
+                self.innocent(keeper, fp)
+            self.poison(keeper, innocents, TargetId(f't{number}'))
+        return self
+
+    def innocent(self, keeper, fp):
+        if isinstance(keeper.admit(fp, self.now), quarantine.Refuse):
+            self.refused.add(fp)
+        else:
+            self.spread(keeper, keeper.succeeded(fp, T0, self.now))
+
+    def poison(self, keeper, innocents, target):
+        admission = keeper.admit(BAD, self.now)
+        if isinstance(admission, quarantine.Refuse):
+            return
+        self.crashes += 1
+        in_flight = {BAD, *innocents}
+        for fp in sorted(in_flight):
+            actions = keeper.broke(fp, target, in_flight, self.now)
+            self.spread(keeper, actions)
+
+    def spread(self, origin, actions):
+        for keeper in self.keepers:
+            if keeper is not origin:
+                for rumor in rumors(actions):
+                    keeper.heard(rumor, self.now)
+
+
+class Deaf(quarantine.Quarantine):
+    """Ignore what other entries say."""
+
+    def heard(self, rumor, now):
+        return []
+
+
+class Trusting(quarantine.Quarantine):
+    """Never judge."""
+
+    def _judge(self, fp, suspect, now):
+        return []
+
+
+class Blunt(quarantine.Quarantine):
+    """Blame all requests in flight alike for any break."""
+
+    def _judge(self, fp, suspect, now):
+        for blame in suspect.by_origin.values():
+            blame.blame = 9.0
+        return super()._judge(fp, suspect, now)
+
+
+def check_fleet(keeper_type):
+    @hypothesis.given(st.lists(st.integers(0, 255), min_size=5, max_size=100))
+    def check(schedule):
+        fleet = Fleet(keeper_type, schedule).run()
+        assert fleet.crashes <= 2
+        assert not fleet.refused
+
+    check()
+
+
+def test_one_fingerprint_takes_two_targets_and_no_innocents():
+    check_fleet(quarantine.Quarantine)
+
+
+@pytest.mark.parametrize('broken', [Deaf, Trusting, Blunt])
+def test_the_check_catches(broken):
+    with pytest.raises(AssertionError):
+        check_fleet(broken)
