--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -184,3 +184,111 @@
     assert of(b'{}') != of(b'{}', to=ServiceName('roster'))
     booking = BookingBody('k', msgspec.Raw(b'{}'))
     assert quarantine.fingerprint(service, booking) != of(b'{}')
+
+
+class Fleet:
+    """Run a caller that sends the poison to one entry after another.
+
+    Innocent requests run beside it. Rumors arrive before the caller has its
+    answer, as HoldAnswer asks.
+    """
+
+    def __init__(self, keeper_type, schedule):
+        rng = random.Random(1)
+        self.keepers = [keeper_type(f'e{i}', CFG, rng) for i in range(4)]
+        self.schedule = schedule
+        self.now = 0.0
+        self.crashes = 0
+        self.running = [set() for _ in self.keepers]
+        self.refused = set()
+
+    def run(self):
+        for number, choice in enumerate(self.schedule):
+            self.now += 0.1
+            index = choice % 4
+            fp = Fingerprint(f'i{choice // 4 % 5}')
+            match choice // 20 % 4:
+                case 0 | 1:
+                    self.begin(index, fp)
+                case 2:
+                    self.end(index)
+                case 3:
+                    self.poison(index, TargetId(f't{number}'))
+        return self
+
+    def begin(self, index, fp):
+        """Let an innocent run on all targets, alone if it is on trial."""
+        match self.keepers[index].admit(fp, self.now):
+            case quarantine.Allow():
+                self.running[index].add(fp)
+            case quarantine.Refuse():
+                self.refused.add(fp)
+            case _:
+                self.succeed(index, fp)
+
+    def end(self, index):
+        while self.running[index]:
+            self.succeed(index, self.running[index].pop())
+
+    def succeed(self, index, fp):
+        keeper = self.keepers[index]
+        self.spread(keeper, keeper.succeeded(fp, T0, self.now))
+
+    def poison(self, index, target):
+        """Crash a target under the poison and all that runs there."""
+        keeper = self.keepers[index]
+        if isinstance(keeper.admit(BAD, self.now), quarantine.Refuse):
+            return
+        self.crashes += 1
+        in_flight = {BAD, *self.running[index]}
+        for fp in sorted(in_flight):
+            actions = keeper.broke(fp, target, in_flight, self.now)
+            self.spread(keeper, actions)
+
+    def spread(self, origin, actions):
+        for keeper in self.keepers:
+            if keeper is not origin:
+                for rumor in rumors(actions):
+                    keeper.heard(rumor, self.now)
+
+
+class Deaf(quarantine.Quarantine):
+    """Ignore what other entries say."""
+
+    def heard(self, rumor, now):
+        return []
+
+
+class Trusting(quarantine.Quarantine):
+    """Never judge."""
+
+    def _judge(self, fp, suspect, now):
+        return []
+
+
+class Blunt(quarantine.Quarantine):
+    """Blame all requests in flight alike for any break."""
+
+    def _judge(self, fp, suspect, now):
+        for blame in suspect.by_origin.values():
+            blame.blame = 9.0
+        return super()._judge(fp, suspect, now)
+
+
+def check_fleet(keeper_type):
+    for seed in range(1_000):
+        rng = random.Random(seed)
+        schedule = [rng.getrandbits(8) for _ in range(40)]
+        fleet = Fleet(keeper_type, schedule).run()
+        assert fleet.crashes <= 2, f'seed {seed}'
+        assert not fleet.refused, f'seed {seed}'
+
+
+def test_one_fingerprint_takes_two_targets_and_no_innocents():
+    check_fleet(quarantine.Quarantine)
+
+
+@pytest.mark.parametrize('broken', [Deaf, Trusting, Blunt])
+def test_the_check_catches(broken):
+    with pytest.raises(AssertionError):
+        check_fleet(broken)
