--- a/benchmark/virtual.py
+++ b/benchmark/virtual.py
@@ -9,9 +9,10 @@
 import typing
 
 from sesameward import antientropy
-from sesameward import datagrams
 from sesameward.antientropy import AntiEntropy
+from sesameward import datagrams
 from sesameward.messages import Member
+from sesameward.roster import Roster
 from sesameward.seals import OVERHEAD_BYTES
 from sesameward.settings import MembershipSettings
 from sesameward.swim import Action
@@ -81,10 +82,11 @@
 
     def know_each_other(self) -> None:
         """Let all agents start with the whole roster."""
-        members = [agent.swim.me for agent in self.agents]
+        roster = Roster()
+        for agent in self.agents:
+            roster.merge(agent.swim.me)
         for agent in self.agents:
-            agent.swim.merge(self.now, members)
-            agent.swim.forget_updates()
+            agent.swim.adopt_all(roster)
 
     def run(self, until: float) -> None:
         """Let virtual time go on."""
--- a/sesameward/antientropy.py
+++ b/sesameward/antientropy.py
@@ -120,8 +120,9 @@
         self._rng.shuffle(buckets)
         chosen: list[int] = []
         claims = 0
+        sizes = self._swim.bucket_sizes()
         for bucket in buckets:
-            claims += len(self._swim.snapshot([bucket]))
+            claims += sizes[bucket]
             if chosen and claims > MAX_CLAIMS:
                 break
             chosen.append(bucket)
--- a/sesameward/piggyback.py
+++ b/sesameward/piggyback.py
@@ -12,6 +12,7 @@
 RETRANSMIT_MULT = 4
 BACKLOG_COUNT = 64
 BACKLOG_TRANSMITS = 4
+MIN_TRANSMITS = 8
 SMALLEST_BYTES = 24
 MAX_MISSES = 4
 MAX_UPDATE_BYTES = 1_000
@@ -92,4 +93,5 @@
     def _limit(self, members: int) -> int:
         if len(self) > BACKLOG_COUNT:
             return BACKLOG_TRANSMITS
-        return RETRANSMIT_MULT * math.ceil(math.log10(members + 1))
+        spread = RETRANSMIT_MULT * math.ceil(math.log10(members + 1))
+        return max(spread, MIN_TRANSMITS)
--- a/sesameward/roster.py
+++ b/sesameward/roster.py
@@ -16,7 +16,7 @@
 BUCKET_BYTES = 8
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Row:
     member: Member
     content: int
@@ -29,7 +29,6 @@
 
     def __init__(self):
         self._rows: dict[NodeId, _Row] = {}
-        self._buckets: list[set[NodeId]] = [set() for _ in range(BUCKETS)]
         self._digests = [0] * BUCKETS
 
     def __len__(self) -> int:
@@ -58,7 +57,6 @@
     def remove(self, node: NodeId) -> None:
         """Forget the member."""
         row = self._rows.pop(node)
-        self._buckets[row.bucket].discard(node)
         self._digests[row.bucket] ^= row.digest
 
     def digests(self) -> bytes:
@@ -76,23 +74,33 @@
             != digests[bucket * BUCKET_BYTES : (bucket + 1) * BUCKET_BYTES]
         ]
 
-    def bucket(self, index: int) -> list[Member]:
-        """Return the members of one bucket."""
-        return [self._rows[node].member for node in self._buckets[index]]
-
-    def _put(self, member: Member, row: _Row | None) -> None:
-        if row is None:
-            bucket = _bucket_of(member.node)
-            row = _Row(member, 0, bucket, 0)
-            self._rows[member.node] = row
-            self._buckets[bucket].add(member.node)
-        row.member = member
-        row.content = datagrams.content_of(member)
-        digest = 0
-        if is_live(member):
-            digest = _digest_of(member, row.content)
-        self._digests[row.bucket] ^= row.digest ^ digest
-        row.digest = digest
+    def in_buckets(self, buckets: typing.Iterable[int]) -> list[Member]:
+        """Return the members of some buckets."""
+        wanted = set(buckets)
+        return [
+            row.member for row in self._rows.values() if row.bucket in wanted
+        ]
+
+    def bucket_sizes(self) -> list[int]:
+        """Return how many members each bucket has."""
+        sizes = [0] * BUCKETS
+        for row in self._rows.values():
+            sizes[row.bucket] += 1
+        return sizes
+
+    def copy(self) -> Roster:
+        """Return a roster of the same records."""
+        copied = Roster()
+        copied._rows = dict(self._rows)
+        copied._digests = list(self._digests)
+        return copied
+
+    def _put(self, member: Member, old: _Row | None) -> None:
+        content = datagrams.content_of(member)
+        bucket = old.bucket if old else _bucket_of(member.node)
+        digest = _digest_of(member, content) if is_live(member) else 0
+        self._rows[member.node] = _Row(member, content, bucket, digest)
+        self._digests[bucket] ^= digest ^ (old.digest if old else 0)
 
 
 def is_live(member: Member) -> bool:
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -54,6 +54,8 @@
 URGENT_BURST_BYTES = 6_000.0
 GOSSIP_BACKLOG = 32
 BODY_BYTES = 160
+GREETING = Ping(0)
+WELCOME_COUNT = 16
 MAX_FIXED_ORDER = 4
 
 
@@ -235,7 +237,7 @@
 
     def join(self, host: str, port: int) -> Send:
         """Greet whoever listens at this address."""
-        message = Datagram(self._me.node, Ping(0), (introduce(self._me),))
+        message = Datagram(self._me.node, GREETING, (introduce(self._me),))
         return Send(host, port, message)
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -283,11 +285,6 @@
         self._gossip(now)
         return self._actions
 
-    def forget_updates(self) -> None:
-        """Stop to pass on what was heard so far."""
-        self._urgent = Piggyback()
-        self._revivals = Piggyback()
-
     # Anti-entropy.
 
     def digests(self) -> bytes:
@@ -304,11 +301,20 @@
         """Return all records, or those of some buckets."""
         if buckets is None:
             return list(self._roster)
-        return [
-            member
-            for bucket in buckets
-            for member in self._roster.bucket(bucket)
-        ]
+        return self._roster.in_buckets(buckets)
+
+    def bucket_sizes(self) -> list[int]:
+        """Return how many records each bucket has."""
+        return self._roster.bucket_sizes()
+
+    def adopt_all(self, roster: Roster) -> None:
+        """Begin with a copy of these records, which hold the own one."""
+        self._roster = roster.copy()
+        for member in roster:
+            if member.node != self._me.node:
+                self._pool.add(member.node)
+        self._urgent = Piggyback()
+        self._revivals = Piggyback()
 
     def merge(
         self, now: float, members: typing.Iterable[Member]
@@ -515,11 +521,11 @@
     ) -> None:
         if message.sender == self._me.node:
             return
-        stranger = self._roster.get(message.sender) is None
-        doubted = False
+        known = self._roster.get(message.sender)
+        joins = message.body == GREETING and not (known and is_live(known))
+        stranger = known is None or joins
         for update in message.updates:
             self._take(now, message.sender, update)
-            doubted = doubted or self._is_doubt(update)
         match message.body:
             case Ping(seq, target):
                 if target in ('', self._me.node):
@@ -532,9 +538,9 @@
                 probe = self._probes.get(seq)
                 if probe is not None:
                     probe.nacks += 1
-        if doubted:
-            claim = self._claim(self._me)
-            self._send(now, host, port, Gossip(), [claim])
+        for update in message.updates:
+            if self._is_doubt(update):
+                self._contradict(now, host, port, update)
 
     def _is_doubt(self, update: Update) -> bool:
         """Tell whether the sender should hear that this agent lives."""
@@ -542,8 +548,16 @@
             isinstance(update, Claim)
             and update.node == self._me.node
             and update.state is not MemberState.ALIVE
+            and self._me.state is MemberState.ALIVE
         )
 
+    def _contradict(
+        self, now: float, host: str, port: int, doubt: Claim
+    ) -> None:
+        same = doubt.content == self._roster.content(self._me.node)
+        update = self._claim(self._me) if same else introduce(self._me)
+        self._send(now, host, port, Gossip(), (update,))
+
     def _answer(
         self,
         now: float,
@@ -558,19 +572,19 @@
             extra.append(introduce(self._me))
         self._send(now, host, port, Ack(seq), extra)
         if stranger:
-            self._welcome(now, host, port)
+            self._welcome(host, port)
 
-    def _welcome(self, now: float, host: str, port: int) -> None:
-        """Introduce as many members as one datagram takes."""
-        left = self._room() - BODY_BYTES
-        extra: list[Update] = []
-        for node in self._pool.sample(len(self._pool)):
+    def _welcome(self, host: str, port: int) -> None:
+        """Introduce some members and ask who is there."""
+        left = self._room() - 2 * BODY_BYTES
+        extra: list[Update] = [introduce(self._me)]
+        for node in self._pool.sample(WELCOME_COUNT):
             introduction = introduce(self._roster.get(node))
             left -= len(datagrams.encode(introduction))
             if left < 0:
                 break
             extra.append(introduction)
-        message = Datagram(self._me.node, Gossip(), tuple(extra))
+        message = Datagram(self._me.node, GREETING, tuple(extra))
         self._actions.append(Send(host, port, message))
 
     def _on_ack(self, now: float, seq: int, sender: NodeId) -> None:
