--- a/benchmark/configuration.py
+++ b/benchmark/configuration.py
@@ -46,7 +46,7 @@
 from sesameward.standin.platform import Platform
 from sesameward.standin.platform import Store
 
-from . import virtual
+from . import fleet
 
 ZONES = 13
 REGION_ZONES = 4
@@ -513,9 +513,7 @@
     result['many']['processor_s'] = round(time.process_time() - start, 1)
     result['outage'] = fleet.run(run_outage(OUTAGE_NODES, seed))
     if baseline:
-        result['baseline_all_watch'] = fleet.run(
-            run_many(nodes, nodes, seed)
-        )
+        result['baseline_all_watch'] = fleet.run(run_many(nodes, nodes, seed))
     peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     result['resident_mb'] = round(peak_kb / 1024)
     print(json.dumps(result))
