--- a/sesameward/admin.py
+++ b/sesameward/admin.py
@@ -7,32 +7,18 @@
 import msgspec
 import tornado.web
 
-from . import feed
 from .exceptions import SesamewardError
 from .messages import Member
+from .messages import NodeStatus
 from .messages import TargetStatus
 from .metrics import Metrics
 from .types import NodeId
-from .types import Revision
 from .types import TargetId
-from .types import ZoneName
 
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_REQUEST = 400
 
 
-class NodeStatus(msgspec.Struct, frozen=True):
-    """Hold what a node has in force."""
-
-    node: NodeId
-    zone: ZoneName
-    revision: Revision
-    watching: bool
-    local_health: int
-    holders: int
-    entries: tuple[feed.Report, ...] = ()
-
-
 class DrainRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Ask to drain a target or this node, or to stop draining."""
 
--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -21,12 +21,12 @@
 from . import settings
 from .admin import DrainRequest
 from .admin import make_app
-from .admin import NodeStatus
 from .codec import MsgpackCodec
 from .config_peers import PullClient
 from .config_peers import PullHandler
 from .controllers.configuration import Configuration
 from .controllers.feed_hub import FeedHub
+from .controllers.rollup import Rollup
 from .controllers.target_states import TargetStates
 from .controllers.vm_list import VmList
 from .exceptions import AdminError
@@ -34,7 +34,11 @@
 from .exceptions import SettingsError
 from .gossip import Gossip
 from .messages import Addresses
+from .messages import DrainNote
+from .messages import EntryStatus
+from .messages import HoldersNote
 from .messages import Member
+from .messages import NodeStatus
 from .messages import Rumor
 from .messages import StoredObject
 from .messages import TargetStatus
@@ -64,19 +68,6 @@
 DRAIN_TTL_S = 3600.0
 
 
-class HoldersNote(msgspec.Struct, frozen=True, array_like=True):
-    """Tell which VMs an agent counts when it divides connections."""
-
-    holders: tuple[NodeId, ...]
-    full: bool
-
-
-class DrainNote(msgspec.Struct, frozen=True, array_like=True):
-    """Tell that an operator drains a target, or no longer does."""
-
-    drain: bool
-
-
 class Agent:
     """Wire one agent's controllers together."""
 
@@ -123,6 +114,14 @@
             self.metrics,
             self._rng,
         )
+        self.rollup = Rollup(
+            cfg.node,
+            self.platform,
+            self.gossip.members,
+            lambda: self.configuration.revision,
+            self.metrics,
+            self._rng,
+        )
         self.holders = HolderCount(cfg.node)
         self.hub = FeedHub(self._first, self._nodes_update, self.clock)
         self._grpc = Server(
@@ -155,7 +154,10 @@
         self.configuration.start()
         self.targets.start()
         self.vms.start()
-        self._tasks.append(asyncio.ensure_future(self._tell_nodes()))
+        self._tasks += [
+            asyncio.ensure_future(self._tell_nodes()),
+            asyncio.ensure_future(self.rollup.run()),
+        ]
         logs.change('agent_started', http=self.http_port, grpc=self.grpc_port)
 
     async def stop(self) -> None:
@@ -190,12 +192,12 @@
         """Return what this node has in force."""
         return NodeStatus(
             node=self.cfg.node,
-            zone=self.cfg.zone,
             revision=self.configuration.revision,
+            entries=tuple(_entry_status(r) for r in self.hub.reports()),
+            rejected=self.configuration.book.rejected(),
             watching=self.configuration.watching,
             local_health=self.gossip.local_health,
             holders=len(self.holders.holders),
-            entries=tuple(self.hub.reports()),
         )
 
     def ready(self) -> bool:
@@ -398,6 +400,16 @@
         self.targets.set_leaving(target_id, 'operator', note.drain)
 
 
+def _entry_status(report: feed.Report) -> EntryStatus:
+    return EntryStatus(
+        f'{report.address.host}:{report.address.port}',
+        report.revision,
+        report.ready,
+        report.leaving,
+        report.in_flight,
+    )
+
+
 async def run(cfg: AgentSettings) -> int:
     """Serve until a signal; return the exit code."""
     agent = Agent(cfg)
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -42,6 +42,7 @@
 from .filters.parsing import ParseQuery
 from .filters.pinning import PinSnapshot
 from .filters.quarantining import CheckQuarantine
+from .filters.readiness import CheckReady
 from .hedging import HedgePolicy
 from .latency import LatencyTracker
 from .messages import Address
@@ -196,6 +197,7 @@
             clock=self.clock,
         )
         return [
+            CheckReady(self.catalog, self.nodes),
             ParseQuery(self.catalog),
             CheckQuarantine(self.suspects, self.clock),
             Admit(self.gate, self.clock),
@@ -217,6 +219,7 @@
             rng=self._rng,
         )
         return [
+            CheckReady(self.catalog, self.nodes),
             ParseBooking(self.catalog),
             Admit(self.gate, self.clock),
             Book(parts),
--- a/sesameward/filters/chain.py
+++ b/sesameward/filters/chain.py
@@ -1,8 +1,8 @@
 """Run a request through its filters, each of which may refuse it.
 
-A query passes parsing, quarantining, admitting, pinning and answering; a
-booking passes parsing, admitting and booking. Each filter does its part,
-then awaits proceed(exchange) and may clean up after it.
+A query passes readiness, parsing, quarantining, admitting, pinning and
+answering; a booking passes readiness, parsing, admitting and booking.
+Each filter does its part, awaits proceed(exchange) and may clean up.
 """
 
 from __future__ import annotations
--- a/sesameward/filters/parsing.py
+++ b/sesameward/filters/parsing.py
@@ -70,13 +70,6 @@
 
 
 def _parse_head(exchange: Exchange, catalog: Catalog) -> Service:
-    if not catalog.ready:
-        raise RefusalError(
-            RefusalKind.NOT_READY,
-            'this entry has no configuration yet',
-            'use another address of /v1/addresses',
-            retry_after_s=1.0,
-        )
     service = catalog.services.get(exchange.service_name)
     if service is None:
         raise RefusalError(
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -329,6 +329,9 @@
 
     address: str
     revision: Revision
+    ready: bool = False
+    leaving: bool = False
+    in_flight: int = 0
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -338,3 +341,19 @@
     revision: Revision
     entries: tuple[EntryStatus, ...] = ()
     rejected: tuple[Rejected, ...] = ()
+    watching: bool = False
+    local_health: int = 0
+    holders: int = 0
+
+
+class HoldersNote(msgspec.Struct, frozen=True, array_like=True):
+    """Tell which VMs an agent counts when it divides connections."""
+
+    holders: tuple[NodeId, ...]
+    full: bool
+
+
+class DrainNote(msgspec.Struct, frozen=True, array_like=True):
+    """Tell that an operator drains a target, or no longer does."""
+
+    drain: bool
--- a/sesameward/standin/processes.py
+++ b/sesameward/standin/processes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import json
 import pathlib
 import signal
@@ -21,6 +22,7 @@
 HOST = '127.0.0.1'
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+SEEDS = 2
 ROOT = pathlib.Path(__file__).parent.parent.parent
 
 
@@ -37,11 +39,15 @@
                 stderr=stderr,
                 cwd=ROOT,
             )
+
+    @functools.cached_property
+    def ports(self) -> dict:
+        """Return the ports, which the program prints once it listens."""
         line = self._popen.stdout.readline()
         if not line:
             self._popen.wait(STOP_TIMEOUT_S)
-            raise RuntimeError(f'{name} did not start; read {log}')
-        self.ports = json.loads(line)
+            raise RuntimeError(f'{self.name} did not start; read {self.log}')
+        return json.loads(line)
 
     @property
     def pid(self) -> int:
@@ -189,7 +195,10 @@
                 self.start_target(instance, server)
         for index in range(self.shape.nodes):
             self.agents.append(self.start_agent(index))
+        for index in range(self.shape.nodes):
             self.entries.append(self.start_entry(index))
+        for name, process in self.targets.items():
+            self.target_ports[name] = process.ports['ports'][0]
         self.declare()
         self.wait_ready()
 
@@ -263,13 +272,13 @@
             str(shape.records),
         )
         self.targets[name] = process
-        self.target_ports[name] = process.ports['ports'][0]
 
     def start_agent(self, index: int, **extra: object) -> Process:
         """Start the agent of one VM."""
+        others = [a for i, a in enumerate(self.agents) if i != index]
         seeds = [
             {'host': HOST, 'port': agent.ports['gossip']}
-            for agent in self.agents
+            for agent in others[:SEEDS]
         ]
         cfg = {
             'node': self.node_name(index),
