Check interleavings of tickets from records

1,000 seeded schedules over two entries with restarts, late sends and lost answers hold; running a former life's tickets, running again after a loss and ignoring the send's number are each caught.

--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -11,6 +11,11 @@
 from sesameward.types import BookingKey
 from sesameward.types import NodeId
 from sesameward.types import RunState
+from sesameward.types import TargetId
+
+from .histories import checks
+from .histories import records as rec
+from .histories import shrink
 
 CFG = tickets.TicketSettings(max_tickets=3)
 RESULT = msgspec.Raw(b'7')
@@ -94,3 +99,143 @@
         assert tickets.parse(BookingKey(key)) is None
     forged = msgspec.structs.replace(ticket, nonce='0')
     assert admit(make(), forged).run is RunState.NO
+
+
+class World:
+    """Run schedules of sends, restarts and lost answers over tickets."""
+
+    def __init__(self, book_type, schedule):
+        self.book_type = book_type
+        self.schedule = schedule
+        self.rng = random.Random(1)
+        self.incarnations = [0, 0]
+        self.books = [self.new_book(index) for index in range(2)]
+        self.tickets = []
+        self.waiting = []
+        self.running = []
+        self.history = []
+        self.now = 0.0
+
+    def new_book(self, index):
+        self.incarnations[index] += 1
+        node = NodeId(f'e{index}')
+        number = self.incarnations[index]
+        cfg = tickets.TicketSettings()
+        return self.book_type(node, number, cfg, random.Random(number))
+
+    def run(self):
+        for choice in self.schedule:
+            self.now += 1.0
+            steps = (self.send, self.send, self.arrive, self.arrive)
+            steps += (self.end, self.end, self.restart)
+            steps[(choice & 0xFF) % len(steps)](choice >> 8)
+        return self.history
+
+    def send(self, choice):
+        if len(self.tickets) < 3:
+            self.tickets.append(self.books[choice % 2].issue(self.now))
+        ticket = self.tickets[choice // 2 % len(self.tickets)]
+        sends = checks.of(self.history, rec.BookingSent)
+        key = BookingKey(str(ticket))
+        attempt = 1 + sum(sent.key == key for sent in sends)
+        node = NodeId(f'e{choice % 2}')
+        sent = rec.BookingSent(
+            self.now, f'b{len(sends)}', node, key, 'd', attempt
+        )
+        self.history.append(sent)
+        self.waiting.append((choice % 2, ticket, sent))
+
+    def arrive(self, choice):
+        """Let a send arrive, perhaps after later ones."""
+        if not self.waiting:
+            return
+        item = self.waiting.pop(choice % len(self.waiting))
+        index, ticket, sent = item
+        alive = choice % 3 > 0
+        decision = self.books[index].admit(
+            ticket, sent.digest, sent.attempt, alive, self.now
+        )
+        match decision:
+            case tickets.Run():
+                self.running.append(item)
+            case tickets.Repeat():
+                self.tell(sent, RunState.YES)
+            case tickets.Refuse(_, run):
+                self.tell(sent, run)
+            case tickets.Forward(node):
+                self.waiting.append((int(node[1:]), ticket, sent))
+
+    def end(self, choice):
+        """End a dispatch; its entry may be gone by then."""
+        if not self.running:
+            return
+        index, ticket, sent = self.running.pop(choice % len(self.running))
+        book = self.books[index]
+        alive = ticket.incarnation == self.incarnations[index]
+        if choice % 3 == 0:
+            if alive:
+                book.unsent(ticket, sent.attempt)
+                self.tell(sent, RunState.NO)
+            return
+        target = TargetId('t0')
+        self.history.append(
+            rec.TargetBooked(self.now, target, sent.send, sent.key, 'd')
+        )
+        if alive and choice % 3 == 1:
+            book.done(ticket, RESULT)
+            self.tell(sent, RunState.YES)
+        elif alive:
+            book.lost(ticket)
+            self.tell(sent, RunState.UNKNOWN)
+
+    def restart(self, choice):
+        self.books[choice % 2] = self.new_book(choice % 2)
+
+    def tell(self, sent, run):
+        self.history.append(rec.Told(self.now, sent.send, run))
+
+
+def run_histories(book_type):
+    for seed in range(1_000):
+        rng = random.Random(seed)
+        schedule = [rng.getrandbits(16) for _ in range(40)]
+        history = World(book_type, schedule).run()
+        for violation in checks.check(history):
+            raise AssertionError(shrink.render(history, violation, seed))
+
+
+def test_every_interleaving_is_at_most_once():
+    run_histories(tickets.Tickets)
+
+
+class ForgetsIncarnation(tickets.Tickets):
+    """Run the tickets of the process's former life."""
+
+    def _is_own(self, ticket):
+        if ticket.node == self._node:
+            self._entries.setdefault(
+                ticket.serial, tickets._Entry(ticket.nonce, 0.0)
+            )
+        return ticket.node == self._node
+
+
+class RunsAfterLoss(tickets.Tickets):
+    """Run a ticket again whose first run has no answer."""
+
+    def lost(self, ticket):
+        self.unsent(ticket, 0)
+
+
+class IgnoresAttempt(tickets.Tickets):
+    """Run sends older than one that was told not to have run."""
+
+    def unsent(self, ticket, attempt):
+        super().unsent(ticket, 0)
+
+
+@pytest.mark.parametrize(
+    'broken', [ForgetsIncarnation, RunsAfterLoss, IgnoresAttempt]
+)
+def test_the_check_catches(broken):
+    with pytest.raises(AssertionError, match='broken for'):
+        run_histories(broken)
