Bound claims in flight by the store's answers

The benchmark iterated a set of objects, so its figures differed from run to run; two runs now print the same.

--- a/benchmark/bookings.py
+++ b/benchmark/bookings.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from sesameward import bookings
+from sesameward import claim_gate
 from sesameward import tickets
 from sesameward.types import BookingKey
 from sesameward.types import NodeId
@@ -58,7 +59,6 @@
     told: RunState | None = None
     false_no: bool = False
     elapsed: float = 0.0
-    first_told: RunState | None = None
 
 
 class Send(msgspec.Struct, eq=False):
@@ -69,6 +69,7 @@
     incarnation: int
     attempt: int
     over: bool = False
+    left_gate: bool = False
     booking: bookings.Booking | None = None
 
 
@@ -149,7 +150,11 @@
         self.incarnations = [0] * ENTRIES
         self.store = Store(self)
         self.books = [self.new_book(i) for i in range(ENTRIES)]
-        self.flying = collections.defaultdict(set)
+        self.gates = [
+            claim_gate.ClaimGate(claim_gate.ClaimGateSettings(), self.rng)
+            for _ in range(ENTRIES)
+        ]
+        self.flying = collections.defaultdict(list)
         self.orders = []
         self.sends = []
         at = 0.0
@@ -205,7 +210,7 @@
             entry = int(tickets.parse(order.key).node[1:])
         send = Send(order, entry, self.incarnations[entry], order.sends)
         self.sends.append(send)
-        self.flying[entry].add(send)
+        self.flying[entry].append(send)
         self.after(CALLER_HOP_S, self.arrive, send)
         self.after(DEADLINE_S + RESEND_S, self.give_up, send)
 
@@ -224,8 +229,6 @@
             return
         send.over = True
         order = send.order
-        if order.first_told is None:
-            order.first_told = run
         order.told = run
         if run is RunState.NO and order.effects:
             order.false_no = True
@@ -246,8 +249,14 @@
         if send.incarnation != self.incarnations[send.entry]:
             return
         match self.way:
-            case 'claims':
+            case 'ungated_claims':
+                self.arrive_claim(send)
+            case 'claims' if self.gates[send.entry].enter():
                 self.arrive_claim(send)
+            case 'claims':
+                run = bookings.unclaimed_run(send.attempt)
+                wait_s = self.gates[send.entry].retry_after_s()
+                self.tell(send, run, wait_s)
             case 'tickets':
                 self.arrive_ticket(send)
             case 'baseline':
@@ -296,7 +305,21 @@
                     self.after(wait_s, self.call_store, send, action, lost)
 
     def call_store(self, send, action, lost):
-        self.store.call(action, lambda event: self.feed(send, event or lost))
+        start = self.now
+
+        def answered(event):
+            if isinstance(action, bookings.CreateClaim):
+                took_s = self.now - start if event is not None else None
+                self.leave_gate(send, took_s)
+            self.feed(send, event or lost)
+
+        self.store.call(action, answered)
+
+    def leave_gate(self, send, took_s):
+        """Free the claim's place with its first answer."""
+        if self.way == 'claims' and not send.left_gate:
+            send.left_gate = True
+            self.gates[send.entry].leave(took_s, self.now)
 
     def dispatch(self, send, attempt):
         outcome, delay = self.at_target(send)
@@ -391,7 +414,7 @@
         }
 
 
-WAYS = ('baseline', 'claims', 'tickets')
+WAYS = ('baseline', 'claims', 'ungated_claims', 'tickets')
 FAULTS = {
     'calm': Faults(),
     'faults': Faults(
@@ -438,11 +461,13 @@
         for way in WAYS:
             row = Bench(way, 100, 10.0, faults).run().figures()
             figures[f'{way}.{name}'] = row
-            print(f'{way:9} {name:22}', *row.values(), file=sys.stderr)
+            print(f'{way:14} {name:22}', *row.values(), file=sys.stderr)
     for per_s in RATES:
-        row = Bench('claims', per_s, 5.0).run().figures()
-        figures[f'claims.at_{per_s}_per_s'] = row
-        print(f'claims    {per_s:4} a second', *row.values(), file=sys.stderr)
+        for way in ('claims', 'ungated_claims'):
+            row = Bench(way, per_s, 5.0).run().figures()
+            figures[f'{way}.at_{per_s}_per_s'] = row
+            name = f'{per_s} a second'
+            print(f'{way:14} {name:22}', *row.values(), file=sys.stderr)
     claim = bookings.Claim(
         SERVICE, BookingKey('k' * 36), 'd' * 40, 'n' * 32, NodeId('e0'),
         1, 1, 1e9, 1.0, bookings.ClaimState.DONE, RESULT,
--- /dev/null
+++ b/tests/test_claim_gate.py
@@ -0,0 +1,54 @@
+"""Test how claims in flight follow the store's answers."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sesameward import claim_gate
+
+CFG = claim_gate.ClaimGateSettings(max_claims=10)
+
+
+@pytest.fixture
+def gate():
+    return claim_gate.ClaimGate(CFG, random.Random(1))
+
+
+def fill(gate):
+    count = 0
+    while gate.enter():
+        count += 1
+    return count
+
+
+def test_claims_in_flight_are_bounded(gate):
+    assert fill(gate) == 10
+    gate.leave(0.01, 1.0)
+    assert fill(gate) == 1
+    assert CFG.retry_s <= gate.retry_after_s() <= 2 * CFG.retry_s
+
+
+@pytest.mark.parametrize('took_s', [None, CFG.slow_s * 2])
+def test_slow_store_lowers_the_limit_once_in_a_while(gate, took_s):
+    fill(gate)
+    for _ in range(5):
+        gate.leave(took_s, 1.0)
+    assert gate.limit == 7.0
+    for step in range(1, 6):
+        gate.leave(took_s, 1.0 + step * CFG.hold_s * 1.1)
+    assert 1.0 <= gate.limit < 2.0
+
+
+def test_limit_comes_back_and_never_shuts(gate):
+    now = 0.0
+    for _ in range(50):
+        now += 1.0
+        assert gate.enter()
+        gate.leave(None, now)
+    assert gate.limit == claim_gate.MIN_LIMIT
+    for _ in range(100):
+        assert gate.enter()
+        gate.leave(0.001, now)
+    assert gate.limit == 10.0
