Settle interleavings of bookings; name things plainly

All bookings of a live entry are told and end once nothing fails; sends without numbers still take effect once. The schedules now also pause an entry between its check of the deadline and the first byte.

--- a/benchmark/quarantine.py
+++ b/benchmark/quarantine.py
@@ -100,7 +100,7 @@
         cfg = quarantine.QuarantineSettings(
             lead_s=policy.lead_s, hold_s=policy.hold_s
         )
-        self.keepers = [
+        self.quarantines = [
             quarantine.Quarantine(f'e{i}', cfg, random.Random(i))
             for i in range(ENTRIES)
         ]
@@ -163,7 +163,7 @@
             return
         query.over = True
         if query.outstanding:
-            self.keeper(query).ended(query.fp)
+            self.decisions(query).ended(query.fp)
         for sub in list(query.outstanding.values()):
             self.cancel(sub)
         if query.fp == POISON:
@@ -189,7 +189,7 @@
             return
         if not self.policy.active:
             return self.send_all(query, shards)
-        match self.keeper(query).admit(query.fp, self.now):
+        match self.decisions(query).admit(query.fp, self.now):
             case quarantine.Allow():
                 self.send_all(query, shards)
             case quarantine.Lead(wait_s):
@@ -203,11 +203,11 @@
                 query.refused = True
                 self.finish(query)
 
-    def keeper(self, query):
+    def decisions(self, query):
         """Return the decisions of the entry, or of the request's home."""
         if self.policy.home:
-            return self.keepers[zlib.crc32(query.fp.encode()) % ENTRIES]
-        return self.keepers[query.entry]
+            return self.quarantines[zlib.crc32(query.fp.encode()) % ENTRIES]
+        return self.quarantines[query.entry]
 
     def send_first(self, query, shards):
         """Send to a shard that would keep a replica after a crash."""
@@ -224,7 +224,7 @@
         """Send what is left after a lead, unless it broke meanwhile."""
         if query.over:
             return
-        if self.keeper(query)._suspect(query.fp, self.now) is None:
+        if self.decisions(query)._suspect(query.fp, self.now) is None:
             self.send_all(query, shards)
 
     def send_all(self, query, shards):
@@ -251,8 +251,8 @@
         query.waiting.discard(sub.shard)
         if self.policy.active:
             target = TargetId(str(sub.target))
-            keeper = self.keeper(query)
-            self.act(query, keeper.succeeded(query.fp, target, self.now))
+            decisions = self.decisions(query)
+            self.act(query, decisions.succeeded(query.fp, target, self.now))
             rest = sorted(query.waiting - set(query.outstanding))
             if rest:
                 self.send_all(query, rest)
@@ -263,9 +263,9 @@
         query.outstanding.pop(sub.shard, None)
         if self.policy.active:
             target = TargetId(str(sub.target))
-            keeper = self.keeper(query)
+            decisions = self.decisions(query)
             mine = fps[query.entry]
-            actions = keeper.broke(query.fp, target, mine, self.now)
+            actions = decisions.broke(query.fp, target, mine, self.now)
             self.act(query, actions)
             if self.policy.cancel:
                 for other in list(query.outstanding.values()):
@@ -283,20 +283,20 @@
         for action in actions:
             match action:
                 case quarantine.Spread(rumor):
-                    self.spread(self.keeper(query), rumor)
+                    self.spread(self.decisions(query), rumor)
                 case quarantine.HoldAnswer(hold_s) if query.fp == POISON:
                     self.hold_until = self.now + hold_s
                 case quarantine.Quarantined(fp):
                     self.quarantined.add(fp)
 
     def spread(self, origin, rumor):
-        for keeper in self.keepers:
-            if keeper is not origin:
+        for decisions in self.quarantines:
+            if decisions is not origin:
                 delay = self.policy.spread_s * self.rng.uniform(0.5, 1.0)
-                self.after(delay, self.hear, keeper, rumor)
+                self.after(delay, self.hear, decisions, rumor)
 
-    def hear(self, keeper, rumor):
-        for action in keeper.heard(rumor, self.now):
+    def hear(self, decisions, rumor):
+        for action in decisions.heard(rumor, self.now):
             if isinstance(action, quarantine.Quarantined):
                 self.quarantined.add(action.fp)
 
@@ -400,20 +400,20 @@
 
 def measure_cost() -> dict[str, float]:
     """Return the microseconds of each decision on a busy entry."""
-    keeper = quarantine.Quarantine(
+    decisions = quarantine.Quarantine(
         'e0', quarantine.QuarantineSettings(), random.Random(1)
     )
     count = 100_000
     fps = [Fingerprint(f'{index:024x}') for index in range(1_000)]
     target = TargetId('t0')
     for fp in fps:
-        keeper.succeeded(fp, target, 0.0)
+        decisions.succeeded(fp, target, 0.0)
     start = time.perf_counter()
     for index in range(count):
-        keeper.admit(fps[index % 1_000], 0.0)
+        decisions.admit(fps[index % 1_000], 0.0)
     admitted = time.perf_counter()
     for index in range(count):
-        keeper.succeeded(fps[index % 1_000], target, 0.0)
+        decisions.succeeded(fps[index % 1_000], target, 0.0)
     succeeded = time.perf_counter()
     return {
         'admit_us': round((admitted - start) / count * 1e6, 3),
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -20,7 +20,7 @@
 TOPIC = 'quarantine'
 FINGERPRINT_BYTES = 12
 MAX_RUMOR_BYTES = 256
-MAX_STRIKES = 16
+MAX_REPEATS = 16
 
 PROVEN_WEIGHT = 0.1
 PLAIN_WEIGHT = 1.0
@@ -131,7 +131,7 @@
     origin: str
     crashes: int = 0
     blame: float = 0.0
-    strikes: int = 0
+    repeats: int = 0
     remaining_s: float = 0.0
     cleared: bool = False
 
@@ -210,7 +210,7 @@
 
     until: float = 0.0
     forget_at: float = 0.0
-    strikes: int = 0
+    repeats: int = 0
     broken: TargetId | None = None
     by_origin: dict[str, _Blame] = msgspec.field(default_factory=dict)
 
@@ -331,7 +331,7 @@
         return [Cleared(fp), Spread(self._rumor(verdict))]
 
     def ended(self, fp: Fingerprint) -> None:
-        """End a trial which proved nothing, such as a cancelled one."""
+        """End the trial of the caller's own request without a verdict."""
         self._trials.pop(fp, None)
 
     def heard(self, rumor: Rumor, now: float) -> list[Action]:
@@ -413,9 +413,9 @@
             return []
         cfg = self._cfg
         for_s = min(
-            cfg.quarantine_s * 2**suspect.strikes, cfg.max_quarantine_s
+            cfg.quarantine_s * 2**suspect.repeats, cfg.max_quarantine_s
         ) * self._rng.uniform(1.0, 1.0 + cfg.jitter)
-        suspect.strikes = min(suspect.strikes + 1, MAX_STRIKES)
+        suspect.repeats = min(suspect.repeats + 1, MAX_REPEATS)
         self._refuse_until(suspect, now + for_s)
         return [Quarantined(fp, for_s)]
 
@@ -485,7 +485,7 @@
             self._origin,
             crashes=own.crashes,
             blame=own.blame,
-            strikes=suspect.strikes,
+            repeats=suspect.repeats,
             remaining_s=max(suspect.until - now, 0.0),
         )
         return Spread(self._rumor(verdict))
@@ -517,8 +517,8 @@
             self._cfg.max_quarantine_s * (1.0 + self._cfg.jitter),
         )
         was_refused = now < suspect.until
-        suspect.strikes = max(
-            suspect.strikes, min(verdict.strikes, MAX_STRIKES)
+        suspect.repeats = max(
+            suspect.repeats, min(verdict.repeats, MAX_REPEATS)
         )
         until = max(suspect.until, now + remaining_s)
         self._refuse_until(suspect, until)
--- a/tests/histories/checks.py
+++ b/tests/histories/checks.py
@@ -227,7 +227,7 @@
             )
 
 
-def leaving_rests(history: History) -> Iterator[Violation]:
+def no_work_when_leaving(history: History) -> Iterator[Violation]:
     """Find work sent to a target long after it began to leave."""
     leaving: dict[str, float] = {}
     for record in history:
@@ -240,7 +240,7 @@
                 since_s = at - leaving[target]
                 if since_s > LEAVING_S:
                     yield Violation(
-                        'leaving_rests',
+                        'no_work_when_leaving',
                         target,
                         f'got {token} {since_s:.1f} s after it began to leave',
                     )
@@ -319,7 +319,7 @@
     no_cross_talk,
     not_run,
     booked_once,
-    leaving_rests,
+    no_work_when_leaving,
     shutdown_cuts_nothing,
     revisions_rise,
 )
--- a/tests/histories/generate.py
+++ b/tests/histories/generate.py
@@ -63,7 +63,7 @@
     Mutation.FALSE_NO: 'not_run',
     Mutation.BOOKING_RETRIED: 'booked_once',
     Mutation.FALSE_YES: 'booked_once',
-    Mutation.LEAVING_WORKED: 'leaving_rests',
+    Mutation.LEAVING_WORKED: 'no_work_when_leaving',
     Mutation.CUT_BY_SHUTDOWN: 'shutdown_cuts_nothing',
     Mutation.REVISION_LOWERED: 'revisions_rise',
     Mutation.REVISION_LATE: 'revisions_rise',
@@ -72,12 +72,12 @@
 
 
 class Generator:
-    """Write one history; a mutation strikes once, at a random place."""
+    """Write one history; a mutation applies once, at a random place."""
 
     def __init__(self, seed: int, mutation: Mutation | None = None):
         self._rng = random.Random(seed)
         self._mutation = mutation
-        self._struck = False
+        self._broken = False
         self._history: list[rec.Record] = []
         self._published: dict[int, dict[ShardId, tuple[str, ...]]] = {}
         self._numbers = 0
@@ -94,12 +94,12 @@
         self._shut_down()
         return sorted(self._history, key=lambda record: record.at)
 
-    def _strikes(self, mutation: Mutation) -> bool:
+    def _breaks_here(self, mutation: Mutation) -> bool:
         """Tell whether to break the promise here."""
-        if mutation is not self._mutation or self._struck:
+        if mutation is not self._mutation or self._broken:
             return False
-        self._struck = self._rng.random() < 0.3
-        return self._struck
+        self._broken = self._rng.random() < 0.3
+        return self._broken
 
     def _add(self, record: rec.Record) -> None:
         self._history.append(record)
@@ -138,14 +138,14 @@
 
     def _refuse(self, send: str, at: float) -> None:
         told = rec.Told(at, send, RunState.NO, refused=True)
-        if self._strikes(Mutation.REFUSED_AFTER_RUN):
+        if self._breaks_here(Mutation.REFUSED_AFTER_RUN):
             self._add(rec.TargetRan(at + 1.0, TargetId('t0'), send))
         self._add(told)
 
     def _answer(self, send: str, at: float) -> None:
         snapshot = Snapshot(self._rng.randrange(1, 4))
         request = RequestId(f'r-{send}')
-        if self._strikes(Mutation.ID_SHARED):
+        if self._breaks_here(Mutation.ID_SHARED):
             for early in checks.of(self._history, rec.OpenReceived):
                 request = early.frame.request_id
         opened = Open(request, SERVICE, Generation(1), snapshot, len(SHARDS))
@@ -153,7 +153,7 @@
         missing = []
         for shard in SHARDS:
             late = self._rng.random() < 0.1
-            if late and not self._strikes(Mutation.COVERAGE_OVERSTATED):
+            if late and not self._breaks_here(Mutation.COVERAGE_OVERSTATED):
                 missing.append(Missing(shard, MissingReason.DEADLINE))
             elif not late:
                 self._shard(send, shard, snapshot, at + 0.02)
@@ -166,14 +166,14 @@
         self._add(rec.TargetGot(at, target, send))
         self._add(rec.TargetRan(at, target, send))
         held = snapshot
-        if self._strikes(Mutation.MIXED_SNAPSHOT):
+        if self._breaks_here(Mutation.MIXED_SNAPSHOT):
             held = Snapshot(snapshot % 3 + 1)
         keys = list(self._published[snapshot][shard])
-        if self._strikes(Mutation.ROW_LOST):
+        if self._breaks_here(Mutation.ROW_LOST):
             keys.pop()
-        if self._strikes(Mutation.ROW_TWICE):
+        if self._breaks_here(Mutation.ROW_TWICE):
             keys.append(keys[0])
-        token = 'other' if self._strikes(Mutation.REPLY_CROSSED) else send
+        token = 'other' if self._breaks_here(Mutation.REPLY_CROSSED) else send
         rows = tuple(rec.Row(key, held, token) for key in keys)
         self._add(rec.RowsReceived(at + 0.01, send, shard, rows))
 
@@ -181,7 +181,7 @@
         self, send: str, request: RequestId, missing: list, at: float
     ) -> None:
         asked = len(SHARDS)
-        if missing and self._strikes(Mutation.SHARD_FORGOTTEN):
+        if missing and self._breaks_here(Mutation.SHARD_FORGOTTEN):
             missing, asked = missing[1:], asked - 1
         frame = End(
             request,
@@ -209,7 +209,7 @@
         self._add(rec.BookingSent(at, send, entry, key, 'd', attempt))
         may_run = self._rng.random() < 0.7
         run_now = may_run and not ran
-        if ran and self._strikes(Mutation.BOOKING_RETRIED):
+        if ran and self._breaks_here(Mutation.BOOKING_RETRIED):
             run_now = True
         if run_now:
             target = TargetId('t0-s0')
@@ -217,9 +217,9 @@
             self._add(rec.TargetBooked(at + 0.01, target, send, key, 'd'))
         ran = ran or run_now
         run = RunState.YES if ran else RunState.NO
-        if ran and self._strikes(Mutation.FALSE_NO):
+        if ran and self._breaks_here(Mutation.FALSE_NO):
             run = RunState.NO
-        elif not ran and self._strikes(Mutation.FALSE_YES):
+        elif not ran and self._breaks_here(Mutation.FALSE_YES):
             run = RunState.YES
         elif self._rng.random() < 0.2:
             run = RunState.UNKNOWN
@@ -231,7 +231,7 @@
     def _leave(self) -> None:
         target = TargetId('leaving')
         self._add(rec.TargetLeaving(10.0, target))
-        late = self._strikes(Mutation.LEAVING_WORKED)
+        late = self._breaks_here(Mutation.LEAVING_WORKED)
         for at in (9.0, 12.0, 15.0 if late else 12.9):
             self._add(rec.TargetGot(at, target, f'w{at}'))
         self._add(rec.TargetBack(20.0, target))
@@ -243,7 +243,7 @@
             at = LENGTH_S - 1.0 - index * 0.1
             send = f'q{self._number()}'
             self._add(rec.QuerySent(at, send, entry, SERVICE))
-            if self._strikes(Mutation.CUT_BY_SHUTDOWN):
+            if self._breaks_here(Mutation.CUT_BY_SHUTDOWN):
                 self._add(rec.Cut(LENGTH_S + 0.1, send))
             else:
                 self._answer(send, at + 1.1)
@@ -259,13 +259,13 @@
 
     def _in_force(self, entry: NodeId, at: float, revision: Revision) -> None:
         takes_s = self._rng.uniform(0.1, 2.0)
-        if self._strikes(Mutation.REVISION_LATE):
+        if self._breaks_here(Mutation.REVISION_LATE):
             takes_s = checks.IN_FORCE_S + 2.0
         for after_s in range(1, 10):
             shown = revision if after_s >= takes_s else Revision(revision - 7)
-            if shown and self._strikes(Mutation.REVISION_UNKNOWN):
+            if shown and self._breaks_here(Mutation.REVISION_UNKNOWN):
                 shown = Revision(revision - 1)
-            if after_s == 9 and self._strikes(Mutation.REVISION_LOWERED):
+            if after_s == 9 and self._breaks_here(Mutation.REVISION_LOWERED):
                 shown = Revision(revision - 7)
             if shown:
                 self._add(rec.InForce(at + after_s, entry, 1, OBJECT, shown))
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -269,14 +269,16 @@
 class World:
     """Run one schedule over several entries, one store and targets."""
 
-    def __init__(self, booking_type):
+    def __init__(self, booking_type, numbered=True):
         self.booking_type = booking_type
+        self.numbered = numbered
         self.now = 0.0
         self.entries = [Entry(f'e{index}') for index in range(3)]
         self.store = {}
         self.revision = 0
         self.calls = []
         self.sendings = []
+        self.bookings = []
         self.history = []
 
     def run(self, schedule):
@@ -313,6 +315,7 @@
         if self.runs(sending) and not sending.over:
             attempt = sending.action.attempt
             if not sending.left:
+                steps.append((self.send_late, sending))
                 steps.append((self.send, sending))
                 event = bookings.ConnectFailed(attempt)
                 steps.append((self.end, sending, event))
@@ -335,6 +338,7 @@
         digest = 'other' if extra % 16 == 15 else 'd'
         sends = checks.of(self.history, rec.BookingSent)
         attempt = 1 + sum(sent.key == key for sent in sends)
+        attempt = attempt if self.numbered else 0
         sent = rec.BookingSent(
             self.now, f'b{len(sends)}', entry.node, key, digest, attempt
         )
@@ -352,6 +356,7 @@
         rng = random.Random(len(sends))
         booking = self.booking_type(req, claimer, CFG, rng)
         booking.sent = sent
+        self.bookings.append((entry, booking))
         self.act(entry, booking, booking.start(self.now, self.now))
 
     def pass_time(self, step_s):
@@ -406,6 +411,12 @@
         else:
             self.end(sending, bookings.ConnectFailed(attempt))
 
+    def send_late(self, sending):
+        """Pause between the check of the deadline and the first byte."""
+        if self.now < sending.action.deadline:
+            self.now += 10.0
+            sending.left = True
+
     def run_at_target(self, sending):
         sending.ran = True
         sent = sending.sent
@@ -448,6 +459,23 @@
                 case _:
                     self.calls.append(Call(entry, booking, action))
 
+    def settle(self):
+        """Let all that is on its way arrive, with nothing failing."""
+        for entry in self.entries:
+            entry.paused = False
+        while True:
+            calls = [c for c in self.calls if self.runs(c) and not c.answered]
+            sendings = [s for s in self.sendings if not s.over]
+            sendings = [s for s in sendings if self.runs(s)]
+            if not calls and not sendings:
+                return
+            for call in calls:
+                self.answer(call)
+            for sending in sendings:
+                attempt = sending.action.attempt
+                event = bookings.ConnectionBroken(attempt)
+                self.end(sending, event)
+
     def tell(self, booking, run):
         self.history.append(rec.Told(self.now, booking.sent.send, run))
 
@@ -490,14 +518,18 @@
 STEPS = 60
 
 
+def make_schedule(seed):
+    rng = random.Random(seed)
+    return [rng.getrandbits(16) for _ in range(STEPS)]
+
+
 def find_violations(booking_type, schedule):
     return checks.check(World(booking_type).run(schedule))
 
 
 def run_history(booking_type, seed):
     """Raise AssertionError with a shortened history of a violation."""
-    rng = random.Random(seed)
-    schedule = [rng.getrandbits(16) for _ in range(STEPS)]
+    schedule = make_schedule(seed)
     if not find_violations(booking_type, schedule):
         return
     short = shrink.shrink(
@@ -513,6 +545,25 @@
         run_history(bookings.Booking, seed)
 
 
+def test_unnumbered_sends_take_effect_once():
+    for seed in range(1_000):
+        world = World(bookings.Booking, numbered=False)
+        history = world.run(make_schedule(seed))
+        assert list(checks.booked_once(history)) == [], f'seed {seed}'
+
+
+def test_every_booking_is_told_and_ends():
+    for seed in range(500):
+        world = World(bookings.Booking)
+        world.run(make_schedule(seed))
+        world.settle()
+        told = {t.send for t in checks.of(world.history, rec.Told)}
+        for entry, booking in world.bookings:
+            if entry in world.entries:
+                assert booking.ended, f'seed {seed}'
+                assert booking.sent.send in told, f'seed {seed}'
+
+
 class RetriesAfterSend(bookings.Booking):
     """Send again after a broken connection."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -32,75 +32,75 @@
 @pytest.fixture
 def crashed_once():
     """Return a quarantine that saw one crash, and its rumors."""
-    keeper = make()
-    assert isinstance(keeper.admit(BAD, 0.0), quarantine.Lead)
-    return keeper, rumors(keeper.broke(BAD, T0, {BAD}, 0.002))
+    local = make()
+    assert isinstance(local.admit(BAD, 0.0), quarantine.Lead)
+    return local, rumors(local.broke(BAD, T0, {BAD}, 0.002))
 
 
 @pytest.fixture
 def crashed_twice(crashed_once):
     """Return a quarantine whose canary crashed too, and its rumors."""
-    keeper, _ = crashed_once
-    assert keeper.admit(BAD, 1.0) == quarantine.Canary(T0)
-    return keeper, rumors(keeper.broke(BAD, T1, {BAD}, 1.1))
+    local, _ = crashed_once
+    assert local.admit(BAD, 1.0) == quarantine.Canary(T0)
+    return local, rumors(local.broke(BAD, T1, {BAD}, 1.1))
 
 
 def test_second_crash_quarantines(crashed_twice):
-    keeper, _ = crashed_twice
-    refusal = keeper.admit(BAD, 1.2)
+    local, _ = crashed_twice
+    refusal = local.admit(BAD, 1.2)
     assert isinstance(refusal, quarantine.Refuse)
     assert CFG.quarantine_s * 0.9 < refusal.retry_after_s
-    assert isinstance(keeper.admit(GOOD, 1.2), quarantine.Canary)
+    assert isinstance(local.admit(GOOD, 1.2), quarantine.Canary)
 
 
 def test_one_canary_at_a_time(crashed_once):
-    keeper, _ = crashed_once
-    assert isinstance(keeper.admit(BAD, 1.0), quarantine.Canary)
-    waiting = keeper.admit(BAD, 1.0)
+    local, _ = crashed_once
+    assert isinstance(local.admit(BAD, 1.0), quarantine.Canary)
+    waiting = local.admit(BAD, 1.0)
     assert waiting == quarantine.Refuse(CFG.trial_retry_s, on_trial=True)
-    keeper.ended(BAD)
-    assert isinstance(keeper.admit(BAD, 1.0), quarantine.Canary)
+    local.ended(BAD)
+    assert isinstance(local.admit(BAD, 1.0), quarantine.Canary)
 
 
 def test_lost_canary_times_out(crashed_once):
-    keeper, _ = crashed_once
-    keeper.admit(BAD, 1.0)
+    local, _ = crashed_once
+    local.admit(BAD, 1.0)
     later = 1.1 + CFG.trial_timeout_s
-    assert isinstance(keeper.admit(BAD, later), quarantine.Canary)
+    assert isinstance(local.admit(BAD, later), quarantine.Canary)
 
 
 def test_success_of_the_canary_clears(crashed_once):
-    keeper, heard = crashed_once
+    local, heard = crashed_once
     other = make('e1')
     other.heard(heard[0], 0.1)
-    keeper.admit(BAD, 1.0)
-    actions = keeper.succeeded(BAD, T1, 1.1)
+    local.admit(BAD, 1.0)
+    actions = local.succeeded(BAD, T1, 1.1)
     assert quarantine.Cleared(BAD) in actions
-    assert keeper.admit(BAD, 1.2) == quarantine.Allow()
+    assert local.admit(BAD, 1.2) == quarantine.Allow()
     other.heard(rumors(actions)[0], 1.3)
     assert other.admit(BAD, 1.4) == quarantine.Allow()
 
 
 def test_release_needs_a_canary_and_repeats_double(crashed_twice):
-    keeper, _ = crashed_twice
+    local, _ = crashed_twice
     now, waits = 1.2, []
     for _ in range(8):
-        refusal = keeper.admit(BAD, now)
+        refusal = local.admit(BAD, now)
         waits.append(refusal.retry_after_s)
         now += refusal.retry_after_s + 0.001
-        assert isinstance(keeper.admit(BAD, now), quarantine.Canary)
-        keeper.broke(BAD, T2, {BAD}, now + 0.1)
+        assert isinstance(local.admit(BAD, now), quarantine.Canary)
+        local.broke(BAD, T2, {BAD}, now + 0.1)
         now += 0.2
     assert waits[1] > 1.5 * waits[0]
     assert max(waits) <= CFG.max_quarantine_s * (1 + CFG.jitter)
 
 
 def test_suspicion_and_quarantine_reach_other_entries(crashed_twice):
-    keeper, heard = crashed_twice
+    local, heard = crashed_twice
     other = make('e1')
     other.heard(heard[0], 1.2)
     assert isinstance(other.admit(BAD, 1.3), quarantine.Refuse)
-    assert keeper.heard(heard[0], 1.3) == []
+    assert local.heard(heard[0], 1.3) == []
 
 
 def test_crashes_at_two_entries_add_up(crashed_once):
@@ -128,47 +128,47 @@
     assert len(msgspec.msgpack.encode(heard[0])) < 120
 
 
-def restart(keeper, target, fps, now):
+def restart(local, target, fps, now):
     """Break all connections of a target at once."""
-    return [a for fp in fps for a in keeper.broke(fp, target, fps, now)]
+    return [a for fp in fps for a in local.broke(fp, target, fps, now)]
 
 
 def test_restarts_do_not_quarantine_innocents():
-    keeper = make()
+    local = make()
     fps = [Fingerprint(f'f{index}') for index in range(10)]
     for fp in fps[:5]:
-        keeper.succeeded(fp, T1, 0.0)
-    restart(keeper, T0, fps, 1.0)
+        local.succeeded(fp, T1, 0.0)
+    restart(local, T0, fps, 1.0)
     for fp in fps:
-        assert isinstance(keeper.admit(fp, 1.2), quarantine.Canary)
-    actions = restart(keeper, T1, fps, 1.3)
+        assert isinstance(local.admit(fp, 1.2), quarantine.Canary)
+    actions = restart(local, T1, fps, 1.3)
     assert not [a for a in actions if isinstance(a, quarantine.Quarantined)]
     for fp in fps:
-        assert isinstance(keeper.admit(fp, 1.4), quarantine.Canary)
-        keeper.succeeded(fp, T2, 1.5)
-        assert keeper.admit(fp, 1.6) == quarantine.Allow()
+        assert isinstance(local.admit(fp, 1.4), quarantine.Canary)
+        local.succeeded(fp, T2, 1.5)
+        assert local.admit(fp, 1.6) == quarantine.Allow()
 
 
 def test_canary_broken_amid_other_breaks_is_not_blamed_alone(crashed_once):
-    keeper, _ = crashed_once
-    keeper.admit(BAD, 1.0)
+    local, _ = crashed_once
+    local.admit(BAD, 1.0)
     for index in range(5):
         fps = {Fingerprint(f'f{index}')}
-        restart(keeper, TargetId(f'u{index}'), fps, 1.05)
-    actions = keeper.broke(BAD, T1, {BAD}, 1.1)
+        restart(local, TargetId(f'u{index}'), fps, 1.05)
+    actions = local.broke(BAD, T1, {BAD}, 1.1)
     assert not [a for a in actions if isinstance(a, quarantine.Quarantined)]
 
 
 def test_memory_is_bounded():
-    keeper = make(max_suspects=10, max_proven=10)
+    local = make(max_suspects=10, max_proven=10)
     for index in range(100):
         fp = Fingerprint(f'f{index}')
-        keeper.broke(fp, TargetId(f't{index}'), {fp}, index * 0.1)
-        keeper.succeeded(Fingerprint(f'g{index}'), T0, 0.0)
-        keeper.admit(Fingerprint(f'h{index}'), 0.0)
-    assert keeper.suspects == 10
-    assert len(keeper._proven) == 10
-    assert len(keeper._trials) <= 10
+        local.broke(fp, TargetId(f't{index}'), {fp}, index * 0.1)
+        local.succeeded(Fingerprint(f'g{index}'), T0, 0.0)
+        local.admit(Fingerprint(f'h{index}'), 0.0)
+    assert local.suspects == 10
+    assert len(local._proven) == 10
+    assert len(local._trials) <= 10
 
 
 def test_fingerprint_is_of_the_content():
@@ -193,13 +193,13 @@
     answer, as HoldAnswer asks.
     """
 
-    def __init__(self, keeper_type, schedule):
+    def __init__(self, quarantine_type, schedule):
         rng = random.Random(1)
-        self.keepers = [keeper_type(f'e{i}', CFG, rng) for i in range(4)]
+        self.entries = [quarantine_type(f'e{i}', CFG, rng) for i in range(4)]
         self.schedule = schedule
         self.now = 0.0
         self.crashes = 0
-        self.running = [set() for _ in self.keepers]
+        self.running = [set() for _ in self.entries]
         self.refused = set()
 
     def run(self):
@@ -218,7 +218,7 @@
 
     def begin(self, index, fp):
         """Let an innocent run on all targets, alone if it is on trial."""
-        match self.keepers[index].admit(fp, self.now):
+        match self.entries[index].admit(fp, self.now):
             case quarantine.Allow():
                 self.running[index].add(fp)
             case quarantine.Refuse():
@@ -231,42 +231,42 @@
             self.succeed(index, self.running[index].pop())
 
     def succeed(self, index, fp):
-        keeper = self.keepers[index]
-        self.spread(keeper, keeper.succeeded(fp, T0, self.now))
+        local = self.entries[index]
+        self.spread(local, local.succeeded(fp, T0, self.now))
 
     def poison(self, index, target):
         """Crash a target under the poison and all that runs there."""
-        keeper = self.keepers[index]
-        if isinstance(keeper.admit(BAD, self.now), quarantine.Refuse):
+        local = self.entries[index]
+        if isinstance(local.admit(BAD, self.now), quarantine.Refuse):
             return
         self.crashes += 1
         in_flight = {BAD, *self.running[index]}
         for fp in sorted(in_flight):
-            actions = keeper.broke(fp, target, in_flight, self.now)
-            self.spread(keeper, actions)
+            actions = local.broke(fp, target, in_flight, self.now)
+            self.spread(local, actions)
 
     def spread(self, origin, actions):
-        for keeper in self.keepers:
-            if keeper is not origin:
+        for local in self.entries:
+            if local is not origin:
                 for rumor in rumors(actions):
-                    keeper.heard(rumor, self.now)
+                    local.heard(rumor, self.now)
 
 
-class Deaf(quarantine.Quarantine):
+class IgnoresRumors(quarantine.Quarantine):
     """Ignore what other entries say."""
 
     def heard(self, rumor, now):
         return []
 
 
-class Trusting(quarantine.Quarantine):
+class NeverJudges(quarantine.Quarantine):
     """Never judge."""
 
     def _judge(self, fp, suspect, now):
         return []
 
 
-class Blunt(quarantine.Quarantine):
+class BlamesAllAlike(quarantine.Quarantine):
     """Blame all requests in flight alike for any break."""
 
     def _judge(self, fp, suspect, now):
@@ -275,11 +275,11 @@
         return super()._judge(fp, suspect, now)
 
 
-def check_fleet(keeper_type):
+def check_fleet(quarantine_type):
     for seed in range(1_000):
         rng = random.Random(seed)
         schedule = [rng.getrandbits(8) for _ in range(40)]
-        fleet = Fleet(keeper_type, schedule).run()
+        fleet = Fleet(quarantine_type, schedule).run()
         assert fleet.crashes <= 2, f'seed {seed}'
         assert not fleet.refused, f'seed {seed}'
 
@@ -288,7 +288,9 @@
     check_fleet(quarantine.Quarantine)
 
 
-@pytest.mark.parametrize('broken', [Deaf, Trusting, Blunt])
+@pytest.mark.parametrize(
+    'broken', [IgnoresRumors, NeverJudges, BlamesAllAlike]
+)
 def test_the_check_catches(broken):
     with pytest.raises(AssertionError):
         check_fleet(broken)
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -209,7 +209,7 @@
 
 
 class ForgetsIncarnation(tickets.Tickets):
-    """Run the tickets of the process's former life."""
+    """Run the tickets of the process's previous incarnation."""
 
     def _is_own(self, ticket):
         if ticket.node == self._node:
