Let one home decide on the trials of a fingerprint

Sent to five entries at the same moment, a poison took 9 of 40 targets, as each entry leads it once and more follow before rumors arrive. The message to the home is left to the edge.

--- a/benchmark/quarantine.py
+++ b/benchmark/quarantine.py
@@ -9,15 +9,16 @@
 import random
 import statistics
 import time
-import zlib
 
 import msgspec
 
 from sesameward import quarantine
 from sesameward.types import Fingerprint
+from sesameward.types import NodeId
 from sesameward.types import TargetId
 
 ENTRIES = 5
+NODES = tuple(NodeId(str(index)) for index in range(ENTRIES))
 SHARDS = 20
 REPLICAS = 2
 SLOTS = 2
@@ -180,8 +181,7 @@
 
     def begin(self, query):
         self.after(DEADLINE_S, self.finish, query)
-        asked_s = 2 * HOP_S if self.policy.home else 0.0
-        self.after(asked_s, self.admit, query, sorted(query.waiting))
+        self.admit(query, sorted(query.waiting))
 
     def admit(self, query, shards):
         """Send shards as far as the quarantine lets it."""
@@ -189,7 +189,23 @@
             return
         if not self.policy.active:
             return self.send_all(query, shards)
-        match self.decisions(query).admit(query.fp, self.now):
+        local = self.quarantines[query.entry]
+        decided = local.decided(query.fp, self.now)
+        if decided is not None:
+            self.apply(query, shards, decided)
+        elif self.decisions(query) is local:
+            self.ask(query, shards)
+        else:
+            self.after(2 * HOP_S, self.ask, query, shards)
+
+    def ask(self, query, shards):
+        """Ask where trials of the fingerprint are decided."""
+        if not query.over:
+            admission = self.decisions(query).admit(query.fp, self.now)
+            self.apply(query, shards, admission)
+
+    def apply(self, query, shards, admission):
+        match admission:
             case quarantine.Allow():
                 self.send_all(query, shards)
             case quarantine.Lead(wait_s):
@@ -206,7 +222,7 @@
     def decisions(self, query):
         """Return the decisions of the entry, or of the request's home."""
         if self.policy.home:
-            return self.quarantines[zlib.crc32(query.fp.encode()) % ENTRIES]
+            return self.quarantines[int(quarantine.home(query.fp, NODES))]
         return self.quarantines[query.entry]
 
     def send_first(self, query, shards):
@@ -253,6 +269,9 @@
             target = TargetId(str(sub.target))
             decisions = self.decisions(query)
             self.act(query, decisions.succeeded(query.fp, target, self.now))
+            local = self.quarantines[query.entry]
+            if local is not decisions:
+                local.succeeded(query.fp, target, self.now)
             rest = sorted(query.waiting - set(query.outstanding))
             if rest:
                 self.send_all(query, rest)
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Iterable
 import enum
 import hashlib
 import random
@@ -14,6 +15,7 @@
 from .messages import QueryBody
 from .messages import Rumor
 from .types import Fingerprint
+from .types import NodeId
 from .types import ServiceName
 from .types import TargetId
 
@@ -52,11 +54,11 @@
 # What admit() decides.
 
 
-class Allow(msgspec.Struct, frozen=True):
+class Allow(msgspec.Struct, frozen=True, tag=True):
     """Send all sub-requests at once."""
 
 
-class Lead(msgspec.Struct, frozen=True):
+class Lead(msgspec.Struct, frozen=True, tag=True):
     """Send one sub-request; the rest when it succeeds or after wait_s.
 
     Where it breaks, none of the rest is sent. Choose its target as for a
@@ -66,7 +68,7 @@
     wait_s: float
 
 
-class Canary(msgspec.Struct, frozen=True):
+class Canary(msgspec.Struct, frozen=True, tag=True):
     """Send one sub-request; the rest only after it has succeeded.
 
     Choose a target which runs no other trial and whose shards all keep
@@ -77,7 +79,7 @@
     broken: TargetId | None = None
 
 
-class Refuse(msgspec.Struct, frozen=True):
+class Refuse(msgspec.Struct, frozen=True, tag=True):
     """Refuse the request, or wait where its trial is still running."""
 
     retry_after_s: float
@@ -185,6 +187,16 @@
     return Fingerprint(hashed.hexdigest())
 
 
+def home(fp: Fingerprint, nodes: Iterable[NodeId]) -> NodeId:
+    """Return the node which decides on trials of a fingerprint."""
+    return max(
+        nodes,
+        key=lambda node: hashlib.blake2b(
+            f'{fp}:{node}'.encode(), digest_size=8
+        ).digest(),
+    )
+
+
 class TrialKind(enum.Enum):
     """Name how a request on trial is sent."""
 
@@ -265,14 +277,22 @@
         """Return how many fingerprints are suspected or refused."""
         return len(self._suspects)
 
-    def admit(self, fp: Fingerprint, now: float) -> Admission:
-        """Decide how a request may be sent."""
+    def decided(self, fp: Fingerprint, now: float) -> Admission | None:
+        """Decide without a trial, or return None: ask the home."""
         suspect = self._suspect(fp, now)
         if suspect is not None and now < suspect.until:
             return Refuse(suspect.until - now)
         if suspect is None and fp in self._proven:
             self._proven.move_to_end(fp)
             return Allow()
+        return None
+
+    def admit(self, fp: Fingerprint, now: float) -> Admission:
+        """Decide how a request may be sent, if need be on trial."""
+        decided = self.decided(fp, now)
+        if decided is not None:
+            return decided
+        suspect = self._suspects.get(fp)
         if self._trial(fp, now) is not None:
             return Refuse(self._cfg.trial_retry_s, on_trial=True)
         if suspect is not None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 
 import msgspec
@@ -11,6 +12,7 @@
 from sesameward.messages import QueryBody
 from sesameward import quarantine
 from sesameward.types import Fingerprint
+from sesameward.types import NodeId
 from sesameward.types import ServiceName
 from sesameward.types import TargetId
 
@@ -171,6 +173,38 @@
     assert len(local._trials) <= 10
 
 
+def test_only_what_is_undecided_is_asked_at_the_home(crashed_twice):
+    local, _ = crashed_twice
+    assert isinstance(local.decided(BAD, 1.2), quarantine.Refuse)
+    assert local.decided(GOOD, 1.2) is None
+    local.succeeded(GOOD, T0, 1.3)
+    assert local.decided(GOOD, 1.4) == quarantine.Allow()
+
+
+def test_homes_are_spread_and_stay():
+    nodes = [NodeId(f'e{index}') for index in range(5)]
+    fps = [Fingerprint(str(index)) for index in range(500)]
+    homes = {fp: quarantine.home(fp, nodes) for fp in fps}
+    counts = collections.Counter(homes.values())
+    assert min(counts.values()) > 60
+    fewer = nodes[1:]
+    for fp, home in homes.items():
+        if home in fewer:
+            assert quarantine.home(fp, reversed(fewer)) == home
+
+
+def test_admission_is_carried_in_a_message():
+    for admission in (
+        quarantine.Allow(),
+        quarantine.Lead(0.05),
+        quarantine.Canary(T0),
+        quarantine.Refuse(0.02, on_trial=True),
+    ):
+        data = msgspec.msgpack.encode(admission)
+        decoder = msgspec.msgpack.Decoder(quarantine.Admission)
+        assert decoder.decode(data) == admission
+
+
 def test_fingerprint_is_of_the_content():
     service = ServiceName('trip-desk')
 
