--- a/tests/histories/test_checks.py
+++ b/tests/histories/test_checks.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
@@ -79,6 +82,22 @@
     assert checks.check(loaded) == []
 
 
+@pytest.mark.parametrize(
+    'mutation, status', [(None, 0), (generate.Mutation.ROW_LOST, 1)]
+)
+def test_recorded_files_are_checked(tmp_path, mutation, status):
+    path = tmp_path / 'run.jsonl'
+    recorder = rec.Recorder(path)
+    for record in generate.generate(3, mutation):
+        recorder.add(record)
+    command = [sys.executable, '-m', 'tests.histories', 'files']
+    done = subprocess.run(
+        [*command, '--seed', '3', str(path)], capture_output=True, text=True
+    )
+    assert done.returncode == status, done.stderr
+    assert ('true_coverage broken for q1 (seed 3)' in done.stdout) == status
+
+
 def test_kill_during_a_shutdown_is_not_the_shutdowns_fault():
     entry = NodeId('e0')
     history = [
