--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Iterable
 import enum
 import hashlib
 import random
@@ -14,13 +15,14 @@
 from .messages import QueryBody
 from .messages import Rumor
 from .types import Fingerprint
+from .types import NodeId
 from .types import ServiceName
 from .types import TargetId
 
 TOPIC = 'quarantine'
 FINGERPRINT_BYTES = 12
 MAX_RUMOR_BYTES = 256
-MAX_STRIKES = 16
+MAX_REPEATS = 16
 
 PROVEN_WEIGHT = 0.1
 PLAIN_WEIGHT = 1.0
@@ -52,11 +54,11 @@
 # What admit() decides.
 
 
-class Allow(msgspec.Struct, frozen=True):
+class Allow(msgspec.Struct, frozen=True, tag=True):
     """Send all sub-requests at once."""
 
 
-class Lead(msgspec.Struct, frozen=True):
+class Lead(msgspec.Struct, frozen=True, tag=True):
     """Send one sub-request; the rest when it succeeds or after wait_s.
 
     Where it breaks, none of the rest is sent. Choose its target as for a
@@ -66,7 +68,7 @@
     wait_s: float
 
 
-class Canary(msgspec.Struct, frozen=True):
+class Canary(msgspec.Struct, frozen=True, tag=True):
     """Send one sub-request; the rest only after it has succeeded.
 
     Choose a target which runs no other trial and whose shards all keep
@@ -77,7 +79,7 @@
     broken: TargetId | None = None
 
 
-class Refuse(msgspec.Struct, frozen=True):
+class Refuse(msgspec.Struct, frozen=True, tag=True):
     """Refuse the request, or wait where its trial is still running."""
 
     retry_after_s: float
@@ -131,7 +133,7 @@
     origin: str
     crashes: int = 0
     blame: float = 0.0
-    strikes: int = 0
+    repeats: int = 0
     remaining_s: float = 0.0
     cleared: bool = False
 
@@ -185,6 +187,16 @@
     return Fingerprint(hashed.hexdigest())
 
 
+def home(fp: Fingerprint, nodes: Iterable[NodeId]) -> NodeId:
+    """Return the node which decides on trials of a fingerprint."""
+    return max(
+        nodes,
+        key=lambda node: hashlib.blake2b(
+            f'{fp}:{node}'.encode(), digest_size=8
+        ).digest(),
+    )
+
+
 class TrialKind(enum.Enum):
     """Name how a request on trial is sent."""
 
@@ -210,7 +222,7 @@
 
     until: float = 0.0
     forget_at: float = 0.0
-    strikes: int = 0
+    repeats: int = 0
     broken: TargetId | None = None
     by_origin: dict[str, _Blame] = msgspec.field(default_factory=dict)
 
@@ -265,14 +277,22 @@
         """Return how many fingerprints are suspected or refused."""
         return len(self._suspects)
 
-    def admit(self, fp: Fingerprint, now: float) -> Admission:
-        """Decide how a request may be sent."""
+    def decided(self, fp: Fingerprint, now: float) -> Admission | None:
+        """Decide without a trial, or return None: ask the home."""
         suspect = self._suspect(fp, now)
         if suspect is not None and now < suspect.until:
             return Refuse(suspect.until - now)
         if suspect is None and fp in self._proven:
             self._proven.move_to_end(fp)
             return Allow()
+        return None
+
+    def admit(self, fp: Fingerprint, now: float) -> Admission:
+        """Decide how a request may be sent, if need be on trial."""
+        decided = self.decided(fp, now)
+        if decided is not None:
+            return decided
+        suspect = self._suspects.get(fp)
         if self._trial(fp, now) is not None:
             return Refuse(self._cfg.trial_retry_s, on_trial=True)
         if suspect is not None:
@@ -331,7 +351,7 @@
         return [Cleared(fp), Spread(self._rumor(verdict))]
 
     def ended(self, fp: Fingerprint) -> None:
-        """End a trial which proved nothing, such as a cancelled one."""
+        """End the trial of the caller's own request without a verdict."""
         self._trials.pop(fp, None)
 
     def heard(self, rumor: Rumor, now: float) -> list[Action]:
@@ -413,9 +433,9 @@
             return []
         cfg = self._cfg
         for_s = min(
-            cfg.quarantine_s * 2**suspect.strikes, cfg.max_quarantine_s
+            cfg.quarantine_s * 2**suspect.repeats, cfg.max_quarantine_s
         ) * self._rng.uniform(1.0, 1.0 + cfg.jitter)
-        suspect.strikes = min(suspect.strikes + 1, MAX_STRIKES)
+        suspect.repeats = min(suspect.repeats + 1, MAX_REPEATS)
         self._refuse_until(suspect, now + for_s)
         return [Quarantined(fp, for_s)]
 
@@ -485,7 +505,7 @@
             self._origin,
             crashes=own.crashes,
             blame=own.blame,
-            strikes=suspect.strikes,
+            repeats=suspect.repeats,
             remaining_s=max(suspect.until - now, 0.0),
         )
         return Spread(self._rumor(verdict))
@@ -517,8 +537,8 @@
             self._cfg.max_quarantine_s * (1.0 + self._cfg.jitter),
         )
         was_refused = now < suspect.until
-        suspect.strikes = max(
-            suspect.strikes, min(verdict.strikes, MAX_STRIKES)
+        suspect.repeats = max(
+            suspect.repeats, min(verdict.repeats, MAX_REPEATS)
         )
         until = max(suspect.until, now + remaining_s)
         self._refuse_until(suspect, until)
