Hold at most two targets' loss for a crashing request over five entries

Cause: a reused connection that breaks makes libcurl send the request again; when the target was gone by then, the break was reported as a refused connection, which is retried freely on the next replica. What counts is now whether bytes were sent. Ruled out: gossip, which told the other entries within 5 ms. Also: a trial that ended without a verdict left the rest of the fan-out waiting for the deadline; the next one is now tried.

--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import typing
+import zlib
 
 from .declared import Shard
 from .merging import merge
@@ -149,6 +150,7 @@
         self._wanted: dict[ShardId, _Wanted] = {}
         self._missing: dict[ShardId, MissingReason] = {}
         self._held: dict[TargetId, list[ShardId]] = {}
+        self._broken: TargetId | None = None
         self._answered = 0
         self._uncovered = 0
         self._finished = False
@@ -172,11 +174,12 @@
         self,
         now: float,
         one_first: bool = False,
-        near: TargetId | None = None,
+        broken: TargetId | None = None,
     ) -> list[Action]:
         """Send the first attempts, or only one of them until release().
 
-        The one goes to a replica of the shards of near, where it is given.
+        The one goes to shards which keep another replica should its target
+        break, and not to those which broken has left with fewer.
         """
         pin = self._request.pin
         ranges = {shard.id: shard for shard in pin.shard_map.shards}
@@ -195,9 +198,9 @@
             else:
                 chosen.setdefault(target, []).extend(group.shards)
         if one_first and chosen:
-            first = self._nearest(chosen, near)
             self._held = chosen
-            chosen = {first: chosen.pop(first)}
+            self._broken = broken
+            chosen = self._take_one_held()
         actions = self._send_first(chosen, now)
         self._finish_if_done(actions, now)
         return actions
@@ -207,15 +210,25 @@
         held, self._held = self._held, {}
         return self._send_first(held, now)
 
-    def _nearest(
+    def _take_one_held(self) -> dict[TargetId, list[ShardId]]:
+        target = self._safest(self._held, self._broken)
+        return {target: self._held.pop(target)}
+
+    def _safest(
         self,
         chosen: typing.Mapping[TargetId, typing.Sequence[ShardId]],
-        near: TargetId | None,
+        broken: TargetId | None,
     ) -> TargetId:
-        for target, shards in chosen.items():
-            if near in self._wanted[shards[0]].candidates:
-                return target
-        return next(iter(chosen))
+        """Return the target whose loss would cost the least coverage."""
+
+        def cost(target: TargetId) -> tuple[bool, bool, int]:
+            candidates = self._wanted[chosen[target][0]].candidates
+            # Entries which know nothing of each other should not lose one
+            # shard's replicas one after the other.
+            spread = zlib.crc32(f'{self._request.request}{target}'.encode())
+            return broken in candidates, len(candidates) < 2, spread
+
+        return min(chosen, key=cost)
 
     def _send_first(
         self,
@@ -274,6 +287,9 @@
         actions: list[Action] = []
         wanted = [shard for shard in sent.shards if shard in self._wanted]
         self._retry(wanted, outcome, actions, now)
+        if self._held and not self._attempts:
+            # The one attempt ended without a verdict; try another one.
+            actions += self._send_first(self._take_one_held(), now)
         self._finish_if_done(actions, now)
         return actions
 
--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -154,7 +154,7 @@
                 self._release_at = now + wait_s
                 return self._fanout.start(now, one_first=True)
             case Canary(broken):
-                return self._fanout.start(now, one_first=True, near=broken)
+                return self._fanout.start(now, one_first=True, broken=broken)
             case _:
                 return self._fanout.start(now)
 
--- a/sesameward/filters/parsing.py
+++ b/sesameward/filters/parsing.py
@@ -28,7 +28,9 @@
 _MAX_ATTEMPT = 1_000_000
 _KEY = re.compile(r'[A-Za-z0-9._:-]{8,128}')
 # Leaves time to write the coverage before the caller stops to wait.
-DEADLINE_MARGIN_S = 0.005
+MARGIN_PART = 0.03
+MIN_MARGIN_S = 0.005
+MAX_MARGIN_S = 0.025
 
 Body = typing.TypeVar('Body', QueryBody, BookingBody)
 
@@ -82,9 +84,9 @@
         exchange.headers.get(PRIORITY_HEADER), service
     )
     deadline_ms = _deadline_ms(exchange.headers.get(DEADLINE_HEADER), service)
-    exchange.deadline_at = (
-        exchange.received_at + deadline_ms / 1000 - DEADLINE_MARGIN_S
-    )
+    deadline_s = deadline_ms / 1000
+    margin_s = min(max(deadline_s * MARGIN_PART, MIN_MARGIN_S), MAX_MARGIN_S)
+    exchange.deadline_at = exchange.received_at + deadline_s - margin_s
     return service
 
 
--- a/sesameward/transfers.py
+++ b/sesameward/transfers.py
@@ -25,11 +25,6 @@
     TOO_LARGE = 'too_large'
 
 
-_CONNECT_ERRORS = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
-)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """Hold a finished transfer; sent tells whether bytes may have left."""
@@ -300,6 +295,6 @@
         return Failure.TIMEOUT
     if errno == pycurl.E_WRITE_ERROR:
         return Failure.TOO_LARGE
-    if errno in _CONNECT_ERRORS or not sent:
-        return Failure.CONNECT
-    return Failure.BROKEN
+    # After a reused connection broke, libcurl sends the request again and
+    # reports how that ended, so the error alone can't say what was sent.
+    return Failure.BROKEN if sent else Failure.CONNECT
