--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -120,9 +120,7 @@
             try:
                 return await loop()
             except Exception as exc:
-                reason = type(exc).__name__
-                self._metrics.count('config_faults', reason)
-                logs.change('config_fault', loop=loop.__name__, error=str(exc))
+                self._note_fault(loop.__name__, exc)
                 await asyncio.sleep(self._rng.uniform(0.5, 1.0) * FAULT_S)
 
     def hear(self, rumor: Rumor) -> None:
@@ -164,16 +162,31 @@
                 objects=[f'{o.kind}/{o.name}@{o.revision}' for o in changed],
             )
             self._metrics.count('config_changes', amount=len(changed))
-        for callback in self._callbacks if changed else ():
-            callback(changed)
         if self.revision > 0:
             self.ready.set()
+        for callback in self._callbacks if changed else ():
+            self._call_back(callback, changed)
+
+    def _call_back(
+        self, callback: OnChange, changed: list[StoredObject]
+    ) -> None:
+        # The other callbacks must hear of the change all the same.
+        try:
+            callback(changed)
+        except Exception as exc:
+            self._note_fault('callback', exc)
+
+    def _note_fault(self, where: str, exc: Exception) -> None:
+        self._metrics.count('config_faults', type(exc).__name__)
+        logs.change('config_fault', where=where, error=str(exc))
 
     def _tell(self) -> None:
-        self._hint = Rumor(
+        rumor = Rumor(
             TOPIC, HINT_KEY, self.revision, self._node.encode(), HINT_TTL_S
         )
-        self._publish(self._hint)
+        if rumor.version > self._hint.version:
+            self._hint = rumor
+        self._publish(rumor)
 
     # Boot.
 
--- a/sesameward/platform_client.py
+++ b/sesameward/platform_client.py
@@ -34,6 +34,7 @@
 from .types import Revision
 
 MAX_CLIENTS = 64
+QUEUE_S = 0.25
 SETTLE_BASE_S = 0.05
 SETTLE_CAP_S = 0.5
 SETTLE_TIMEOUTS = 2.0
@@ -235,7 +236,9 @@
             prepare_curl_callback=_prepare,
         )
         try:
-            resp = await self._http.fetch(req, raise_error=False)
+            # The transfer's own timeout leaves out the wait for a handle.
+            async with asyncio.timeout(timeout_s + QUEUE_S):
+                resp = await self._http.fetch(req, raise_error=False)
         except (httpclient.HTTPError, OSError) as exc:
             raise self._unavailable('unreachable', str(exc)) from exc
         if resp.code == 429:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,6 +8,7 @@
 import socket
 
 from grpclib import server
+import msgspec
 import pytest
 
 from sesameward.codec import MsgpackCodec
@@ -17,9 +18,12 @@
 from sesameward.controllers.configuration import Configuration
 from sesameward import declared
 from sesameward.exceptions import ConflictError
+from sesameward.exceptions import PlatformThrottledError
+from sesameward.exceptions import UnsureWriteError
 from sesameward.messages import Member
 from sesameward.messages import Rumor
 from sesameward.messages import StoredObject
+from sesameward import objects
 from sesameward.platform_client import PlatformClient
 from sesameward.settings import PlatformSettings
 from sesameward.spread import Spread
@@ -87,6 +91,7 @@
     monkeypatch.setattr(configuration, 'RECONCILE_S', 0.5)
     monkeypatch.setattr(configuration, 'BACKOFF_CAP_S', 0.5)
     monkeypatch.setattr(configuration, 'ROLE_S', 0.2)
+    monkeypatch.setattr(objects, 'PAGE_BYTES', 300)
 
     def run(scenario, count=5):
         async def with_client(standin, client):
@@ -149,12 +154,16 @@
     with_agents, service
 ):
     async def scenario(standin, client, agents):
+        for number in range(5):
+            other = msgspec.structs.replace(service, name=f's{number}')
+            await write(client, other, None, f's{number}')
         first = await write(client, service)
         await agents.reach(first)
         standin.faults = Faults(outage=True)
         fresh = await agents.add('fresh')
         await agents.reach(first)
         assert fresh.book.service(service.service) == service
+        assert len(fresh.book) == 6
         standin.faults = Faults()
         await agents.reach(await write(client, service, first, 'c2'), 5.0)
 
@@ -272,3 +281,66 @@
         assert metrics.value('config_faults', 'ValueError')
 
     with_agents(scenario)
+
+
+FAULTS = {
+    'outage': Faults(outage=True),
+    'slow': Faults(slow_ms=300.0),
+    'lost_replies': Faults(lose_replies=2),
+    'lost_requests': Faults(lose_requests=2),
+    'throttled': Faults(reject_rate=0.7),
+    'watcher_killed': None,
+    'hints_lost': None,
+}
+FAULT_LASTS_S = 0.5
+
+
+@pytest.mark.parametrize('step', ['write', 'accepted', 'in_force_on_watcher'])
+@pytest.mark.parametrize('fault', FAULTS)
+def test_every_fault_at_every_step(with_agents, service, fault, step):
+    async def scenario(standin, client, agents):
+        await until(lambda: any(a.watching for a in agents.nodes.values()))
+        first = await write(client, service)
+        await agents.reach(first)
+        watcher = next(n for n, a in agents.nodes.items() if a.watching)
+        history = {n: [first] for n in agents.nodes}
+        for node, agent in agents.nodes.items():
+            agent.on_change(
+                lambda changed, node=node: history[node].extend(
+                    stored.revision for stored in changed
+                )
+            )
+
+        async def strike():
+            standin.faults = FAULTS[fault] or Faults()
+            if fault == 'watcher_killed':
+                await agents.remove(watcher)
+            if fault == 'hints_lost':
+                agents.cut.update(agents.nodes)
+            await asyncio.sleep(FAULT_LASTS_S)
+            standin.faults = Faults()
+            agents.cut.clear()
+
+        if step == 'write':
+            struck = asyncio.ensure_future(strike())
+            await asyncio.sleep(0)
+        second = await settle(client, service, first)
+        if step == 'accepted':
+            struck = asyncio.ensure_future(strike())
+        if step == 'in_force_on_watcher':
+            await until(lambda: agents.nodes[watcher].revision >= second)
+            struck = asyncio.ensure_future(strike())
+        await agents.reach(second, 8.0)
+        await struck
+        assert standin.store.revision == second == first + 1
+        for node in agents.nodes:
+            assert history[node] == [first, second]
+
+    with_agents(scenario, 3)
+
+
+async def settle(client, service, expected):
+    for _ in range(20):
+        with contextlib.suppress(PlatformThrottledError, UnsureWriteError):
+            return await write(client, service, expected, 'second')
+        await asyncio.sleep(0.1)
