Settle a write whose silent repetition was throttled

Cause: libcurl repeats a request on a kept connection that died; where the first one had taken effect and the repetition met a 429, the client told that the write was refused. The object is now read before a write is called refused; a call that the local budget stopped was never sent and is refused at once. The new test failed before the change.

--- a/sesameward/exceptions.py
+++ b/sesameward/exceptions.py
@@ -76,6 +76,10 @@
         self.retry_after_s = retry_after_s
 
 
+class BudgetSpentError(PlatformThrottledError):
+    """Report that this process's own budget kept a call from being sent."""
+
+
 class NotFoundError(PlatformError):
     """Report that the object does not exist."""
 
--- a/sesameward/platform_client.py
+++ b/sesameward/platform_client.py
@@ -13,6 +13,7 @@
 import pycurl
 from tornado import httpclient
 
+from .exceptions import BudgetSpentError
 from .exceptions import CompactedError
 from .exceptions import ConflictError
 from .exceptions import DeclarationError
@@ -142,9 +143,13 @@
         while True:
             try:
                 return await self._attempt(write, deadline, since)
-            except PlatformThrottledError:
+            except BudgetSpentError:
                 if not unsure:
                     raise
+            except PlatformThrottledError:
+                if not unsure and await self._left_no_trace(write, since):
+                    raise
+                unsure = True
             except PlatformUnavailableError:
                 unsure = True
             self._metrics.count('platform_retries', 'unsure_write')
@@ -195,6 +200,24 @@
             f'{write.kind} {write.name}', current.revision, current.change
         )
 
+    async def _left_no_trace(self, write: _Write, since: Revision) -> bool:
+        # What was refused can be libcurl's own repetition of a write that had
+        # taken effect.
+        try:
+            stored = await self.get(write.kind, write.name)
+        except NotFoundError:
+            return write.method == 'PUT'
+        except PlatformError:
+            return False
+        if stored.revision <= since:
+            return True
+        if stored.change == write.change:
+            return False
+        try:
+            return await self._find_in_events(write, since) is None
+        except PlatformError:
+            return False
+
     async def _find_in_events(
         self, write: _Write, since: Revision
     ) -> Revision | None:
@@ -220,7 +243,7 @@
         wait_s = self._budget.take(self._clock())
         if wait_s > 0.0:
             self._metrics.count('platform_errors', 'local_budget')
-            raise PlatformThrottledError(
+            raise BudgetSpentError(
                 'this process spent its budget of platform calls', wait_s
             )
         timeout_s = timeout_s or self._cfg.timeout_s
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -77,6 +77,35 @@
     with_platform(scenario)
 
 
+def test_throttled_repetition_does_not_hide_the_effect(with_platform):
+    async def scenario(standin, client):
+        await client.list('pool')
+        standin.faults = Faults(lose_replies=1)
+        pending = asyncio.ensure_future(
+            client.put('pool', 'a', b'1', None, 'c1')
+        )
+        while standin.store.revision == 0:
+            await asyncio.sleep(0)
+        standin.faults = Faults(reject_rate=1.0)
+        await asyncio.sleep(0.2)
+        standin.faults = Faults()
+        assert await pending == 1 and standin.store.revision == 1
+
+    with_platform(scenario)
+
+
+def test_throttled_write_is_refused_when_it_left_no_trace(with_platform):
+    async def scenario(standin, client):
+        revision = await client.put('pool', 'a', b'1', None, 'c1')
+        for name, expected in (('a', revision), ('b', None)):
+            standin.writes.take = lambda now: 1.0
+            with pytest.raises(PlatformThrottledError):
+                await client.put('pool', name, b'2', expected, 'c2')
+        assert standin.store.revision == revision
+
+    with_platform(scenario)
+
+
 def test_outage_leaves_write_unsure_and_reads_unavailable(
     with_platform, metrics
 ):
