--- a/sesameward/controllers/rollup.py
+++ b/sesameward/controllers/rollup.py
@@ -138,7 +138,11 @@
         except NotFoundError:
             self._lease.observe(None, None, self._clock())
             return
-        value = msgspec.json.decode(stored.value, type=LeaseValue)
+        try:
+            value = msgspec.json.decode(stored.value, type=LeaseValue)
+        except msgspec.DecodeError:
+            self._metrics.count('rollup_refused', 'undecodable')
+            value = None
         self._lease.observe(value, stored.revision, self._clock())
 
     async def _claim(self) -> None:
--- a/tests/test_rollup.py
+++ b/tests/test_rollup.py
@@ -68,6 +68,7 @@
 
 def test_holder_writes_the_summary_and_renews(with_rollups):
     async def scenario(standin, first, second, clocks):
+        standin.store.write(KIND, NAME, b'no lease', '', deleted=False)
         await first.step()
         await second.step()
         assert first.holds() and not second.holds()
