--- a/benchmark/virtual.py
+++ b/benchmark/virtual.py
@@ -11,17 +11,17 @@
 from sesameward import antientropy
 from sesameward.antientropy import AntiEntropy
 from sesameward import datagrams
+from sesameward.events import Action
+from sesameward.events import Changed
+from sesameward.events import Received
+from sesameward.events import Send
+from sesameward.events import SyncWanted
+from sesameward.events import Tick
 from sesameward.messages import Member
 from sesameward.roster import Roster
 from sesameward.seals import OVERHEAD_BYTES
 from sesameward.settings import MembershipSettings
-from sesameward.swim import Action
-from sesameward.swim import Changed
-from sesameward.swim import Received
-from sesameward.swim import Send
 from sesameward.swim import Swim
-from sesameward.swim import SyncWanted
-from sesameward.swim import Tick
 from sesameward.types import NodeId
 from sesameward.types import ZoneName
 
--- a/sesameward/antientropy.py
+++ b/sesameward/antientropy.py
@@ -11,12 +11,12 @@
 from .datagrams import Claim
 from .datagrams import introduce
 from .datagrams import Introduction
+from .events import Action
 from .messages import Rumor
-from .swim import Action
 from .swim import Swim
 from .types import NodeId
 
-MAX_CLAIMS = 400
+MAX_CLAIMS = 100
 MAX_INTRODUCTIONS = 150
 MAX_RUMORS = 200
 
--- a/sesameward/datagrams.py
+++ b/sesameward/datagrams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import sys
 import typing
 
 import msgspec
@@ -61,16 +62,22 @@
     def to_member(self) -> Member:
         """Return the member."""
         return Member(
-            node=self.node,
-            zone=self.zone,
-            host=self.host,
+            node=_shared(self.node),
+            zone=_shared(self.zone),
+            host=_shared(self.host),
             gossip_port=self.gossip_port,
             grpc_port=self.grpc_port,
             http_port=self.http_port,
             incarnation=self.incarnation,
             state=STATES[self.rank],
             entries=tuple(
-                Address(e.node, e.host, e.port, e.zone, e.weight)
+                Address(
+                    _shared(e.node),
+                    _shared(e.host),
+                    e.port,
+                    _shared(e.zone),
+                    e.weight,
+                )
                 for e in self.entries
             ),
             leaving=self.leaving,
@@ -174,6 +181,14 @@
     )
 
 
+_Text = typing.TypeVar('_Text', bound=str)
+
+
+def _shared(text: _Text) -> _Text:
+    """Return one object for equal texts, which many members repeat."""
+    return typing.cast(_Text, sys.intern(text))
+
+
 def rank_of(state: MemberState) -> int:
     """Return the position of the state in their order."""
     return _RANKS[state]
--- a/sesameward/gossip.py
+++ b/sesameward/gossip.py
@@ -17,6 +17,13 @@
 from . import logs
 from .antientropy import AntiEntropy
 from .datagrams import Datagram
+from .events import Action
+from .events import Changed
+from .events import Received
+from .events import RumorHeard
+from .events import Send
+from .events import SyncWanted
+from .events import Tick
 from .exceptions import IntegrityError
 from .exceptions import PeerUnavailableError
 from .messages import Address
@@ -26,20 +33,13 @@
 from .seals import Seals
 from .settings import AgentSettings
 from .settings import Endpoint
-from .swim import Action
-from .swim import Changed
-from .swim import Received
-from .swim import RumorHeard
-from .swim import Send
 from .swim import Swim
-from .swim import SyncWanted
-from .swim import Tick
 from .types import Clock
 
 JOIN_RETRY_S = 1.0
 REJOIN_S = 30.0
 JOIN_FANOUT = 3
-MAX_SYNC_ROUNDS = 64
+MAX_SYNC_ROUNDS = 128
 
 
 class SyncTransport(typing.Protocol):
@@ -182,7 +182,10 @@
         reply, actions = self._anti_entropy.answer(now, req)
         self._act(actions)
         body = antientropy.encode(reply)
-        return self._seals.seal(body, _reply_to(sealed), self.wall_clock())
+        answer = self._seals.seal(body, bind_reply(sealed), self.wall_clock())
+        self._metrics.count('sync_bytes', 'received', len(sealed))
+        self._metrics.count('sync_bytes', 'sent', len(answer))
+        return answer
 
     # Datagrams.
 
@@ -197,6 +200,7 @@
         except IntegrityError:
             return
         self._metrics.count('datagrams_received')
+        self._metrics.count('datagram_bytes', 'received', len(data))
         event = Received(addr[0], addr[1], message)
         self._act(self._swim.handle(self._loop.time(), event))
         self._schedule()
@@ -229,6 +233,7 @@
         sealed = self._seals.seal(body, f'{host}:{port}', self.wall_clock())
         self._udp.sendto(sealed, (host, port))
         self._metrics.count('datagrams_sent')
+        self._metrics.count('datagram_bytes', 'sent', len(sealed))
 
     # Time.
 
@@ -321,13 +326,15 @@
         to = f'{member.host}:{member.grpc_port}'
         sealed = self._seals.seal(body, to, self.wall_clock())
         reply = await self._sync_transport.sync(member, sealed)
-        data = self._open(reply, _reply_to(sealed))
+        self._metrics.count('sync_bytes', 'sent', len(sealed))
+        self._metrics.count('sync_bytes', 'received', len(reply))
+        data = self._open(reply, bind_reply(sealed))
         try:
             return antientropy.decode_reply(data)
         except msgspec.MsgspecError as exc:
             raise self._malformed() from exc
 
 
-def _reply_to(sealed: bytes) -> str:
+def bind_reply(sealed: bytes) -> str:
     """Bind a reply to its request."""
     return hashlib.blake2b(sealed, digest_size=16).hexdigest()
--- a/sesameward/piggyback.py
+++ b/sesameward/piggyback.py
@@ -95,3 +95,24 @@
             return BACKLOG_TRANSMITS
         spread = RETRANSMIT_MULT * math.ceil(math.log10(members + 1))
         return max(spread, MIN_TRANSMITS)
+
+
+class TokenBucket:
+    """Bound bytes or messages per second."""
+
+    def __init__(self, rate: float, burst: float):
+        self._rate = rate
+        self._burst = burst
+        self._left = burst
+        self._at = 0.0
+
+    def left(self, now: float) -> int:
+        """Return how much may be spent now."""
+        gained = max(0.0, now - self._at) * self._rate
+        self._left = min(self._burst, self._left + gained)
+        self._at = now
+        return max(0, int(self._left))
+
+    def spend(self, size: int) -> None:
+        """Note what was spent."""
+        self._left -= size
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -25,10 +25,20 @@
 from .datagrams import rank_of
 from .datagrams import Update
 from .datagrams import WireRumor
+from .events import Action
+from .events import Changed
+from .events import Event
+from .events import Received
+from .events import RumorHeard
+from .events import Send
+from .events import SyncWanted
+from .events import Tick
 from .exceptions import RumorTooLargeError
 from .messages import Member
 from .messages import Rumor
 from .piggyback import Piggyback
+from .piggyback import TokenBucket
+from .probing import Pool
 from .roster import is_live
 from .roster import Roster
 from .rumors import Rumors
@@ -48,65 +58,18 @@
 SWEEP_S = 10.0
 MIN_SYNC_GAP_S = 5.0
 MAX_RUMOR_BYTES = 512
-REVIVAL_BYTES_PER_S = 800.0
-REVIVAL_BURST_BYTES = 800.0
+REVIVAL_BYTES_PER_S = 600.0
+REVIVAL_BURST_BYTES = 600.0
 URGENT_BYTES_PER_S = 3_000.0
 URGENT_BURST_BYTES = 6_000.0
 GOSSIP_BACKLOG = 32
+MAX_REPROBED = 6
+HINT_PROBES = 3
+CONTRADICTIONS_PER_S = 1.0
+CONTRADICTIONS_BURST = 4.0
 BODY_BYTES = 160
 GREETING = Ping(0)
 WELCOME_COUNT = 16
-MAX_FIXED_ORDER = 4
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """Tell that a sealed datagram came in from this address."""
-
-    host: str
-    port: int
-    message: Datagram
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
-    """Tell that time went on."""
-
-
-Event = Received | Tick
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """Ask for a datagram to be sent."""
-
-    host: str
-    port: int
-    message: Datagram
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changed:
-    """Tell that a member was added or changed."""
-
-    member: Member
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RumorHeard:
-    """Tell of a rumor's new version, once."""
-
-    rumor: Rumor
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SyncWanted:
-    """Ask for an exchange of state with this member."""
-
-    member: Member
-
-
-Action = Send | Changed | RumorHeard | SyncWanted
 
 
 class _Timer(enum.Enum):
@@ -134,25 +97,6 @@
     port: int
 
 
-class _Bucket:
-    """Bound the bytes of updates per second."""
-
-    def __init__(self, rate: float, burst: float):
-        self._rate = rate
-        self._burst = burst
-        self._left = burst
-        self._at = 0.0
-
-    def left(self, now: float) -> int:
-        gained = max(0.0, now - self._at) * self._rate
-        self._left = min(self._burst, self._left + gained)
-        self._at = now
-        return max(0, int(self._left))
-
-    def spend(self, size: int) -> None:
-        self._left -= size
-
-
 class Swim:
     """Detect failures and spread updates at a constant cost per node."""
 
@@ -168,9 +112,17 @@
         self._rumors = Rumors()
         self._urgent = Piggyback()
         self._revivals = Piggyback()
-        self._urgent_bytes = _Bucket(URGENT_BYTES_PER_S, URGENT_BURST_BYTES)
-        self._revival_bytes = _Bucket(REVIVAL_BYTES_PER_S, REVIVAL_BURST_BYTES)
-        self._pool = _Pool(rng)
+        self._urgent_bytes = TokenBucket(
+            URGENT_BYTES_PER_S, URGENT_BURST_BYTES
+        )
+        self._revival_bytes = TokenBucket(
+            REVIVAL_BYTES_PER_S, REVIVAL_BURST_BYTES
+        )
+        self._contradictions = TokenBucket(
+            CONTRADICTIONS_PER_S, CONTRADICTIONS_BURST
+        )
+        self._reprobed: set[NodeId] = set()
+        self._pool = Pool(rng)
         self._dead: dict[NodeId, float] = {}
         self._suspicions: dict[NodeId, Suspicion] = {}
         self._probes: dict[int, _Probe] = {}
@@ -310,19 +262,19 @@
     def adopt_all(self, roster: Roster) -> None:
         """Begin with a copy of these records, which hold the own one."""
         self._roster = roster.copy()
-        for member in roster:
-            if member.node != self._me.node:
-                self._pool.add(member.node)
+        self._pool.fill([m.node for m in roster if m.node != self._me.node])
         self._urgent = Piggyback()
         self._revivals = Piggyback()
 
     def merge(
         self, now: float, members: typing.Iterable[Member]
     ) -> list[Action]:
-        """Take in another's records."""
+        """Take in another's records; strangers among them spread by it."""
         self._actions = []
         for member in members:
-            self._merge(now, member)
+            is_known = self._roster.get(member.node) is not None
+            queue = self._revivals if is_known else None
+            self._merge(now, member, queue)
         return self._actions
 
     def claims(self, buckets: typing.Iterable[int]) -> list[Claim]:
@@ -332,17 +284,31 @@
     def merge_claims(
         self, now: float, claims: typing.Iterable[Claim]
     ) -> tuple[list[Action], list[NodeId]]:
-        """Take in compact records; also return who must be introduced."""
+        """Take in compact records; also return who must be introduced.
+
+        Another's view of a death may stem from a cut which has ended, so
+        it only leads to some probes.
+        """
         self._actions = []
         wanted = []
+        doubted = []
         for claim in claims:
             if claim.state is MemberState.SUSPECT:
-                alive = rank_of(MemberState.ALIVE)
-                claim = msgspec.structs.replace(claim, rank=alive)
-            if self._take_claim(now, claim):
+                claim = _as_alive(claim)
+            if self._is_live(claim.node) and _is_dead(claim):
+                doubted.append(claim.node)
+            elif self._take_claim(now, claim):
                 wanted.append(claim.node)
+        count = min(HINT_PROBES, len(doubted))
+        for node in self._rng.sample(doubted, count):
+            self._probe(now, node)
         return self._actions, wanted
 
+    def _is_live(self, node: NodeId) -> bool:
+        member = self._roster.get(node)
+        is_other = node != self._me.node
+        return is_other and member is not None and is_live(member)
+
     def is_news(self, claim: Claim) -> bool:
         """Tell whether the own record overrides this claim."""
         own = self._roster.get(claim.node)
@@ -436,12 +402,24 @@
         self._health.add(silent)
         suspicion = self._suspicion(now, member)
         suspicion.failures += 1
+        if not suspicion.origins:
+            recent_s = self._health.stretch(self._cfg.period_s)
+            earliest = now - 2 * recent_s
+            suspicion.started_at = max(suspicion.started_at, earliest)
         me = self._me.node
         if suspicion.failures > 1 and me not in suspicion.origins:
             suspicion.origins.add(me)
             self._announce(now, member, me)
         self._arm(now, probe.node, suspicion)
-        self._probe(now, probe.node)
+        self._probe_again(now, probe.node)
+
+    def _probe_again(self, now: float, node: NodeId) -> None:
+        """Check a silent member at once, though only some at a time."""
+        if node not in self._reprobed:
+            if len(self._reprobed) >= MAX_REPROBED:
+                return
+            self._reprobed.add(node)
+        self._probe(now, node)
 
     def _suspicion(self, now: float, member: Member) -> Suspicion:
         suspicion = self._suspicions.get(member.node)
@@ -463,11 +441,12 @@
 
     def _announce(self, now: float, member: Member, origin: NodeId) -> None:
         suspect = msgspec.structs.replace(member, state=MemberState.SUSPECT)
-        if self._roster.merge(suspect):
+        is_first = self._roster.merge(suspect)
+        if is_first:
             self._actions.append(Changed(suspect))
-        self._urgent.put(
-            ('s', member.node, origin), self._claim(suspect, origin)
-        )
+        if is_first or len(self._urgent) <= GOSSIP_BACKLOG:
+            claim = self._claim(suspect, origin)
+            self._urgent.put(('s', member.node, origin), claim)
 
     def _on_suspect(self, now: float, node: NodeId) -> None:
         suspicion = self._suspicions.get(node)
@@ -481,7 +460,8 @@
             return
         member = self._roster.get(node)
         dead = msgspec.structs.replace(member, state=MemberState.DEAD)
-        self._adopt(now, dead, self._claim(dead, self._me.node))
+        claim = self._claim(dead, self._me.node)
+        self._adopt(now, dead, claim, self._urgent)
 
     def _on_nack(self, now: float, seq: int) -> None:
         relay = self._relays.pop(seq, None)
@@ -554,6 +534,9 @@
     def _contradict(
         self, now: float, host: str, port: int, doubt: Claim
     ) -> None:
+        if not self._contradictions.left(now):
+            return
+        self._contradictions.spend(1)
         same = doubt.content == self._roster.content(self._me.node)
         update = self._claim(self._me) if same else introduce(self._me)
         self._send(now, host, port, Gossip(), (update,))
@@ -597,6 +580,7 @@
             return
         self._health.add(-1)
         suspicion = self._suspicions.get(probe.node)
+        self._reprobed.discard(probe.node)
         if suspicion is None:
             return
         suspicion.failures = 0
@@ -626,7 +610,7 @@
                 if self._take_claim(now, update):
                     self._want_sync(now, sender)
             case Introduction():
-                self._merge(now, update.to_member())
+                self._merge(now, update.to_member(), self._urgent)
             case WireRumor():
                 self._hear(now, update.to_rumor())
 
@@ -652,6 +636,7 @@
                 member, incarnation=claim.incarnation, state=claim.state
             ),
             claim,
+            self._urgent,
         )
         return False
 
@@ -677,19 +662,29 @@
         self._announce(now, suspect, claim.origin)
         self._arm(now, member.node, suspicion)
 
-    def _merge(self, now: float, member: Member) -> None:
+    def _merge(
+        self, now: float, member: Member, queue: Piggyback | None
+    ) -> None:
         if member.node == self._me.node:
             content = datagrams.content_of(member)
             self._refute(member.incarnation, member.state, content)
             return
+        if member.state is MemberState.DEAD:
+            return
         known = self._roster.get(member.node)
         if known is None and not is_live(member):
             return
         if member.state is MemberState.SUSPECT:
             member = msgspec.structs.replace(member, state=MemberState.ALIVE)
-        self._adopt(now, member, introduce(member))
+        self._adopt(now, member, introduce(member), queue)
 
-    def _adopt(self, now: float, member: Member, update: Update) -> None:
+    def _adopt(
+        self,
+        now: float,
+        member: Member,
+        update: Update,
+        queue: Piggyback | None,
+    ) -> None:
         """Merge a record whose content is known and pass it on."""
         known = self._roster.get(member.node)
         content = self._roster.content(member.node) if known else None
@@ -699,23 +694,26 @@
             update = self._claim(member)
         self._settle(member.node)
         self._actions.append(Changed(member))
-        was_live = known is not None and is_live(known)
-        revived = known is not None and not was_live and is_live(member)
         if is_live(member):
             self._dead.pop(member.node, None)
             self._pool.add(member.node)
         else:
             self._dead.setdefault(member.node, now)
             self._pool.remove(member.node)
+        if known is None and len(self._pool) == 1:
+            self._want_sync(now, member.node)
         key = ('m', member.node)
         self._urgent.drop(key)
         self._revivals.drop(key)
-        queue = self._revivals if revived else self._urgent
-        queue.put(key, update)
+        if _is_revival(known, update):
+            queue = self._revivals
+        if queue is not None:
+            queue.put(key, update)
 
     def _settle(self, node: NodeId) -> None:
         """Drop the suspicion, which a newer record has answered."""
         suspicion = self._suspicions.pop(node, None)
+        self._reprobed.discard(node)
         if suspicion is not None:
             for origin in suspicion.origins:
                 self._urgent.drop(('s', node, origin))
@@ -735,7 +733,10 @@
             self._health.add(1)
         self._set_me(msgspec.structs.replace(me, incarnation=incarnation + 1))
         update = self._claim(self._me) if same else introduce(self._me)
-        self._urgent.put(('m', me.node), update)
+        queue = self._urgent
+        if state is MemberState.DEAD and same:
+            queue = self._revivals
+        queue.put(('m', me.node), update)
 
     def _set_me(self, me: Member) -> None:
         self._me = me
@@ -833,51 +834,23 @@
         self._actions.append(SyncWanted(member))
 
 
-class _Pool:
-    """Deal out the probed members in a random order, each once a round."""
+def _as_alive(claim: Claim) -> Claim:
+    alive = rank_of(MemberState.ALIVE)
+    return msgspec.structs.replace(claim, rank=alive)
 
-    def __init__(self, rng: random.Random):
-        self._rng = rng
-        self._nodes: list[NodeId] = []
-        self._index: dict[NodeId, int] = {}
-        self._round: list[NodeId] = []
 
-    def __len__(self) -> int:
-        return len(self._nodes)
+def _is_dead(claim: Claim) -> bool:
+    return claim.state is MemberState.DEAD
 
-    def add(self, node: NodeId) -> None:
-        if node in self._index:
-            return
-        self._index[node] = len(self._nodes)
-        self._nodes.append(node)
-        place = self._rng.randint(0, len(self._round))
-        self._round.insert(place, node)
-
-    def remove(self, node: NodeId) -> None:
-        index = self._index.pop(node, None)
-        if index is None:
-            return
-        last = self._nodes.pop()
-        if last != node:
-            self._nodes[index] = last
-            self._index[last] = index
-
-    def next(self) -> NodeId | None:
-        if not self._nodes:
-            return None
-        while True:
-            if not self._round:
-                self._round = list(self._nodes)
-                if len(self._round) > MAX_FIXED_ORDER:
-                    self._rng.shuffle(self._round)
-            node = self._round.pop()
-            if node in self._index:
-                return node
-
-    def sample(self, count: int, but: NodeId = NodeId('')) -> list[NodeId]:
-        more = min(count + 1, len(self._nodes))
-        nodes = self._rng.sample(self._nodes, more)
-        return [node for node in nodes if node != but][:count]
+
+def _is_revival(known: Member | None, update: Update) -> bool:
+    """Tell whether an update may wait, as those after a cut may."""
+    return (
+        isinstance(update, Claim)
+        and update.state is MemberState.ALIVE
+        and known is not None
+        and known.state is not MemberState.SUSPECT
+    )
 
 
 def _wire(rumor: Rumor) -> WireRumor:
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,131 @@
+"""Test the anti-entropy between real agents over grpclib."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from grpclib.server import Server
+import msgspec
+import pytest
+
+from sesameward.codec import MsgpackCodec
+from sesameward.events import SyncWanted
+from sesameward.exceptions import PeerUnavailableError
+from sesameward.gossip import Gossip
+from sesameward.messages import Member
+from sesameward.messages import Rumor
+from sesameward.metrics import Metrics
+from sesameward.peers import PeerClient
+from sesameward.peers import PeerHandler
+from sesameward.seals import Seals
+from sesameward.settings import AgentSettings
+from sesameward.settings import Endpoint
+from sesameward.settings import MembershipSettings
+from sesameward.settings import PlatformSettings
+from sesameward.types import NodeId
+from sesameward.types import ZoneName
+
+KEYS = ('key',)
+FLEET = 700
+
+
+@pytest.fixture
+def serve():
+    """Return a function which runs an agent's membership and its server."""
+    servers = []
+
+    async def start(name, metrics=None):
+        handler = PeerHandler(lambda sealed: gossip.answer_sync(sealed))
+        server = Server([handler], codec=MsgpackCodec())
+        await server.start('127.0.0.1', 0)
+        servers.append(server)
+        port = server._server.sockets[0].getsockname()[1]
+        anywhere = Endpoint('127.0.0.1', 0)
+        gossip = Gossip(
+            AgentSettings(
+                node=NodeId(name),
+                zone=ZoneName('a'),
+                http=anywhere,
+                grpc=anywhere,
+                gossip=anywhere,
+                platform=PlatformSettings('http://127.0.0.1:1'),
+                membership=MembershipSettings(keys=KEYS),
+            ),
+            Member(NodeId(name), ZoneName('a'), '127.0.0.1', 1, port, 1),
+            metrics or Metrics(name),
+            random.Random(name),
+            PeerClient(),
+        )
+        await gossip.start()
+        return gossip
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+async def until(condition):
+    """Wait for a condition; raise TimeoutError."""
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_an_exchange_carries_members_and_rumors_both_ways(serve):
+    async def run():
+        one, other = await serve('n0'), await serve('n1')
+        fleet = [
+            msgspec.structs.replace(one.me, node=NodeId(f'far-{index}'))
+            for index in range(FLEET)
+        ]
+        now = asyncio.get_running_loop().time()
+        one._swim.merge(now, fleet)
+        one.publish(Rumor('config', 'a', 1))
+        other.publish(Rumor('config', 'b', 1))
+        other._act([SyncWanted(one.me)])
+        await until(lambda: len(other.members()) == FLEET + 2)
+        await until(lambda: len(one.members()) == FLEET + 2)
+        for agent in (one, other):
+            assert {r.key for r in agent.rumors()} == {'a', 'b'}
+            await agent.stop(leave=False)
+
+    asyncio.run(run())
+
+
+def test_unsealed_and_repeated_requests_are_refused(serve):
+    async def run():
+        metrics = Metrics('n0')
+        one = await serve('n0', metrics)
+        client = PeerClient()
+        to = f'{one.me.host}:{one.me.grpc_port}'
+        foreign = Seals(('wrong',), b'attacker').seal(b'', to, time.time())
+        with pytest.raises(PeerUnavailableError):
+            await client.sync(one.me, foreign)
+        req = one._anti_entropy.begin(0.0)
+        body = msgspec.msgpack.encode(req)
+        sealed = Seals(KEYS, b'newcomer').seal(body, to, time.time())
+        await client.sync(one.me, sealed)
+        with pytest.raises(PeerUnavailableError):
+            await client.sync(one.me, sealed)
+        refused = {
+            reason: metrics.value('datagrams_refused', reason)
+            for reason in ('foreign', 'replayed')
+        }
+        assert refused == {'foreign': 1, 'replayed': 1}
+        await one.stop(leave=False)
+
+    asyncio.run(run())
+
+
+def test_a_peer_which_does_not_answer_is_counted(serve):
+    async def run():
+        metrics = Metrics('n0')
+        one = await serve('n0', metrics)
+        gone = msgspec.structs.replace(one.me, node=NodeId('n1'), grpc_port=1)
+        one._act([SyncWanted(gone)])
+        await until(lambda: metrics.value('syncs_failed', 'unavailable'))
+        await one.stop(leave=False)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_swim.py
@@ -0,0 +1,286 @@
+"""Test the membership's decisions, in virtual time where many take part."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from benchmark.virtual import build_members
+from benchmark.virtual import Cluster
+from sesameward import datagrams
+from sesameward.datagrams import Ack
+from sesameward.datagrams import Claim
+from sesameward.datagrams import Datagram
+from sesameward.datagrams import introduce
+from sesameward.datagrams import Ping
+from sesameward.events import Received
+from sesameward.events import RumorHeard
+from sesameward.events import Send
+from sesameward.events import Tick
+from sesameward.exceptions import RumorTooLargeError
+from sesameward.messages import Address
+from sesameward.messages import Rumor
+from sesameward.piggyback import Piggyback
+from sesameward.roster import Roster
+from sesameward.rumors import Rumors
+from sesameward.seals import OVERHEAD_BYTES
+from sesameward.settings import MembershipSettings
+from sesameward.swim import BODY_BYTES
+from sesameward.swim import Swim
+from sesameward.types import MemberState
+from sesameward.types import NodeId
+from sesameward.types import ZoneName
+
+CFG = MembershipSettings(keys=('key',))
+KNOWN_S = 3.0
+
+records = st.builds(
+    lambda index, incarnation, state, leaving: msgspec.structs.replace(
+        build_members(3)[index],
+        incarnation=incarnation,
+        state=state,
+        leaving=leaving,
+    ),
+    st.integers(0, 2),
+    st.integers(0, 3),
+    st.sampled_from(MemberState),
+    st.booleans(),
+)
+facts = st.builds(
+    Rumor,
+    topic=st.just('t'),
+    key=st.sampled_from('ab'),
+    version=st.integers(0, 3),
+    body=st.sampled_from([b'', b'x']),
+)
+
+
+def merged(members):
+    """Return what a roster holds after merging members in this order."""
+    roster = Roster()
+    for member in members:
+        roster.merge(member)
+    return {member.node: member for member in roster}, roster.digests()
+
+
+@hypothesis.given(st.lists(records, max_size=8), st.randoms())
+def test_merging_records_is_commutative_and_idempotent(members, rng):
+    shuffled = members + members
+    rng.shuffle(shuffled)
+    assert merged(shuffled) == merged(members)
+
+
+@hypothesis.given(st.lists(records, max_size=8))
+def test_merging_records_is_monotone(members):
+    roster = Roster()
+    for member in members:
+        before = roster.get(member.node)
+        roster.merge(member)
+        after = roster.get(member.node)
+        if before is not None:
+            assert after.incarnation >= before.incarnation
+        assert roster.merge(member) is False
+
+
+@hypothesis.given(st.lists(facts, max_size=8), st.randoms())
+def test_merging_rumors_keeps_the_highest_version(rumors, rng):
+    def held(order):
+        kept = Rumors()
+        for rumor in order:
+            kept.merge(rumor, 0.0)
+        return sorted(kept.current(0.0), key=repr), kept.digest(0.0)
+
+    shuffled = rumors + rumors
+    rng.shuffle(shuffled)
+    assert held(shuffled) == held(rumors)
+
+
+def test_an_expired_rumor_is_not_heard_again():
+    rumors = Rumors()
+    rumor = Rumor('t', 'k', 1, ttl_s=5.0)
+    assert rumors.merge(rumor, 0.0)
+    rumors.expire(6.0)
+    assert rumors.current(6.0) == []
+    assert not rumors.merge(rumor, 6.0)
+    rumors.expire(120.0)
+    assert rumors.merge(rumor, 120.0)
+
+
+@hypothesis.given(records)
+def test_records_survive_the_wire(member):
+    entry = Address(NodeId('e'), '10.0.0.9', 80, ZoneName('z'), 0.5)
+    member = msgspec.structs.replace(member, entries=(entry,))
+    message = Datagram(member.node, Ping(1), (introduce(member),))
+    decoded = datagrams.decode(datagrams.encode(message))
+    assert decoded == message
+    assert decoded.updates[0].to_member() == member
+
+
+def test_updates_are_sent_a_bounded_number_of_times():
+    queue = Piggyback()
+    for index in range(10):
+        queue.put(('m', str(index)), Claim(NodeId(f'n{index}'), 1, 0, 1))
+    sent = []
+    while len(queue):
+        updates, size = queue.take(60, members=4_800)
+        assert sum(len(datagrams.encode(u)) for u in updates) == size <= 60
+        sent += updates
+    assert len(sent) == 10 * 16
+
+
+@pytest.fixture
+def cluster():
+    """Return a function which builds agents that know each other."""
+
+    def build(count, seed=1, loss=0.0, observer=None, cfg=CFG):
+        built = Cluster(build_members(count), cfg, seed, loss, observer)
+        built.know_each_other()
+        return built
+
+    return build
+
+
+@pytest.fixture
+def swim():
+    """Build one agent which knows two others."""
+    me, *others = build_members(3)
+    one = Swim(me, CFG, random.Random(1))
+    one.start(0.0)
+    one.merge(0.0, others)
+    return one
+
+
+def views(cluster, node):
+    """Return the states in which running agents hold a node."""
+    return {
+        agent.swim.get(node).state for agent in cluster.agents if agent.alive
+    }
+
+
+@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('count', [2, 3, 5])
+def test_a_killed_agent_is_known_to_all_in_time(cluster, count, seed):
+    running = cluster(count, seed)
+    running.run(5.0 + seed / 7)
+    running.kill(0)
+    running.run(running.now + KNOWN_S)
+    node = running.agents[0].swim.me.node
+    assert views(running, node) == {MemberState.DEAD}
+
+
+def test_loss_and_freezes_remove_nobody(cluster):
+    removed = []
+
+    def observe(now, index, member):
+        if member.state in (MemberState.DEAD, MemberState.LEFT):
+            removed.append((now, index, member))
+
+    running = cluster(5, loss=0.05, observer=observe)
+    for minute in range(5):
+        running.at(
+            20 + 60 * minute,
+            lambda minute=minute: running.freeze(minute % 5, 2.0),
+        )
+    running.run(300)
+    assert removed == []
+
+
+def test_a_cut_heals_and_all_know_each_other(cluster):
+    running = cluster(12)
+    running.side = lambda index: index % 3
+    running.run(60)
+    sizes = [len(agent.swim.members()) for agent in running.agents]
+    assert sizes == [4] * 12
+    running.side = None
+    running.run(150)
+    sizes = [len(agent.swim.members()) for agent in running.agents]
+    assert sizes == [12] * 12
+
+
+def test_no_datagram_passes_its_bound(cluster):
+    cfg = msgspec.structs.replace(CFG, datagram_bytes=500)
+    running = cluster(40, cfg=cfg)
+    sizes = []
+    carry = running.act
+
+    def act(agent, actions):
+        sizes.extend(
+            len(datagrams.encode(action.message)) + OVERHEAD_BYTES
+            for action in actions
+            if isinstance(action, Send)
+        )
+        carry(agent, actions)
+
+    running.act = act
+    running.side = lambda index: index % 2
+    running.run(20)
+    running.side = None
+    running.run(40)
+    fullest = cfg.datagram_bytes - BODY_BYTES
+    assert fullest <= max(sizes) <= cfg.datagram_bytes
+
+
+def test_anti_entropy_brings_what_gossip_lost(cluster):
+    running = cluster(6)
+    running.loss = 1.0
+    rumor = Rumor('config', 'revision', 7, b'7', ttl_s=300.0)
+    first = running.agents[0].swim
+    first.publish(0.0, rumor)
+    first.update(0.0, msgspec.structs.replace(first.me, leaving=True))
+    first.leave(0.0)
+    for agent in running.agents[1:]:
+        running.act(running.agents[0], [])
+        running._sync(agent, build_members(6)[0])
+        assert [r.version for r in agent.swim.rumors(0.0)] == [7]
+        assert agent.swim.get(first.me.node).state is MemberState.LEFT
+
+
+def test_a_suspected_agent_refutes_with_a_higher_incarnation(swim):
+    me, other, _ = build_members(3)
+    content = datagrams.content_of(me)
+    doubt = Claim(me.node, me.incarnation, 1, content, other.node)
+    message = Datagram(other.node, Ping(7, me.node), (doubt,))
+    actions = swim.handle(0.1, Received('10.0.0.1', 1, message))
+    sent = [a.message for a in actions if isinstance(a, Send)]
+    assert sent[0].body == Ack(7)
+    assert swim.me.incarnation == me.incarnation + 1
+    refutation = Claim(me.node, me.incarnation + 1, 0, content)
+    assert refutation in sent[0].updates
+    assert swim.local_health == 1
+
+
+def test_a_ping_for_another_node_is_not_answered(swim):
+    message = Datagram(NodeId('erie-01-0001'), Ping(7, NodeId('gone')))
+    actions = swim.handle(0.1, Received('10.0.0.1', 1, message))
+    assert [a for a in actions if isinstance(a, Send)] == []
+
+
+def test_a_paused_agent_gives_others_their_time_again(swim):
+    now = 0.0
+    while now < 0.6:
+        now = max(now, swim.next_at)
+        swim.handle(now, Tick())
+    actions = swim.handle(now + 60.0, Tick())
+    assert len(swim.members()) == 3
+    assert swim.local_health > 0
+    assert all(isinstance(action, Send) for action in actions)
+
+
+def test_a_rumor_is_heard_once_per_version(swim):
+    rumor = Rumor('drain', 't1', 3)
+    heard = [
+        action
+        for now in (0.1, 0.2)
+        for action in swim.merge_rumors(now, [rumor, rumor])
+        if isinstance(action, RumorHeard)
+    ]
+    assert heard == [RumorHeard(rumor)]
+
+
+def test_a_rumor_too_large_for_a_datagram_is_refused(swim):
+    with pytest.raises(RumorTooLargeError, match='publish a reference'):
+        swim.publish(0.0, Rumor('t', 'k', 1, b'x' * 600))
