--- a/benchmark/control.py
+++ b/benchmark/control.py
@@ -128,6 +128,7 @@
         self._updates = Piggyback()
         self._versions = 0
         self._agent: Endpoint | None = None
+        self._measured: Member | None = None
 
     async def serve(self) -> None:
         """Print the ports, then run until the process is ended."""
@@ -141,7 +142,21 @@
         self._grpc_port = server._server.sockets[0].getsockname()[1]
         self._build()
         print(self._port, self._grpc_port, flush=True)
-        await self._probe()
+        await asyncio.gather(self._probe(), self._compare())
+
+    async def _compare(self) -> None:
+        """Ask the agent for what differs as often as peers would."""
+        client = PeerClient()
+        seals = self._seals[self._first.node]
+        while True:
+            await asyncio.sleep(CFG.push_pull_s)
+            if self._measured is None:
+                continue
+            req = self._anti_entropy.begin(time.monotonic())
+            to = f'{HOST}:{self._measured.grpc_port}'
+            body = antientropy.encode(req)
+            sealed = seals.seal(body, to, time.time())
+            await client.sync(self._measured, sealed)
 
     def _build(self) -> None:
         members = [
@@ -189,8 +204,8 @@
     def _learn(self, update: Update) -> None:
         match update:
             case datagrams.Introduction():
-                member = update.to_member()
-                self._swim.merge(time.monotonic(), [member])
+                self._measured = update.to_member()
+                self._swim.merge(time.monotonic(), [self._measured])
 
     def _take(self) -> list[Update]:
         room = CFG.datagram_bytes - OVERHEAD_BYTES - 160
@@ -288,6 +303,10 @@
     targets = build_targets(case.targets)
     targets_mb = resident_mb() - import_mb
     metrics = Metrics('agent')
+    handler = PeerHandler(lambda sealed: gossip.answer_sync(sealed))
+    server = Server([handler], codec=MsgpackCodec())
+    await server.start(HOST, 0)
+    own_grpc_port = server._server.sockets[0].getsockname()[1]
     gossip = Gossip(
         AgentSettings(
             node=NodeId('erie-00-0000'),
@@ -299,7 +318,7 @@
             membership=CFG,
             seeds=(Endpoint(HOST, port),),
         ),
-        build_member(0, 1, 1),
+        build_member(0, 1, own_grpc_port),
         metrics,
         random.Random(1),
         PeerClient(),
@@ -337,12 +356,13 @@
         syncs=syncs,
     )
     await gossip.stop(leave=False)
+    server.close()
     return cost
 
 
 def _traffic(metrics: Metrics) -> tuple[int, int, int]:
     """Return bytes sent and received with headers, and exchanges."""
-    syncs = metrics.value('syncs')
+    syncs = metrics.value('syncs') + metrics.value('syncs_answered')
     sides = []
     for side, datagram_count in (
         ('sent', metrics.value('datagrams_sent')),
--- a/sesameward/gossip.py
+++ b/sesameward/gossip.py
@@ -183,6 +183,7 @@
         self._act(actions)
         body = antientropy.encode(reply)
         answer = self._seals.seal(body, bind_reply(sealed), self.wall_clock())
+        self._metrics.count('syncs_answered')
         self._metrics.count('sync_bytes', 'received', len(sealed))
         self._metrics.count('sync_bytes', 'sent', len(answer))
         return answer
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -60,10 +60,12 @@
 MAX_RUMOR_BYTES = 512
 REVIVAL_BYTES_PER_S = 600.0
 REVIVAL_BURST_BYTES = 600.0
-URGENT_BYTES_PER_S = 3_000.0
-URGENT_BURST_BYTES = 6_000.0
+URGENT_BYTES_PER_S = 2_500.0
+URGENT_BURST_BYTES = 5_000.0
 GOSSIP_BACKLOG = 32
-MAX_REPROBED = 6
+MAX_REPROBED = 4
+REQUESTS_PER_S = 6.0
+REQUESTS_BURST = 36.0
 HINT_PROBES = 3
 CONTRADICTIONS_PER_S = 1.0
 CONTRADICTIONS_BURST = 4.0
@@ -88,6 +90,7 @@
     node: NodeId
     helpers: int = 0
     nacks: int = 0
+    was_asked: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,6 +124,7 @@
         self._contradictions = TokenBucket(
             CONTRADICTIONS_PER_S, CONTRADICTIONS_BURST
         )
+        self._requests = TokenBucket(REQUESTS_PER_S, REQUESTS_BURST)
         self._reprobed: set[NodeId] = set()
         self._pool = Pool(rng)
         self._dead: dict[NodeId, float] = {}
@@ -387,8 +391,12 @@
         probe = self._probes.get(seq)
         if probe is None:
             return
+        if self._requests.left(now) < HELPERS:
+            probe.was_asked = False
+            return
         for helper in self._pool.sample(HELPERS, but=probe.node):
             probe.helpers += 1
+            self._requests.spend(1)
             self._send_to(now, helper, PingRequest(seq, probe.node))
 
     def _on_fail(self, now: float, seq: int) -> None:
@@ -398,8 +406,9 @@
         member = self._roster.get(probe.node)
         if member is None or not is_live(member):
             return
-        silent = probe.helpers - probe.nacks if probe.helpers else 1
-        self._health.add(silent)
+        if probe.was_asked:
+            silent = probe.helpers - probe.nacks if probe.helpers else 1
+            self._health.add(silent)
         suspicion = self._suspicion(now, member)
         suspicion.failures += 1
         if not suspicion.origins:
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -189,6 +189,19 @@
     assert removed == []
 
 
+def test_a_long_frozen_agent_returns_and_blames_nobody(cluster):
+    running = cluster(5)
+    frozen = running.agents[0].swim
+    running.run(5.0)
+    running.freeze(0, 20.0)
+    running.run(20.0)
+    assert MemberState.DEAD in views(running, frozen.me.node)
+    running.run(30.0)
+    assert views(running, frozen.me.node) == {MemberState.ALIVE}
+    assert all(len(a.swim.members()) == 5 for a in running.agents)
+    assert len(frozen.known()) == 5
+
+
 def test_a_cut_heals_and_all_know_each_other(cluster):
     running = cluster(12)
     running.side = lambda index: index % 3
