--- a/benchmark/membership.py
+++ b/benchmark/membership.py
@@ -198,7 +198,7 @@
 
 def main() -> None:
     """Run all measurements side by side and print the figures."""
-    large = int(sys.argv[1]) if len(sys.argv) > 1 else 1_500
+    large = int(sys.argv[1]) if len(sys.argv) > 1 else 4_800
     runs: dict[str, tuple[typing.Callable, tuple]] = {
         f'kill_{large}': (measure_kills, (large, 1, Swim)),
         'cut_hour': (measure_cut, (16, CUT_S)),
