--- a/sesameward/events.py
+++ b/sesameward/events.py
@@ -56,4 +56,11 @@
     member: Member
 
 
-Action = Send | Changed | RumorHeard | SyncWanted
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contested:
+    """Tell that another process uses this agent's node name."""
+
+    incarnation: int
+
+
+Action = Send | Changed | RumorHeard | SyncWanted | Contested
--- a/sesameward/gossip.py
+++ b/sesameward/gossip.py
@@ -19,6 +19,7 @@
 from .datagrams import Datagram
 from .events import Action
 from .events import Changed
+from .events import Contested
 from .events import Received
 from .events import RumorHeard
 from .events import Send
@@ -259,6 +260,9 @@
                         callback(rumor)
                 case SyncWanted(member):
                     self._begin_sync(member)
+                case Contested(incarnation):
+                    self._metrics.count('member_contests')
+                    logs.change('contested', incarnation=incarnation)
 
     def _tell(self, member: Member) -> None:
         self._metrics.count('member_changes', member.state.value)
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -27,6 +27,7 @@
 from .datagrams import WireRumor
 from .events import Action
 from .events import Changed
+from .events import Contested
 from .events import Event
 from .events import Received
 from .events import RumorHeard
@@ -64,6 +65,8 @@
 URGENT_BURST_BYTES = 5_000.0
 GOSSIP_BACKLOG = 32
 MAX_REPROBED = 4
+CONTESTS_PER_S = 0.5
+CONTESTS_BURST = 3.0
 REQUESTS_PER_S = 6.0
 REQUESTS_BURST = 36.0
 HINT_PROBES = 3
@@ -124,6 +127,7 @@
         self._contradictions = TokenBucket(
             CONTRADICTIONS_PER_S, CONTRADICTIONS_BURST
         )
+        self._contests = TokenBucket(CONTESTS_PER_S, CONTESTS_BURST)
         self._requests = TokenBucket(REQUESTS_PER_S, REQUESTS_BURST)
         self._reprobed: set[NodeId] = set()
         self._pool = Pool(rng)
@@ -626,7 +630,7 @@
     def _take_claim(self, now: float, claim: Claim) -> bool:
         """Apply a claim; tell whether the full record must be fetched."""
         if claim.node == self._me.node:
-            self._refute(claim.incarnation, claim.state, claim.content)
+            self._refute(now, claim.incarnation, claim.state, claim.content)
             return False
         member = self._roster.get(claim.node)
         if member is None:
@@ -676,7 +680,7 @@
     ) -> None:
         if member.node == self._me.node:
             content = datagrams.content_of(member)
-            self._refute(member.incarnation, member.state, content)
+            self._refute(now, member.incarnation, member.state, content)
             return
         if member.state is MemberState.DEAD:
             return
@@ -727,8 +731,20 @@
             for origin in suspicion.origins:
                 self._urgent.drop(('s', node, origin))
 
+    def _contest(self, now: float, incarnation: int) -> bool:
+        """Tell of a second owner of the own record; bound the dispute."""
+        if not self._contests.left(now):
+            return False
+        self._contests.spend(1)
+        self._actions.append(Contested(incarnation))
+        return True
+
     def _refute(
-        self, incarnation: int, state: MemberState, content: int
+        self,
+        now: float,
+        incarnation: int,
+        state: MemberState,
+        content: int,
     ) -> None:
         """Override what others hold of this agent."""
         me = self._me
@@ -740,6 +756,8 @@
                 return
         if state is MemberState.SUSPECT:
             self._health.add(1)
+        if not same and not self._contest(now, incarnation):
+            return
         self._set_me(msgspec.structs.replace(me, incarnation=incarnation + 1))
         update = self._claim(self._me) if same else introduce(self._me)
         queue = self._urgent
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -17,6 +17,7 @@
 from sesameward.datagrams import Datagram
 from sesameward.datagrams import introduce
 from sesameward.datagrams import Ping
+from sesameward.events import Contested
 from sesameward.events import Received
 from sesameward.events import RumorHeard
 from sesameward.events import Send
@@ -283,6 +284,17 @@
     assert all(isinstance(action, Send) for action in actions)
 
 
+def test_a_second_owner_of_a_name_is_told_of_at_a_bounded_rate(swim):
+    told = []
+    for step in range(100):
+        rival = msgspec.structs.replace(
+            swim.me, incarnation=swim.me.incarnation + 1, http_port=9
+        )
+        actions = swim.merge(1.0 + step / 100, [rival])
+        told += [a for a in actions if isinstance(a, Contested)]
+    assert 1 <= len(told) <= 4
+
+
 def test_a_rumor_is_heard_once_per_version(swim):
     rumor = Rumor('drain', 't1', 3)
     heard = [
