--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -15,8 +15,11 @@
 from sesameward.datagrams import Ack
 from sesameward.datagrams import Claim
 from sesameward.datagrams import Datagram
+from sesameward.datagrams import Gossip
 from sesameward.datagrams import introduce
+from sesameward.datagrams import Nack
 from sesameward.datagrams import Ping
+from sesameward.datagrams import PingRequest
 from sesameward.events import Contested
 from sesameward.events import Received
 from sesameward.events import RumorHeard
@@ -60,6 +63,32 @@
 )
 
 
+nodes = st.sampled_from([m.node for m in build_members(4)])
+numbers = st.integers(0, 4)
+updates = st.one_of(
+    st.builds(
+        Claim,
+        nodes,
+        st.integers(0, 3),
+        st.integers(0, 3),
+        st.sampled_from([0, *map(datagrams.content_of, build_members(3))]),
+        nodes,
+    ),
+    records.map(introduce),
+)
+bodies = st.one_of(
+    st.builds(Ping, numbers, nodes),
+    st.builds(Ack, numbers),
+    st.builds(PingRequest, numbers, nodes),
+    st.builds(Nack, numbers),
+    st.just(Gossip()),
+)
+steps = st.tuples(
+    st.floats(0.0, 3.0),
+    st.builds(Datagram, nodes, bodies, st.tuples(updates)),
+)
+
+
 def merged(members):
     """Return what a roster holds after merging members in this order."""
     roster = Roster()
@@ -267,6 +296,24 @@
     assert swim.local_health == 1
 
 
+@hypothesis.given(st.lists(steps, max_size=30))
+def test_no_datagram_stops_an_agent_or_takes_its_own_record(history):
+    me, *others = build_members(3)
+    one = Swim(me, CFG, random.Random(1))
+    one.start(0.0)
+    one.merge(0.0, others)
+    now = 0.0
+    for pause_s, message in history:
+        now += pause_s
+        before = one.me.incarnation
+        one.handle(now, Tick())
+        one.handle(now, Received('10.0.0.1', 1, message))
+        assert one.me.state is MemberState.ALIVE
+        assert one.me.incarnation >= before
+        assert one.get(me.node) == one.me
+        assert one.next_at > now - CFG.period_s
+
+
 def test_a_ping_for_another_node_is_not_answered(swim):
     message = Datagram(NodeId('erie-01-0001'), Ping(7, NodeId('gone')))
     actions = swim.handle(0.1, Received('10.0.0.1', 1, message))
