--- a/sesameward/admission.py
+++ b/sesameward/admission.py
@@ -19,10 +19,11 @@
 SERVICE_WINDOW_S = 10.0
 WAIT_SHARE = 0.5
 RESERVE = 0.05
+SAFETY = 0.9
 PROBE_SHARE = 0.1
 RATE_WINDOW_S = 0.5
 MIN_RETRY_S = 0.1
-MAX_RETRY_S = 5.0
+MAX_RETRY_S = 2.0
 JITTER = 1.0
 
 
@@ -223,7 +224,7 @@
     def _fits(self, rank: int, cost: float) -> bool:
         if not self._running:
             return True
-        kept = max(self.limit * RESERVE, 1.0) * rank
+        kept = self.limit * RESERVE * rank
         return self._in_flight + cost <= max(self.limit - kept, 1.0)
 
     def _ahead(self, rank: int) -> bool:
@@ -239,7 +240,7 @@
         return 0.0 if service_s is None else service_s
 
     def _drain_per_s(self, rank: int, now: float) -> float:
-        total = self.limit / self._mean_s
+        total = self.limit / self._mean_s * SAFETY
         urgent = sum(self._rates[other].per_s(now) for other in range(rank))
         return total - urgent
 
--- a/sesameward/concurrency.py
+++ b/sesameward/concurrency.py
@@ -5,13 +5,17 @@
 import math
 import statistics
 
-TOLERANCE = 1.15
+TOLERANCE = 1.2
 HEADROOM = 0.05
-SMOOTHING = 0.3
+GROWTH = 0.3
+DECLINE = 0.6
 MIN_GRADIENT = 0.5
 MIN_LIMIT = 2.0
+FIRST_LIMIT = 32.0
+IDLE_FACTOR = 2.0
+IDLE_DECLINE = 0.05
 UPDATE_S = 0.1
-UPDATE_SAMPLES = 10
+UPDATE_SAMPLES = 25
 BASE_WINDOW_S = 30.0
 PROBE_FACTOR = 0.75
 PROBE_UPDATES = 4
@@ -23,7 +27,7 @@
 
     def __init__(self, ceiling: float):
         self._ceiling = max(ceiling, 1.0)
-        self._limit = max(self._ceiling / 2.0, 1.0)
+        self._limit = min(FIRST_LIMIT, self._ceiling)
         self._samples: list[float] = []
         self._peak = 0.0
         self._update_at = 0.0
@@ -55,7 +59,8 @@
 
     def _update(self, now: float) -> None:
         recent_s = statistics.median(self._samples)
-        busy = self._peak >= self.value * BUSY
+        peak = self._peak
+        busy = peak >= self.value * BUSY
         self._samples.clear()
         self._peak = 0.0
         self._update_at = now + UPDATE_S
@@ -63,7 +68,7 @@
         if self._probe_left:
             self._probe_left -= 1
             return
-        self._step(recent_s, busy)
+        self._step(recent_s, busy, peak)
 
     def _rebase(self, recent_s: float, busy: bool, now: float) -> None:
         if self._turn_at is None:
@@ -76,13 +81,21 @@
             self._probe_left = PROBE_UPDATES if busy else 0
         self._base_s = min(self._base_s, recent_s)
 
-    def _step(self, recent_s: float, busy: bool) -> None:
+    def _step(self, recent_s: float, busy: bool, peak: float) -> None:
         gradient = TOLERANCE * self.base_s / max(recent_s, 1e-9)
         gradient = min(max(gradient, MIN_GRADIENT), 1.0)
-        if gradient >= 1.0 and not busy:
-            return
-        room = max(self._limit * HEADROOM, 1.0) if busy else 0.0
-        wanted = self._limit * gradient + room
-        limit = self._limit + SMOOTHING * (wanted - self._limit)
+        if busy:
+            room = max(self._limit * HEADROOM, 1.0)
+            self._move(self._limit * gradient + room, DECLINE)
+        elif gradient < 1.0:
+            self._move(self._limit * gradient, DECLINE)
+        else:
+            # An unused limit would let a sudden overload flood targets.
+            used = max(peak * IDLE_FACTOR, MIN_LIMIT * IDLE_FACTOR)
+            self._move(min(self._limit, used), IDLE_DECLINE)
+
+    def _move(self, wanted: float, decline: float) -> None:
+        speed = GROWTH if wanted > self._limit else decline
+        limit = self._limit + speed * (wanted - self._limit)
         floor = min(MIN_LIMIT, self._ceiling)
         self._limit = min(max(limit, floor), self._ceiling)
--- a/sesameward/hedging.py
+++ b/sesameward/hedging.py
@@ -8,23 +8,23 @@
 HEDGE_PART = 0.8
 LATER_FRACTION = 0.75
 MAX_HEDGES = 3
-REVIEW_ATTEMPTS = 500
+REVIEW_ATTEMPTS = 5_000
 SHRINK = 0.9
 GROW = 1.03
 MIN_TAIL_PART = 0.1
+FIRST_TAIL_PART = 0.75
 MIN_DELAY_S = 0.001
 
 
 class _Share:
     """Steer the tail fraction of one key by the hedges it caused."""
 
-    __slots__ = ('_ceiling', '_firsts', '_hedges', '_target', 'tail')
+    __slots__ = ('_firsts', '_hedges', '_target', 'tail')
 
     def __init__(self, target: float):
         self._target = target
-        # Later hedges follow a part of the first ones.
-        self._ceiling = target * LATER_FRACTION
-        self.tail = self._ceiling
+        # Later hedges of the same sub-request take a part of the target.
+        self.tail = target * FIRST_TAIL_PART
         self._firsts = 0
         self._hedges = 0
 
@@ -40,7 +40,7 @@
         share = self._hedges / self._firsts
         factor = SHRINK if share > self._target else GROW
         floor = self._target * MIN_TAIL_PART
-        self.tail = min(max(self.tail * factor, floor), self._ceiling)
+        self.tail = min(max(self.tail * factor, floor), self._target)
         self._firsts = 0
         self._hedges = 0
 
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -20,6 +20,8 @@
 FORGOTTEN = 0.9
 SHORTEST_S = 1e-5
 REPORT_S = 1.5
+TRUST_WEIGHT = 0.2
+CREDIBLE = 0.5
 FLOOR_RISE = 1.001
 TYPICAL_WEIGHT = 0.01
 ZONE_COST_S = 0.002
@@ -58,6 +60,7 @@
         'others',
         'reported_at',
         'slots',
+        'trust',
     )
 
     def __init__(self, slots: int, local: bool, backoff: Backoff):
@@ -69,6 +72,7 @@
         self.floor_s = math.inf
         self.observed_at = -math.inf
         self.others = 0.0
+        self.trust = 0.0
         self.reported_at = -math.inf
         self.cold_since = -math.inf
         self.draining = False
@@ -111,9 +115,12 @@
         if replica is None:
             return
         replica.draining = report.draining
-        load = report.in_flight + report.queued - replica.in_flight
-        replica.others = max(load, 0)
+        told = report.in_flight + report.queued
+        replica.others = max(told - replica.in_flight, 0)
         replica.reported_at = now
+        latency_s = self._latency_s(replica, now)
+        credible = told >= self._implied(replica, latency_s) * CREDIBLE
+        replica.trust += TRUST_WEIGHT * (credible - replica.trust)
         if report.cold:
             replica.cold_since = now
 
@@ -153,6 +160,12 @@
         if outcome in _FAILURES:
             self._fail(replica, now)
 
+    def late(self, target_id: TargetId, waited_s: float, now: float) -> None:
+        """Take in that a sub-request has run this long without an end."""
+        replica = self._replicas.get(target_id)
+        if replica is not None and waited_s > replica.latency_s:
+            self._learn(replica, waited_s, now)
+
     def in_flight(self, target_id: TargetId) -> int:
         """Return how many sub-requests of this process run at a target."""
         replica = self._replicas.get(target_id)
@@ -232,13 +245,28 @@
 
     def _cost_s(self, replica: _Replica, now: float) -> float:
         latency_s = self._latency_s(replica, now)
-        load = replica.in_flight + self._others(replica, latency_s, now)
-        cost_s = latency_s * (1.0 + load / replica.slots)
+        trust = self._trust(replica, now)
+        told = replica.others * trust
+        if trust < 1.0:
+            # A queue shows in the latency, whatever the target reports.
+            doubted = self._implied(replica, latency_s) - replica.in_flight
+            told = max(told, (1.0 - trust) * doubted)
+        cost_s = latency_s * (
+            1.0 + (replica.in_flight + told) / replica.slots
+        )
         age_s = now - replica.cold_since
         if age_s < RAMP_S:
             cost_s /= max(age_s / RAMP_S, RAMP_START)
         return cost_s
 
+    def _trust(self, replica: _Replica, now: float) -> float:
+        fresh = 1.0 - (now - replica.reported_at) / REPORT_S
+        return replica.trust * fresh if fresh > 0.0 else 0.0
+
+    def _implied(self, replica: _Replica, latency_s: float) -> float:
+        excess = latency_s / replica.floor_s - 1.0
+        return excess * replica.slots if excess > 0.0 else 0.0
+
     def _latency_s(self, replica: _Replica, now: float) -> float:
         # An old figure fades, so that a target once slow is tried again.
         faith = 1.0 - (now - replica.observed_at) / FORGET_S
@@ -247,16 +275,6 @@
         usual_s = self._typical_s * FORGOTTEN
         return usual_s + faith * (replica.latency_s - usual_s)
 
-    def _others(
-        self, replica: _Replica, latency_s: float, now: float
-    ) -> float:
-        faith = 1.0 - (now - replica.reported_at) / REPORT_S
-        told = replica.others * faith if faith > 0.0 else 0.0
-        # A queue shows in the latency, whatever the target reports.
-        excess = latency_s / replica.floor_s - 1.0
-        implied = excess * replica.slots - replica.in_flight
-        return max(told, implied, 0.0)
-
     def _learn(self, replica: _Replica, latency_s: float, now: float) -> None:
         latency_s = max(latency_s, SHORTEST_S)
         if not self._samples:
