--- a/sesameward/admission.py
+++ b/sesameward/admission.py
@@ -19,6 +19,7 @@
 SERVICE_WINDOW_S = 10.0
 WAIT_SHARE = 0.5
 RESERVE = 0.05
+OVERDRAFT = 0.2
 SAFETY = 0.9
 PROBE_SHARE = 0.1
 RATE_WINDOW_S = 0.5
@@ -84,6 +85,7 @@
     def __init__(self, cfg: LimitSettings, rng: random.Random):
         self._rng = rng
         self._max_queue = cfg.max_queue
+        self._ceiling = float(cfg.max_in_flight)
         self._limit = ConcurrencyLimit(cfg.max_in_flight)
         self._service = LatencyWindow(SERVICE_WINDOW_S, 0.0)
         self._mean_s = FIRST_LATENCY_S
@@ -224,8 +226,12 @@
     def _fits(self, rank: int, cost: float) -> bool:
         if not self._running:
             return True
-        kept = self.limit * RESERVE * rank
-        return self._in_flight + cost <= max(self.limit - kept, 1.0)
+        if rank == 0:
+            # The most urgent exceed the limit a little and don't wait.
+            bound = self.limit + max(self.limit * OVERDRAFT, 1.0)
+        else:
+            bound = self.limit * (1.0 - RESERVE * rank)
+        return self._in_flight + cost <= min(max(bound, 1.0), self._ceiling)
 
     def _ahead(self, rank: int) -> bool:
         return any(self._queues[urgent] for urgent in range(rank + 1))
