--- a/benchmark/load.py
+++ b/benchmark/load.py
@@ -130,10 +130,11 @@
     slots: int
     shards: int
     width: int
+    tolerance: float
 
 
-DESK = Shape(servers=40, slots=2, shards=20, width=8)
-ROSTER = Shape(servers=4, slots=4, shards=1, width=1)
+DESK = Shape(servers=40, slots=2, shards=20, width=8, tolerance=2.5)
+ROSTER = Shape(servers=4, slots=4, shards=1, width=1, tolerance=1.2)
 
 
 def overload(
@@ -155,7 +156,7 @@
     slots = shape.servers * shape.slots
     capacity = slots / (MEDIAN_S * math.exp(sigma**2 / 2)) / shape.width
     result = Result()
-    cfg = LimitSettings()
+    cfg = LimitSettings(latency_tolerance=shape.tolerance)
     entries = [
         ENTRIES[kind](events, servers, replicas, result, rng, cfg)
         for _ in range(5)
@@ -206,9 +207,7 @@
     good = len(result.latencies(heavy_from + 1.0, heavy_to))
     urgent = Priority.INTERACTIVE
     calm = quantile(result.latencies(1.0, heavy_from, urgent), 0.99)
-    busy = quantile(
-        result.latencies(heavy_from + 1.0, heavy_to, urgent), 0.99
-    )
+    busy = quantile(result.latencies(heavy_from + 1.0, heavy_to, urgent), 0.99)
     after = quantile(result.latencies(heavy_to + 5.0, end, urgent), 0.99)
     goodput = good / (heavy_to - heavy_from - 1.0) / capacity
     late = result.latencies(heavy_to + 5.0, end)
@@ -222,9 +221,7 @@
             len(late) / (end - heavy_to - 5.0) / capacity / light, 3
         ),
         'amplification': round(sent / max(accepted, 1) / shape.width, 4),
-        'refusal_p99_ms': round(
-            quantile(result.refusal_waits, 0.99) * 1e3, 2
-        ),
+        'refusal_p99_ms': round(quantile(result.refusal_waits, 0.99) * 1e3, 2),
         'refused': dict(result.refused),
         'partial': result.partial,
         'limits': [round(limit, 1) for limit in limits],
--- a/benchmark/queues.py
+++ b/benchmark/queues.py
@@ -280,7 +280,7 @@
 
     def _plan_hedges(self, query: Query) -> None:
         delay_s = self._hedging.delay_s(
-            SERVICE, self._events.now, query.hedges
+            SERVICE, self._events.now, query.hedges, query.priority
         )
         if delay_s is not None:
             self._events.at(self._events.now + delay_s, self._hedge, query)
--- a/sesameward/admission.py
+++ b/sesameward/admission.py
@@ -86,7 +86,9 @@
         self._rng = rng
         self._max_queue = cfg.max_queue
         self._ceiling = float(cfg.max_in_flight)
-        self._limit = ConcurrencyLimit(cfg.max_in_flight)
+        self._limit = ConcurrencyLimit(
+            cfg.max_in_flight, cfg.latency_tolerance
+        )
         self._service = LatencyWindow(SERVICE_WINDOW_S, 0.0)
         self._mean_s = FIRST_LATENCY_S
         self._running: dict[RequestId, float] = {}
--- a/sesameward/concurrency.py
+++ b/sesameward/concurrency.py
@@ -5,7 +5,6 @@
 import math
 import statistics
 
-TOLERANCE = 1.2
 HEADROOM = 0.05
 GROWTH = 0.3
 DECLINE = 0.6
@@ -25,7 +24,8 @@
 class ConcurrencyLimit:
     """Lower the limit while the latency exceeds its unloaded value."""
 
-    def __init__(self, ceiling: float):
+    def __init__(self, ceiling: float, tolerance: float):
+        self._tolerance = tolerance
         self._ceiling = max(ceiling, 1.0)
         self._limit = min(FIRST_LIMIT, self._ceiling)
         self._samples: list[float] = []
@@ -82,7 +82,7 @@
         self._base_s = min(self._base_s, recent_s)
 
     def _step(self, recent_s: float, busy: bool, peak: float) -> None:
-        gradient = TOLERANCE * self.base_s / max(recent_s, 1e-9)
+        gradient = self._tolerance * self.base_s / max(recent_s, 1e-9)
         gradient = min(max(gradient, MIN_GRADIENT), 1.0)
         if busy:
             room = max(self._limit * HEADROOM, 1.0)
--- a/sesameward/hedging.py
+++ b/sesameward/hedging.py
@@ -2,32 +2,45 @@
 
 from __future__ import annotations
 
+import math
+
 from .latency import Key
 from .latency import LatencyTracker
+from .types import Priority
 
 HEDGE_PART = 0.8
 LATER_FRACTION = 0.75
 MAX_HEDGES = 3
-REVIEW_ATTEMPTS = 5_000
-SHRINK = 0.9
-GROW = 1.03
-MIN_TAIL_PART = 0.1
-FIRST_TAIL_PART = 0.75
+MAX_TAIL = 0.3
 MIN_DELAY_S = 0.001
+REVIEW_ATTEMPTS = 5_000
+MIN_FACTOR = 0.7
+MAX_FACTOR = 1.3
+MIN_SCALE = 0.01
+MAX_SCALE = 5.0
+FIRST_SCALE = 0.125
+WEIGHTS = {
+    Priority.INTERACTIVE: 6.0,
+    Priority.NORMAL: 0.2,
+    Priority.BATCH: 0.2,
+}
 
 
 class _Share:
-    """Steer the tail fraction of one key by the hedges it caused."""
+    """Steer the part of one key's sub-requests that is hedged."""
 
-    __slots__ = ('_firsts', '_hedges', '_target', 'tail')
+    __slots__ = ('_firsts', '_hedges', '_target', 'scale')
 
     def __init__(self, target: float):
         self._target = target
-        # Later hedges of the same sub-request take a part of the target.
-        self.tail = target * FIRST_TAIL_PART
+        self.scale = FIRST_SCALE
         self._firsts = 0
         self._hedges = 0
 
+    def tail(self, priority: Priority) -> float:
+        tail = self._target * WEIGHTS[priority] * self.scale
+        return tail if tail < MAX_TAIL else MAX_TAIL
+
     def first(self) -> None:
         self._firsts += 1
         if self._firsts >= REVIEW_ATTEMPTS:
@@ -37,10 +50,10 @@
         self._hedges += 1
 
     def _review(self) -> None:
-        share = self._hedges / self._firsts
-        factor = SHRINK if share > self._target else GROW
-        floor = self._target * MIN_TAIL_PART
-        self.tail = min(max(self.tail * factor, floor), self._target)
+        share = max(self._hedges / self._firsts, 1e-6)
+        factor = math.sqrt(self._target / share)
+        factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
+        self.scale = min(max(self.scale * factor, MIN_SCALE), MAX_SCALE)
         self._firsts = 0
         self._hedges = 0
 
@@ -54,7 +67,12 @@
         self._shares: dict[Key, _Share] = {}
 
     def delay_s(
-        self, key: Key, now: float, hedges: int = 0, booking: bool = False
+        self,
+        key: Key,
+        now: float,
+        hedges: int = 0,
+        priority: Priority = Priority.INTERACTIVE,
+        booking: bool = False,
     ) -> float | None:
         """Return how long to wait before the next hedge; None for never."""
         if booking or hedges >= MAX_HEDGES or self._target <= 0.0:
@@ -62,7 +80,7 @@
         if hedges:
             fraction = LATER_FRACTION
         else:
-            fraction = 1.0 - self._share(key).tail
+            fraction = 1.0 - self._share(key).tail(priority)
         delay_s = self._tracker.quantile(key, fraction, now)
         if delay_s is None:
             return None
@@ -76,6 +94,10 @@
         else:
             share.first()
 
+    def forget(self, key: Key) -> None:
+        """Drop a key."""
+        self._shares.pop(key, None)
+
     def _share(self, key: Key) -> _Share:
         share = self._shares.get(key)
         if share is None:
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -251,9 +251,7 @@
             # A queue shows in the latency, whatever the target reports.
             doubted = self._implied(replica, latency_s) - replica.in_flight
             told = max(told, (1.0 - trust) * doubted)
-        cost_s = latency_s * (
-            1.0 + (replica.in_flight + told) / replica.slots
-        )
+        cost_s = latency_s * (1.0 + (replica.in_flight + told) / replica.slots)
         age_s = now - replica.cold_since
         if age_s < RAMP_S:
             cost_s /= max(age_s / RAMP_S, RAMP_START)
--- a/sesameward/settings.py
+++ b/sesameward/settings.py
@@ -15,6 +15,7 @@
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
+Tolerance = typing.Annotated[float, msgspec.Meta(ge=1.05, le=10.0)]
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 
 
@@ -50,6 +51,7 @@
     retry_budget: Fraction = 0.05
     connection_reserve: Fraction = 0.2
     drain_timeout_s: Seconds = 30.0
+    latency_tolerance: Tolerance = 2.5
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -9,6 +9,7 @@
 from sesameward.hedging import HedgePolicy
 from sesameward.hedging import MAX_HEDGES
 from sesameward.latency import LatencyTracker
+from sesameward.types import Priority
 
 RATIO = 0.05
 
@@ -41,6 +42,12 @@
     assert policy.delay_s('k', 0.0, hedges=MAX_HEDGES) is None
 
 
+def test_urgent_requests_are_hedged_sooner(policy):
+    urgent_s = policy.delay_s('k', 0.0, priority=Priority.INTERACTIVE)
+    for priority in (Priority.NORMAL, Priority.BATCH):
+        assert policy.delay_s('k', 0.0, priority=priority) > urgent_s
+
+
 def test_bookings_are_never_hedged(policy):
     assert policy.delay_s('k', 0.0, booking=True) is None
 
@@ -54,7 +61,8 @@
 
 
 @pytest.mark.parametrize('stragglers', [0.0, 0.02, 0.2])
-def test_share_of_hedges_stays_within_the_ratio(stragglers):
+@pytest.mark.parametrize('urgent', [0.0, 0.1, 1.0])
+def test_share_of_hedges_stays_within_the_ratio(stragglers, urgent):
     tracker = LatencyTracker()
     policy = HedgePolicy(tracker, RATIO)
     rng = random.Random(2)
@@ -70,7 +78,10 @@
         left_s = latency_s()
         elapsed_s = 0.0
         sent = 0
-        while delay_s := policy.delay_s('k', now, hedges=sent):
+        priority = Priority.NORMAL
+        if rng.random() < urgent:
+            priority = Priority.INTERACTIVE
+        while delay_s := policy.delay_s('k', now, sent, priority):
             if left_s <= delay_s:
                 break
             policy.sent('k', hedge=True)
