--- a/benchmark/queues.py
+++ b/benchmark/queues.py
@@ -9,11 +9,11 @@
 import math
 import random
 
-from sesameward import declared
 from sesameward.admission import Admission
 from sesameward.admission import Admit
 from sesameward.admission import Refuse
 from sesameward.budget import BudgetBook
+from sesameward import declared
 from sesameward.hedging import HedgePolicy
 from sesameward.latency import LatencyTracker
 from sesameward.messages import LoadReport
@@ -230,6 +230,12 @@
             )
         )
 
+    def die(self) -> None:
+        """Stop without a word; callers go elsewhere."""
+        self.alive = False
+        for query in list(self._queries.values()):
+            self._expire(query)
+
     def ended(self, attempt: Attempt, outcome: Outcome) -> None:
         """Take one sub-request's end."""
         if attempt.settled:
@@ -336,7 +342,7 @@
             self._end(query)
 
     def _expire(self, query: Query) -> None:
-        if query.ended:
+        if query.ended or not query.open:
             return
         query.missing += len(query.open)
         for attempts in list(query.open.values()):
--- a/sesameward/budget.py
+++ b/sesameward/budget.py
@@ -8,8 +8,8 @@
 from .types import TargetId
 
 DEFAULT_BURST = 100.0
-TARGET_RATIO_FACTOR = 4.0
-TARGET_BURST = 5.0
+TARGET_RATIO_FACTOR = 10.0
+TARGET_BURST = 20.0
 
 
 class RetryBudget:
