--- a/benchmark/load.py
+++ b/benchmark/load.py
@@ -41,6 +41,7 @@
 WORKERS = 4
 WARM_S = 3.0
 ENTRY_COUNT = 5
+ODD_SERVERS = (0, 11)
 SERVICE = ServiceName('trip-desk')
 ZONE = ZoneName('a')
 ENTRIES = {'ours': Entry, 'baseline': BaselineEntry}
@@ -268,7 +269,7 @@
     events = Events()
     servers = {}
     for index in range(20):
-        odd = index % 10 == 0
+        odd = index in ODD_SERVERS
         lies = odd and mode == 'lying'
         service_s = uneven_s(rng, mode, odd)
         server = Server(events, f't{index}', service_s, 4, lies=lies)
--- a/benchmark/queues.py
+++ b/benchmark/queues.py
@@ -307,15 +307,23 @@
         tried = [one.server.id for one in query.open[shard]]
         if failed:
             tried.append(failed.server.id)
-        one = self._choose(shard, tried)
+        one = self._affordable(shard, tried)
         if one is None and failed:
-            one = self._choose(shard, ())
-        if one is None or not self._budget.withdraw(SERVICE, one):
+            one = self._affordable(shard, ())
+        if one is None:
             return False
         self.result.extras += 1
         self._send(query, shard, one, True)
         return True
 
+    def _affordable(self, shard, tried) -> TargetId | None:
+        avoid = list(tried)
+        while one := self._choose(shard, avoid):
+            if self._budget.withdraw(SERVICE, one):
+                return one
+            avoid.append(one)
+        return None
+
     def _settle(self, attempt: Attempt, outcome: Outcome) -> None:
         attempt.settled = True
         now = self._events.now
--- a/sesameward/hedging.py
+++ b/sesameward/hedging.py
@@ -9,7 +9,7 @@
 from .types import Priority
 
 HEDGE_PART = 0.8
-LATER_FRACTION = 0.75
+LATER_FRACTION = 0.6
 MAX_HEDGES = 3
 MAX_TAIL = 0.3
 MIN_DELAY_S = 0.001
--- a/sesameward/latency.py
+++ b/sesameward/latency.py
@@ -22,6 +22,7 @@
     """Hold the latencies of one key over a sliding window."""
 
     __slots__ = (
+        '_cached',
         '_counts',
         '_merged',
         '_older',
@@ -39,6 +40,7 @@
             maxlen=SLICES - 1
         )
         self._merged = self._counts
+        self._cached: dict[float, float] = {}
         self._read_at = -math.inf
         self.samples = 0
 
@@ -57,6 +59,12 @@
         self._refresh(now)
         if self.samples < MIN_SAMPLES:
             return None
+        latency_s = self._cached.get(fraction)
+        if latency_s is None:
+            latency_s = self._cached[fraction] = self._find(fraction)
+        return latency_s
+
+    def _find(self, fraction: float) -> float:
         wanted = fraction * self.samples
         below = 0
         for index, count in enumerate(self._merged):
@@ -81,6 +89,7 @@
         if now - self._read_at < REFRESH_S and self.samples >= MIN_SAMPLES:
             return
         self._read_at = now
+        self._cached.clear()
         self._merged = [
             sum(counts) for counts in zip(self._counts, *self._older)
         ]
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -18,6 +18,9 @@
 SURPRISE = 3.0
 FORGET_S = 3.0
 FORGOTTEN = 0.9
+FORGET_CAP_S = 24.0
+SLOW = 2.0
+USUAL = 1.3
 SHORTEST_S = 1e-5
 REPORT_S = 1.5
 TRUST_WEIGHT = 0.2
@@ -53,9 +56,11 @@
         'ejections',
         'failures',
         'floor_s',
+        'id',
         'in_flight',
         'latency_s',
         'local',
+        'memory_s',
         'observed_at',
         'others',
         'reported_at',
@@ -63,7 +68,10 @@
         'trust',
     )
 
-    def __init__(self, slots: int, local: bool, backoff: Backoff):
+    def __init__(
+        self, target_id: TargetId, slots: int, local: bool, backoff: Backoff
+    ):
+        self.id = target_id
         self.slots = slots
         self.local = local
         self.backoff = backoff
@@ -71,6 +79,7 @@
         self.latency_s = 0.0
         self.floor_s = math.inf
         self.observed_at = -math.inf
+        self.memory_s = FORGET_S
         self.others = 0.0
         self.trust = 0.0
         self.reported_at = -math.inf
@@ -97,7 +106,7 @@
         replica = self._replicas.get(target.id)
         if replica is None:
             self._replicas[target.id] = _Replica(
-                target.slots, local, Backoff(self._rng)
+                target.id, target.slots, local, Backoff(self._rng)
             )
             return
         replica.slots = target.slots
@@ -179,17 +188,20 @@
     ) -> TargetId | None:
         """Return the replica to ask; None when none may be asked."""
         usable = self._usable(candidates, avoid)
-        healthy = self._healthy(usable, now)
-        if not healthy:
+        for replica in usable:
+            if replica.ejected_until > now or replica.backoff.until > now:
+                usable = self._healthy(usable, now)
+                break
+        if not usable:
             return None
-        near = [one for one in healthy if self._replicas[one].local]
-        far = [one for one in healthy if not self._replicas[one].local]
-        best, best_s = self._better(near or far, now)
-        if not near or not far:
-            return best
-        other = self._rng.choice(far)
-        other_s = self._cost_s(self._replicas[other], now)
-        return other if other_s + ZONE_COST_S < best_s else best
+        near = [replica for replica in usable if replica.local]
+        best, best_s = self._better(near or usable, now)
+        if near and len(near) < len(usable):
+            far = [replica for replica in usable if not replica.local]
+            other, other_s = self._better(far, now)
+            if other_s + ZONE_COST_S < best_s:
+                return other.id
+        return best.id
 
     def ejected(
         self,
@@ -197,50 +209,46 @@
         now: float,
     ) -> set[TargetId]:
         """Return which candidates get no work for their failures."""
-        replicas = self._replicas
-        failing = [
-            one
-            for one in candidates
-            if one in replicas and replicas[one].ejected_until > now
-        ]
-        allowed = int(len(candidates) * EJECT_SHARE)
-        if len(failing) > allowed:
-            failing.sort(key=lambda one: -replicas[one].ejected_until)
-        return set(failing[:allowed])
+        known = self._usable(candidates, ())
+        return {replica.id for replica in self._ejected(known, now)}
+
+    def _ejected(self, known: list[_Replica], now: float) -> list[_Replica]:
+        failing = [one for one in known if one.ejected_until > now]
+        failing.sort(key=lambda one: -one.ejected_until)
+        return failing[: int(len(known) * EJECT_SHARE)]
 
     def _usable(
         self,
         candidates: collections.abc.Sequence[TargetId],
         avoid: collections.abc.Collection[TargetId],
-    ) -> list[TargetId]:
+    ) -> list[_Replica]:
         replicas = self._replicas
         return [
-            one
+            replicas[one]
             for one in candidates
             if one in replicas
             and not replicas[one].draining
             and one not in avoid
         ]
 
-    def _healthy(self, usable: list[TargetId], now: float) -> list[TargetId]:
-        replicas = self._replicas
-        ejected = self.ejected(usable, now)
+    def _healthy(self, usable: list[_Replica], now: float) -> list[_Replica]:
+        ejected = self._ejected(usable, now)
         kept = [one for one in usable if one not in ejected]
-        ready = [one for one in kept if replicas[one].backoff.until <= now]
+        ready = [one for one in kept if one.backoff.until <= now]
         return ready or kept
 
     def _better(
-        self, candidates: list[TargetId], now: float
-    ) -> tuple[TargetId, float]:
+        self, candidates: list[_Replica], now: float
+    ) -> tuple[_Replica, float]:
         count = len(candidates)
         first = int(self._rng.random() * count)
         one = candidates[first]
-        one_s = self._cost_s(self._replicas[one], now)
+        one_s = self._cost_s(one, now)
         if count == 1:
             return one, one_s
         step = 1 + int(self._rng.random() * (count - 1))
         two = candidates[(first + step) % count]
-        two_s = self._cost_s(self._replicas[two], now)
+        two_s = self._cost_s(two, now)
         return (two, two_s) if two_s < one_s else (one, one_s)
 
     def _cost_s(self, replica: _Replica, now: float) -> float:
@@ -267,7 +275,7 @@
 
     def _latency_s(self, replica: _Replica, now: float) -> float:
         # An old figure fades, so that a target once slow is tried again.
-        faith = 1.0 - (now - replica.observed_at) / FORGET_S
+        faith = 1.0 - (now - replica.observed_at) / replica.memory_s
         if faith <= 0.0:
             return self._typical_s * FORGOTTEN
         usual_s = self._typical_s * FORGOTTEN
@@ -281,6 +289,7 @@
         # One straggling request says little about its target.
         usual_s = max(replica.latency_s, self._typical_s)
         latency_s = min(latency_s, usual_s * SURPRISE)
+        self._remember(replica, latency_s, now)
         weight = (now - replica.observed_at) / FORGET_S
         weight = min(max(weight, LATENCY_WEIGHT), 1.0)
         replica.latency_s += weight * (latency_s - replica.latency_s)
@@ -289,6 +298,18 @@
         weight = max(1.0 / self._samples, TYPICAL_WEIGHT)
         self._typical_s += weight * (latency_s - self._typical_s)
 
+    def _remember(
+        self, replica: _Replica, latency_s: float, now: float
+    ) -> None:
+        # A target that is slow at every trial is tried less often.
+        if latency_s < self._typical_s * USUAL:
+            replica.memory_s = FORGET_S
+        elif (
+            latency_s > self._typical_s * SLOW
+            and now - replica.observed_at > FORGET_S / 2.0
+        ):
+            replica.memory_s = min(replica.memory_s * 2.0, FORGET_CAP_S)
+
     def _fail(self, replica: _Replica, now: float) -> None:
         replica.failures += 1
         if replica.failures < EJECT_FAILURES:
