--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -159,9 +159,7 @@
                 replica.backoff.succeeded()
                 self._learn(replica, latency_s, now)
             case Outcome.CANCELLED | Outcome.TIMEOUT:
-                # The latency is only a lower bound here.
-                if latency_s > replica.latency_s:
-                    self._learn(replica, latency_s, now)
+                self._bound(replica, latency_s, now)
             case Outcome.SHED:
                 replica.backoff.refused(now)
             case Outcome.DRAINING:
@@ -172,8 +170,8 @@
     def late(self, target_id: TargetId, waited_s: float, now: float) -> None:
         """Take in that a sub-request has run this long without an end."""
         replica = self._replicas.get(target_id)
-        if replica is not None and waited_s > replica.latency_s:
-            self._learn(replica, waited_s, now)
+        if replica is not None:
+            self._bound(replica, waited_s, now)
 
     def in_flight(self, target_id: TargetId) -> int:
         """Return how many sub-requests of this process run at a target."""
@@ -298,6 +296,12 @@
         weight = max(1.0 / self._samples, TYPICAL_WEIGHT)
         self._typical_s += weight * (latency_s - self._typical_s)
 
+    def _bound(self, replica: _Replica, waited_s: float, now: float) -> None:
+        # A lower bound above the faded figure confirms the old one.
+        if waited_s > self._latency_s(replica, now):
+            latency_s = max(waited_s, replica.latency_s)
+            self._learn(replica, latency_s, now)
+
     def _remember(
         self, replica: _Replica, latency_s: float, now: float
     ) -> None:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -109,6 +109,16 @@
     assert IDS[0] in chosen
 
 
+def test_cancelled_trial_confirms_a_slow_target(chooser):
+    serve(chooser, IDS[0], 0.05, 1.0)
+    for one in IDS[1:]:
+        serve(chooser, one, 0.01, 3.0)
+    serve(chooser, IDS[0], 0.04, 3.0, 1, Outcome.CANCELLED)
+    for one in IDS[1:]:
+        serve(chooser, one, 0.01, 5.0)
+    assert IDS[0] not in picks(chooser, 5.0)
+
+
 def test_same_zone_goes_first_unless_slower():
     chooser = ReplicaChooser(HOME, random.Random(1))
     for index, zone in enumerate('aabb'):
