--- a/benchmark/load.py
+++ b/benchmark/load.py
@@ -160,9 +160,9 @@
 class Phases:
     """Say when the load is heavy, in seconds, and how heavy."""
 
-    heavy_from: float = 3.0
-    heavy_to: float = 8.0
-    end: float = 15.0
+    heavy_from: float = 5.0
+    heavy_to: float = 10.0
+    end: float = 17.0
     light: float = 0.5
     heavy: float = 2.0
     lost_at: float = math.inf
--- a/benchmark/queues.py
+++ b/benchmark/queues.py
@@ -308,7 +308,8 @@
         if failed:
             tried.append(failed.server.id)
         one = self._affordable(shard, tried)
-        if one is None and failed:
+        if one is None and (failed or query.hedges >= 2):
+            # All replicas were asked; a slow request need not repeat.
             one = self._affordable(shard, ())
         if one is None:
             return False
