Move what is known of one target into its own module

A report that lags no longer reopens a target that refused as draining; a declared drain closes it; targets declared later and those back from ejection ramp up; the pause a shedding target asks for is kept.

--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -3,82 +3,22 @@
 from __future__ import annotations
 
 import collections.abc
-import math
 import random
 
 from . import declared
-from .budget import Backoff
+from .estimates import TargetEstimate
+from .estimates import TypicalLatency
 from .messages import LoadReport
 from .types import Outcome
 from .types import TargetId
 from .types import ZoneName
 
-FIRST_LATENCY_S = 0.005
-LATENCY_WEIGHT = 0.15
-SURPRISE = 3.0
-FORGET_S = 3.0
-FORGOTTEN = 0.9
-FORGET_CAP_S = 24.0
-SLOW = 2.0
-USUAL = 1.3
-SHORTEST_S = 1e-5
-REPORT_S = 1.5
-TRUST_WEIGHT = 0.2
-CREDIBLE = 0.5
-FLOOR_RISE = 1.001
-TYPICAL_WEIGHT = 0.01
 ZONE_COST_S = 0.002
-RAMP_S = 10.0
-RAMP_START = 0.1
-EJECT_FAILURES = 3
-EJECT_S = 1.0
-EJECT_CAP_S = 60.0
 EJECT_SHARE = 0.5
+WARM_SAMPLES = 100
 
-
-class _Replica:
-    """Hold what this process knows of one target."""
-
-    __slots__ = (
-        'backoff',
-        'cold_since',
-        'draining',
-        'ejected_until',
-        'ejections',
-        'failures',
-        'floor_s',
-        'id',
-        'in_flight',
-        'latency_s',
-        'local',
-        'memory_s',
-        'observed_at',
-        'others',
-        'reported_at',
-        'slots',
-        'trust',
-    )
-
-    def __init__(
-        self, target_id: TargetId, slots: int, local: bool, backoff: Backoff
-    ):
-        self.id = target_id
-        self.slots = slots
-        self.local = local
-        self.backoff = backoff
-        self.in_flight = 0
-        self.latency_s = 0.0
-        self.floor_s = math.inf
-        self.observed_at = -math.inf
-        self.memory_s = FORGET_S
-        self.others = 0.0
-        self.trust = 0.0
-        self.reported_at = -math.inf
-        self.cold_since = -math.inf
-        self.draining = False
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until = -math.inf
+_Candidates = collections.abc.Sequence[TargetId]
+_Avoid = collections.abc.Collection[TargetId]
 
 
 class ReplicaChooser:
@@ -87,48 +27,44 @@
     def __init__(self, zone: ZoneName, rng: random.Random):
         self._zone = zone
         self._rng = rng
-        self._replicas: dict[TargetId, _Replica] = {}
-        self._typical_s = FIRST_LATENCY_S
-        self._samples = 0
+        self._estimates: dict[TargetId, TargetEstimate] = {}
+        self._typical = TypicalLatency()
 
     def declare(self, target: declared.Target) -> None:
         """Add a target or take over its changed declaration."""
         local = target.zone == self._zone
-        replica = self._replicas.get(target.id)
-        if replica is None:
-            self._replicas[target.id] = _Replica(
-                target.id, target.slots, local, Backoff(self._rng)
-            )
+        estimate = self._estimates.get(target.id)
+        if estimate is not None:
+            estimate.declare(target, local)
             return
-        replica.slots = target.slots
-        replica.local = local
+        self._estimates[target.id] = TargetEstimate(
+            target, local, self._typical, self._rng
+        )
 
     def forget(self, target_id: TargetId) -> None:
         """Drop a target."""
-        self._replicas.pop(target_id, None)
+        self._estimates.pop(target_id, None)
 
     def reported(
         self, target_id: TargetId, report: LoadReport, now: float
     ) -> None:
         """Take in what a target says of its load."""
-        replica = self._replicas.get(target_id)
-        if replica is None:
-            return
-        replica.draining = report.draining
-        told = report.in_flight + report.queued
-        replica.others = max(told - replica.in_flight, 0)
-        replica.reported_at = now
-        latency_s = self._latency_s(replica, now)
-        credible = told >= self._implied(replica, latency_s) * CREDIBLE
-        replica.trust += TRUST_WEIGHT * (credible - replica.trust)
-        if report.cold:
-            replica.cold_since = now
+        estimate = self._estimates.get(target_id)
+        if estimate is not None:
+            estimate.report(report, now)
 
     def started(self, target_id: TargetId, now: float) -> None:
         """Count one sub-request sent."""
-        replica = self._replicas.get(target_id)
-        if replica is not None:
-            replica.in_flight += 1
+        estimate = self._estimates.get(target_id)
+        if estimate is None:
+            return
+        if (
+            estimate.unknown
+            and not estimate.in_flight
+            and self._typical.samples > WARM_SAMPLES
+        ):
+            estimate.cold_since = max(estimate.cold_since, now)
+        estimate.in_flight += 1
 
     def finished(
         self,
@@ -136,191 +72,102 @@
         outcome: Outcome,
         latency_s: float,
         now: float,
+        retry_after_s: float = 0.0,
     ) -> None:
         """Count one sub-request ended."""
-        replica = self._replicas.get(target_id)
-        if replica is None:
+        estimate = self._estimates.get(target_id)
+        if estimate is None:
             return
-        if replica.in_flight:
-            replica.in_flight -= 1
+        if estimate.in_flight:
+            estimate.in_flight -= 1
         match outcome:
             case Outcome.OK:
-                replica.failures = 0
-                replica.ejections = 0
-                replica.backoff.succeeded()
-                self._learn(replica, latency_s, now)
+                estimate.succeed(latency_s, now)
             case Outcome.CANCELLED:
-                self._bound(replica, latency_s, now)
+                estimate.bound(latency_s, now)
             case Outcome.TIMEOUT:
-                self._bound(replica, latency_s, now)
-                self._fail(replica, now)
+                estimate.bound(latency_s, now)
+                estimate.fail(self._rng, now)
             case Outcome.SHED:
-                replica.backoff.refused(now)
+                estimate.backoff.refused(now, retry_after_s)
             case Outcome.DRAINING:
-                replica.draining = True
+                estimate.drain(now)
             case Outcome.ERROR | Outcome.CONNECT_FAILED | Outcome.BROKEN:
-                self._fail(replica, now)
+                estimate.fail(self._rng, now)
 
     def late(self, target_id: TargetId, waited_s: float, now: float) -> None:
         """Take in that a sub-request has run this long without an end."""
-        replica = self._replicas.get(target_id)
-        if replica is not None:
-            self._bound(replica, waited_s, now)
+        estimate = self._estimates.get(target_id)
+        if estimate is not None:
+            estimate.bound(waited_s, now)
 
     def in_flight(self, target_id: TargetId) -> int:
         """Return how many sub-requests of this process run at a target."""
-        replica = self._replicas.get(target_id)
-        return replica.in_flight if replica else 0
+        estimate = self._estimates.get(target_id)
+        return estimate.in_flight if estimate else 0
 
     def choose(
-        self,
-        candidates: collections.abc.Sequence[TargetId],
-        now: float,
-        avoid: collections.abc.Collection[TargetId] = (),
+        self, candidates: _Candidates, now: float, avoid: _Avoid = ()
     ) -> TargetId | None:
         """Return the replica to ask; None when none may be asked."""
         usable = self._usable(candidates, avoid)
-        for replica in usable:
-            if replica.ejected_until > now or replica.backoff.until > now:
+        for one in usable:
+            if one.ejected_until > now or one.backoff.until > now:
                 usable = self._healthy(usable, now)
                 break
         if not usable:
             return None
-        near = [replica for replica in usable if replica.local]
+        near = [one for one in usable if one.local]
         best, best_s = self._better(near or usable, now)
         if near and len(near) < len(usable):
-            far = [replica for replica in usable if not replica.local]
+            far = [one for one in usable if not one.local]
             other, other_s = self._better(far, now)
             if other_s + ZONE_COST_S < best_s:
                 return other.id
         return best.id
 
-    def ejected(
-        self,
-        candidates: collections.abc.Sequence[TargetId],
-        now: float,
-    ) -> set[TargetId]:
+    def ejected(self, candidates: _Candidates, now: float) -> set[TargetId]:
         """Return which candidates get no work for their failures."""
-        known = self._usable(candidates, ())
-        return {replica.id for replica in self._ejected(known, now)}
-
-    def _ejected(self, known: list[_Replica], now: float) -> list[_Replica]:
-        failing = [one for one in known if one.ejected_until > now]
-        failing.sort(key=lambda one: -one.ejected_until)
-        return failing[: int(len(known) * EJECT_SHARE)]
+        usable = self._usable(candidates, ())
+        return {one.id for one in self._ejected(usable, now)}
 
     def _usable(
-        self,
-        candidates: collections.abc.Sequence[TargetId],
-        avoid: collections.abc.Collection[TargetId],
-    ) -> list[_Replica]:
-        replicas = self._replicas
+        self, candidates: _Candidates, avoid: _Avoid
+    ) -> list[TargetEstimate]:
+        estimates = self._estimates
         return [
-            replicas[one]
+            estimates[one]
             for one in candidates
-            if one in replicas
-            and not replicas[one].draining
+            if one in estimates
+            and not estimates[one].closed
             and one not in avoid
         ]
 
-    def _healthy(self, usable: list[_Replica], now: float) -> list[_Replica]:
+    def _ejected(
+        self, usable: list[TargetEstimate], now: float
+    ) -> list[TargetEstimate]:
+        failing = [one for one in usable if one.ejected_until > now]
+        failing.sort(key=lambda one: -one.ejected_until)
+        return failing[: int(len(usable) * EJECT_SHARE)]
+
+    def _healthy(
+        self, usable: list[TargetEstimate], now: float
+    ) -> list[TargetEstimate]:
         ejected = self._ejected(usable, now)
         kept = [one for one in usable if one not in ejected]
         ready = [one for one in kept if one.backoff.until <= now]
         return ready or kept
 
     def _better(
-        self, candidates: list[_Replica], now: float
-    ) -> tuple[_Replica, float]:
-        count = len(candidates)
+        self, usable: list[TargetEstimate], now: float
+    ) -> tuple[TargetEstimate, float]:
+        count = len(usable)
         first = int(self._rng.random() * count)
-        one = candidates[first]
-        one_s = self._cost_s(one, now)
+        one = usable[first]
+        one_s = one.cost_s(now)
         if count == 1:
             return one, one_s
         step = 1 + int(self._rng.random() * (count - 1))
-        two = candidates[(first + step) % count]
-        two_s = self._cost_s(two, now)
+        two = usable[(first + step) % count]
+        two_s = two.cost_s(now)
         return (two, two_s) if two_s < one_s else (one, one_s)
-
-    def _cost_s(self, replica: _Replica, now: float) -> float:
-        latency_s = self._latency_s(replica, now)
-        trust = self._trust(replica, now)
-        told = replica.others * trust
-        if trust < 1.0:
-            # A queue shows in the latency, whatever the target reports.
-            doubted = self._implied(replica, latency_s) - replica.in_flight
-            told = max(told, (1.0 - trust) * doubted)
-        cost_s = latency_s * (1.0 + (replica.in_flight + told) / replica.slots)
-        age_s = now - replica.cold_since
-        if age_s < RAMP_S:
-            cost_s /= max(age_s / RAMP_S, RAMP_START)
-        return cost_s
-
-    def _trust(self, replica: _Replica, now: float) -> float:
-        fresh = 1.0 - (now - replica.reported_at) / REPORT_S
-        return replica.trust * fresh if fresh > 0.0 else 0.0
-
-    def _implied(self, replica: _Replica, latency_s: float) -> float:
-        excess = latency_s / replica.floor_s - 1.0
-        return excess * replica.slots if excess > 0.0 else 0.0
-
-    def _latency_s(self, replica: _Replica, now: float) -> float:
-        # An old figure fades, so that a target once slow is tried again.
-        faith = 1.0 - (now - replica.observed_at) / replica.memory_s
-        if faith <= 0.0:
-            return self._typical_s * FORGOTTEN
-        usual_s = self._typical_s * FORGOTTEN
-        return usual_s + faith * (replica.latency_s - usual_s)
-
-    def _learn(self, replica: _Replica, latency_s: float, now: float) -> None:
-        latency_s = max(latency_s, SHORTEST_S)
-        if not self._samples:
-            self._typical_s = latency_s
-        self._samples += 1
-        # One straggling request says little about its target.
-        usual_s = max(replica.latency_s, self._typical_s)
-        latency_s = min(latency_s, usual_s * SURPRISE)
-        self._remember(replica, latency_s, now)
-        weight = (now - replica.observed_at) / FORGET_S
-        if weight < LATENCY_WEIGHT:
-            weight = LATENCY_WEIGHT
-        elif weight > 1.0:
-            weight = 1.0
-        replica.latency_s += weight * (latency_s - replica.latency_s)
-        replica.observed_at = now
-        floor_s = replica.floor_s * FLOOR_RISE
-        if floor_s > replica.latency_s:
-            floor_s = replica.latency_s
-        replica.floor_s = floor_s
-        weight = TYPICAL_WEIGHT
-        if self._samples < 1.0 / TYPICAL_WEIGHT:
-            weight = 1.0 / self._samples
-        self._typical_s += weight * (latency_s - self._typical_s)
-
-    def _bound(self, replica: _Replica, waited_s: float, now: float) -> None:
-        # A lower bound above the faded figure confirms the old one.
-        if waited_s > self._latency_s(replica, now):
-            latency_s = max(waited_s, replica.latency_s)
-            self._learn(replica, latency_s, now)
-
-    def _remember(
-        self, replica: _Replica, latency_s: float, now: float
-    ) -> None:
-        # A target that is slow at every trial is tried less often.
-        if latency_s < self._typical_s * USUAL:
-            replica.memory_s = FORGET_S
-        elif (
-            latency_s > self._typical_s * SLOW
-            and now - replica.observed_at > FORGET_S / 2.0
-        ):
-            replica.memory_s = min(replica.memory_s * 2.0, FORGET_CAP_S)
-
-    def _fail(self, replica: _Replica, now: float) -> None:
-        replica.failures += 1
-        if replica.failures < EJECT_FAILURES:
-            return
-        replica.failures = 0
-        pause_s = min(EJECT_S * 2.0**replica.ejections, EJECT_CAP_S)
-        replica.ejections += 1
-        replica.ejected_until = now + pause_s * self._rng.uniform(0.8, 1.2)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -7,6 +7,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from sesameward import declared
@@ -146,6 +147,33 @@
     assert chooser.choose(IDS[:2], 0.0) is None
 
 
+def test_late_report_does_not_undo_a_drain(chooser):
+    chooser.started(IDS[0], 1.0)
+    chooser.finished(IDS[0], Outcome.DRAINING, 0.001, 1.0)
+    chooser.reported(IDS[0], LoadReport(), 2.0)
+    assert IDS[0] not in picks(chooser, 2.0)
+    chooser.reported(IDS[0], LoadReport(), 30.0)
+    assert IDS[0] in picks(chooser, 30.0)
+
+
+def test_declared_drain_stops_new_work(chooser):
+    chooser.declare(msgspec.structs.replace(target(0), drain=True))
+    assert IDS[0] not in picks(chooser, 0.0)
+    chooser.declare(target(0))
+    chooser.reported(IDS[0], LoadReport(), 0.0)
+    assert IDS[0] in picks(chooser, 0.0)
+
+
+def test_new_target_ramps_up(chooser):
+    new = TargetId('t9')
+    chooser.declare(target(9))
+    chooser.started(new, 0.0)
+    chooser.finished(new, Outcome.OK, 0.01, 0.01)
+    ids = [*IDS, new]
+    assert new not in picks(chooser, 0.1, ids=ids)
+    assert new in picks(chooser, 30.0, ids=ids)
+
+
 def test_shedding_target_rests(chooser):
     serve(chooser, IDS[0], 0.001, 0.0, count=1, outcome=Outcome.SHED)
     assert IDS[0] not in picks(chooser, 0.0)
