Never deny an earlier send of a booking; refuse work in the last stage

A booking refused before its claim could be read is told run: no only for its first numbered send. An entry in its last stage refuses new requests, so that kept connections can't hold it up until its limit.

--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -81,6 +81,7 @@
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> None:
         """Answer the caller; the outcome is stored in the background."""
         run = _Run(exchange, self._parts)
+        exchange.claiming = True
         self._parts.leaving.hold(run.ended)
         exchange.caller.answer(await asyncio.shield(run.start()))
         await proceed(exchange)
--- a/sesameward/filters/exchange.py
+++ b/sesameward/filters/exchange.py
@@ -49,6 +49,7 @@
     booking: BookingBody | None = None
     key: BookingKey = BookingKey('')
     attempt: int = 1
+    claiming: bool = False
     priority: Priority = Priority.NORMAL
     versions: tuple[RecordVersion, ...] = ()
     deadline_at: float = 0.0
--- a/sesameward/filters/parsing.py
+++ b/sesameward/filters/parsing.py
@@ -67,7 +67,7 @@
             )
         exchange.booking = _decode(exchange.body, BookingBody)
         exchange.key = _key(exchange.headers.get(KEY_HEADER))
-        exchange.attempt = _attempt(exchange.headers.get(ATTEMPT_HEADER))
+        exchange.attempt = _attempt(exchange.headers)
         await proceed(exchange)
 
 
@@ -150,13 +150,21 @@
     return BookingKey(text)
 
 
-def _attempt(text: str | None) -> int:
-    if text is None:
-        return UNNUMBERED_ATTEMPT
+def attempt_number(headers: typing.Mapping[str, str]) -> int:
+    """Return the number of this send of a booking; 0 where it is unknown."""
+    text = headers.get(ATTEMPT_HEADER, '')
     if text.isascii() and text.isdigit() and 1 <= int(text) <= _MAX_ATTEMPT:
         return int(text)
-    raise RefusalError(
-        RefusalKind.BAD_REQUEST,
-        f'{ATTEMPT_HEADER} {text!r} is not a number of attempts',
-        f'send a whole number from 1 to {_MAX_ATTEMPT}',
-    )
+    return UNNUMBERED_ATTEMPT
+
+
+def _attempt(headers: typing.Mapping[str, str]) -> int:
+    number = attempt_number(headers)
+    text = headers.get(ATTEMPT_HEADER)
+    if number == UNNUMBERED_ATTEMPT and text is not None:
+        raise RefusalError(
+            RefusalKind.BAD_REQUEST,
+            f'{ATTEMPT_HEADER} {text!r} is not a number of attempts',
+            f'send a whole number from 1 to {_MAX_ATTEMPT}',
+        )
+    return number
--- a/sesameward/handlers.py
+++ b/sesameward/handlers.py
@@ -11,12 +11,14 @@
 import tornado.iostream
 import tornado.web
 
+from .bookings import unclaimed_run
 from .controllers.leaving import Leaving
 from .controllers.leaving import Stage
 from .controllers.nodes import Nodes
 from .exceptions import RefusalError
 from .filters.chain import Proceed
 from .filters.exchange import Exchange
+from .filters.parsing import attempt_number
 from .messages import BookingResult
 from .messages import Frame
 from .messages import Refusal
@@ -38,6 +40,7 @@
     RefusalKind.SUPERSEDED: 409,
     RefusalKind.TOO_LARGE: 413,
 }
+LEAVING_RETRY_S = 0.1
 _UNAVAILABLE = 503
 _OVERLOADED = 429
 
@@ -80,6 +83,12 @@
 
     def prepare(self):
         """Refuse what is known to be too large; time the body."""
+        if self._front.leaving.stage is Stage.CLOSING:
+            self._refuse_leaving()
+            return
+        if self._front.leaving.stage is Stage.LEAVING:
+            # Callers which keep their connection open learn to move on.
+            self.set_header('Connection', 'close')
         self._front.leaving.hold(self._ended)
         length = self.request.headers.get('Content-Length', '0')
         if length.isdigit() and int(length) > self._limits.max_body_bytes:
@@ -116,6 +125,10 @@
         except RefusalError as exc:
             self.refuse(exc)
 
+    def run_state(self, exc: RefusalError) -> RunState:
+        """Return whether a refused request ran."""
+        return exc.run
+
     def refuse(self, exc: RefusalError) -> None:
         """Write a refusal at once."""
         self._front.metrics.count('refusals', exc.kind.value)
@@ -132,7 +145,7 @@
                     exc.kind,
                     exc.problem,
                     exc.remedy,
-                    exc.run,
+                    self.run_state(exc),
                     self.request_id,
                     exc.retry_after_s,
                 )
@@ -179,6 +192,17 @@
         if self._body_timer is not None:
             self._body_timer.cancel()
 
+    def _refuse_leaving(self) -> None:
+        self.set_header('Connection', 'close')
+        self.refuse(
+            RefusalError(
+                RefusalKind.LEAVING,
+                'this entry is about to end',
+                'use another address of /v1/addresses',
+                retry_after_s=LEAVING_RETRY_S,
+            )
+        )
+
     def _refuse_size(self) -> None:
         self._stop_body_timer()
         self.set_header('Connection', 'close')
@@ -259,6 +283,13 @@
         """Return the filters to run."""
         return front.bookings
 
+    def run_state(self, exc: RefusalError) -> RunState:
+        """Return whether the booking ran, at this or an earlier attempt."""
+        claimed = self._exchange is not None and self._exchange.claiming
+        if claimed or exc.kind is RefusalKind.BAD_KEY:
+            return exc.run
+        return unclaimed_run(attempt_number(self.request.headers))
+
     def answer(self, result: BookingResult) -> None:
         """Write the result."""
         if not self._finished:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -103,6 +103,17 @@
     assert f'reason="{kind}"' in counters
 
 
+@pytest.mark.parametrize('number, run', [('1', 'no'), ('2', 'unknown')])
+def test_refused_resend_does_not_deny_the_first_send(tier, number, run):
+    path = '/v1/services/none/bookings'
+    headers = {
+        'Idempotency-Key': 'test-booking-3',
+        'Sesameward-Attempt': number,
+    }
+    reply = call(tier.entries[0].ports['port'], path, b'{}', headers)
+    assert (reply.status, reply.json()['run']) == (404, run)
+
+
 def test_caller_who_hangs_up_cancels_work_at_targets(tier):
     for target in tier.targets:
         tier.set_faults(target, latency_ms=3_000)
@@ -165,4 +176,6 @@
     for target in tier.targets:
         tier.set_faults(target)
     assert frames[-1]['complete']
+    # Callers keep addresses for a while, so that it serves on until then.
+    assert tier.query(entry).frames()[-1]['complete']
     assert entry.wait(30) == 0
