Keep entries' configuration fresh without their agent and after a pause

An entry whose agent is gone or frozen follows another VM's agent for configuration and target state, and keeps its own connection share. An entry that was paused asks for the agent's revision before it serves. Before: an entry without its agent kept its last configuration until the agent came back; a resumed one could answer by the old one.

--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -48,6 +48,7 @@
 from .peers import PeerHandler
 from .platform_client import PlatformClient
 from .quarantine import TOPIC as QUARANTINE_TOPIC
+from .rendezvous import pick
 from .settings import AgentSettings
 from .settings import Endpoint
 from .shares import HolderCount
@@ -58,6 +59,7 @@
 
 EXIT_USAGE = 2
 NODES_PERIOD_S = 0.5
+OTHER_AGENTS = 3
 # An entry which is stopped at the same time reports it within this time.
 STOP_GRACE_S = 0.5
 STOP_LIMIT_S = 60.0
@@ -123,7 +125,13 @@
             self._rng,
         )
         self.holders = HolderCount(cfg.node)
-        self.hub = FeedHub(self._first, self._nodes_update, self.clock)
+        self.hub = FeedHub(
+            cfg.node,
+            lambda: self.configuration.revision,
+            self._first,
+            self._nodes_update,
+            self.clock,
+        )
         self._grpc = Server(
             [
                 self.hub,
@@ -293,8 +301,20 @@
             Addresses(usable, self.cfg.address_ttl_s),
             self._shares(),
             tuple(live.values()),
+            self._other_agents(members),
         )
 
+    def _other_agents(
+        self, members: typing.Iterable[Member]
+    ) -> tuple[Endpoint, ...]:
+        others = [
+            Endpoint(m.host, m.grpc_port)
+            for m in members
+            if m.node != self.cfg.node and m.state is MemberState.ALIVE
+        ]
+        wanted = pick(self.cfg.node, [str(e) for e in others], OTHER_AGENTS)
+        return tuple(e for e in others if str(e) in wanted)
+
     def _shares(self) -> dict[int, int]:
         entries = max(1, len(self.hub.reports()))
         return {
--- a/sesameward/controllers/agent_link.py
+++ b/sesameward/controllers/agent_link.py
@@ -1,4 +1,4 @@
-"""Keep an entry fed by the agent of its VM."""
+"""Keep an entry fed by the agent of its VM, or by another one."""
 
 from __future__ import annotations
 
@@ -24,15 +24,19 @@
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 2.0
 # An agent which sends nothing for so long is taken for frozen.
-SILENCE_S = 5.0
+SILENCE_S = 3.0
+# How long another agent is followed before the own one is tried again.
+GUEST_S = 10.0
 
 _LOST = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
 
+Work = typing.Callable[[Channel], typing.Awaitable[None]]
+
 
 class AgentLink:
-    """Follow the agent's updates and report to it.
+    """Follow an agent's updates and report to it.
 
-    The entry goes on with the last state while the agent is gone.
+    The entry goes on with the last state while no agent answers.
     """
 
     def __init__(
@@ -42,7 +46,9 @@
         metrics: Metrics,
         rng: random.Random,
     ):
-        self._endpoint = endpoint
+        self._own = endpoint
+        self._followed = endpoint
+        self._others: tuple[Endpoint, ...] = ()
         self._address = address
         self._metrics = metrics
         self._rng = rng
@@ -50,15 +56,26 @@
         self._hurry = asyncio.Event()
         self.connected = False
         self.apply: typing.Callable[[feed.Update], None] = lambda _: None
+        self.acked: typing.Callable[[feed.ReportAck], None] = lambda _: None
         self.make_report: typing.Callable[[], feed.Report] | None = None
+        self.requeue: typing.Callable[[feed.Report], None] = lambda _: None
+
+    @property
+    def is_guest(self) -> bool:
+        """Tell whether the agent of another VM is followed."""
+        return self._followed != self._own
 
     def start(self) -> None:
         """Begin to follow and to report."""
         self._tasks = [
-            asyncio.ensure_future(self._keep(self._follow)),
-            asyncio.ensure_future(self._keep(self._report)),
+            asyncio.ensure_future(self._keep_following()),
+            asyncio.ensure_future(self._keep_reporting()),
         ]
 
+    def set_others(self, others: tuple[Endpoint, ...]) -> None:
+        """Replace the agents to follow while the own one is gone."""
+        self._others = others
+
     def hurry(self) -> None:
         """Send the next report now."""
         self._hurry.set()
@@ -69,48 +86,64 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _keep(
-        self, work: typing.Callable[[Channel], typing.Awaitable[None]]
-    ) -> None:
+    async def _keep_following(self) -> None:
         wait_s = RETRY_MIN_S
         while True:
-            channel = Channel(
-                self._endpoint.host,
-                self._endpoint.port,
-                codec=MsgpackCodec(),
-            )
-            began_at = asyncio.get_running_loop().time()
-            try:
-                await work(channel)
-            except _LOST:
-                self._metrics.count('agent_lost')
-            finally:
-                channel.close()
-            lasted_s = asyncio.get_running_loop().time() - began_at
-            wait_s = RETRY_MIN_S if lasted_s > RETRY_MAX_S else wait_s * 2
-            wait_s = min(wait_s, RETRY_MAX_S)
+            lasted_s = await self._use(self._followed, self._follow)
+            wait_s = self._next_wait_s(wait_s, lasted_s)
+            self._choose_next()
+            await asyncio.sleep(wait_s * self._rng.uniform(0.5, 1.0))
+
+    async def _keep_reporting(self) -> None:
+        wait_s = RETRY_MIN_S
+        while True:
+            lasted_s = await self._use(self._followed, self._report)
+            wait_s = self._next_wait_s(wait_s, lasted_s)
             await asyncio.sleep(wait_s * self._rng.uniform(0.5, 1.0))
 
+    def _next_wait_s(self, wait_s: float, lasted_s: float) -> float:
+        if lasted_s > RETRY_MAX_S:
+            return RETRY_MIN_S
+        return min(wait_s * 2, RETRY_MAX_S)
+
+    def _choose_next(self) -> None:
+        if self.is_guest or not self._others:
+            self._followed = self._own
+            return
+        self._followed = self._rng.choice(self._others)
+        self._metrics.count('agent_fallbacks')
+
+    async def _use(self, endpoint: Endpoint, work: Work) -> float:
+        """Work over one channel until it fails; return how long it did."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        channel = Channel(endpoint.host, endpoint.port, codec=MsgpackCodec())
+        try:
+            await work(channel)
+        except _LOST:
+            self._metrics.count('agent_lost')
+        finally:
+            channel.close()
+        return loop.time() - began_at
+
     async def _follow(self, channel: Channel) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + GUEST_S if self.is_guest else float('inf')
         method = UnaryStreamMethod(
             channel, feed.WATCH, feed.WatchRequest, feed.UpdateEnvelope
         )
+        request = feed.WatchRequest(self._address)
         try:
-            async with method.open() as stream:
-                await asyncio.wait_for(
-                    stream.send_message(
-                        feed.WatchRequest(self._address), end=True
-                    ),
-                    SILENCE_S,
-                )
-                while True:
-                    envelope = await asyncio.wait_for(
-                        stream.recv_message(), SILENCE_S
-                    )
-                    if envelope is None:
-                        return
-                    self._set_connected(True)
-                    self.apply(envelope.update)
+            async with asyncio.timeout(SILENCE_S):
+                stream = await method.open().__aenter__()
+                await stream.send_message(request, end=True)
+            while loop.time() < until:
+                async with asyncio.timeout(SILENCE_S):
+                    envelope = await stream.recv_message()
+                if envelope is None:
+                    return
+                self._set_connected(True)
+                self.apply(envelope.update)
         finally:
             self._set_connected(False)
 
@@ -118,23 +151,27 @@
         method = UnaryUnaryMethod(
             channel, feed.REPORT, feed.Report, feed.ReportAck
         )
-        while True:
+        followed = self._followed
+        while followed == self._followed:
             self._hurry.clear()
             report = self.make_report()
             try:
-                await method(report, timeout=REPORT_TIMEOUT_S)
+                ack = await method(report, timeout=REPORT_TIMEOUT_S)
             except _LOST:
                 self.requeue(report)
                 raise
+            self.acked(ack)
             try:
                 await asyncio.wait_for(self._hurry.wait(), REPORT_PERIOD_S)
             except asyncio.TimeoutError:
                 pass
 
-    def requeue(self, report: feed.Report) -> None:
-        """Keep the rumors of a lost report for the next one."""
-
     def _set_connected(self, connected: bool) -> None:
         if connected != self.connected:
             self.connected = connected
-            logs.change('agent_link', connected=connected)
+            logs.change(
+                'agent_link',
+                connected=connected,
+                agent=str(self._followed),
+                guest=self.is_guest,
+            )
--- a/sesameward/controllers/feed_hub.py
+++ b/sesameward/controllers/feed_hub.py
@@ -14,6 +14,8 @@
 from .. import logs
 from ..messages import Address
 from ..types import Clock
+from ..types import NodeId
+from ..types import Revision
 
 KEEPALIVE_S = 1.0
 # An entry whose reports are older than this is taken for failed.
@@ -28,14 +30,22 @@
 
 
 class FeedHub:
-    """Serve the feed; state is sent whole at first, then as it changes."""
+    """Serve the feed; state is sent whole at first, then as it changes.
+
+    Entries of other VMs may follow while their own agent is gone; they are
+    fed but not counted.
+    """
 
     def __init__(
         self,
+        node: NodeId,
+        revision: typing.Callable[[], Revision],
         first: typing.Callable[[], list[feed.Update]],
         keepalive: typing.Callable[[], feed.Update],
         clock: Clock,
     ):
+        self._node = node
+        self._revision = revision
         self._first = first
         self._keepalive = keepalive
         self._clock = clock
@@ -87,10 +97,11 @@
     async def report(self, stream: Stream) -> None:
         """Take in one entry's report."""
         report = await stream.recv_message()
-        key = (report.address.host, report.address.port)
-        self._entries[key] = _Entry(report, self._clock())
+        if report.node == self._node:
+            key = (report.address.host, report.address.port)
+            self._entries[key] = _Entry(report, self._clock())
         self.on_report(report)
-        await stream.send_message(feed.ReportAck())
+        await stream.send_message(feed.ReportAck(self._revision()))
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
--- a/sesameward/controllers/nodes.py
+++ b/sesameward/controllers/nodes.py
@@ -4,6 +4,8 @@
 
 import random
 
+import msgspec
+
 from ..feed import NodesUpdate
 from ..messages import Address
 from ..messages import Addresses
@@ -19,8 +21,16 @@
         self._rng = rng
         self._update = NodesUpdate(Addresses((own,), 1.0), {})
 
-    def apply(self, update: NodesUpdate) -> None:
-        """Take over what the agent says."""
+    def apply(self, update: NodesUpdate, is_guest: bool) -> None:
+        """Take over what an agent says.
+
+        The shares are those of the agent's own VM, so that a guest keeps
+        what its own agent said last.
+        """
+        if is_guest:
+            update = msgspec.structs.replace(
+                update, shares=self._update.shares
+            )
         self._update = update
 
     def alive(self, node: NodeId, incarnation: int) -> bool:
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -25,6 +25,7 @@
 from .budget import BudgetBook
 from .controllers.agent_link import AgentLink
 from .controllers.catalog import Catalog
+from .controllers.freshness import Freshness
 from .controllers.gate import Gate
 from .controllers.leaving import Leaving
 from .controllers.nodes import Nodes
@@ -86,6 +87,7 @@
         )
         self.nodes = Nodes(self.address, self._rng)
         self.leaving = Leaving()
+        self.freshness = Freshness(self.catalog, self.metrics, self.clock)
         self.client = TargetClient(self.metrics, self.clock)
         self.platform = PlatformClient(cfg.platform, self.metrics, self._rng)
         self.gate = Gate(
@@ -106,6 +108,7 @@
         self.link.apply = self._apply
         self.link.make_report = self._report
         self.link.requeue = self._requeue
+        self.link.acked = lambda ack: self.freshness.heard(ack.revision)
         self.stop = asyncio.Event()
         self._server: tornado.httpserver.HTTPServer | None = None
         self.metrics.gauge('in_flight', lambda: self.gate.in_flight)
@@ -122,6 +125,7 @@
         )
         self._server.add_sockets(self._sockets)
         self.link.start()
+        self.freshness.start()
         logs.change(
             'entry_started', host=self.address.host, port=self.address.port
         )
@@ -138,6 +142,7 @@
 
     async def close(self) -> None:
         """Free everything."""
+        await self.freshness.stop()
         await self.link.stop()
         self._server.stop()
         await self._server.close_all_connections()
@@ -197,7 +202,7 @@
             clock=self.clock,
         )
         return [
-            CheckReady(self.catalog, self.nodes),
+            CheckReady(self.catalog, self.nodes, self.freshness),
             ParseQuery(self.catalog),
             CheckQuarantine(self.suspects, self.clock),
             Admit(self.gate, self.clock),
@@ -219,7 +224,7 @@
             rng=self._rng,
         )
         return [
-            CheckReady(self.catalog, self.nodes),
+            CheckReady(self.catalog, self.nodes, self.freshness),
             ParseBooking(self.catalog),
             Admit(self.gate, self.clock),
             Book(parts),
@@ -242,8 +247,10 @@
                 for status in statuses:
                     self.routing.take_status(status)
             case feed.NodesUpdate():
-                self.nodes.apply(update)
+                self.nodes.apply(update, self.link.is_guest)
                 self._share()
+                if not self.link.is_guest:
+                    self.link.set_others(update.agents)
             case feed.RumorsUpdate(rumors):
                 for rumor in rumors:
                     self.suspects.heard(rumor)
--- a/sesameward/feed.py
+++ b/sesameward/feed.py
@@ -10,6 +10,7 @@
 from .messages import Addresses
 from .messages import Rumor
 from .messages import TargetStatus
+from .settings import Endpoint
 from .types import NodeId
 from .types import Revision
 from .types import TargetId
@@ -42,12 +43,14 @@
     """Carry the live entries and how connections are divided.
 
     shares maps a server's connection limit to an entry's part of it; live
-    also names the entries which callers should no longer use.
+    also names the entries which callers should no longer use; agents names
+    some agents of other VMs, to be followed while the own one is gone.
     """
 
     addresses: Addresses
     shares: dict[int, int]
     live: tuple[Address, ...] = ()
+    agents: tuple[Endpoint, ...] = ()
 
 
 class RumorsUpdate(msgspec.Struct, frozen=True, tag='rumors'):
@@ -85,4 +88,6 @@
 
 
 class ReportAck(msgspec.Struct, frozen=True):
-    """Acknowledge a report."""
+    """Acknowledge a report with the agent's revision."""
+
+    revision: Revision = Revision(0)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -275,3 +275,62 @@
     assert refused.json()['kind'] == 'quarantined'
     assert int(refused.headers['Retry-After']) >= 1
     settle(tier)
+
+
+def declare_deadline(tier, deadline_ms):
+    """Change the service; return the revision of the change."""
+    documents = tier.documents()
+    documents[0]['deadlines']['default_ms'] = deadline_ms
+    done = tier.declare(*documents)
+    assert done.returncode == 0, done.stderr
+    return call(
+        tier.platform.ports['port'], '/v1/objects/service/trip-desk'
+    ).json()['revision']
+
+
+def revision_at(entry):
+    """Return the revision in force at an entry, by its own metrics."""
+    text = call(entry.ports['port'], '/metrics').body.decode()
+    line = next(
+        x for x in text.splitlines() if x.startswith('sesameward_revision')
+    )
+    return int(float(line.rsplit(' ', 1)[1]))
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+def test_configuration_reaches_an_entry_without_its_agent(tier, number):
+    settle(tier)
+    tier.agents[1].send(number)
+    wanted = declare_deadline(tier, 1_100 + int(number))
+    took_s = wait_until(
+        lambda: revision_at(tier.entries[1]) >= wanted, 'the revision', 15.0
+    )
+    if number == signal.SIGSTOP:
+        tier.agents[1].send(signal.SIGCONT)
+    else:
+        restart_node(tier, 1)
+    assert took_s < 10.0
+    settle(tier)
+
+
+def test_paused_entry_does_not_use_an_old_configuration(tier):
+    settle(tier)
+    entry = tier.entries[3]
+    entry.send(signal.SIGSTOP)
+    wanted = declare_deadline(tier, 1_300)
+    wait_until(lambda: revision_at(tier.entries[0]) >= wanted, 'the rest')
+    time.sleep(2.0)
+
+    def query():
+        return tier.query(entry), revision_at(entry)
+
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(query)
+        time.sleep(0.2)
+        entry.send(signal.SIGCONT)
+        reply, _ = sent.result()
+    if reply.status == 200:
+        assert revision_at(entry) >= wanted
+    else:
+        assert reply.json()['kind'] == 'not_ready'
+    settle(tier)
