Let rumors overtake a backlog of member updates

Drain notices and revisions have a lane and a budget of their own; before, hundreds of claims of a lost zone went ahead of them at 2.5 KB/s.

--- a/benchmark/membership.py
+++ b/benchmark/membership.py
@@ -15,6 +15,7 @@
 from benchmark.virtual import build_members
 from benchmark.virtual import Cluster
 from sesameward.messages import Member
+from sesameward.outbox import Lane
 from sesameward.settings import MembershipSettings
 from sesameward.suspicion import Suspicion
 from sesameward.swim import Swim
@@ -50,7 +51,7 @@
         member = self._roster.get(probe.node)
         dead = msgspec.structs.replace(member, state=MemberState.DEAD)
         claim = self._claim(dead, self._me.node)
-        self._adopt(now, dead, claim, self._urgent)
+        self._adopt(now, dead, claim, Lane.URGENT)
 
 
 class WithoutLifeguard(Swim):
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -37,7 +37,8 @@
 from .exceptions import RumorTooLargeError
 from .messages import Member
 from .messages import Rumor
-from .piggyback import Piggyback
+from .outbox import Lane
+from .outbox import Outbox
 from .piggyback import TokenBucket
 from .probing import Pool
 from .roster import is_live
@@ -59,11 +60,6 @@
 SWEEP_S = 10.0
 MIN_SYNC_GAP_S = 5.0
 MAX_RUMOR_BYTES = 512
-REVIVAL_BYTES_PER_S = 600.0
-REVIVAL_BURST_BYTES = 600.0
-URGENT_BYTES_PER_S = 2_500.0
-URGENT_BURST_BYTES = 5_000.0
-GOSSIP_BACKLOG = 32
 MAX_REPROBED = 4
 CONTESTS_PER_S = 0.5
 CONTESTS_BURST = 3.0
@@ -116,14 +112,7 @@
         self._roster = Roster()
         self._roster.merge(me)
         self._rumors = Rumors()
-        self._urgent = Piggyback()
-        self._revivals = Piggyback()
-        self._urgent_bytes = TokenBucket(
-            URGENT_BYTES_PER_S, URGENT_BURST_BYTES
-        )
-        self._revival_bytes = TokenBucket(
-            REVIVAL_BYTES_PER_S, REVIVAL_BURST_BYTES
-        )
+        self._outbox = Outbox()
         self._contradictions = TokenBucket(
             CONTRADICTIONS_PER_S, CONTRADICTIONS_BURST
         )
@@ -193,7 +182,8 @@
         )
         self._at(now + self._rng.uniform(0, cfg.push_pull_s), _Timer.SYNC)
         self._at(now + SWEEP_S, _Timer.SWEEP)
-        self._urgent.put(('m', self._me.node), introduce(self._me))
+        key = ('m', self._me.node)
+        self._outbox.put(Lane.URGENT, key, introduce(self._me))
 
     def join(self, host: str, port: int) -> Send:
         """Greet whoever listens at this address."""
@@ -221,7 +211,8 @@
                 state=MemberState.ALIVE,
             )
         )
-        self._urgent.put(('m', self._me.node), introduce(self._me))
+        key = ('m', self._me.node)
+        self._outbox.put(Lane.URGENT, key, introduce(self._me))
         self._gossip(now)
         return self._actions
 
@@ -271,8 +262,7 @@
         """Begin with a copy of these records, which hold the own one."""
         self._roster = roster.copy()
         self._pool.fill([m.node for m in roster if m.node != self._me.node])
-        self._urgent = Piggyback()
-        self._revivals = Piggyback()
+        self._outbox.clear()
 
     def merge(
         self, now: float, members: typing.Iterable[Member]
@@ -281,8 +271,8 @@
         self._actions = []
         for member in members:
             is_known = self._roster.get(member.node) is not None
-            queue = self._revivals if is_known else None
-            self._merge(now, member, queue)
+            lane = Lane.REVIVAL if is_known else None
+            self._merge(now, member, lane)
         return self._actions
 
     def claims(self, buckets: typing.Iterable[int]) -> list[Claim]:
@@ -457,9 +447,10 @@
         is_first = self._roster.merge(suspect)
         if is_first:
             self._actions.append(Changed(suspect))
-        if is_first or len(self._urgent) <= GOSSIP_BACKLOG:
+        if is_first or not self._outbox.has_backlog:
             claim = self._claim(suspect, origin)
-            self._urgent.put(('s', member.node, origin), claim)
+            key = ('s', member.node, origin)
+            self._outbox.put(Lane.URGENT, key, claim)
 
     def _on_suspect(self, now: float, node: NodeId) -> None:
         suspicion = self._suspicions.get(node)
@@ -474,7 +465,7 @@
         member = self._roster.get(node)
         dead = msgspec.structs.replace(member, state=MemberState.DEAD)
         claim = self._claim(dead, self._me.node)
-        self._adopt(now, dead, claim, self._urgent)
+        self._adopt(now, dead, claim, Lane.URGENT)
 
     def _on_nack(self, now: float, seq: int) -> None:
         relay = self._relays.pop(seq, None)
@@ -623,7 +614,7 @@
                 if self._take_claim(now, update):
                     self._want_sync(now, sender)
             case Introduction():
-                self._merge(now, update.to_member(), self._urgent)
+                self._merge(now, update.to_member(), Lane.URGENT)
             case WireRumor():
                 self._hear(now, update.to_rumor())
 
@@ -649,7 +640,7 @@
                 member, incarnation=claim.incarnation, state=claim.state
             ),
             claim,
-            self._urgent,
+            Lane.URGENT,
         )
         return False
 
@@ -675,9 +666,7 @@
         self._announce(now, suspect, claim.origin)
         self._arm(now, member.node, suspicion)
 
-    def _merge(
-        self, now: float, member: Member, queue: Piggyback | None
-    ) -> None:
+    def _merge(self, now: float, member: Member, lane: Lane | None) -> None:
         if member.node == self._me.node:
             content = datagrams.content_of(member)
             self._refute(now, member.incarnation, member.state, content)
@@ -689,14 +678,14 @@
             return
         if member.state is MemberState.SUSPECT:
             member = msgspec.structs.replace(member, state=MemberState.ALIVE)
-        self._adopt(now, member, introduce(member), queue)
+        self._adopt(now, member, introduce(member), lane)
 
     def _adopt(
         self,
         now: float,
         member: Member,
         update: Update,
-        queue: Piggyback | None,
+        lane: Lane | None,
     ) -> None:
         """Merge a record whose content is known and pass it on."""
         known = self._roster.get(member.node)
@@ -716,12 +705,11 @@
         if known is None and len(self._pool) == 1:
             self._want_sync(now, member.node)
         key = ('m', member.node)
-        self._urgent.drop(key)
-        self._revivals.drop(key)
+        self._outbox.drop(key)
         if _is_revival(known, update):
-            queue = self._revivals
-        if queue is not None:
-            queue.put(key, update)
+            lane = Lane.REVIVAL
+        if lane is not None:
+            self._outbox.put(lane, key, update)
 
     def _settle(self, node: NodeId) -> None:
         """Drop the suspicion, which a newer record has answered."""
@@ -729,7 +717,7 @@
         self._reprobed.discard(node)
         if suspicion is not None:
             for origin in suspicion.origins:
-                self._urgent.drop(('s', node, origin))
+                self._outbox.drop(('s', node, origin))
 
     def _contest(self, now: float, incarnation: int) -> bool:
         """Tell of a second owner of the own record; bound the dispute."""
@@ -760,10 +748,9 @@
             return
         self._set_me(msgspec.structs.replace(me, incarnation=incarnation + 1))
         update = self._claim(self._me) if same else introduce(self._me)
-        queue = self._urgent
-        if state is MemberState.DEAD and same:
-            queue = self._revivals
-        queue.put(('m', me.node), update)
+        may_wait = state is MemberState.DEAD and same
+        lane = Lane.REVIVAL if may_wait else Lane.URGENT
+        self._outbox.put(lane, ('m', me.node), update)
 
     def _set_me(self, me: Member) -> None:
         self._me = me
@@ -774,7 +761,8 @@
         if not self._rumors.merge(rumor, now):
             return
         self._actions.append(RumorHeard(rumor))
-        self._urgent.put(('r', rumor.topic, rumor.key), _wire(rumor))
+        key = ('r', rumor.topic, rumor.key)
+        self._outbox.put(Lane.RUMOR, key, _wire(rumor))
 
     # Sending.
 
@@ -822,29 +810,14 @@
     ) -> None:
         room = self._room() - BODY_BYTES
         room -= sum(len(datagrams.encode(update)) for update in extra)
-        updates = (*extra, *self._fill(now, room))
+        members = len(self._pool) + 1
+        updates = (*extra, *self._outbox.fill(now, room, members))
         message = Datagram(self._me.node, body, updates)
         self._actions.append(Send(host, port, message))
 
-    def _fill(self, now: float, room: int) -> list[Update]:
-        members = len(self._pool) + 1
-        taken: list[Update] = []
-        for queue, tokens in (
-            (self._urgent, self._urgent_bytes),
-            (self._revivals, self._revival_bytes),
-        ):
-            if not len(queue):
-                continue
-            most = min(room, tokens.left(now))
-            updates, size = queue.take(most, members)
-            tokens.spend(size)
-            room -= size
-            taken += updates
-        return taken
-
     def _gossip(self, now: float) -> None:
         """Send recent updates at once while there are few of them."""
-        if not 0 < len(self._urgent) <= GOSSIP_BACKLOG:
+        if self._outbox.has_backlog or not self._outbox.has_news:
             return
         for node in self._pool.sample(GOSSIP_FANOUT):
             if node not in self._suspicions:
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -20,6 +20,7 @@
 from sesameward.datagrams import Nack
 from sesameward.datagrams import Ping
 from sesameward.datagrams import PingRequest
+from sesameward.datagrams import WireRumor
 from sesameward.events import Contested
 from sesameward.events import Received
 from sesameward.events import RumorHeard
@@ -28,6 +29,9 @@
 from sesameward.exceptions import RumorTooLargeError
 from sesameward.messages import Address
 from sesameward.messages import Rumor
+from sesameward.outbox import BYTES_PER_S
+from sesameward.outbox import Lane
+from sesameward.outbox import Outbox
 from sesameward.piggyback import Piggyback
 from sesameward.roster import Roster
 from sesameward.rumors import Rumors
@@ -162,6 +166,23 @@
     assert len(sent) == 10 * 16
 
 
+def test_a_rumor_overtakes_a_backlog_of_records():
+    outbox = Outbox()
+    for index in range(500):
+        claim = Claim(NodeId(f'n{index}'), 1, 2, 1)
+        outbox.put(Lane.URGENT, ('m', f'n{index}'), claim)
+    rumor = WireRumor('drain', 't1', 1, b'', 60_000)
+    outbox.put(Lane.RUMOR, ('r', 't1'), rumor)
+    updates = outbox.fill(0.0, 1_000, 4_800)
+    assert updates[0] == rumor
+    spent = sum(
+        len(datagrams.encode(update))
+        for step in range(200)
+        for update in outbox.fill(step / 20, 1_000, 4_800)
+    )
+    assert spent <= 10 * BYTES_PER_S[Lane.URGENT] + 5_000 + 4_000
+
+
 @pytest.fixture
 def cluster():
     """Return a function which builds agents that know each other."""
