--- a/benchmark/load.py
+++ b/benchmark/load.py
@@ -153,7 +153,7 @@
 
 
 DESK = Shape(servers=40, slots=2, shards=20, width=8, tolerance=2.5)
-ROSTER = Shape(servers=4, slots=4, shards=1, width=1, tolerance=1.2)
+ROSTER = Shape(servers=4, slots=4, shards=1, width=1, tolerance=1.05)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sesameward/estimates.py
+++ b/sesameward/estimates.py
@@ -23,6 +23,7 @@
 REPORT_S = 1.5
 TRUST_WEIGHT = 0.2
 CREDIBLE = 0.5
+WARM_SAMPLES = 100
 RAMP_S = 10.0
 RAMP_START = 0.1
 DRAIN_HOLD_S = 10.0
@@ -57,6 +58,7 @@
         'closed',
         'cold_since',
         'ejected_until',
+        'fresh',
         'id',
         'in_flight',
         'local',
@@ -98,14 +100,10 @@
         self._trust = 0.0
         self._failures = 0
         self._ejections = 0
+        self.fresh = typical.samples > WARM_SAMPLES
         self.closed = False
         self.declare(target, local)
 
-    @property
-    def unknown(self) -> bool:
-        """Tell whether no sub-request has ended here yet."""
-        return self._observed_at == -math.inf
-
     def declare(self, target: declared.Target, local: bool) -> None:
         """Take over a changed declaration."""
         self.local = local
@@ -126,6 +124,14 @@
         held = now - self._refused_at < DRAIN_HOLD_S
         self.closed = self._drain or report.draining or held
 
+    def start(self, now: float) -> None:
+        """Count one sub-request sent."""
+        self.in_flight += 1
+        if self.fresh:
+            # Targets declared later than the others are new ones.
+            self.fresh = False
+            self.cold_since = now
+
     def drain(self, now: float) -> None:
         """Take in that the target refused because it leaves."""
         self._refused_at = now
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -15,7 +15,6 @@
 
 ZONE_COST_S = 0.002
 EJECT_SHARE = 0.5
-WARM_SAMPLES = 100
 
 _Candidates = collections.abc.Sequence[TargetId]
 _Avoid = collections.abc.Collection[TargetId]
@@ -56,15 +55,8 @@
     def started(self, target_id: TargetId, now: float) -> None:
         """Count one sub-request sent."""
         estimate = self._estimates.get(target_id)
-        if estimate is None:
-            return
-        if (
-            estimate.unknown
-            and not estimate.in_flight
-            and self._typical.samples > WARM_SAMPLES
-        ):
-            estimate.cold_since = max(estimate.cold_since, now)
-        estimate.in_flight += 1
+        if estimate is not None:
+            estimate.start(now)
 
     def finished(
         self,
--- a/sesameward/settings.py
+++ b/sesameward/settings.py
@@ -15,7 +15,7 @@
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
-Tolerance = typing.Annotated[float, msgspec.Meta(ge=1.05, le=10.0)]
+Tolerance = typing.Annotated[float, msgspec.Meta(ge=1.0, le=10.0)]
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 
 
