--- a/benchmark/queues.py
+++ b/benchmark/queues.py
@@ -371,7 +371,10 @@
             )
         if self.admission:
             latency_s = now - query.started_at
-            self._act(self.admission.finished(query.name, latency_s, now))
+            complete = not query.missing
+            self._act(
+                self.admission.finished(query.name, latency_s, now, complete)
+            )
 
     def _tick(self) -> None:
         now = self._events.now
--- a/sesameward/admission.py
+++ b/sesameward/admission.py
@@ -23,6 +23,7 @@
 SAFETY = 0.9
 PROBE_SHARE = 0.1
 RATE_WINDOW_S = 0.5
+MEAN_WEIGHT = 0.02
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 2.0
 JITTER = 1.0
@@ -149,16 +150,20 @@
         return actions
 
     def finished(
-        self, request_id: RequestId, latency_s: float, now: float
+        self,
+        request_id: RequestId,
+        latency_s: float,
+        now: float,
+        complete: bool = True,
     ) -> list[Action]:
         """Take in the end of a request that ran."""
         cost = self._running.pop(request_id, None)
         if cost is None:
             return []
-        self._limit.finished(latency_s, self._in_flight, now)
+        # A failure that comes fast says nothing of the unloaded latency.
+        if complete or latency_s > self._mean_s:
+            self._learn(latency_s, now)
         self._release(cost)
-        self._service.observe(latency_s, now)
-        self._mean_s += 0.02 * (latency_s - self._mean_s)
         return self.tick(now)
 
     def gone(self, request_id: RequestId, now: float) -> list[Action]:
@@ -176,6 +181,11 @@
         """Refuse what can no longer be met and admit what fits."""
         return self._purge(now) + self._drain(now)
 
+    def _learn(self, latency_s: float, now: float) -> None:
+        self._limit.finished(latency_s, self._in_flight, now)
+        self._service.observe(latency_s, now)
+        self._mean_s += MEAN_WEIGHT * (latency_s - self._mean_s)
+
     def _purge(self, now: float) -> list[Action]:
         actions: list[Action] = []
         earliest = now + self._service_s(now)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -117,6 +117,24 @@
     assert isinstance(arrive(admission, 'a', by=0.3, now=0.1)[-1], Admit)
 
 
+def test_fast_failures_do_not_lower_the_limit(admission):
+    now = 0.0
+    for index in range(2_000):
+        now += 0.01
+        name = RequestId(f'r{index}')
+        admission.arrive(name, Priority.NORMAL, now + 1.0, 1.0, now)
+        failed = index % 2 == 0
+        latency_s = 0.0001 if failed else 0.05
+        admission.finished(name, latency_s, now, complete=not failed)
+    before = admission.limit
+    for index in range(500):
+        now += 0.01
+        name = RequestId(f's{index}')
+        admission.arrive(name, Priority.NORMAL, now + 1.0, 1.0, now)
+        admission.finished(name, 0.05, now)
+    assert admission.limit >= before
+
+
 @given(
     st.lists(
         st.tuples(
