Let the path benchmark saturate the entry

The stand-in targets took about ten times the entry's processor time, so that on this machine 40 of them were the limit: the bare loop itself used only 0.17 cores and the entry 0.73. Targets of the benchmark now are a minimal asyncio protocol in 4 processes, callers are raw sockets in 2 processes. Both the entry and the bare loop are measured on these, with the entry saturated and nearly idle.

--- a/benchmark/path.py
+++ b/benchmark/path.py
@@ -2,101 +2,95 @@
 
 from __future__ import annotations
 
-import http.client
 import io
 import json
+import multiprocessing
+import multiprocessing.pool
 import statistics
 import sys
-import threading
 import time
 
 import msgspec
 import pycurl
 
+from benchmark import callers
 from sesameward.messages import ShardQuery
 from sesameward.standin.processes import HOST
 from sesameward.standin.processes import Shape
 from sesameward.standin.processes import Tier
 
-QUERY = '/v1/services/trip-desk/query'
-CALLERS = 8
-WARM_UP_S = 2.0
+TARGET_PROCESSES = 4
+CALLER_PROCESSES = 2
+SATURATING = 8
+WARM_UP_S = 3.0
 RUN_S = 8.0
+IDLE_RUN_S = 3.0
+IDLE_PAUSE_S = 0.02
 BARE_REQUESTS = 20_000
 BARE_PER_TARGET = 2
 REACH_RATIO = 0.5
 
 
-class Caller(threading.Thread):
-    """Send queries over one connection until told to stop."""
-
-    def __init__(self, port: int, stop: threading.Event):
-        super().__init__()
-        self._conn = http.client.HTTPConnection(HOST, port, timeout=30)
-        self._halt = stop
-        self.queries = 0
-        self.incomplete = 0
-        self.first_rows_s: list[float] = []
-
-    def run(self) -> None:
-        """Send one query after another."""
-        while not self._halt.is_set():
-            began_at = time.monotonic()
-            self._conn.request('POST', QUERY, '{}')
-            resp = self._conn.getresponse()
-            resp.readline()
-            resp.readline()
-            self.first_rows_s.append(time.monotonic() - began_at)
-            tail = resp.read()
-            self.queries += 1
-            if b'"complete":true' not in tail:
-                self.incomplete += 1
-        self._conn.close()
-
-
-def measure_entry(tier: Tier) -> dict:
-    """Load the entry from several callers."""
+class QuickTier(Tier):
+    """Run a tier whose targets cost little processor time."""
+
+    def start_target(self, instance: int, server: int) -> None:
+        """Start all targets with the first of them."""
+        if self.targets:
+            return
+        names = [
+            (self.target_id(i, s), self.instance_shards(i))
+            for i in range(self.shape.instances)
+            for s in range(self.shape.servers)
+        ]
+        for index in range(TARGET_PROCESSES):
+            part = names[index::TARGET_PROCESSES]
+            process = self.run(
+                f'targets-{index}',
+                'benchmark.quick_target',
+                json.dumps([shards for _, shards in part]),
+                str(self.shape.records),
+            )
+            for (name, _), port in zip(
+                part, process.ports['ports'], strict=True
+            ):
+                self.targets[name] = process
+                self.target_ports[name] = port
+
+
+def measure_entry(
+    tier: Tier, pool: multiprocessing.pool.Pool, idle: bool = False
+) -> dict:
+    """Load the entry: saturate it, or leave it idle most of the time."""
     entry = tier.entries[0]
-    stop = threading.Event()
-    callers = [Caller(entry.ports['port'], stop) for _ in range(CALLERS)]
-    for caller in callers:
-        caller.start()
+    run_s = IDLE_RUN_S if idle else RUN_S
+    load = callers.Load(
+        entry.ports['port'],
+        1 if idle else SATURATING,
+        WARM_UP_S + run_s + 1.0,
+        IDLE_PAUSE_S if idle else 0.0,
+    )
+    running = callers.start(pool, load, 1 if idle else CALLER_PROCESSES)
     time.sleep(WARM_UP_S)
-    before = (sum(c.queries for c in callers), entry.cpu_s())
+    began_s = entry.cpu_s()
     began_at = time.monotonic()
-    time.sleep(RUN_S)
-    elapsed_s = time.monotonic() - began_at
-    queries = sum(c.queries for c in callers) - before[0]
-    cpu_s = entry.cpu_s() - before[1]
-    stop.set()
-    for caller in callers:
-        caller.join()
-    first = sorted(t for c in callers for t in c.first_rows_s)
+    time.sleep(run_s)
+    cpu_s = entry.cpu_s() - began_s
+    end_at = time.monotonic()
+    seen = callers.collect(running)
+    queries = seen.between(began_at, end_at)
+    first = sorted(seen.first_rows_s)
     sub_requests = queries * tier.shape.instances
     return {
-        'queries': queries,
-        'queries_per_s': round(queries / elapsed_s, 1),
-        'cores': round(cpu_s / elapsed_s, 3),
-        'incomplete': sum(c.incomplete for c in callers),
+        'queries_per_s': round(queries / (end_at - began_at), 1),
+        'cores': round(cpu_s / (end_at - began_at), 3),
+        'incomplete': seen.incomplete,
         'sub_requests_per_core_s': round(sub_requests / cpu_s),
         'first_rows_p50_ms': round(statistics.median(first) * 1000, 2),
         'first_rows_p99_ms': round(first[len(first) * 99 // 100] * 1000, 2),
-        'entry_rss_mb': round(entry.rss_mb(), 1),
-        'agent_rss_mb': round(tier.agents[0].rss_mb(), 1),
     }
 
 
-def measure_idle_first_rows(tier: Tier) -> float:
-    """Return the median milliseconds to the first rows without load."""
-    stop = threading.Event()
-    caller = Caller(tier.entries[0].ports['port'], stop)
-    caller.start()
-    time.sleep(1.0)
-    stop.set()
-    caller.join()
-    return round(statistics.median(caller.first_rows_s) * 1000, 2)
-
-
 def measure_bare(tier: Tier) -> float:
     """Return sub-requests a core-second of a bare pycurl multi loop."""
     multi = pycurl.CurlMulti()
@@ -162,19 +156,24 @@
         connections=25,
         deadline_ms=5_000,
     )
-    with Tier(shape) as tier:
-        idle_ms = measure_idle_first_rows(tier)
-        bare = measure_bare(tier)
-        figures = measure_entry(tier)
-        bare = (bare + measure_bare(tier)) / 2
+    with multiprocessing.Pool(CALLER_PROCESSES) as pool:
+        with QuickTier(shape) as tier:
+            idle = measure_entry(tier, pool, idle=True)
+            before = measure_bare(tier)
+            figures = measure_entry(tier, pool)
+            bare = (before + measure_bare(tier)) / 2
+            entry_rss_mb = tier.entries[0].rss_mb()
+            agent_rss_mb = tier.agents[0].rss_mb()
     ratio = figures['sub_requests_per_core_s'] / bare
     print(
         json.dumps(
             {
                 'benchmark': 'path',
                 'shards_per_query': shape.shards,
-                'first_rows_idle_p50_ms': idle_ms,
                 **figures,
+                'idle': idle,
+                'entry_rss_mb': round(entry_rss_mb, 1),
+                'agent_rss_mb': round(agent_rss_mb, 1),
                 'bare_per_core_s': round(bare),
                 'ratio': round(ratio, 3),
                 'ratio_to_reach': REACH_RATIO,
