Refuse libcurl's silent second sending of a request

libcurl sends a request again when a reused connection closes without a reply. The price: a request which races with the server's closing of an idle connection is broken, too, instead of being sent again.

Sockets are registered anew only when their events change, and finished transfers are taken once for each wake-up.

--- a/sesameward/transfers.py
+++ b/sesameward/transfers.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import enum
 import select
 import typing
 
+import msgspec
 import pycurl
 
 
@@ -25,13 +25,7 @@
     TOO_LARGE = 'too_large'
 
 
-_CONNECT_ERRORS = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
+class Response(msgspec.Struct, frozen=True):
     """Hold a finished transfer; sent tells whether bytes may have left."""
 
     status: int
@@ -41,6 +35,7 @@
 
 
 Done = typing.Callable[[Response], None]
+OnOpen = typing.Callable[[int, int], int]
 
 _EPOLL = {
     pycurl.POLL_IN: select.EPOLLIN,
@@ -51,11 +46,26 @@
 
 
 class Transfer:
-    """Own one libcurl handle, used for one transfer at a time."""
+    """Own one libcurl handle, used for one transfer at a time.
 
-    __slots__ = ('aborted', 'chunks', 'curl', 'done', 'lane', 'size')
+    libcurl sends a request again when a reused connection closes without a
+    reply. The request may have run by then, so the second time is refused.
+    """
 
-    def __init__(self):
+    __slots__ = (
+        'aborted',
+        'chunks',
+        'curl',
+        'done',
+        'lane',
+        'on_open',
+        'sent',
+        'size',
+    )
+
+    def __init__(self, on_open: OnOpen):
+        self.on_open = on_open
+        self.sent = False
         self.lane: Lane | None = None
         self.chunks: list[bytes] = []
         self.size = 0
@@ -77,6 +87,8 @@
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
+        curl.setopt(pycurl.PREREQFUNCTION, self._before_request)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self.on_open)
         if lane.once:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
@@ -92,6 +104,12 @@
         self.aborted = False
         self.curl.setopt(pycurl.NOPROGRESS, 1)
 
+    def _before_request(self, *_: object) -> int:
+        if self.sent:
+            return pycurl.PREREQFUNC_ABORT
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
+
     def _progress(self, *_: float) -> int:
         return int(self.aborted)
 
@@ -106,9 +124,8 @@
 class Lane:
     """Hold the idle handles for one URL.
 
-    A lane with once=True opens a connection for each transfer: libcurl
-    sends a request again when a reused connection turns out to be closed,
-    which a request that is not idempotent must never suffer.
+    A lane with once=True opens a connection for each transfer, so that no
+    transfer fails because the server closed an idle connection.
     """
 
     def __init__(
@@ -143,6 +160,7 @@
         self._epoll = select.epoll()
         self._loop.add_reader(self._epoll.fileno(), self._on_ready)
         self._wanted: dict[int, int] = {}
+        self._registered: dict[int, int] = {}
         self._abort: asyncio.Handle | None = None
         self._aborting: list[Transfer] = []
         self._spare: list[Transfer] = []
@@ -158,6 +176,7 @@
         transfer = lane.idle.pop() if lane.idle else self._create(lane)
         transfer.done = done
         transfer.size = 0
+        transfer.sent = False
         curl = transfer.curl
         if not lane.reads:
             curl.setopt(pycurl.POSTFIELDS, body)
@@ -193,7 +212,7 @@
         if self._spare:
             transfer = self._spare.pop()
         else:
-            transfer = Transfer()
+            transfer = Transfer(self._on_open)
         transfer.prepare(lane)
         return transfer
 
@@ -223,30 +242,37 @@
             # since the next transfer wants it again.
             self._wanted[fd] = 0
             return
-        self._wanted[fd] = _EPOLL[event]
+        wanted = _EPOLL[event]
+        self._wanted[fd] = wanted
+        if self._registered.get(fd) == wanted:
+            return
+        self._registered[fd] = wanted
         try:
-            self._epoll.modify(fd, _EPOLL[event])
+            self._epoll.modify(fd, wanted)
         except FileNotFoundError:
-            self._epoll.register(fd, _EPOLL[event])
+            self._epoll.register(fd, wanted)
+
+    def _on_open(self, fd: int, _: int) -> int:
+        # The kernel dropped the registration of an earlier socket of this
+        # number when that was closed.
+        self._registered.pop(fd, None)
+        return pycurl.SOCKOPT_OK
 
     def _on_ready(self) -> None:
+        act = self._multi.socket_action
         for fd, events in self._epoll.poll(0):
             wanted = self._wanted.get(fd, 0)
-            if not wanted:
-                # A server closed an idle connection.
-                with contextlib.suppress(OSError):
-                    self._epoll.unregister(fd)
-                continue
-            action = 0
-            if events & (select.EPOLLIN | _ERRORS) and (
-                wanted & select.EPOLLIN
-            ):
-                action |= pycurl.CSELECT_IN
-            if events & (select.EPOLLOUT | _ERRORS) and (
-                wanted & select.EPOLLOUT
-            ):
-                action |= pycurl.CSELECT_OUT
-            self._act(fd, action)
+            if wanted:
+                act(fd, _select_bits(events, wanted))
+            else:
+                self._unregister(fd)
+        self._take_finished()
+
+    def _unregister(self, fd: int) -> None:
+        # A server closed an idle connection.
+        self._registered.pop(fd, None)
+        with contextlib.suppress(OSError):
+            self._epoll.unregister(fd)
 
     def _on_kick(self) -> None:
         self._kick = None
@@ -266,6 +292,9 @@
 
     def _act(self, fd: int, action: int) -> None:
         self._multi.socket_action(fd, action)
+        self._take_finished()
+
+    def _take_finished(self) -> None:
         while True:
             queued, finished, failed = self._multi.info_read()
             for curl in finished:
@@ -285,13 +314,23 @@
             done(response)
 
 
+def _select_bits(events: int, wanted: int) -> int:
+    if events & _ERRORS:
+        events |= wanted
+    action = 0
+    if events & wanted & select.EPOLLIN:
+        action |= pycurl.CSELECT_IN
+    if events & wanted & select.EPOLLOUT:
+        action |= pycurl.CSELECT_OUT
+    return action
+
+
 def _response(transfer: Transfer, errno: int) -> Response:
-    curl = transfer.curl
     if not errno:
         chunks = transfer.chunks
         body = chunks[0] if len(chunks) == 1 else b''.join(chunks)
-        return Response(curl.getinfo(pycurl.RESPONSE_CODE), body)
-    sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+        return Response(transfer.curl.getinfo(pycurl.RESPONSE_CODE), body)
+    sent = transfer.sent
     return Response(0, b'', _failure(errno, sent), sent)
 
 
@@ -300,6 +339,4 @@
         return Failure.TIMEOUT
     if errno == pycurl.E_WRITE_ERROR:
         return Failure.TOO_LARGE
-    if errno in _CONNECT_ERRORS or not sent:
-        return Failure.CONNECT
-    return Failure.BROKEN
+    return Failure.BROKEN if sent else Failure.CONNECT
