Send again what went to a connection closed before

A target which restarts would have got innocent queries blamed. Epoll tells of such an end while the connection is idle; its local port is kept, and a request that went there may be sent again.

--- a/sesameward/transfers.py
+++ b/sesameward/transfers.py
@@ -9,7 +9,9 @@
 import asyncio
 import contextlib
 import enum
+import os
 import select
+import socket
 import typing
 
 import msgspec
@@ -35,7 +37,6 @@
 
 
 Done = typing.Callable[[Response], None]
-OnOpen = typing.Callable[[int, int], int]
 
 _EPOLL = {
     pycurl.POLL_IN: select.EPOLLIN,
@@ -45,11 +46,59 @@
 _ERRORS = select.EPOLLERR | select.EPOLLHUP
 
 
+class Sockets:
+    """Watch libcurl's sockets, idle ones too.
+
+    libcurl uses a connection again without looking whether the server has
+    closed it in the last second; closed_ports has the local ports of those.
+    """
+
+    def __init__(self):
+        self.epoll = select.epoll()
+        self.wanted: dict[int, int] = {}
+        self.closed_ports: set[int] = set()
+        self._registered: dict[int, int] = {}
+
+    def want(self, fd: int, events: int) -> None:
+        """Watch a socket; without events, only for its end."""
+        self.wanted[fd] = events
+        # The socket stays registered while its connection is idle, since
+        # the next transfer wants it again.
+        if not events or self._registered.get(fd) == events:
+            return
+        self._registered[fd] = events
+        try:
+            self.epoll.modify(fd, events)
+        except FileNotFoundError:
+            self.epoll.register(fd, events)
+
+    def opened(self, fd: int) -> None:
+        """Take in that libcurl opened a socket of this number."""
+        # The kernel dropped the registration of an earlier one on close.
+        self._registered.pop(fd, None)
+
+    def closed(self, fd: int) -> None:
+        """Take in that a server closed an idle connection."""
+        self._registered.pop(fd, None)
+        with contextlib.suppress(OSError):
+            self.epoll.unregister(fd)
+            with socket.socket(fileno=os.dup(fd)) as copy:
+                self.closed_ports.add(copy.getsockname()[1])
+
+    def take_closed(self, port: int) -> bool:
+        """Tell whether the connection was closed; forget it."""
+        if port not in self.closed_ports:
+            return False
+        self.closed_ports.remove(port)
+        return True
+
+
 class Transfer:
     """Own one libcurl handle, used for one transfer at a time.
 
     libcurl sends a request again when a reused connection closes without a
-    reply. The request may have run by then, so the second time is refused.
+    reply. The request may have run by then, so the second time is refused,
+    unless the first went to a connection which was closed before.
     """
 
     __slots__ = (
@@ -58,13 +107,15 @@
         'curl',
         'done',
         'lane',
-        'on_open',
+        'opened',
         'sent',
         'size',
+        'sockets',
     )
 
-    def __init__(self, on_open: OnOpen):
-        self.on_open = on_open
+    def __init__(self, sockets: Sockets):
+        self.sockets = sockets
+        self.opened = False
         self.sent = False
         self.lane: Lane | None = None
         self.chunks: list[bytes] = []
@@ -88,7 +139,7 @@
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
         curl.setopt(pycurl.PREREQFUNCTION, self._before_request)
-        curl.setopt(pycurl.SOCKOPTFUNCTION, self.on_open)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_open)
         if lane.once:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
@@ -104,9 +155,17 @@
         self.aborted = False
         self.curl.setopt(pycurl.NOPROGRESS, 1)
 
-    def _before_request(self, *_: object) -> int:
+    def _on_open(self, fd: int, _: int) -> int:
+        self.opened = True
+        self.sockets.opened(fd)
+        return pycurl.SOCKOPT_OK
+
+    def _before_request(self, _: str, __: str, ___: int, port: int) -> int:
         if self.sent:
             return pycurl.PREREQFUNC_ABORT
+        if self.sockets.closed_ports:
+            if self.sockets.take_closed(port) and not self.opened:
+                return pycurl.PREREQFUNC_OK
         self.sent = True
         return pycurl.PREREQFUNC_OK
 
@@ -157,10 +216,9 @@
         self._kick: asyncio.Handle | None = None
         # An epoll object of its own costs less than the event loop's, and
         # drops by itself the sockets which libcurl closes unannounced.
-        self._epoll = select.epoll()
+        self._sockets = Sockets()
+        self._epoll = self._sockets.epoll
         self._loop.add_reader(self._epoll.fileno(), self._on_ready)
-        self._wanted: dict[int, int] = {}
-        self._registered: dict[int, int] = {}
         self._abort: asyncio.Handle | None = None
         self._aborting: list[Transfer] = []
         self._spare: list[Transfer] = []
@@ -177,6 +235,7 @@
         transfer.done = done
         transfer.size = 0
         transfer.sent = False
+        transfer.opened = False
         curl = transfer.curl
         if not lane.reads:
             curl.setopt(pycurl.POSTFIELDS, body)
@@ -212,7 +271,7 @@
         if self._spare:
             transfer = self._spare.pop()
         else:
-            transfer = Transfer(self._on_open)
+            transfer = Transfer(self._sockets)
         transfer.prepare(lane)
         return transfer
 
@@ -237,43 +296,18 @@
             )
 
     def _set_socket(self, event: int, fd: int, multi, data) -> None:
-        if event == pycurl.POLL_REMOVE:
-            # The socket stays registered while its connection is idle,
-            # since the next transfer wants it again.
-            self._wanted[fd] = 0
-            return
-        wanted = _EPOLL[event]
-        self._wanted[fd] = wanted
-        if self._registered.get(fd) == wanted:
-            return
-        self._registered[fd] = wanted
-        try:
-            self._epoll.modify(fd, wanted)
-        except FileNotFoundError:
-            self._epoll.register(fd, wanted)
-
-    def _on_open(self, fd: int, _: int) -> int:
-        # The kernel dropped the registration of an earlier socket of this
-        # number when that was closed.
-        self._registered.pop(fd, None)
-        return pycurl.SOCKOPT_OK
+        self._sockets.want(fd, _EPOLL.get(event, 0))
 
     def _on_ready(self) -> None:
         act = self._multi.socket_action
+        wanted = self._sockets.wanted
         for fd, events in self._epoll.poll(0):
-            wanted = self._wanted.get(fd, 0)
-            if wanted:
-                act(fd, _select_bits(events, wanted))
+            if wanted.get(fd):
+                act(fd, _select_bits(events, wanted[fd]))
             else:
-                self._unregister(fd)
+                self._sockets.closed(fd)
         self._take_finished()
 
-    def _unregister(self, fd: int) -> None:
-        # A server closed an idle connection.
-        self._registered.pop(fd, None)
-        with contextlib.suppress(OSError):
-            self._epoll.unregister(fd)
-
     def _on_kick(self) -> None:
         self._kick = None
         self._act(pycurl.SOCKET_TIMEOUT, 0)
