Compute hedge delays once for each query and merge in one pass

Cause, by cProfile: quantile() walked 192 buckets at each send. Quantiles are kept until the window's next refresh, the first attempts of a query share one hedge timer, plain replies skip the merge's table, messages on the path are msgspec structs.

--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -6,6 +6,8 @@
 import heapq
 import typing
 
+import msgspec
+
 from .declared import Shard
 from .merging import merge
 from .messages import End
@@ -55,8 +57,7 @@
     ) -> float | None: ...
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Ask a target for shards."""
 
     attempt: AttemptId
@@ -65,29 +66,25 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cancel:
+class Cancel(msgspec.Struct, frozen=True):
     """Abandon an attempt whose shards others have answered."""
 
     attempt: AttemptId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Emit:
+class Emit(msgspec.Struct, frozen=True):
     """Give the caller one shard's records."""
 
     rows: Rows
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
+class Finish(msgspec.Struct, frozen=True):
     """End the answer."""
 
     end: End
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Count:
+class Count(msgspec.Struct, frozen=True):
     """Count an event under a reason."""
 
     name: str
@@ -145,7 +142,8 @@
         self._hedges = hedges
         self._attempts: dict[AttemptId, _Attempt] = {}
         self._number = 0
-        self._hedge_times: list[tuple[float, AttemptId]] = []
+        # Attempts of one batch are hedged together.
+        self._hedge_times: list[tuple[float, list[AttemptId]]] = []
         self._wanted: dict[ShardId, _Wanted] = {}
         self._missing: dict[ShardId, MissingReason] = {}
         self._held: dict[TargetId, list[ShardId]] = {}
@@ -223,9 +221,15 @@
         now: float,
     ) -> list[Action]:
         actions: list[Action] = []
+        hedge_at = self._hedge_at(0, now)
+        batch: list[AttemptId] = []
         for target, shards in chosen.items():
             self._budget.deposit(target)
-            actions.append(self._send(target, shards, 'first', now))
+            send = self._send(target, shards, 'first')
+            batch.append(send.attempt)
+            actions.append(send)
+        if hedge_at is not None:
+            heapq.heappush(self._hedge_times, (hedge_at, batch))
         return actions
 
     def replied(
@@ -253,14 +257,17 @@
                 lacking.append(shard)
                 continue
             self._merge(shard, shard_reply.records, actions)
-        omitted = [
-            shard
-            for shard in sent.shards
-            if shard in self._wanted and shard not in returned
-        ]
-        self._retry(lacking, Outcome.NO_SNAPSHOT, actions, now)
-        self._retry(omitted, Outcome.ERROR, actions, now)
-        self._finish_if_done(actions, now)
+        if lacking:
+            self._retry(lacking, Outcome.NO_SNAPSHOT, actions, now)
+        if len(returned) < len(sent.shards):
+            omitted = [
+                shard
+                for shard in sent.shards
+                if shard in self._wanted and shard not in returned
+            ]
+            self._retry(omitted, Outcome.ERROR, actions, now)
+        if not self._wanted:
+            self._finish_if_done(actions, now)
         return actions
 
     def failed(
@@ -286,19 +293,24 @@
             return self.stop(MissingReason.DEADLINE, now)
         times = self._hedge_times
         while times and times[0][0] <= now:
-            sent = self._attempts.get(heapq.heappop(times)[1])
-            if sent is not None:
-                self._hedge(sent, actions, now)
+            for attempt in heapq.heappop(times)[1]:
+                sent = self._attempts.get(attempt)
+                if sent is not None:
+                    self._hedge(sent, actions, now)
         return actions
 
     def next_due(self) -> float:
         """Return when due() has something to do, on the same clock."""
         times = self._hedge_times
-        while times and times[0][1] not in self._attempts:
+        while times and not self._any_runs(times[0][1]):
             heapq.heappop(times)
-        if times:
-            return min(times[0][0], self._request.deadline_at)
-        return self._request.deadline_at
+        return times[0][0] if times else self._request.deadline_at
+
+    def _any_runs(self, batch: list[AttemptId]) -> bool:
+        # Those which have ended are looked at only once.
+        while batch and batch[-1] not in self._attempts:
+            batch.pop()
+        return bool(batch)
 
     def stop(self, reason: MissingReason, now: float) -> list[Action]:
         """End the answer now; the shards not merged are missing."""
@@ -355,7 +367,9 @@
                 self._give_up(shard, reason)
         for target, ids in again.items():
             if self._may_retry(outcome, target):
-                actions.append(self._send(target, ids, outcome.value, now))
+                actions.append(
+                    self._send_again(target, ids, outcome.value, now)
+                )
                 continue
             actions.append(Count('retries_refused', 'budget'))
             for shard in ids:
@@ -390,21 +404,36 @@
             if not self._budget.withdraw(target):
                 actions.append(Count('hedges_refused', 'budget'))
                 continue
-            actions.append(self._send(target, shards, 'hedge', now))
+            actions.append(self._send_again(target, shards, 'hedge', now))
 
-    def _send(
+    def _send_again(
         self,
         target: TargetId,
         shards: typing.Sequence[ShardId],
         reason: str,
         now: float,
     ) -> Send:
-        self._number += 1
-        attempt = AttemptId(f'{self._request.request}.{self._number}')
         hedges = max(len(self._wanted[s].attempts) for s in shards)
+        hedge_at = self._hedge_at(hedges, now)
+        send = self._send(target, shards, reason)
+        if hedge_at is not None:
+            heapq.heappush(self._hedge_times, (hedge_at, [send.attempt]))
+        return send
+
+    def _hedge_at(self, hedges: int, now: float) -> float | None:
         delay_s = self._hedges.delay_s(self._request.service, now, hedges)
-        if delay_s is not None and now + delay_s < self._request.deadline_at:
-            heapq.heappush(self._hedge_times, (now + delay_s, attempt))
+        if delay_s is None or now + delay_s >= self._request.deadline_at:
+            return None
+        return now + delay_s
+
+    def _send(
+        self,
+        target: TargetId,
+        shards: typing.Sequence[ShardId],
+        reason: str,
+    ) -> Send:
+        self._number += 1
+        attempt = AttemptId(f'{self._request.request}.{self._number}')
         ids = tuple(shards)
         self._attempts[attempt] = _Attempt(target, ids)
         for shard in ids:
--- a/sesameward/latency.py
+++ b/sesameward/latency.py
@@ -25,6 +25,7 @@
         '_counts',
         '_merged',
         '_older',
+        '_quantiles',
         '_read_at',
         '_slice_s',
         '_turn_at',
@@ -39,6 +40,7 @@
             maxlen=SLICES - 1
         )
         self._merged = self._counts
+        self._quantiles: dict[float, float] = {}
         self._read_at = -math.inf
         self.samples = 0
 
@@ -57,6 +59,12 @@
         self._refresh(now)
         if self.samples < MIN_SAMPLES:
             return None
+        found = self._quantiles.get(fraction)
+        if found is None:
+            found = self._quantiles[fraction] = self._find(fraction)
+        return found
+
+    def _find(self, fraction: float) -> float:
         wanted = fraction * self.samples
         below = 0
         for index, count in enumerate(self._merged):
@@ -81,6 +89,7 @@
         if now - self._read_at < REFRESH_S and self.samples >= MIN_SAMPLES:
             return
         self._read_at = now
+        self._quantiles.clear()
         self._merged = [
             sum(counts) for counts in zip(self._counts, *self._older)
         ]
--- a/sesameward/merging.py
+++ b/sesameward/merging.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
+import msgspec
+
 from .declared import Shard
 from .messages import Record
 from .types import RecordVersion
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Merged:
+class Merged(msgspec.Struct, frozen=True):
     """Hold the records to give and how many were left out, and why."""
 
     records: tuple[Record, ...]
@@ -31,6 +31,8 @@
     former owner may still return it. uncovered counts the records which
     exist in uncovered versions only.
     """
+    if _is_plain(shard, records, covered):
+        return Merged(tuple(records))
     newest: dict[str, Record] = {}
     uncovered: set[str] = set()
     foreign = 0
@@ -55,3 +57,17 @@
         superseded,
         len(uncovered - newest.keys()),
     )
+
+
+def _is_plain(
+    shard: Shard,
+    records: typing.Sequence[Record],
+    covered: typing.Collection[RecordVersion],
+) -> bool:
+    """Tell whether every record is owned, covered and there once."""
+    keys = {record.key for record in records}
+    if len(keys) != len(records):
+        return False
+    if keys and not (shard.owns(min(keys)) and shard.owns(max(keys))):
+        return False
+    return {record.version for record in records}.issubset(covered)
--- a/sesameward/target_client.py
+++ b/sesameward/target_client.py
@@ -34,8 +34,7 @@
 _BOOKING_CONNECTIONS = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueryResult:
+class QueryResult(msgspec.Struct, frozen=True):
     """Hold the end of one sub-request; reply is None unless it is OK."""
 
     outcome: Outcome
@@ -217,7 +216,8 @@
         def finish(response: Response) -> None:
             del self._running[attempt]
             link.in_flight -= 1
-            self._start_next(link)
+            if link.waiting:
+                self._start_next(link)
             waiting.done(attempt, self._query_result(response))
 
         transfer = self._transfers.submit(link.queries, waiting.body, finish)
