Do less work for each sub-request and each query at the entry

Cause, by cProfile: about 250 Python calls for each sub-request. Replica choice looks for ejections and pauses only where there are any; a proven fingerprint isn't proven again; the clock is read once for a reply; a caller's hang-up is a future instead of two tasks; later rows leave together every 2 ms (the first at once); the cycle collector skips what lives as long as the process.

--- a/sesameward/budget.py
+++ b/sesameward/budget.py
@@ -50,8 +50,10 @@
 
     def deposit(self, service: ServiceName, target: TargetId) -> None:
         """Count one first attempt of a service at a target."""
-        self._service(service).deposit()
-        self._target(target).deposit()
+        ours = self._services.get(service) or self._service(service)
+        ours.deposit()
+        theirs = self._targets.get(target) or self._target(target)
+        theirs.deposit()
 
     def withdraw(self, service: ServiceName, target: TargetId) -> bool:
         """Take one extra attempt at a target; False when refused."""
--- a/sesameward/controllers/suspects.py
+++ b/sesameward/controllers/suspects.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import typing
 
 from .. import logs
@@ -26,7 +25,7 @@
         self._quarantine = quarantine
         self._metrics = metrics
         self._clock = clock
-        self._running: dict[TargetId, collections.Counter[Fingerprint]] = {}
+        self._running: dict[TargetId, dict[Fingerprint, int]] = {}
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
     def admit(self, fp: Fingerprint) -> Admission:
@@ -35,13 +34,18 @@
 
     def sent(self, fp: Fingerprint, target: TargetId) -> None:
         """Take in that a sub-request left for a target."""
-        self._running.setdefault(target, collections.Counter())[fp] += 1
+        running = self._running.get(target)
+        if running is None:
+            running = self._running[target] = {}
+        running[fp] = running.get(fp, 0) + 1
 
     def ended(self, fp: Fingerprint, target: TargetId) -> None:
         """Take in that a sub-request ended, however it did."""
         running = self._running[target]
-        running[fp] -= 1
-        if running[fp] <= 0:
+        left = running[fp] - 1
+        if left:
+            running[fp] = left
+        else:
             del running[fp]
 
     def broke(self, fp: Fingerprint, target: TargetId) -> bool:
@@ -53,6 +57,8 @@
 
     def succeeded(self, fp: Fingerprint, target: TargetId) -> None:
         """Take in that a target survived the request."""
+        if self._quarantine.is_proven(fp):
+            return
         self._carry_out(self._quarantine.succeeded(fp, target, self._clock()))
 
     def trial_ended(self, fp: Fingerprint) -> None:
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import gc
 import os
 import random
 import signal
@@ -58,6 +59,7 @@
 EXIT_CUT_OFF = 4
 _MAX_HEADER_BYTES = 16_384
 _BODY_READ_FACTOR = 16
+_GC_ALLOCATIONS = 20_000
 
 
 class Entry:
@@ -293,11 +295,19 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
     entry.start()
+    _relax_garbage_collection()
     print(f'{{"port": {entry.address.port}}}', flush=True)
     await entry.stop.wait()
     return EXIT_CUT_OFF if await entry.leave() else 0
 
 
+def _relax_garbage_collection() -> None:
+    """Leave out what lives as long as the process; look less often."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_GC_ALLOCATIONS, 10, 10)
+
+
 def serve(settings_file: str) -> int:
     """Run one entry.
 
--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -118,15 +118,13 @@
         """Run until the answer has ended or the caller is gone."""
         self._open()
         self._carry_out(self._start())
-        gone = asyncio.ensure_future(self._exchange.gone.wait())
-        try:
-            await asyncio.wait(
-                {self._done, gone}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            gone.cancel()
+        self._exchange.gone.add_done_callback(self._on_gone)
+        await self._done
+
+    def _on_gone(self, _: asyncio.Future) -> None:
         if not self._done.done():
             self._parts.metrics.count('callers_gone', 'mid_stream')
+            self._done.set_result(None)
 
     def close(self) -> None:
         """Abandon what still runs at targets."""
@@ -206,12 +204,11 @@
         if sent is None:
             return
         self._parts.client.cancel(attempt)
-        self._account(sent, Outcome.CANCELLED)
+        self._account(sent, Outcome.CANCELLED, self._parts.clock())
         self._parts.metrics.count('sub_requests_cancelled')
 
-    def _account(self, sent: _Sent, outcome: Outcome) -> None:
+    def _account(self, sent: _Sent, outcome: Outcome, now: float) -> None:
         parts = self._parts
-        now = parts.clock()
         latency_s = now - sent.at
         parts.routing.chooser.finished(sent.target, outcome, latency_s, now)
         parts.suspects.ended(self._fp, sent.target)
@@ -236,7 +233,8 @@
             self._parts.metrics.count('replies_dropped', 'unknown_attempt')
             self._on_failure(attempt, sent, QueryResult(Outcome.ERROR))
             return
-        self._account(sent, Outcome.OK)
+        now = self._parts.clock()
+        self._account(sent, Outcome.OK, now)
         self._parts.suspects.succeeded(self._fp, sent.target)
         if reply.load is not None:
             self._parts.routing.take_report(sent.target, reply.load)
@@ -244,7 +242,6 @@
         lacking = [s.shard for s in reply.shards if s.snapshot != pinned]
         if lacking:
             self._parts.routing.take_lacking(sent.target, lacking, pinned)
-        now = self._parts.clock()
         actions = self._fanout.replied(attempt, reply, now)
         if self._fanout.holding:
             actions += self._fanout.release(now)
@@ -258,10 +255,10 @@
         quarantined = False
         if result.outcome is Outcome.BROKEN:
             quarantined = parts.suspects.broke(self._fp, sent.target)
-        self._account(sent, result.outcome)
+        now = parts.clock()
+        self._account(sent, result.outcome, now)
         if result.outcome is Outcome.DRAINING:
             parts.routing.take_leaving(sent.target)
-        now = parts.clock()
         broke = result.outcome is Outcome.BROKEN
         if quarantined or (broke and self._fanout.holding):
             self._carry_out(self._fanout.stop(MissingReason.QUARANTINED, now))
@@ -272,8 +269,8 @@
         if self._done.done():
             return
         due_at = self._fanout.next_due()
-        if self._release_at is not None:
-            due_at = min(due_at, self._release_at)
+        if self._release_at is not None and self._release_at < due_at:
+            due_at = self._release_at
         if self._timer is not None:
             if self._timer_at <= due_at:
                 return
--- a/sesameward/filters/exchange.py
+++ b/sesameward/filters/exchange.py
@@ -29,12 +29,16 @@
     def answer(self, result: BookingResult) -> None: ...
 
 
+def _make_future() -> asyncio.Future:
+    return asyncio.get_running_loop().create_future()
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """Hold a request and what the filters found out about it.
 
-    Times are seconds on the monotonic clock; gone is set when the caller
-    closes its connection.
+    Times are seconds on the monotonic clock; gone is done when the caller
+    has closed its connection.
     """
 
     request_id: RequestId
@@ -43,7 +47,7 @@
     body: bytes
     received_at: float
     caller: Caller
-    gone: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    gone: asyncio.Future = dataclasses.field(default_factory=_make_future)
     service: Service | None = None
     query: QueryBody | None = None
     booking: BookingBody | None = None
--- a/sesameward/handlers.py
+++ b/sesameward/handlers.py
@@ -20,6 +20,7 @@
 from .messages import BookingResult
 from .messages import Frame
 from .messages import Refusal
+from .messages import Rows
 from .metrics import Metrics
 from .settings import LimitSettings
 from .types import RefusalKind
@@ -38,6 +39,8 @@
     RefusalKind.SUPERSEDED: 409,
     RefusalKind.TOO_LARGE: 413,
 }
+_FLUSH_S = 0.002
+_encoder = msgspec.json.Encoder()
 _UNAVAILABLE = 503
 _OVERLOADED = 429
 
@@ -147,7 +150,7 @@
         """Cancel the caller's work."""
         self._stop_body_timer()
         if self._exchange is not None:
-            self._exchange.gone.set()
+            self._set_gone()
         self._end()
 
     def write_error(self, status_code: int, **kwargs):
@@ -167,6 +170,10 @@
             )
         )
 
+    def _set_gone(self) -> None:
+        if not self._exchange.gone.done():
+            self._exchange.gone.set_result(None)
+
     @property
     def _limits(self) -> LimitSettings:
         return self._front.limits
@@ -210,6 +217,7 @@
         super().initialize(front)
         self._pending: list[bytes] = []
         self._flush_handle: asyncio.Handle | None = None
+        self._rows_written = False
 
     @staticmethod
     def run(front: Front) -> Proceed:
@@ -217,36 +225,51 @@
         return front.queries
 
     def send(self, frame: Frame) -> None:
-        """Write one frame; frames of one moment leave together."""
-        self._pending.append(msgspec.json.encode(frame))
-        if self._flush_handle is None:
+        """Write one frame: first rows at once, later ones together."""
+        self._pending.append(_encoder.encode(frame))
+        if not self._rows_written and isinstance(frame, Rows):
+            self._rows_written = True
+            self._cancel_flush()
             self._flush_handle = asyncio.get_running_loop().call_soon(
                 self._flush_frames
             )
+        elif self._flush_handle is None:
+            self._flush_handle = asyncio.get_running_loop().call_later(
+                _FLUSH_S, self._flush_frames
+            )
 
     async def post(self, service: str):
         """Run the filters and end the stream."""
         await super().post(service)
-        if self._finished or self._exchange.gone.is_set():
+        if self._finished or self._exchange.gone.done():
             return
-        self._flush_frames()
+        self._cancel_flush()
+        self._write_pending()
         self.finish()
 
-    def _flush_frames(self) -> None:
+    def _cancel_flush(self) -> None:
         if self._flush_handle is not None:
             self._flush_handle.cancel()
             self._flush_handle = None
-        if not self._pending or self._finished:
+
+    def _flush_frames(self) -> None:
+        self._flush_handle = None
+        if self._finished:
+            return
+        self._write_pending()
+        try:
+            self.flush()
+        except tornado.iostream.StreamClosedError:
+            self._set_gone()
+
+    def _write_pending(self) -> None:
+        if not self._pending:
             return
         if not self._headers_written:
             self.set_header('Content-Type', 'application/x-ndjson')
         self._pending.append(b'')
         self.write(b'\n'.join(self._pending))
         self._pending.clear()
-        try:
-            self.flush()
-        except tornado.iostream.StreamClosedError:
-            self._exchange.gone.set()
 
 
 class BookingHandler(RequestHandler):
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -330,6 +330,10 @@
         verdict = Verdict(fp, self._origin, cleared=True)
         return [Cleared(fp), Spread(self._rumor(verdict))]
 
+    def is_proven(self, fp: Fingerprint) -> bool:
+        """Tell whether succeeded() would change nothing."""
+        return fp in self._proven and fp not in self._trials
+
     def ended(self, fp: Fingerprint) -> None:
         """End a trial which proved nothing, such as a cancelled one."""
         self._trials.pop(fp, None)
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -166,11 +166,14 @@
     ) -> TargetId | None:
         """Return the replica to ask; None when none may be asked."""
         usable = self._usable(candidates, avoid)
-        healthy = self._healthy(usable, now)
-        if not healthy:
+        if any(self._rests(one, now) for one in usable):
+            usable = self._healthy(usable, now)
+        if not usable:
             return None
-        near = [one for one in healthy if self._replicas[one].local]
-        far = [one for one in healthy if not self._replicas[one].local]
+        near = [one for one in usable if self._replicas[one].local]
+        if len(near) == len(usable):
+            return self._better(near, now)[0]
+        far = [one for one in usable if not self._replicas[one].local]
         best, best_s = self._better(near or far, now)
         if not near or not far:
             return best
@@ -209,6 +212,10 @@
             and one not in avoid
         ]
 
+    def _rests(self, one: TargetId, now: float) -> bool:
+        replica = self._replicas[one]
+        return replica.ejected_until > now or replica.backoff.until > now
+
     def _healthy(self, usable: list[TargetId], now: float) -> list[TargetId]:
         replicas = self._replicas
         ejected = self.ejected(usable, now)
@@ -225,6 +232,10 @@
         one_s = self._cost_s(self._replicas[one], now)
         if count == 1:
             return one, one_s
+        if count == 2:
+            two = candidates[1 - first]
+            two_s = self._cost_s(self._replicas[two], now)
+            return (two, two_s) if two_s < one_s else (one, one_s)
         step = 1 + int(self._rng.random() * (count - 1))
         two = candidates[(first + step) % count]
         two_s = self._cost_s(self._replicas[two], now)
