--- a/sesameward/transfers.py
+++ b/sesameward/transfers.py
@@ -8,11 +8,13 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import enum
+import os
 import select
+import socket
 import typing
 
+import msgspec
 import pycurl
 
 
@@ -25,8 +27,7 @@
     TOO_LARGE = 'too_large'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
+class Response(msgspec.Struct, frozen=True):
     """Hold a finished transfer; sent tells whether bytes may have left."""
 
     status: int
@@ -45,12 +46,77 @@
 _ERRORS = select.EPOLLERR | select.EPOLLHUP
 
 
-class Transfer:
-    """Own one libcurl handle, used for one transfer at a time."""
+class Sockets:
+    """Watch libcurl's sockets, idle ones too.
 
-    __slots__ = ('aborted', 'chunks', 'curl', 'done', 'lane', 'size')
+    libcurl uses a connection again without looking whether the server has
+    closed it in the last second; closed_ports has the local ports of those.
+    """
 
     def __init__(self):
+        self.epoll = select.epoll()
+        self.wanted: dict[int, int] = {}
+        self.closed_ports: set[int] = set()
+        self._registered: dict[int, int] = {}
+
+    def want(self, fd: int, events: int) -> None:
+        """Watch a socket; without events, only for its end."""
+        self.wanted[fd] = events
+        # The socket stays registered while its connection is idle, since
+        # the next transfer wants it again.
+        if not events or self._registered.get(fd) == events:
+            return
+        self._registered[fd] = events
+        try:
+            self.epoll.modify(fd, events)
+        except FileNotFoundError:
+            self.epoll.register(fd, events)
+
+    def opened(self, fd: int) -> None:
+        """Take in that libcurl opened a socket of this number."""
+        # The kernel dropped the registration of an earlier one on close.
+        self._registered.pop(fd, None)
+
+    def closed(self, fd: int) -> None:
+        """Take in that a server closed an idle connection."""
+        self._registered.pop(fd, None)
+        with contextlib.suppress(OSError):
+            self.epoll.unregister(fd)
+            with socket.socket(fileno=os.dup(fd)) as copy:
+                self.closed_ports.add(copy.getsockname()[1])
+
+    def take_closed(self, port: int) -> bool:
+        """Tell whether the connection was closed; forget it."""
+        if port not in self.closed_ports:
+            return False
+        self.closed_ports.remove(port)
+        return True
+
+
+class Transfer:
+    """Own one libcurl handle, used for one transfer at a time.
+
+    libcurl sends a request again when a reused connection closes without a
+    reply. The request may have run by then, so the second time is refused,
+    unless the first went to a connection which was closed before.
+    """
+
+    __slots__ = (
+        'aborted',
+        'chunks',
+        'curl',
+        'done',
+        'lane',
+        'opened',
+        'sent',
+        'size',
+        'sockets',
+    )
+
+    def __init__(self, sockets: Sockets):
+        self.sockets = sockets
+        self.opened = False
+        self.sent = False
         self.lane: Lane | None = None
         self.chunks: list[bytes] = []
         self.size = 0
@@ -72,6 +138,8 @@
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
+        curl.setopt(pycurl.PREREQFUNCTION, self._before_request)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_open)
         if lane.once:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
@@ -87,6 +155,20 @@
         self.aborted = False
         self.curl.setopt(pycurl.NOPROGRESS, 1)
 
+    def _on_open(self, fd: int, _: int) -> int:
+        self.opened = True
+        self.sockets.opened(fd)
+        return pycurl.SOCKOPT_OK
+
+    def _before_request(self, _: str, __: str, ___: int, port: int) -> int:
+        if self.sent:
+            return pycurl.PREREQFUNC_ABORT
+        if self.sockets.closed_ports:
+            if self.sockets.take_closed(port) and not self.opened:
+                return pycurl.PREREQFUNC_OK
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
+
     def _progress(self, *_: float) -> int:
         return int(self.aborted)
 
@@ -101,9 +183,8 @@
 class Lane:
     """Hold the idle handles for one URL.
 
-    A lane with once=True opens a connection for each transfer: libcurl
-    sends a request again when a reused connection turns out to be closed,
-    which a request that is not idempotent must never suffer.
+    A lane with once=True opens a connection for each transfer, so that no
+    transfer fails because the server closed an idle connection.
     """
 
     def __init__(
@@ -135,9 +216,9 @@
         self._kick: asyncio.Handle | None = None
         # An epoll object of its own costs less than the event loop's, and
         # drops by itself the sockets which libcurl closes unannounced.
-        self._epoll = select.epoll()
+        self._sockets = Sockets()
+        self._epoll = self._sockets.epoll
         self._loop.add_reader(self._epoll.fileno(), self._on_ready)
-        self._wanted: dict[int, int] = {}
         self._abort: asyncio.Handle | None = None
         self._aborting: list[Transfer] = []
         self._spare: list[Transfer] = []
@@ -153,6 +234,8 @@
         transfer = lane.idle.pop() if lane.idle else self._create(lane)
         transfer.done = done
         transfer.size = 0
+        transfer.sent = False
+        transfer.opened = False
         curl = transfer.curl
         if not lane.reads:
             curl.setopt(pycurl.POSTFIELDS, body)
@@ -188,7 +271,7 @@
         if self._spare:
             transfer = self._spare.pop()
         else:
-            transfer = Transfer()
+            transfer = Transfer(self._sockets)
         transfer.prepare(lane)
         return transfer
 
@@ -213,35 +296,17 @@
             )
 
     def _set_socket(self, event: int, fd: int, multi, data) -> None:
-        if event == pycurl.POLL_REMOVE:
-            # The socket stays registered while its connection is idle,
-            # since the next transfer wants it again.
-            self._wanted[fd] = 0
-            return
-        self._wanted[fd] = _EPOLL[event]
-        try:
-            self._epoll.modify(fd, _EPOLL[event])
-        except FileNotFoundError:
-            self._epoll.register(fd, _EPOLL[event])
+        self._sockets.want(fd, _EPOLL.get(event, 0))
 
     def _on_ready(self) -> None:
+        act = self._multi.socket_action
+        wanted = self._sockets.wanted
         for fd, events in self._epoll.poll(0):
-            wanted = self._wanted.get(fd, 0)
-            if not wanted:
-                # A server closed an idle connection.
-                with contextlib.suppress(OSError):
-                    self._epoll.unregister(fd)
-                continue
-            action = 0
-            if events & (select.EPOLLIN | _ERRORS) and (
-                wanted & select.EPOLLIN
-            ):
-                action |= pycurl.CSELECT_IN
-            if events & (select.EPOLLOUT | _ERRORS) and (
-                wanted & select.EPOLLOUT
-            ):
-                action |= pycurl.CSELECT_OUT
-            self._act(fd, action)
+            if wanted.get(fd):
+                act(fd, _select_bits(events, wanted[fd]))
+            else:
+                self._sockets.closed(fd)
+        self._take_finished()
 
     def _on_kick(self) -> None:
         self._kick = None
@@ -261,6 +326,9 @@
 
     def _act(self, fd: int, action: int) -> None:
         self._multi.socket_action(fd, action)
+        self._take_finished()
+
+    def _take_finished(self) -> None:
         while True:
             queued, finished, failed = self._multi.info_read()
             for curl in finished:
@@ -280,13 +348,23 @@
             done(response)
 
 
+def _select_bits(events: int, wanted: int) -> int:
+    if events & _ERRORS:
+        events |= wanted
+    action = 0
+    if events & wanted & select.EPOLLIN:
+        action |= pycurl.CSELECT_IN
+    if events & wanted & select.EPOLLOUT:
+        action |= pycurl.CSELECT_OUT
+    return action
+
+
 def _response(transfer: Transfer, errno: int) -> Response:
-    curl = transfer.curl
     if not errno:
         chunks = transfer.chunks
         body = chunks[0] if len(chunks) == 1 else b''.join(chunks)
-        return Response(curl.getinfo(pycurl.RESPONSE_CODE), body)
-    sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+        return Response(transfer.curl.getinfo(pycurl.RESPONSE_CODE), body)
+    sent = transfer.sent
     return Response(0, b'', _failure(errno, sent), sent)
 
 
@@ -295,6 +373,4 @@
         return Failure.TIMEOUT
     if errno == pycurl.E_WRITE_ERROR:
         return Failure.TOO_LARGE
-    # After a reused connection broke, libcurl sends the request again and
-    # reports how that ended, so the error alone can't say what was sent.
     return Failure.BROKEN if sent else Failure.CONNECT
