--- a/sesameward/controllers/gate.py
+++ b/sesameward/controllers/gate.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 from ..admission import Action
 from ..admission import Admission
 from ..admission import Admit
 from ..admission import Queue
 from ..admission import Refuse
+from ..exceptions import CallerGoneError
 from ..exceptions import RefusalError
 from ..filters.exchange import Exchange
 from ..metrics import Metrics
+from ..types import Clock
 from ..types import RefusalKind
 from ..types import RequestId
 
@@ -21,8 +24,15 @@
 class Gate:
     """Carry requests to admission and its decisions back."""
 
-    def __init__(self, admission: Admission, metrics: Metrics, clock):
-        self._admission = admission
+    def __init__(
+        self,
+        make_admission: typing.Callable[[], Admission],
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        # Services differ in what a request costs, so each has its own limit.
+        self._make_admission = make_admission
+        self._admissions: dict[str, Admission] = {}
         self._metrics = metrics
         self._clock = clock
         self._waiting: dict[RequestId, asyncio.Future[Action]] = {}
@@ -36,7 +46,8 @@
 
     async def enter(self, exchange: Exchange) -> None:
         """Return once the request may run; raise RefusalError."""
-        actions = self._admission.arrive(
+        admission = self._admission(exchange)
+        actions = admission.arrive(
             exchange.request_id,
             exchange.priority,
             exchange.deadline_at,
@@ -46,7 +57,7 @@
         own = actions.pop()
         self._settle(actions)
         if isinstance(own, Queue):
-            own = await self._wait(exchange.request_id)
+            own = await self._wait(admission, exchange)
         match own:
             case Admit():
                 self._inside += 1
@@ -56,27 +67,40 @@
     def leave(self, exchange: Exchange, latency_s: float) -> None:
         """Take in that an admitted request has ended."""
         self._inside -= 1
+        admission = self._admission(exchange)
+        now = self._clock()
+        if exchange.gone.done():
+            self._settle(admission.gone(exchange.request_id, now))
+            return
         self._settle(
-            self._admission.finished(
-                exchange.request_id, latency_s, self._clock()
+            admission.finished(
+                exchange.request_id, latency_s, now, exchange.complete
             )
         )
 
-    async def _wait(self, request_id: RequestId) -> Action:
+    def _admission(self, exchange: Exchange) -> Admission:
+        name = exchange.service.name
+        if name not in self._admissions:
+            self._admissions[name] = self._make_admission()
+        return self._admissions[name]
+
+    async def _wait(self, admission: Admission, exchange: Exchange) -> Action:
+        request_id = exchange.request_id
         fut = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = fut
         self._metrics.count('requests_queued')
         self._schedule()
-        try:
-            return await fut
-        except asyncio.CancelledError:
-            if self._waiting.pop(request_id, None) is not None:
-                now = self._clock()
-                self._settle(self._admission.gone(request_id, now))
-            elif isinstance(fut.result(), Admit):
-                now = self._clock()
-                self._settle(self._admission.gone(request_id, now))
-            raise
+        exchange.gone.add_done_callback(
+            lambda _: self._drop(admission, request_id)
+        )
+        return await fut
+
+    def _drop(self, admission: Admission, request_id: RequestId) -> None:
+        fut = self._waiting.pop(request_id, None)
+        if fut is not None:
+            self._metrics.count('callers_gone', 'queued')
+            self._settle(admission.gone(request_id, self._clock()))
+            fut.set_exception(CallerGoneError('the caller is gone'))
 
     def _schedule(self) -> None:
         if self._ticking is None and self._waiting:
@@ -85,7 +109,9 @@
 
     def _tick(self) -> None:
         self._ticking = None
-        self._settle(self._admission.tick(self._clock()))
+        now = self._clock()
+        for admission in self._admissions.values():
+            self._settle(admission.tick(now))
         self._schedule()
 
     def _settle(self, actions: list[Action]) -> None:
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -93,7 +93,9 @@
         self.client = TargetClient(self.metrics, self.clock)
         self.platform = PlatformClient(cfg.platform, self.metrics, self._rng)
         self.gate = Gate(
-            Admission(cfg.limits, self._rng), self.metrics, self.clock
+            lambda: Admission(cfg.limits, self._rng),
+            self.metrics,
+            self.clock,
         )
         self.suspects = Suspects(
             Quarantine(
--- a/sesameward/exceptions.py
+++ b/sesameward/exceptions.py
@@ -54,6 +54,10 @@
         self.retry_after_s = retry_after_s
 
 
+class CallerGoneError(SesamewardError):
+    """Report that nobody waits for the answer any more."""
+
+
 class PlatformError(SesamewardError):
     """Serve as the base of the platform client's errors."""
 
--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -20,6 +20,7 @@
 from .types import AttemptId
 from .types import MissingReason
 from .types import Outcome
+from .types import Priority
 from .types import RecordVersion
 from .types import RequestId
 from .types import ShardId
@@ -41,6 +42,10 @@
         avoid: typing.Collection[TargetId] = (),
     ) -> TargetId | None: ...
 
+    def late(
+        self, target_id: TargetId, waited_s: float, now: float
+    ) -> None: ...
+
 
 class Budget(typing.Protocol):
     """Bound hedges and retries to a part of the first attempts."""
@@ -54,7 +59,7 @@
     """Tell after which time to ask a second replica."""
 
     def delay_s(
-        self, key: str, now: float, hedges: int = 0
+        self, key: str, now: float, hedges: int, priority: Priority
     ) -> float | None: ...
 
 
@@ -106,12 +111,14 @@
     versions: tuple[RecordVersion, ...]
     started_at: float
     deadline_at: float
+    priority: Priority = Priority.NORMAL
 
 
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     target: TargetId
     shards: tuple[ShardId, ...]
+    at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -238,7 +245,7 @@
         batch: list[AttemptId] = []
         for target, shards in chosen.items():
             self._budget.deposit(target)
-            send = self._send(target, shards, 'first')
+            send = self._send(target, shards, 'first', now)
             batch.append(send.attempt)
             actions.append(send)
         if hedge_at is not None:
@@ -408,20 +415,44 @@
     def _hedge(
         self, sent: _Attempt, actions: list[Action], now: float
     ) -> None:
+        self._chooser.late(sent.target, now - sent.at, now)
         again: dict[TargetId, list[ShardId]] = {}
+        refused: set[TargetId] = set()
         for shard in sent.shards:
             wanted = self._wanted.get(shard)
             if wanted is None or len(wanted.attempts) > MAX_HEDGES:
                 continue
-            target = self._next_replica(wanted, now)
+            target = self._hedge_target(wanted, again, refused, now)
             if target is not None:
                 again.setdefault(target, []).append(shard)
+        if refused:
+            actions.append(Count('hedges_refused', 'budget', len(refused)))
         for target, shards in again.items():
-            if not self._budget.withdraw(target):
-                actions.append(Count('hedges_refused', 'budget'))
-                continue
             actions.append(self._send_again(target, shards, 'hedge', now))
 
+    def _hedge_target(
+        self,
+        wanted: _Wanted,
+        paid: typing.Container[TargetId],
+        refused: set[TargetId],
+        now: float,
+    ) -> TargetId | None:
+        """Return a replica for which the budget allows a hedge."""
+        if len(wanted.tried) >= MAX_ATTEMPTS_PER_SHARD:
+            return None
+        fresh = [t for t in wanted.candidates if t not in wanted.tried]
+        while True:
+            # Once all were asked, one of them is asked again.
+            left = [t for t in fresh or wanted.candidates if t not in refused]
+            if not left:
+                return None
+            target = self._chooser.choose(left, now)
+            if target is None or target in paid:
+                return target
+            if self._budget.withdraw(target):
+                return target
+            refused.add(target)
+
     def _send_again(
         self,
         target: TargetId,
@@ -431,13 +462,16 @@
     ) -> Send:
         hedges = max(len(self._wanted[s].attempts) for s in shards)
         hedge_at = self._hedge_at(hedges, now)
-        send = self._send(target, shards, reason)
+        send = self._send(target, shards, reason, now)
         if hedge_at is not None:
             heapq.heappush(self._hedge_times, (hedge_at, [send.attempt]))
         return send
 
     def _hedge_at(self, hedges: int, now: float) -> float | None:
-        delay_s = self._hedges.delay_s(self._request.service, now, hedges)
+        request = self._request
+        delay_s = self._hedges.delay_s(
+            request.service, now, hedges, request.priority
+        )
         if delay_s is None or now + delay_s >= self._request.deadline_at:
             return None
         return now + delay_s
@@ -447,11 +481,12 @@
         target: TargetId,
         shards: typing.Sequence[ShardId],
         reason: str,
+        now: float,
     ) -> Send:
         self._number += 1
         attempt = AttemptId(f'{self._request.request}.{self._number}')
         ids = tuple(shards)
-        self._attempts[attempt] = _Attempt(target, ids)
+        self._attempts[attempt] = _Attempt(target, ids, now)
         for shard in ids:
             wanted = self._wanted[shard]
             wanted.tried.append(target)
--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -34,6 +34,8 @@
 from .chain import Proceed
 from .exchange import Exchange
 
+_OBSERVED = (Outcome.OK, Outcome.CANCELLED)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerParts:
@@ -85,6 +87,7 @@
 class _Sent:
     target: TargetId
     at: float
+    is_first: bool
 
 
 class _Run:
@@ -108,6 +111,7 @@
                 exchange.versions,
                 exchange.received_at,
                 exchange.deadline_at,
+                exchange.priority,
             ),
             parts.routing.chooser,
             _ServiceBudget(parts.budgets, self._service),
@@ -168,6 +172,7 @@
                 case Count(name, reason, amount):
                     self._parts.metrics.count(name, reason, amount)
                 case Finish(end):
+                    self._exchange.complete = end.complete
                     self._exchange.caller.send(end)
                     if not self._done.done():
                         self._done.set_result(None)
@@ -181,7 +186,8 @@
         parts.hedges.sent(self._service, send.reason == 'hedge')
         parts.routing.chooser.started(send.target, now)
         parts.suspects.sent(self._fp, send.target)
-        self._sent[send.attempt] = _Sent(send.target, now)
+        is_first = send.reason == 'first'
+        self._sent[send.attempt] = _Sent(send.target, now, is_first)
         parts.client.query(
             send.target,
             ShardQuery(
@@ -207,12 +213,22 @@
         self._account(sent, Outcome.CANCELLED, self._parts.clock())
         self._parts.metrics.count('sub_requests_cancelled')
 
-    def _account(self, sent: _Sent, outcome: Outcome, now: float) -> None:
+    def _account(
+        self,
+        sent: _Sent,
+        outcome: Outcome,
+        now: float,
+        retry_after_s: float = 0.0,
+    ) -> None:
         parts = self._parts
         latency_s = now - sent.at
-        parts.routing.chooser.finished(sent.target, outcome, latency_s, now)
+        parts.routing.chooser.finished(
+            sent.target, outcome, latency_s, now, retry_after_s
+        )
         parts.suspects.ended(self._fp, sent.target)
-        if outcome is Outcome.OK:
+        # A cancelled first attempt took at least as long as it ran; without
+        # those, hedging would hide the tail from which its delay is learned.
+        if sent.is_first and outcome in _OBSERVED:
             parts.latencies.observe(self._service, latency_s, now)
 
     def _on_result(self, attempt: AttemptId, result: QueryResult) -> None:
@@ -256,7 +272,7 @@
         if result.outcome is Outcome.BROKEN:
             quarantined = parts.suspects.broke(self._fp, sent.target)
         now = parts.clock()
-        self._account(sent, result.outcome, now)
+        self._account(sent, result.outcome, now, result.retry_after_ms / 1000)
         if result.outcome is Outcome.DRAINING:
             parts.routing.take_leaving(sent.target)
         broke = result.outcome is Outcome.BROKEN
--- a/sesameward/filters/exchange.py
+++ b/sesameward/filters/exchange.py
@@ -60,3 +60,4 @@
     fingerprint: Fingerprint = Fingerprint('')
     trial: Admission = Allow()
     pin: Pin | None = None
+    complete: bool = True
--- a/sesameward/handlers.py
+++ b/sesameward/handlers.py
@@ -15,6 +15,7 @@
 from .controllers.leaving import Leaving
 from .controllers.leaving import Stage
 from .controllers.nodes import Nodes
+from .exceptions import CallerGoneError
 from .exceptions import RefusalError
 from .filters.chain import Proceed
 from .filters.exchange import Exchange
@@ -127,6 +128,8 @@
             await type(self).run(self._front)(exchange)
         except RefusalError as exc:
             self.refuse(exc)
+        except CallerGoneError:
+            return
 
     def run_state(self, exc: RefusalError) -> RunState:
         """Return whether a refused request ran."""
