--- /dev/null
+++ b/benchmark/tail.py
@@ -0,0 +1,119 @@
+"""Measure whole answers through real entries while targets straggle."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import json
+import sys
+import time
+
+from sesameward.standin.processes import Process
+from sesameward.standin.processes import Shape
+from sesameward.standin.processes import Tier
+
+STRAGGLER_CHANCE = 0.02
+LATENCY_MS = 5.0
+STRAGGLER_MS = 20 * LATENCY_MS
+QUERIES_PER_S = 12.0
+WARM_UP_S = 15.0
+RUN_S = 20.0
+REACH_PART = 0.35
+REACH_EXTRA = 0.05
+
+
+class Sample:
+    """Hold what the callers of one entry saw."""
+
+    def __init__(self):
+        self.times_s: list[float] = []
+        self.incomplete = 0
+
+    def p_ms(self, part: float) -> float:
+        """Return a quantile in milliseconds."""
+        ordered = sorted(self.times_s)
+        index = min(len(ordered) - 1, int(len(ordered) * part))
+        return round(ordered[index] * 1000, 1)
+
+
+def run_load(tier: Tier, entry: Process, run_s: float) -> Sample:
+    """Send queries at a steady rate, whatever becomes of earlier ones."""
+    sample = Sample()
+
+    def send(due_at: float) -> None:
+        time.sleep(max(0.0, due_at - time.monotonic()))
+        end = tier.query(entry).frames()[-1]
+        sample.times_s.append(time.monotonic() - due_at)
+        sample.incomplete += not end.get('complete')
+
+    began_at = time.monotonic()
+    count = int(run_s * QUERIES_PER_S)
+    with concurrent.futures.ThreadPoolExecutor(32) as pool:
+        for index in range(count):
+            pool.submit(send, began_at + index / QUERIES_PER_S)
+    return sample
+
+
+def sub_requests(tier: Tier) -> int:
+    """Return how many sub-requests the targets got."""
+    return sum(tier.calls(target)['queries'] for target in tier.targets)
+
+
+def measure(tier: Tier, entry: Process) -> dict:
+    """Return the figures of one entry."""
+    run_load(tier, entry, WARM_UP_S)
+    before = sub_requests(tier)
+    sample = run_load(tier, entry, RUN_S)
+    sent = sub_requests(tier) - before
+    first = len(sample.times_s) * tier.shape.instances
+    return {
+        'queries': len(sample.times_s),
+        'p50_ms': sample.p_ms(0.5),
+        'p99_ms': sample.p_ms(0.99),
+        'incomplete': sample.incomplete,
+        'extra_sub_requests': round(sent / first - 1, 4),
+    }
+
+
+def main() -> int:
+    """Print the figures; return 1 where one is not reached."""
+    shape = Shape(
+        nodes=2,
+        instances=40,
+        shards=40,
+        latency_ms=LATENCY_MS,
+        slots=8,
+        deadline_ms=2_000,
+    )
+    with Tier(shape) as tier:
+        tier.entries[1].close()
+        tier.entries[1] = tier.start_entry(1, limits={'retry_budget': 0.0})
+        tier.wait_ready()
+        for target in tier.targets:
+            tier.set_faults(
+                target,
+                straggler_chance=STRAGGLER_CHANCE,
+                straggler_ms=STRAGGLER_MS,
+            )
+        baseline = measure(tier, tier.entries[1])
+        ours = measure(tier, tier.entries[0])
+    part = ours['p99_ms'] / baseline['p99_ms']
+    reached = part <= REACH_PART and ours['extra_sub_requests'] <= REACH_EXTRA
+    print(
+        json.dumps(
+            {
+                'benchmark': 'tail',
+                'shards_per_query': shape.shards,
+                **ours,
+                'baseline': baseline,
+                'p99_part': round(part, 3),
+                'p99_part_to_reach': REACH_PART,
+                'extra_to_reach': REACH_EXTRA,
+                'reached': reached,
+            }
+        )
+    )
+    return 0 if reached else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
