Run seeded histories over real processes

The checks of histories had only seen generated records. A booking's request id goes to the target, so that its effect can be put down to the send behind it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 BIN := $(CURDIR)/$(VENV)/bin
 
-.PHONY: env test lint format demo clean
+.PHONY: env test lint format demo clean histories fault-matrix
 
 env: $(VENV)/.ready
 
@@ -25,5 +25,13 @@
 demo: env  ## Show the whole path with separate processes.
 	$(PY) -m benchmark.demo
 
+SEEDS ?= 3
+
+histories: env  ## Check the promises on seeded runs of real processes.
+	$(PY) -m tests.histories run --seeds $(SEEDS)
+
+fault-matrix: env  ## Cross each fault with each step, and print the table.
+	$(PY) -m tests.fault_matrix
+
 clean:  ## Remove what the chores made.
 	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis *.egg-info
--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -268,6 +268,7 @@
                 record_key=exchange.booking.record_key,
                 remaining_ms=0,
                 action=exchange.booking.action,
+                request=exchange.request_id,
             ),
             action.deadline,
             finish,
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -190,6 +190,7 @@
     record_key: str
     remaining_ms: int
     action: msgspec.Raw = msgspec.Raw(b'{}')
+    request: RequestId = RequestId('')
 
 
 class TargetBookingReply(msgspec.Struct, frozen=True):
--- a/sesameward/standin/cmdline.py
+++ b/sesameward/standin/cmdline.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 import signal
 import sys
 
@@ -12,6 +13,7 @@
 from .platform import Platform
 from .target import serve as serve_target
 from .target import TargetState
+from .worklog import WorkLog
 
 
 async def serve_until_signal(start) -> None:
@@ -53,16 +55,21 @@
     latency_ms: float = 2.0,
     records: int = 10,
     seed: int = 1,
+    work_log: pathlib.Path | None = None,
 ) -> None:
     """Serve one or more targets which hold the same shards.
 
     :param shards: ids of the shards, separated by spaces
     :param ports: one port for each target; 0 picks a free one
+    :param work_log: where to write all work; records then echo it too
     """
 
     async def serve() -> None:
+        log = WorkLog(work_log) if work_log else None
         states = [
-            TargetState(tuple(shards), slots, latency_ms, records, seed + i)
+            TargetState(
+                tuple(shards), slots, latency_ms, records, seed + i, log
+            )
             for i in range(len(ports))
         ]
 
--- a/sesameward/standin/platform.py
+++ b/sesameward/standin/platform.py
@@ -34,6 +34,12 @@
     lose_replies: int = 0
     lose_requests: int = 0
     reject_rate: float = 0.0
+    slow_reply_ms: float = 0.0
+    only_kind: str = ''
+
+    def concern(self, kind: str) -> bool:
+        """Tell whether writes of a kind show the faults of writes."""
+        return self.only_kind in ('', kind)
 
 
 class Calls(msgspec.Struct):
@@ -43,6 +49,15 @@
     waiting: int = 0
 
 
+class Write(msgspec.Struct, frozen=True):
+    """Hold when an object was written, on the monotonic clock."""
+
+    at: float
+    kind: str
+    name: str
+    revision: Revision
+
+
 class Store:
     """Keep objects, their revisions and their recent events in memory."""
 
@@ -50,6 +65,9 @@
         self.revision = Revision(0)
         self.objects: dict[tuple[str, str], StoredObject] = {}
         self._events: collections.deque[StoredObject] = collections.deque()
+        self.writes: collections.deque[Write] = collections.deque(
+            maxlen=KEPT_EVENTS
+        )
         self._kept = kept_events
         self._compacted = Revision(0)
         self._changed = asyncio.Event()
@@ -75,6 +93,7 @@
             kind, name, self.revision, value, ChangeId(change), deleted
         )
         self.objects[kind, name] = stored
+        self.writes.append(Write(time.monotonic(), kind, name, self.revision))
         self._events.append(stored)
         if len(self._events) > self._kept:
             self.compact(self._events[0].revision)
@@ -163,6 +182,7 @@
                 (r'/standin/calls', CallsHandler, args),
                 (r'/standin/compact', CompactHandler, args),
                 (r'/standin/clear', ClearHandler, args),
+                (r'/standin/writes', WritesHandler, args),
             ],
             log_function=lambda handler: None,
         )
@@ -236,20 +256,21 @@
             return
         self.reply(stored)
 
-    def put(self, kind: str, name: str) -> None:
+    async def put(self, kind: str, name: str) -> None:
         """Write the object where the condition holds."""
         if len(self.request.body) > MAX_VALUE_BYTES:
             self.reply(Written(self.platform.store.revision), 413)
             return
-        self._write(kind, name, deleted=False)
+        await self._write(kind, name, deleted=False)
 
-    def delete(self, kind: str, name: str) -> None:
+    async def delete(self, kind: str, name: str) -> None:
         """Delete the object where the condition holds."""
-        self._write(kind, name, deleted=True)
+        await self._write(kind, name, deleted=True)
 
-    def _write(self, kind: str, name: str, deleted: bool) -> None:
+    async def _write(self, kind: str, name: str, deleted: bool) -> None:
         faults = self.platform.faults
-        if faults.lose_requests > 0:
+        concerned = faults.concern(kind)
+        if concerned and faults.lose_requests > 0:
             faults.lose_requests -= 1
             self.drop()
             return
@@ -261,7 +282,9 @@
         change = self.request.headers.get('X-Change-Id', '')
         value = b'' if deleted else self.request.body
         written = store.write(kind, name, value, change, deleted)
-        if faults.lose_replies > 0:
+        if concerned and faults.slow_reply_ms:
+            await asyncio.sleep(faults.slow_reply_ms / 1e3)
+        if concerned and faults.lose_replies > 0:
             faults.lose_replies -= 1
             self.drop()
             return
@@ -376,3 +399,11 @@
             if not stored.deleted:
                 store.write(kind, name, b'', 'clear', deleted=True)
         self.reply(Written(store.revision))
+
+
+class WritesHandler(Handler):
+    """Show the writes."""
+
+    def get(self) -> None:
+        """Send the last writes, oldest first."""
+        self.reply(tuple(self.platform.store.writes))
--- a/sesameward/standin/processes.py
+++ b/sesameward/standin/processes.py
@@ -158,6 +158,7 @@
     connections: int = 25
     deadline_ms: int = 500
     max_deadline_ms: int = 10_000
+    work_logs: bool = False
 
 
 class Tier:
@@ -270,9 +271,19 @@
             str(shape.latency_ms),
             '--records',
             str(shape.records),
+            *self._work_log(name),
         )
         self.targets[name] = process
 
+    def work_log(self, name: str) -> pathlib.Path:
+        """Return where a target writes its work."""
+        return self.dir / f'{name}.work'
+
+    def _work_log(self, name: str) -> tuple[str, ...]:
+        if not self.shape.work_logs:
+            return ()
+        return '--work-log', str(self.work_log(name))
+
     def start_agent(self, index: int, **extra: object) -> Process:
         """Start the agent of one VM."""
         others = [a for i, a in enumerate(self.agents) if i != index]
--- a/sesameward/standin/target.py
+++ b/sesameward/standin/target.py
@@ -23,6 +23,9 @@
 from ..types import RecordVersion
 from ..types import ShardId
 from ..types import Snapshot
+from .worklog import Echo
+from .worklog import Step
+from .worklog import WorkLog
 
 _EXIT_CRASHED = 70
 
@@ -46,10 +49,11 @@
 
 
 class Data(msgspec.Struct, forbid_unknown_fields=True):
-    """Set what the target holds; keys are spread over its shards."""
+    """Set what the target holds; changed has what a snapshot has instead."""
 
     snapshots: tuple[Snapshot, ...] | None = None
     records: dict[ShardId, tuple[Record, ...]] | None = None
+    changed: dict[Snapshot, dict[ShardId, tuple[Record, ...]]] | None = None
 
 
 @dataclasses.dataclass
@@ -81,8 +85,10 @@
         latency_ms: float,
         records: int,
         seed: int,
+        log: WorkLog | None = None,
     ):
         self.shards = shards
+        self.log = log
         self.snapshots: tuple[Snapshot, ...] = (Snapshot(1),)
         self.faults = Faults(latency_ms=latency_ms)
         self.calls = Calls()
@@ -93,6 +99,14 @@
         self.data: dict[ShardId, tuple[Record, ...]] = {
             shard: _make_records(shard, records) for shard in shards
         }
+        self.changed: dict[Snapshot, dict[ShardId, tuple[Record, ...]]] = {}
+
+    def records(
+        self, shard: ShardId, snapshot: Snapshot
+    ) -> tuple[Record, ...]:
+        """Return the records of a shard in a snapshot."""
+        changed = self.changed.get(snapshot, {})
+        return changed.get(shard, self.data.get(shard, ()))
 
     def report(self, holds: bool) -> LoadReport:
         """Return what the target says of itself."""
@@ -186,6 +200,7 @@
         state.calls.queries += 1
         state.calls.shards += len(query.shards)
         state.calls.last_work_at = asyncio.get_running_loop().time()
+        self.note(Step.GOT, query)
         if faults.crash_on and faults.crash_on.encode() in bytes(query.match):
             os._exit(_EXIT_CRASHED)
         if faults.drop_connections:
@@ -196,10 +211,21 @@
             return self.refuse(query.attempt, 'shed', 50)
         if not await self.run_in_slot(query.remaining_ms):
             return self.drop()
+        self.note(Step.RAN, query)
         if state.rng.random() < faults.lose_reply_chance:
             return self.drop()
         self.send(_answer(state, query))
 
+    def note(self, step: Step, query: ShardQuery) -> None:
+        if self.state.log is not None:
+            self.state.log.add(
+                step,
+                query.request,
+                query.attempt,
+                snapshot=query.snapshot,
+                body=query.match,
+            )
+
 
 def _answer(state: TargetState, query: ShardQuery) -> TargetReply:
     attempt = query.attempt
@@ -220,24 +246,36 @@
     snapshot = query.snapshot
     if state.faults.wrong_snapshot:
         snapshot = Snapshot(snapshot + 1)
-    records = state.data[shard]
+    records = state.records(shard, query.snapshot)
     if query.keys is not None:
         records = tuple(r for r in records if r.key in query.keys)
+    if state.log is not None:
+        records = _with_echo(records, query, snapshot)
     return ShardReply(shard, snapshot, records)
 
 
+def _with_echo(
+    records: tuple[Record, ...], query: ShardQuery, snapshot: Snapshot
+) -> tuple[Record, ...]:
+    echo = Echo(snapshot, query.request, query.attempt, query.match)
+    fields = msgspec.Raw(msgspec.json.encode(echo))
+    return tuple(Record(r.key, r.version, fields) for r in records)
+
+
 class _BookHandler(_Handler):
     async def post(self):
         state = self.state
         faults = state.faults
         booking = msgspec.json.decode(self.request.body, type=TargetBooking)
         state.calls.last_work_at = asyncio.get_running_loop().time()
+        self.note(Step.GOT, booking)
         if faults.drain:
             return self.refuse(booking.attempt, 'draining', 0)
         if state.rng.random() < faults.shed_chance:
             return self.refuse(booking.attempt, 'shed', 50)
         # A booking which has begun takes effect even if its caller leaves.
         state.calls.bookings[booking.key] += 1
+        self.note(Step.BOOKED, booking)
         if faults.crash_on and faults.crash_on.encode() in bytes(
             booking.action
         ):
@@ -253,6 +291,17 @@
             )
         )
 
+    def note(self, step: Step, booking: TargetBooking) -> None:
+        if self.state.log is not None:
+            self.state.log.add(
+                step,
+                booking.request,
+                booking.attempt,
+                key=booking.key,
+                record_key=booking.record_key,
+                body=booking.action,
+            )
+
 
 class _LoadHandler(_Handler):
     def get(self):
@@ -278,6 +327,8 @@
         if data.records is not None:
             self.state.data.update(data.records)
             self.state.shards = tuple(self.state.data)
+        if data.changed is not None:
+            self.state.changed.update(data.changed)
         self.send(data)
 
 
--- a/tests/histories/__main__.py
+++ b/tests/histories/__main__.py
@@ -1,4 +1,4 @@
-"""Check recorded files, or seeded histories of bookings."""
+"""Run seeded histories, or check recorded files."""
 
 from __future__ import annotations
 
@@ -47,5 +47,22 @@
     sys.exit(1 if failed else 0)
 
 
+def run(*, seeds: int = 3, first: int = 1) -> None:
+    """Run seeded histories over real processes.
+
+    :param seeds: how many histories to run
+    :param first: the first seed
+    """
+    from . import runner
+
+    failed = 0
+    for seed in range(first, first + seeds):
+        result = runner.run(seed)
+        failed += bool(result.found)
+        print('\n'.join(result.lines()), flush=True)
+    print(f'{seeds} histories, {failed} with violations')
+    sys.exit(1 if failed else 0)
+
+
 if __name__ == '__main__':
-    defopt.run([files, booking_seeds])
+    defopt.run([run, files, booking_seeds])
