--- a/tests/histories/checks.py
+++ b/tests/histories/checks.py
@@ -85,7 +85,7 @@
 def true_coverage(history: History) -> Iterator[Violation]:
     """Find answers which hold other records than their coverage says."""
     published = {
-        (p.service, p.generation, p.snapshot): p.shards
+        (p.service, p.generation, p.snapshot): p
         for p in of(history, rec.Published)
     }
     for send, answer in answers(history).items():
@@ -102,9 +102,7 @@
             yield Violation('true_coverage', send, problem)
 
 
-def coverage_problems(
-    answer: Answer, truth: dict[str, tuple[str, ...]]
-) -> Iterator[str]:
+def coverage_problems(answer: Answer, truth: rec.Published) -> Iterator[str]:
     """Compare one answer with what its snapshot held."""
     end = answer.end.frame
     asked = wanted(answer.sent, truth)
@@ -136,16 +134,25 @@
         yield f'gives rows of {shard}, which was not asked'
 
 
-def wanted(
-    sent: rec.QuerySent, truth: dict[str, tuple[str, ...]]
-) -> dict[str, set[str]]:
+def wanted(sent: rec.QuerySent, truth: rec.Published) -> dict[str, set[str]]:
     """Return the keys which each asked shard has to give."""
+    held = truth.shards
     if sent.keys is None:
-        return {shard: set(keys) for shard, keys in truth.items()}
-    named = {
-        shard: set(keys) & set(sent.keys) for shard, keys in truth.items()
-    }
-    return {shard: keys for shard, keys in named.items() if keys}
+        return {shard: set(keys) for shard, keys in held.items()}
+    named = {shard: set(keys) & set(sent.keys) for shard, keys in held.items()}
+    if not truth.starts:
+        return {shard: keys for shard, keys in named.items() if keys}
+    # A shard is asked for a key of its range also where it lacks the key.
+    owners = {owner(truth.starts, key) for key in sent.keys}
+    return {shard: named[shard] for shard in owners}
+
+
+def owner(starts: dict[str, str], key: str) -> str:
+    """Return the shard whose range holds the key."""
+    return max(
+        (shard for shard, start in starts.items() if start <= key),
+        key=lambda shard: starts[shard],
+    )
 
 
 def no_cross_talk(history: History) -> Iterator[Violation]:
--- a/tests/histories/records.py
+++ b/tests/histories/records.py
@@ -129,12 +129,16 @@
 
 
 class Published(Base, frozen=True):
-    """Record which keys each shard holds in a snapshot."""
+    """Record which keys each shard holds in a snapshot.
+
+    Where starts are known, a shard owns the keys up to the next start.
+    """
 
     service: ServiceName
     generation: Generation
     snapshot: Snapshot
     shards: dict[ShardId, tuple[str, ...]]
+    starts: dict[ShardId, str] = {}
 
 
 class ObjectWritten(Base, frozen=True):
--- a/tests/histories/test_checks.py
+++ b/tests/histories/test_checks.py
@@ -10,6 +10,8 @@
 import msgspec
 import pytest
 
+from sesameward.messages import End
+from sesameward.messages import Open
 from sesameward.types import NodeId
 from sesameward.types import RunState
 
@@ -123,3 +125,22 @@
     later = msgspec.structs.replace(history[3], token='b3')
     sent = rec.BookingSent(3.5, 'b3', entry, 'k', 'd', 3)
     assert checks.check([*history[:3], sent, later]) == []
+
+
+@pytest.mark.parametrize(
+    'shards, problems', [((), 1), (('s1',), 0), (('s0', 's1'), 2)]
+)
+def test_a_key_which_its_shard_lacks_is_asked_for(shards, problems):
+    entry = NodeId('e0')
+    count = len(shards)
+    held = {'s0': ('a',), 's1': ('n',)}
+    history = [
+        rec.Published(0.0, 'trip', 1, 1, held, {'s0': '', 's1': 'm'}),
+        rec.QuerySent(1.0, 'q', entry, 'trip', ('x',)),
+        rec.OpenReceived(1.1, 'q', Open('r', 'trip', 1, 1, count)),
+        *(rec.RowsReceived(1.2, 'q', shard, ()) for shard in shards),
+        rec.EndReceived(1.3, 'q', End('r', True, count, count)),
+    ]
+    found = checks.check(history)
+    assert {v.check for v in found} <= {'true_coverage'}
+    assert len(found) == problems
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -100,8 +100,17 @@
                     generation,
                     snapshot,
                     self.keys(generation, snapshot),
+                    self.starts(generation),
                 )
 
+    def starts(self, generation: Generation) -> dict[ShardId, str]:
+        """Return where the range of each shard starts."""
+        parts = list(self.parts(generation).items())
+        return {
+            shard: old[0] if index else ''
+            for index, (shard, old) in enumerate(parts)
+        }
+
     def shards_of(self, target: str) -> list[ShardId]:
         """Return the shards of all served maps which a target holds."""
         instance = int(target.removeprefix('t').split('-')[0])
@@ -160,15 +169,14 @@
         return [_declared(service), _declared(pool)]
 
     def _map(self, generation: Generation) -> dict:
-        parts = list(self.parts(generation).items())
-        starts = ['', *(old[0] for _, old in parts[1:])]
-        ends = [*starts[1:], None]
+        starts = self.starts(generation)
+        ends = [*list(starts.values())[1:], None]
         return {
             'generation': generation,
             'shards': [
                 {'id': shard, 'start': start, 'end': end}
-                for (shard, _), start, end in zip(
-                    parts, starts, ends, strict=True
+                for (shard, start), end in zip(
+                    starts.items(), ends, strict=True
                 )
             ],
         }
