Forget a target's own word when the agent saw nothing of it

The fault matrix found entries that never used a replica again.

While the agent's link is down the leaving mark is renewed instead, as nobody else would tell that the target still leaves. Ruled out: expiry in the chooser alone, which would send a leaving target one request each 10 s without an agent.

--- a/sesameward/controllers/routing.py
+++ b/sesameward/controllers/routing.py
@@ -20,6 +20,8 @@
 
 # How long a target's own word that it leaves outweighs other reports.
 LEAVING_S = 10.0
+# How long a missing snapshot outweighs what a target is said to hold.
+LACKING_S = 3.0
 
 
 class Routing:
@@ -32,6 +34,8 @@
         self._statuses: dict[TargetId, TargetStatus] = {}
         self._leaving_until: dict[TargetId, float] = {}
         self._lacking: dict[TargetId, set[tuple[ShardId, Snapshot]]] = {}
+        self._lacking_until: dict[TargetId, float] = {}
+        self.fed: typing.Callable[[], bool] = lambda: True
         self._pins: dict[str, Pin | None] = {}
         self._pins_until = math.inf
 
@@ -43,6 +47,7 @@
             del self._statuses[target_id]
             self._leaving_until.pop(target_id, None)
             self._lacking.pop(target_id, None)
+            self._lacking_until.pop(target_id, None)
             self.chooser.forget(target_id)
         added = []
         for target in declared.values():
@@ -76,7 +81,7 @@
         if target_id not in self._statuses:
             return
         now = self._clock()
-        if self._leaving_until.get(target_id, 0.0) <= now:
+        if target_id not in self._leaving_until:
             logs.change('target_leaving', target=target_id, signal='in_band')
             self._pins.clear()
         self._leaving_until[target_id] = now + LEAVING_S
@@ -91,12 +96,14 @@
         """Remember that a target lacks a snapshot it was said to hold."""
         lacking = self._lacking.setdefault(target_id, set())
         lacking.update((shard, snapshot) for shard in shards)
+        until = self._clock() + LACKING_S
+        self._lacking_until[target_id] = until
+        self._pins_until = min(self._pins_until, until)
         self._pins.clear()
 
     def leaving(self) -> tuple[TargetId, ...]:
         """Return the targets which said that they are leaving."""
-        now = self._clock()
-        return tuple(t for t, at in self._leaving_until.items() if at > now)
+        return tuple(self._leaving_until)
 
     def usable(self, target_id: TargetId) -> bool:
         """Tell whether a target may get new work."""
@@ -108,20 +115,35 @@
             return False
         if status.report is not None and status.report.draining:
             return False
-        return self._leaving_until.get(target_id, 0.0) <= self._clock()
+        return target_id not in self._leaving_until
 
     def pin(self, service: Service) -> Pin | None:
         """Pin the service's snapshot; None where no target is usable."""
         now = self._clock()
         if now >= self._pins_until:
-            self._pins.clear()
-            self._pins_until = math.inf
+            self._expire(now)
         if service.name not in self._pins:
             self._pins[service.name] = pin(service, self._holdings(service))
-            later = [t for t in self._leaving_until.values() if t > now]
-            self._pins_until = min(later, default=math.inf)
         return self._pins[service.name]
 
+    def _expire(self, now: float) -> None:
+        # The agent may have seen nothing of a short change, so it would
+        # never report its end.
+        for target_id in _due(self._leaving_until, now):
+            if self.fed():
+                del self._leaving_until[target_id]
+                self.chooser.returned(target_id)
+            else:
+                self._leaving_until[target_id] = now + LEAVING_S
+        for target_id in _due(self._lacking_until, now):
+            del self._lacking_until[target_id]
+            self._lacking.pop(target_id, None)
+        self._pins.clear()
+        self._pins_until = min(
+            (*self._leaving_until.values(), *self._lacking_until.values()),
+            default=math.inf,
+        )
+
     def replicas(self, service: Service, shard: ShardId) -> list[TargetId]:
         """Return the usable targets of one shard, best first."""
         holders = [
@@ -160,6 +182,10 @@
         return holdings
 
 
+def _due(until: dict[TargetId, float], now: float) -> list[TargetId]:
+    return [target_id for target_id, at in until.items() if at <= now]
+
+
 def _routing_part(status: TargetStatus) -> tuple:
     report = status.report
     if report is None:
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -104,6 +104,7 @@
         self._rumors: collections.deque[Rumor] = collections.deque(maxlen=256)
         self.link = AgentLink(cfg.agent, self.address, self.metrics, self._rng)
         self.link.apply = self._apply
+        self.routing.fed = lambda: self.link.connected
         self.link.make_report = self._report
         self.link.requeue = self._requeue
         self.stop = asyncio.Event()
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -117,6 +117,12 @@
         if report.cold:
             replica.cold_since = now
 
+    def returned(self, target_id: TargetId) -> None:
+        """Take back that a target said that it is leaving."""
+        replica = self._replicas.get(target_id)
+        if replica is not None:
+            replica.draining = False
+
     def started(self, target_id: TargetId, now: float) -> None:
         """Count one sub-request sent."""
         replica = self._replicas.get(target_id)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,90 @@
+"""Test what an entry remembers of its targets' own words."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sesameward.controllers.catalog import Catalog
+from sesameward.controllers.routing import LACKING_S
+from sesameward.controllers.routing import LEAVING_S
+from sesameward.controllers.routing import Routing
+from sesameward.feed import ConfigUpdate
+from sesameward.messages import LoadReport
+from sesameward.messages import TargetStatus
+from sesameward.replicas import ReplicaChooser
+from sesameward.types import Outcome
+from sesameward.types import ZoneName
+
+SHARDS = ('s0', 's1')
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def routing(service, pool, clock):
+    """Route to two targets, of which the agent has seen nothing bad."""
+    catalog = Catalog()
+    catalog.apply(ConfigUpdate(1, (service,), (pool,)))
+    routing = Routing(
+        catalog, ReplicaChooser(ZoneName('a'), random.Random(1)), clock
+    )
+    routing.declare()
+    report = LoadReport(holds={s: (1,) for s in SHARDS})
+    for target in pool.targets:
+        routing.take_status(TargetStatus(target.id, report=report))
+    return routing
+
+
+def candidates(routing, service):
+    return {t for g in routing.pin(service).groups for t in g.candidates}
+
+
+def refuse(routing, clock, target):
+    routing.chooser.started(target, clock())
+    routing.chooser.finished(target, Outcome.DRAINING, 0.001, clock())
+    routing.take_leaving(target)
+
+
+def test_target_that_left_unseen_by_the_agent_is_used_again(
+    routing, service, clock
+):
+    refuse(routing, clock, 't0')
+    assert candidates(routing, service) == {'t1'}
+    clock.now += LEAVING_S + 0.1
+    assert candidates(routing, service) == {'t0', 't1'}
+    assert routing.chooser.choose(('t0',), clock()) == 't0'
+
+
+def test_target_that_leaves_gets_nothing_while_the_agent_is_gone(
+    routing, service, clock
+):
+    routing.fed = lambda: False
+    refuse(routing, clock, 't0')
+    for _ in range(5):
+        clock.now += LEAVING_S + 0.1
+        assert candidates(routing, service) == {'t1'}
+    routing.fed = lambda: True
+    clock.now += LEAVING_S + 0.1
+    assert candidates(routing, service) == {'t0', 't1'}
+
+
+def test_snapshot_that_was_lacking_for_a_moment_is_used_again(
+    routing, service, clock
+):
+    routing.take_lacking('t0', SHARDS, 1)
+    assert candidates(routing, service) == {'t1'}
+    clock.now += LACKING_S + 0.1
+    assert candidates(routing, service) == {'t0', 't1'}
