--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -290,8 +290,9 @@
         return bool(self.tier.calls(target))
 
     def faults(self, target: str, **faults: object) -> None:
-        """Switch a target's faults; none heals it."""
-        self.tier.set_faults(target, **faults)
+        """Switch the faults of a target that runs; none heals it."""
+        if self.tier.targets[target].exit_code is None:
+            self.tier.set_faults(target, **faults)
 
     def drain(self, target: str, on: bool = True) -> None:
         """Let a target say that it leaves, or that it is back."""
