--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 BIN := $(CURDIR)/$(VENV)/bin
+SEEDS ?= 3
+BENCHMARKS := path tail load control membership configuration bookings \
+	quarantine crashing
 
-.PHONY: env test lint format demo bench-path clean
+.PHONY: env test lint format demo histories fault-matrix clean \
+	$(BENCHMARKS:%=bench-%)
 
 env: $(VENV)/.ready
 
@@ -25,8 +29,14 @@
 demo: env  ## Show the whole path with separate processes.
 	$(PY) -m benchmark.demo
 
-bench-path: env  ## Measure what a sub-request costs an entry.
-	$(PY) -m benchmark.path
+histories: env  ## Check the promises on seeded runs of real processes.
+	$(PY) -m tests.histories run --seeds $(SEEDS)
+
+fault-matrix: env  ## Cross each fault with each step, and print the table.
+	$(PY) -m tests.fault_matrix
+
+$(BENCHMARKS:%=bench-%): bench-%: env  ## Measure; the last line is JSON.
+	$(PY) -m benchmark.$*
 
 clean:  ## Remove what the chores made.
 	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis *.egg-info
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -52,6 +52,12 @@
         if estimate is not None:
             estimate.report(report, now)
 
+    def returned(self, target_id: TargetId) -> None:
+        """Take back that a target said that it is leaving."""
+        replica = self._replicas.get(target_id)
+        if replica is not None:
+            replica.draining = False
+
     def started(self, target_id: TargetId, now: float) -> None:
         """Count one sub-request sent."""
         estimate = self._estimates.get(target_id)
