Cut an idle agent's wakeups and repeated work

An agent decoded the whole book, ranked all members and built the update for its entries twice a second; it does so when something changed now, and an idle feed carries a small keepalive. Timers of answered probes no longer wake the membership. An agent probes only the targets of its home buckets.

--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -29,10 +29,14 @@
 from .controllers.rollup import Rollup
 from .controllers.target_states import TargetStates
 from .controllers.vm_list import VmList
+from .declared import Pool
 from .exceptions import AdminError
 from .exceptions import RumorTooLargeError
 from .exceptions import SettingsError
 from .gossip import Gossip
+from .homes import bucket_of
+from .homes import Homes
+from .messages import Address
 from .messages import Addresses
 from .messages import DrainNote
 from .messages import EntryStatus
@@ -49,6 +53,7 @@
 from .platform_client import PlatformClient
 from .quarantine import TOPIC as QUARANTINE_TOPIC
 from .rendezvous import pick
+from .roster import is_live
 from .settings import AgentSettings
 from .settings import Endpoint
 from .shares import HolderCount
@@ -59,6 +64,7 @@
 
 EXIT_USAGE = 2
 NODES_PERIOD_S = 0.5
+NODES_REFRESH_S = 5.0
 OTHER_AGENTS = 3
 # An entry which is stopped at the same time reports it within this time.
 STOP_GRACE_S = 0.5
@@ -106,8 +112,13 @@
             self.metrics,
             self._rng,
         )
+        self.homes = Homes(cfg.node, cfg.zone, cfg.homes)
         self.targets = TargetStates(
-            cfg.probe_s, self.metrics, self._rng, self.clock
+            cfg.probe_s,
+            cfg.probes_per_s,
+            self.metrics,
+            self._rng,
+            self.clock,
         )
         self.vms = VmList(
             self.platform,
@@ -129,7 +140,6 @@
             cfg.node,
             lambda: self.configuration.revision,
             self._first,
-            self._nodes_update,
             self.clock,
         )
         self._grpc = Server(
@@ -144,9 +154,17 @@
         self._tasks: list[asyncio.Task] = []
         self._told_holders: HoldersNote | None = None
         self._told_at = 0.0
+        self._limits: frozenset[int] = frozenset()
+        self._reported: tuple[tuple[Address, ...], ...] = ()
+        self._nodes_stale = True
+        self._nodes_at = 0.0
+        self._home_buckets: frozenset[int] = frozenset()
+        self._holders_stale = True
+        self._homes_stale = True
 
     async def start(self) -> None:
         """Bring everything up; the store need not answer."""
+        self._home_buckets = self.homes.own()
         self.targets.on_statuses = self._on_statuses
         self.vms.on_vms = self._on_vms
         self.hub.on_report = self._on_report
@@ -321,16 +339,7 @@
             limit: self.holders.share(
                 limit, entries, self.cfg.connection_reserve
             )
-            for limit in self._connection_limits()
-        }
-
-    def _connection_limits(self) -> set[int]:
-        book = self.configuration.book
-        return {
-            target.connections
-            for name in book.services()
-            for pool in book.pools(name)
-            for target in pool.targets
+            for limit in self._limits
         }
 
     async def _tell_nodes(self) -> None:
@@ -338,14 +347,48 @@
         while True:
             self.gossip.update(entries=self.hub.addresses())
             self._tell_holders()
-            update = self._nodes_update()
-            if update != last:
-                self.hub.send(update)
-                last = update
+            if self._nodes_changed():
+                update = self._nodes_update()
+                if update != last:
+                    self.hub.send(update)
+                    last = update
+            if self._homes_stale:
+                self._check_homes()
             await asyncio.sleep(NODES_PERIOD_S)
 
+    def _nodes_changed(self) -> bool:
+        now = self.clock()
+        all_own = tuple(r.address for r in self.hub.reports())
+        reported = (all_own, self.hub.addresses())
+        changed = self._nodes_stale or reported != self._reported
+        if not changed and now < self._nodes_at:
+            return False
+        self._nodes_stale = False
+        self._nodes_at = now + NODES_REFRESH_S
+        self._reported = reported
+        return True
+
+    def _check_homes(self) -> None:
+        self._homes_stale = False
+        buckets = self.homes.own()
+        if buckets != self._home_buckets:
+            self._home_buckets = buckets
+            self._declare_targets(self._config_update().pools)
+
+    def _declare_targets(self, pools: typing.Iterable[Pool]) -> None:
+        """Probe the targets to which this node is home."""
+        self.targets.declare(
+            target
+            for pool in pools
+            for target in pool.targets
+            if bucket_of(target.id) in self._home_buckets
+        )
+
     def _tell_holders(self) -> None:
         now = self.clock()
+        if not self._holders_stale and now < self._told_at:
+            return
+        self._holders_stale = False
         note = HoldersNote(
             tuple(sorted(self.holders.holders)), self.holders.full
         )
@@ -367,7 +410,10 @@
 
     def _on_config(self, changed: typing.Sequence[StoredObject]) -> None:
         update = self._config_update()
-        self.targets.declare(t for p in update.pools for t in p.targets)
+        self._limits = frozenset(
+            target.connections for p in update.pools for target in p.targets
+        )
+        self._declare_targets(update.pools)
         self.hub.send(update)
         self.hub.send(self._nodes_update())
 
@@ -379,11 +425,20 @@
             self.holders.left(member.node)
         else:
             self.holders.seen(member.node)
+        if is_live(member):
+            self.homes.add(member.node, member.zone)
+        else:
+            self.homes.remove(member.node)
+        self._nodes_stale = True
+        self._holders_stale = True
+        self._homes_stale = True
 
     def _on_vms(self, vms: tuple[Vm, ...]) -> None:
         nodes = [NodeId(vm.name) for vm in vms if vm.role == 'entry']
         alive = [m.node for m in self.gossip.members()]
         self.holders.listed(nodes, alive, self.clock())
+        self._nodes_stale = True
+        self._holders_stale = True
         self.gossip.set_hints(
             Endpoint(vm.host, self.cfg.gossip.port)
             for vm in vms
@@ -409,6 +464,8 @@
             self.metrics.count('rumors_refused', 'malformed')
             return
         self.holders.told(NodeId(rumor.key), note.holders, note.full)
+        self._nodes_stale = True
+        self._holders_stale = True
 
     def _on_drain(self, rumor: Rumor) -> None:
         try:
--- a/sesameward/controllers/feed_hub.py
+++ b/sesameward/controllers/feed_hub.py
@@ -41,13 +41,11 @@
         node: NodeId,
         revision: typing.Callable[[], Revision],
         first: typing.Callable[[], list[feed.Update]],
-        keepalive: typing.Callable[[], feed.Update],
         clock: Clock,
     ):
         self._node = node
         self._revision = revision
         self._first = first
-        self._keepalive = keepalive
         self._clock = clock
         self._queues: set[asyncio.Queue[feed.Update]] = set()
         self._entries: dict[tuple[str, int], _Entry] = {}
@@ -123,4 +121,4 @@
         try:
             return await asyncio.wait_for(queue.get(), KEEPALIVE_S)
         except asyncio.TimeoutError:
-            return self._keepalive()
+            return feed.Keepalive()
--- a/sesameward/controllers/target_states.py
+++ b/sesameward/controllers/target_states.py
@@ -20,6 +20,7 @@
 from ..types import TargetId
 
 FAILURES_UNTIL_DEAD = 3
+TICKS = 5
 STATUS_OK = 200
 
 OnStatuses = typing.Callable[[tuple[TargetStatus, ...]], None]
@@ -41,11 +42,13 @@
     def __init__(
         self,
         period_s: float,
+        probes_per_s: float,
         metrics: Metrics,
         rng: random.Random,
         clock: typing.Callable[[], float],
     ):
-        self._period_s = period_s
+        self._min_period_s = period_s
+        self._probes_per_s = probes_per_s
         self._metrics = metrics
         self._rng = rng
         self._clock = clock
@@ -57,6 +60,12 @@
         self._task: asyncio.Task | None = None
         self.on_statuses: OnStatuses = lambda _: None
 
+    @property
+    def _period_s(self) -> float:
+        """Return the period, longer where the targets are very many."""
+        needed_s = len(self._probed) / self._probes_per_s
+        return max(self._min_period_s, needed_s)
+
     def start(self) -> None:
         """Begin to probe."""
         self._task = asyncio.ensure_future(self._run())
@@ -121,7 +130,8 @@
         )
 
     async def _run(self) -> None:
-        tick_s = self._period_s / 10
+        # Few ticks cost few wakeups of the process.
+        tick_s = self._min_period_s / TICKS
         while True:
             now = self._clock()
             for probed in tuple(self._probed.values()):
@@ -137,7 +147,7 @@
             probed.lane,
             b'',
             lambda response: self._on_response(probed, response),
-            int(self._period_s * 1000),
+            int(self._min_period_s * 1000),
         )
 
     def _on_response(self, probed: _Probed, response: Response) -> None:
--- a/sesameward/feed.py
+++ b/sesameward/feed.py
@@ -63,8 +63,17 @@
     """Ask the entry to leave."""
 
 
+class Keepalive(msgspec.Struct, frozen=True, tag='keepalive'):
+    """Tell that the agent runs and nothing changed."""
+
+
 Update = (
-    ConfigUpdate | TargetsUpdate | NodesUpdate | RumorsUpdate | LeaveUpdate
+    ConfigUpdate
+    | TargetsUpdate
+    | NodesUpdate
+    | RumorsUpdate
+    | LeaveUpdate
+    | Keepalive
 )
 
 
--- a/sesameward/gossip.py
+++ b/sesameward/gossip.py
@@ -240,11 +240,15 @@
     # Time.
 
     def _schedule(self) -> None:
+        at = self._swim.next_at
         if self._timer is not None:
+            if self._timer.when() == at and not self._timer.cancelled():
+                return
             self._timer.cancel()
-        self._timer = self._loop.call_at(self._swim.next_at, self._tick)
+        self._timer = self._loop.call_at(at, self._tick)
 
     def _tick(self) -> None:
+        self._timer = None
         self._act(self._swim.handle(self._loop.time(), Tick()))
         self._schedule()
 
--- a/sesameward/settings.py
+++ b/sesameward/settings.py
@@ -92,6 +92,8 @@
     membership: MembershipSettings
     seeds: tuple[Endpoint, ...] = ()
     probe_s: Seconds = 1.0
+    probes_per_s: Count = 200
+    homes: Count = 32
     address_ttl_s: Seconds = 5.0
     watchers_per_zone: Count = 2
     connection_reserve: Fraction = 0.2
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -84,6 +84,9 @@
     SWEEP = enum.auto()
 
 
+_PROBE_TIMERS = frozenset({_Timer.INDIRECT, _Timer.FAIL})
+
+
 @dataclasses.dataclass(slots=True)
 class _Probe:
     node: NodeId
@@ -156,6 +159,7 @@
     @property
     def next_at(self) -> float:
         """Return when the next Tick is due."""
+        self._drop_settled()
         return self._timers[0][0] if self._timers else 0.0
 
     def members(self) -> list[Member]:
@@ -357,6 +361,14 @@
             suspicion.armed_at += gap_s
         self._health.add(1)
 
+    def _drop_settled(self) -> None:
+        """Forget the next timers if their probes were answered."""
+        while self._timers:
+            _, _, timer, what = self._timers[0]
+            if timer not in _PROBE_TIMERS or what in self._probes:
+                return
+            heapq.heappop(self._timers)
+
     def _run_timers(self, now: float) -> None:
         while self._timers and self._timers[0][0] <= now:
             _, _, timer, what = heapq.heappop(self._timers)
