Tell when to come back instead of holding an answer back

Cause: HoldAnswer asked to delay the caller's answer until the rumor had spread. So HoldAnswer and hold_s are gone, and End carries retry_after_s where shards are missing as quarantined, overloaded or no_replica.

Checks: the fleet check named HoldAnswer as the reason for its order of events; it stays as it was. Beside it stands a check that has no such help: with homes, and rumors twelve messages late, at most 2 targets over 1,000 schedules; the same check fails where each entry decides for itself.

--- a/benchmark/quarantine.py
+++ b/benchmark/quarantine.py
@@ -40,7 +40,6 @@
     name: str
     active: bool = True
     lead_s: float = 0.0
-    hold_s: float = 0.0
     spread_s: float = 0.5
     cancel: bool = False
     home: bool = False
@@ -98,14 +97,11 @@
         self.events: list[tuple] = []
         self.order = itertools.count()
         self.servers = [Server() for _ in range(SHARDS * REPLICAS)]
-        cfg = quarantine.QuarantineSettings(
-            lead_s=policy.lead_s, hold_s=policy.hold_s
-        )
+        cfg = quarantine.QuarantineSettings(lead_s=policy.lead_s)
         self.quarantines = [
             quarantine.Quarantine(f'e{i}', cfg, random.Random(i))
             for i in range(ENTRIES)
         ]
-        self.hold_until = 0.0
         self.lost_targets = 0
         self.poison_sends = 0
         self.elapsed: list[float] = []
@@ -169,8 +165,7 @@
             self.cancel(sub)
         if query.fp == POISON:
             entry = (query.entry + 1) % ENTRIES
-            wait_s = max(self.hold_until - self.now, 0.0)
-            self.after(wait_s + 4 * HOP_S, self.send_poison, entry)
+            self.after(4 * HOP_S, self.send_poison, entry)
             return
         if query.refused:
             self.refused += 1
@@ -303,8 +298,6 @@
             match action:
                 case quarantine.Spread(rumor):
                     self.spread(self.decisions(query), rumor)
-                case quarantine.HoldAnswer(hold_s) if query.fp == POISON:
-                    self.hold_until = self.now + hold_s
                 case quarantine.Quarantined(fp):
                     self.quarantined.add(fp)
 
@@ -404,15 +397,13 @@
 POLICIES = (
     Policy('baseline', active=False),
     Policy('a_alarm_gossip'),
-    Policy('a_alarm_push', spread_s=0.002, hold_s=0.01),
-    Policy('c_cancel_push', spread_s=0.002, hold_s=0.01, cancel=True),
-    Policy('lead_5ms_push', lead_s=0.005, spread_s=0.002, hold_s=0.01),
-    Policy('lead_50ms_push', lead_s=0.05, spread_s=0.002, hold_s=0.01),
+    Policy('a_alarm_push', spread_s=0.002),
+    Policy('c_cancel_push', spread_s=0.002, cancel=True),
+    Policy('lead_5ms_push', lead_s=0.005, spread_s=0.002),
+    Policy('lead_50ms_push', lead_s=0.05, spread_s=0.002),
     Policy('lead_50ms_gossip', lead_s=0.05),
-    Policy('b_canary_push', lead_s=9.0, spread_s=0.002, hold_s=0.01),
-    Policy(
-        'lead_50ms_home', lead_s=0.05, spread_s=0.002, hold_s=0.01, home=True
-    ),
+    Policy('b_canary_push', lead_s=9.0, spread_s=0.002),
+    Policy('lead_50ms_home', lead_s=0.05, spread_s=0.002, home=True),
 )
 CRASHES_S = (0.001, 0.004, 0.02, 0.1)
 
--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -25,6 +25,14 @@
 
 MAX_ATTEMPTS_PER_SHARD = 4
 MAX_HEDGES = 2
+RETRY_AFTER_S = 1.0
+_RETRY_REASONS = frozenset(
+    (
+        MissingReason.QUARANTINED,
+        MissingReason.OVERLOADED,
+        MissingReason.NO_REPLICA,
+    )
+)
 # The target did no work, so that a retry adds no load to the service.
 _UNRUN_REASONS = frozenset({'no_snapshot', 'draining', 'connect_failed'})
 
@@ -154,6 +162,7 @@
         self._answered = 0
         self._uncovered = 0
         self._finished = False
+        self._retry_after_s = RETRY_AFTER_S
 
     @property
     def asked(self) -> int:
@@ -316,8 +325,14 @@
             return min(times[0][0], self._request.deadline_at)
         return self._request.deadline_at
 
-    def stop(self, reason: MissingReason, now: float) -> list[Action]:
+    def stop(
+        self,
+        reason: MissingReason,
+        now: float,
+        retry_after_s: float = RETRY_AFTER_S,
+    ) -> list[Action]:
         """End the answer now; the shards not merged are missing."""
+        self._retry_after_s = retry_after_s
         for shard in list(self._wanted):
             known = self._wanted[shard].reason
             if known is not MissingReason.DEADLINE:
@@ -463,10 +478,17 @@
                     missing=missing,
                     uncovered_records=self._uncovered,
                     elapsed_ms=round(elapsed_ms, 3),
+                    retry_after_s=self._retry_after(),
                 )
             )
         )
 
+    def _retry_after(self) -> float | None:
+        """Return when to ask again for what is missing, if that helps."""
+        if _RETRY_REASONS.isdisjoint(self._missing.values()):
+            return None
+        return round(self._retry_after_s, 3)
+
 
 def _missing_reason(outcome: Outcome) -> MissingReason:
     match outcome:
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -84,6 +84,7 @@
     missing: tuple[Missing, ...] = ()
     uncovered_records: int = 0
     elapsed_ms: float = 0.0
+    retry_after_s: float | None = None
 
 
 Frame = Open | Rows | End
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -46,7 +46,6 @@
     same_break_s: float = 0.05
     trial_timeout_s: float = 5.0
     trial_retry_s: float = 0.02
-    hold_s: float = 0.05
     max_suspects: int = 4_096
     max_proven: int = 50_000
 
@@ -98,12 +97,6 @@
     rumor: Rumor
 
 
-class HoldAnswer(msgspec.Struct, frozen=True):
-    """Delay the caller's answer until the rumor has had time to spread."""
-
-    hold_s: float
-
-
 class Suspected(msgspec.Struct, frozen=True):
     """Report that a fingerprint came under suspicion."""
 
@@ -123,7 +116,7 @@
     fp: Fingerprint
 
 
-Action = Spread | HoldAnswer | Suspected | Quarantined | Cleared
+Action = Spread | Suspected | Quarantined | Cleared
 
 
 class Verdict(msgspec.Struct, frozen=True, array_like=True):
@@ -331,7 +324,6 @@
         actions: list[Action] = [Suspected(fp)] if is_new else []
         actions += self._judge(fp, suspect, now)
         actions.append(self._spread(fp, suspect, now))
-        actions.append(HoldAnswer(self._cfg.hold_s))
         return actions
 
     def succeeded(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -223,8 +223,7 @@
 class Fleet:
     """Run a caller that sends the poison to one entry after another.
 
-    Innocent requests run beside it. Rumors arrive before the caller has its
-    answer, as HoldAnswer asks.
+    Innocent requests run beside it. Rumors arrive before the next event.
     """
 
     def __init__(self, quarantine_type, schedule):
@@ -286,6 +285,62 @@
                     local.heard(rumor, self.now)
 
 
+class HomedFleet(Fleet):
+    """Ask the home for what is undecided; rumors arrive much later.
+
+    An answer is never held back until others know, so the home has to do.
+    """
+
+    nodes = tuple(NodeId(f'e{index}') for index in range(4))
+
+    def __init__(self, quarantine_type, schedule):
+        super().__init__(quarantine_type, schedule)
+        self.late = collections.deque()
+
+    def home(self, fp, index):
+        return self.entries[int(quarantine.home(fp, self.nodes)[1:])]
+
+    def admit(self, index, fp):
+        decided = self.entries[index].decided(fp, self.now)
+        return decided or self.home(fp, index).admit(fp, self.now)
+
+    def begin(self, index, fp):
+        match self.admit(index, fp):
+            case quarantine.Allow():
+                self.running[index].add(fp)
+            case quarantine.Refuse():
+                self.refused.add(fp)
+            case _:
+                self.succeed(index, fp)
+
+    def succeed(self, index, fp):
+        home = self.home(fp, index)
+        self.spread(home, home.succeeded(fp, T0, self.now))
+        self.entries[index].succeeded(fp, T0, self.now)
+
+    def poison(self, index, target):
+        if isinstance(self.admit(index, BAD), quarantine.Refuse):
+            return
+        self.crashes += 1
+        in_flight = {BAD, *self.running[index]}
+        for fp in sorted(in_flight):
+            home = self.home(fp, index)
+            actions = home.broke(fp, target, in_flight, self.now)
+            self.spread(home, actions)
+
+    def spread(self, origin, actions):
+        self.late.append((origin, actions))
+        if len(self.late) > 12:
+            super().spread(*self.late.popleft())
+
+
+class NoHomeFleet(HomedFleet):
+    """Let each entry decide for itself."""
+
+    def home(self, fp, index):
+        return self.entries[index]
+
+
 class IgnoresRumors(quarantine.Quarantine):
     """Ignore what other entries say."""
 
@@ -309,11 +364,11 @@
         return super()._judge(fp, suspect, now)
 
 
-def check_fleet(quarantine_type):
+def check_fleet(quarantine_type, fleet_type=Fleet):
     for seed in range(1_000):
         rng = random.Random(seed)
         schedule = [rng.getrandbits(8) for _ in range(40)]
-        fleet = Fleet(quarantine_type, schedule).run()
+        fleet = fleet_type(quarantine_type, schedule).run()
         assert fleet.crashes <= 2, f'seed {seed}'
         assert not fleet.refused, f'seed {seed}'
 
@@ -322,6 +377,15 @@
     check_fleet(quarantine.Quarantine)
 
 
+def test_a_home_needs_no_rumors_to_keep_it_at_two_targets():
+    check_fleet(quarantine.Quarantine, HomedFleet)
+
+
+def test_the_check_catches_the_lack_of_a_home():
+    with pytest.raises(AssertionError):
+        check_fleet(quarantine.Quarantine, NoHomeFleet)
+
+
 @pytest.mark.parametrize(
     'broken', [IgnoresRumors, NeverJudges, BlamesAllAlike]
 )
