Let one home decide on the trials of a fingerprint

After a break nothing is retried before the request has been admitted again, and no hedge leaves while a trial is out. A booking whose connection broke counts against its like; a quarantined one is refused before its claim.

Blame falls only on the break that ends the trial: an older sub-request of the same fingerprint that broke meanwhile was taken for the canary.

--- a/sesameward/controllers/suspects.py
+++ b/sesameward/controllers/suspects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import typing
 
@@ -10,28 +11,65 @@
 from ..metrics import Metrics
 from ..quarantine import Action
 from ..quarantine import Admission
+from ..quarantine import Allow
+from ..quarantine import Canary
 from ..quarantine import Cleared
+from ..quarantine import Lead
 from ..quarantine import Quarantine
 from ..quarantine import Quarantined
+from ..quarantine import Refuse
 from ..quarantine import Spread
 from ..quarantine import Suspected
+from ..trials import Event
+from ..trials import EventKind
+from ..types import Clock
 from ..types import Fingerprint
 from ..types import TargetId
+from .homes import Homes
+
+# Connections to one target that break within this time broke together.
+SAME_BREAK_S = 0.05
 
 
 class Suspects:
-    """Connect the quarantine with the sub-requests and with rumors."""
+    """Connect the quarantine with the sub-requests and with other entries."""
 
-    def __init__(self, quarantine: Quarantine, metrics: Metrics, clock):
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        homes: Homes,
+        metrics: Metrics,
+        clock: Clock,
+        enabled: bool = True,
+    ):
+        self.enabled = enabled
         self._quarantine = quarantine
+        self._homes = homes
         self._metrics = metrics
         self._clock = clock
         self._running: dict[TargetId, collections.Counter[Fingerprint]] = {}
+        self._breaks: dict[
+            TargetId, tuple[float, tuple[Fingerprint, ...]]
+        ] = {}
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
-    def admit(self, fp: Fingerprint) -> Admission:
-        """Decide how a request may be sent."""
-        return self._quarantine.admit(fp, self._clock())
+    async def admit(self, fp: Fingerprint, until: float) -> Admission:
+        """Decide how a request may be sent; wait for an equal one's trial."""
+        while True:
+            admission = await self._ask(fp)
+            self._count(admission)
+            if not isinstance(admission, Refuse) or not admission.on_trial:
+                return admission
+            if self._clock() + admission.retry_after_s >= until:
+                return admission
+            await asyncio.sleep(admission.retry_after_s)
+
+    async def admit_booking(self, fp: Fingerprint, until: float) -> Admission:
+        """Decide on a booking, which is on trial only under suspicion."""
+        now = self._clock()
+        if self._quarantine.is_suspected(fp, now):
+            return await self.admit(fp, until)
+        return Allow()
 
     def sent(self, fp: Fingerprint, target: TargetId) -> None:
         """Take in that a sub-request left for a target."""
@@ -44,38 +82,110 @@
         if running[fp] <= 0:
             del running[fp]
 
-    def broke(self, fp: Fingerprint, target: TargetId) -> bool:
-        """Count a broken connection; return whether fp is quarantined."""
-        running = tuple(self._running.get(target, ()))
-        actions = self._quarantine.broke(fp, target, running, self._clock())
-        self._carry_out(actions)
-        return any(isinstance(a, Quarantined) for a in actions)
+    def broke(
+        self, fp: Fingerprint, target: TargetId, tried: bool
+    ) -> typing.Awaitable[None]:
+        """Count a broken connection; return when the home has judged it.
 
-    def succeeded(self, fp: Fingerprint, target: TargetId) -> None:
+        Call it before ended(), which forgets that the request ran there.
+        """
+        in_flight = self._in_flight(target)
+        event = Event(EventKind.BROKE, fp, target, in_flight, tried)
+        return self._report(event)
+
+    def succeeded(
+        self, fp: Fingerprint, target: TargetId, tried: bool
+    ) -> None:
         """Take in that a target survived the request."""
-        self._carry_out(self._quarantine.succeeded(fp, target, self._clock()))
+        event = Event(EventKind.SUCCEEDED, fp, target, tried=tried)
+        self.take(event)
+        if tried and self._homes.is_elsewhere(fp):
+            self._homes.run(self._report(event))
 
     def trial_ended(self, fp: Fingerprint) -> None:
         """Take in that a trial proved nothing."""
-        self._quarantine.ended(fp)
+        event = Event(EventKind.ENDED, fp)
+        self.take(event)
+        if self._homes.is_elsewhere(fp):
+            self._homes.run(self._report(event))
 
     def heard(self, rumor: Rumor) -> None:
         """Take over what another entry found out."""
         self._carry_out(self._quarantine.heard(rumor, self._clock()))
 
+    # As the home of a fingerprint.
+
+    def decide(self, fp: Fingerprint) -> Admission:
+        """Decide how a request may be sent, if need be on trial."""
+        return self._quarantine.admit(fp, self._clock())
+
+    def take(self, event: Event) -> tuple[Rumor, ...]:
+        """Take in what became of a request; return the verdicts."""
+        now = self._clock()
+        actions: list[Action] = []
+        match event.kind:
+            case EventKind.BROKE:
+                actions = self._quarantine.broke(
+                    event.fp, event.target, event.in_flight, now, event.tried
+                )
+            case EventKind.SUCCEEDED:
+                actions = self._quarantine.succeeded(
+                    event.fp, event.target, now
+                )
+            case EventKind.ENDED:
+                self._quarantine.ended(event.fp)
+        self._carry_out(actions)
+        return tuple(a.rumor for a in actions if isinstance(a, Spread))
+
+    async def _ask(self, fp: Fingerprint) -> Admission:
+        decided = self._quarantine.decided(fp, self._clock())
+        if decided is not None:
+            return decided
+        admission = await self._homes.admit(fp)
+        return self.decide(fp) if admission is None else admission
+
+    async def _report(self, event: Event) -> None:
+        rumors = await self._homes.report(event)
+        if rumors is None:
+            self.take(event)
+            return
+        for rumor in rumors:
+            self.heard(rumor)
+
+    def _in_flight(self, target: TargetId) -> tuple[Fingerprint, ...]:
+        """Return what ran there when the first connection broke."""
+        now = self._clock()
+        at, in_flight = self._breaks.get(target, (-SAME_BREAK_S, ()))
+        if now - at >= SAME_BREAK_S:
+            in_flight = tuple(self._running.get(target, ()))
+            self._breaks[target] = (now, in_flight)
+        return in_flight
+
+    def _count(self, admission: Admission) -> None:
+        match admission:
+            case Lead():
+                self._metrics.count('quarantine', 'lead')
+            case Canary():
+                self._metrics.count('quarantine', 'canary')
+            case Refuse(_, True):
+                self._metrics.count('quarantine', 'on_trial')
+            case Refuse():
+                self._metrics.count('quarantine', 'refused')
+
     def _carry_out(self, actions: typing.Iterable[Action]) -> None:
         for action in actions:
             match action:
                 case Spread(rumor):
                     self.spread(rumor)
+                    self._homes.tell(rumor)
                 case Suspected(fp):
-                    self._metrics.count('fingerprints', 'suspected')
+                    self._metrics.count('quarantine', 'suspected')
                     logs.change('fingerprint_suspected', fingerprint=fp)
                 case Quarantined(fp, for_s):
-                    self._metrics.count('fingerprints', 'quarantined')
+                    self._metrics.count('quarantine', 'quarantined')
                     logs.change(
                         'fingerprint_quarantined', fingerprint=fp, for_s=for_s
                     )
                 case Cleared(fp):
-                    self._metrics.count('fingerprints', 'cleared')
+                    self._metrics.count('quarantine', 'cleared')
                     logs.change('fingerprint_cleared', fingerprint=fp)
--- a/sesameward/datagrams.py
+++ b/sesameward/datagrams.py
@@ -27,6 +27,7 @@
     port: int
     zone: ZoneName
     weight: float
+    grpc_port: int = 0
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -70,7 +71,14 @@
             incarnation=self.incarnation,
             state=STATES[self.rank],
             entries=tuple(
-                Address(e.node, e.host, e.port, e.zone, e.weight)
+                Address(
+                    e.node,
+                    e.host,
+                    e.port,
+                    e.zone,
+                    e.weight,
+                    grpc_port=e.grpc_port,
+                )
                 for e in self.entries
             ),
             leaving=self.leaving,
@@ -168,7 +176,7 @@
         rank=rank_of(member.state),
         leaving=member.leaving,
         entries=tuple(
-            _WireAddress(e.node, e.host, e.port, e.zone, e.weight)
+            _WireAddress(e.node, e.host, e.port, e.zone, e.weight, e.grpc_port)
             for e in member.entries
         ),
     )
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -11,6 +11,7 @@
 import time
 
 import defopt
+from grpclib.server import Server
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
@@ -23,9 +24,11 @@
 from .bookings import BookingSettings
 from .bookings import Claimer
 from .budget import BudgetBook
+from .codec import MsgpackCodec
 from .controllers.agent_link import AgentLink
 from .controllers.catalog import Catalog
 from .controllers.gate import Gate
+from .controllers.homes import Homes
 from .controllers.leaving import Leaving
 from .controllers.nodes import Nodes
 from .controllers.routing import Routing
@@ -41,6 +44,7 @@
 from .filters.parsing import ParseBooking
 from .filters.parsing import ParseQuery
 from .filters.pinning import PinSnapshot
+from .filters.quarantining import CheckBookingQuarantine
 from .filters.quarantining import CheckQuarantine
 from .filters.readiness import CheckReady
 from .hedging import HedgePolicy
@@ -50,10 +54,11 @@
 from .metrics import Metrics
 from .platform_client import PlatformClient
 from .quarantine import Quarantine
-from .quarantine import QuarantineSettings
 from .replicas import ReplicaChooser
 from .settings import EntrySettings
 from .target_client import TargetClient
+from .trials import TrialClient
+from .trials import TrialHandler
 
 EXIT_USAGE = 2
 EXIT_CUT_OFF = 4
@@ -72,6 +77,9 @@
         self._sockets = tornado.netutil.bind_sockets(
             cfg.listen.port, cfg.listen.host
         )
+        self._grpc_sockets = tornado.netutil.bind_sockets(
+            cfg.grpc_port, cfg.listen.host
+        )
         self.address = Address(
             node=cfg.node,
             host=cfg.listen.host,
@@ -79,6 +87,7 @@
             zone=cfg.zone,
             weight=1.0,
             incarnation=time.time_ns(),
+            grpc_port=self._grpc_sockets[0].getsockname()[1],
         )
         self.catalog = Catalog()
         self.routing = Routing(
@@ -91,16 +100,24 @@
         self.gate = Gate(
             Admission(cfg.limits, self._rng), self.metrics, self.clock
         )
+        self.homes = Homes(
+            self.address, TrialClient(), self.metrics, self.clock
+        )
         self.suspects = Suspects(
             Quarantine(
                 f'{cfg.node}/{self.address.incarnation}',
-                QuarantineSettings(),
+                cfg.quarantine,
                 self._rng,
             ),
+            self.homes,
             self.metrics,
             self.clock,
+            cfg.quarantine.enabled,
         )
         self.suspects.spread = self._spread
+        self._grpc = Server(
+            [TrialHandler(self.suspects)], codec=MsgpackCodec()
+        )
         self._rumors: collections.deque[Rumor] = collections.deque(maxlen=256)
         self.link = AgentLink(cfg.agent, self.address, self.metrics, self._rng)
         self.link.apply = self._apply
@@ -111,8 +128,9 @@
         self.metrics.gauge('in_flight', lambda: self.gate.in_flight)
         self.metrics.gauge('revision', lambda: self.catalog.revision)
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Listen and follow the agent."""
+        await self._grpc.start(sock=self._grpc_sockets[0])
         limits = self.cfg.limits
         self._server = tornado.httpserver.HTTPServer(
             self._app(),
@@ -141,6 +159,9 @@
         await self.link.stop()
         self._server.stop()
         await self._server.close_all_connections()
+        self.homes.close()
+        self._grpc.close()
+        await self._grpc.wait_closed()
         self.client.close()
         self.platform.close()
 
@@ -199,7 +220,7 @@
         return [
             CheckReady(self.catalog, self.nodes),
             ParseQuery(self.catalog),
-            CheckQuarantine(self.suspects, self.clock),
+            CheckQuarantine(self.suspects),
             Admit(self.gate, self.clock),
             PinSnapshot(self.routing),
             Answer(parts),
@@ -210,6 +231,7 @@
             client=self.client,
             platform=self.platform,
             routing=self.routing,
+            suspects=self.suspects,
             nodes=self.nodes,
             leaving=self.leaving,
             claimer=Claimer(self.cfg.node, self.address.incarnation),
@@ -221,6 +243,7 @@
         return [
             CheckReady(self.catalog, self.nodes),
             ParseBooking(self.catalog),
+            CheckBookingQuarantine(self.suspects),
             Admit(self.gate, self.clock),
             Book(parts),
         ]
@@ -243,6 +266,7 @@
                     self.routing.take_status(status)
             case feed.NodesUpdate():
                 self.nodes.apply(update)
+                self.homes.take(update.addresses.addresses)
                 self._share()
             case feed.RumorsUpdate(rumors):
                 for rumor in rumors:
@@ -295,7 +319,7 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
-    entry.start()
+    await entry.start()
     print(f'{{"port": {entry.address.port}}}', flush=True)
     await entry.stop.wait()
     return EXIT_CUT_OFF if await entry.leave() else 0
--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -159,6 +159,10 @@
         self._missing: dict[ShardId, MissingReason] = {}
         self._held: dict[TargetId, list[ShardId]] = {}
         self._broken: TargetId | None = None
+        self._held_for: dict[TargetId, str] = {}
+        self._suspended: dict[ShardId, Outcome] = {}
+        self._alone = False
+        self._trial: AttemptId | None = None
         self._answered = 0
         self._uncovered = 0
         self._finished = False
@@ -175,9 +179,14 @@
         )
 
     @property
-    def holding(self) -> bool:
-        """Tell whether first attempts wait for release()."""
-        return bool(self._held)
+    def alone(self) -> bool:
+        """Tell whether all but one attempt wait for release()."""
+        return self._alone
+
+    @property
+    def trial(self) -> AttemptId | None:
+        """Return the one attempt that is out before the others."""
+        return self._trial
 
     def start(
         self,
@@ -209,19 +218,101 @@
         if one_first and chosen:
             self._held = chosen
             self._broken = broken
-            chosen = self._take_one_held()
-        actions = self._send_first(chosen, now)
+            self._alone = True
+            actions = self._send_one_held(now)
+        else:
+            actions = self._send_first(chosen, now)
         self._finish_if_done(actions, now)
         return actions
 
     def release(self, now: float) -> list[Action]:
-        """Send the first attempts which start() held back."""
-        held, self._held = self._held, {}
-        return self._send_first(held, now)
+        """Send the attempts which were held back."""
+        actions = self._hold_suspended(now)
+        self._alone = False
+        self._trial = None
+        while self._held:
+            actions.append(self._send_held(next(iter(self._held)), now))
+        self._finish_if_done(actions, now)
+        return actions
+
+    def pause(self, attempt: AttemptId, now: float) -> list[Action]:
+        """Send nothing more after a break, until resume()."""
+        sent = self._attempts.pop(attempt, None)
+        if sent is None:
+            return [Count('replies_dropped', 'unknown_attempt')]
+        self._close(attempt, sent)
+        self._alone = True
+        if attempt == self._trial:
+            self._trial = None
+        self._suspend(sent.shards, Outcome.BROKEN)
+        actions: list[Action] = []
+        self._finish_if_done(actions, now)
+        return actions
 
-    def _take_one_held(self) -> dict[TargetId, list[ShardId]]:
-        target = self._safest(self._held, self._broken)
-        return {target: self._held.pop(target)}
+    def resume(self, now: float, broken: TargetId | None) -> list[Action]:
+        """Send one of the attempts which were held back.
+
+        A retry after a break needs no budget: each was admitted as a trial.
+        """
+        self._broken = broken
+        actions = self._hold_suspended(now)
+        if self._held:
+            actions += self._send_one_held(now)
+        else:
+            self._alone = False
+        self._finish_if_done(actions, now)
+        return actions
+
+    def _suspend(
+        self, shards: typing.Iterable[ShardId], outcome: Outcome
+    ) -> None:
+        for shard in shards:
+            wanted = self._wanted.get(shard)
+            if wanted is not None:
+                wanted.reason = _missing_reason(outcome)
+                self._suspended[shard] = outcome
+
+    def _hold_suspended(self, now: float) -> list[Action]:
+        """Choose other replicas for the shards whose attempts failed."""
+        suspended, self._suspended = self._suspended, {}
+        again: dict[tuple[TargetId, Outcome], list[ShardId]] = {}
+        for shard, outcome in suspended.items():
+            wanted = self._wanted.get(shard)
+            if wanted is None or wanted.attempts:
+                continue
+            target = self._next_replica(wanted, now)
+            if target is None:
+                self._give_up(shard, wanted.reason)
+            else:
+                again.setdefault((target, outcome), []).append(shard)
+        actions: list[Action] = []
+        for (target, outcome), shards in again.items():
+            if outcome is Outcome.BROKEN or self._may_retry(outcome, target):
+                self._hold(target, shards, outcome)
+                continue
+            actions.append(Count('retries_refused', 'budget'))
+            for shard in shards:
+                self._give_up(shard, self._wanted[shard].reason)
+        return actions
+
+    def _hold(
+        self, target: TargetId, shards: list[ShardId], outcome: Outcome
+    ) -> None:
+        if target not in self._held:
+            self._held[target] = []
+            self._held_for[target] = outcome.value
+        self._held[target].extend(shards)
+
+    def _send_held(self, target: TargetId, now: float) -> Send:
+        reason = self._held_for.pop(target, 'first')
+        if reason == 'first':
+            self._budget.deposit(target)
+        return self._send(target, self._held.pop(target), reason, now)
+
+    def _send_one_held(self, now: float) -> list[Action]:
+        send = self._send_held(self._safest(self._held, self._broken), now)
+        self._trial = send.attempt
+        return [send]
 
     def _safest(
         self,
@@ -296,9 +387,10 @@
         actions: list[Action] = []
         wanted = [shard for shard in sent.shards if shard in self._wanted]
         self._retry(wanted, outcome, actions, now)
-        if self._held and not self._attempts:
+        if attempt == self._trial:
             # The one attempt ended without a verdict; try another one.
-            actions += self._send_first(self._take_one_held(), now)
+            self._trial = None
+            actions += self.resume(now, self._broken)
         self._finish_if_done(actions, now)
         return actions
 
@@ -310,7 +402,7 @@
         if now >= self._request.deadline_at:
             return self.stop(MissingReason.DEADLINE, now)
         times = self._hedge_times
-        while times and times[0][0] <= now:
+        while times and times[0][0] <= now and not self._alone:
             sent = self._attempts.get(heapq.heappop(times)[1])
             if sent is not None:
                 self._hedge(sent, actions, now)
@@ -318,6 +410,8 @@
 
     def next_due(self) -> float:
         """Return when due() has something to do, on the same clock."""
+        if self._alone:
+            return self._request.deadline_at
         times = self._hedge_times
         while times and times[0][1] not in self._attempts:
             heapq.heappop(times)
@@ -342,6 +436,7 @@
         actions: list[Action] = [Cancel(a) for a in self._attempts]
         self._attempts.clear()
         self._held.clear()
+        self._suspended.clear()
         self._finish_if_done(actions, now)
         return actions
 
@@ -375,6 +470,9 @@
         now: float,
     ) -> None:
         reason = _missing_reason(outcome)
+        if self._alone:
+            self._suspend(shards, outcome)
+            return
         again: dict[TargetId, list[ShardId]] = {}
         for shard in shards:
             wanted = self._wanted[shard]
--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -22,8 +22,10 @@
 from ..messages import Open
 from ..messages import ShardQuery
 from ..metrics import Metrics
+from ..quarantine import Allow
 from ..quarantine import Canary
 from ..quarantine import Lead
+from ..quarantine import Refuse
 from ..target_client import QueryResult
 from ..target_client import TargetClient
 from ..types import AttemptId
@@ -100,6 +102,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._release_at: float | None = None
+        self._unjudged = 0
+        self._proved = False
+        self._tasks: set[asyncio.Task] = set()
+        self._closed = False
         self._fanout = Fanout(
             FanoutRequest(
                 exchange.request_id,
@@ -130,6 +136,7 @@
 
     def close(self) -> None:
         """Abandon what still runs at targets."""
+        self._closed = True
         if self._timer is not None:
             self._timer.cancel()
         for attempt in list(self._sent):
@@ -237,7 +244,7 @@
             self._on_failure(attempt, sent, QueryResult(Outcome.ERROR))
             return
         self._account(sent, Outcome.OK)
-        self._parts.suspects.succeeded(self._fp, sent.target)
+        self._take_success(attempt, sent.target)
         if reply.load is not None:
             self._parts.routing.take_report(sent.target, reply.load)
         pinned = self._exchange.pin.snapshot
@@ -245,8 +252,9 @@
         if lacking:
             self._parts.routing.take_lacking(sent.target, lacking, pinned)
         now = self._parts.clock()
+        is_trial = attempt == self._fanout.trial
         actions = self._fanout.replied(attempt, reply, now)
-        if self._fanout.holding:
+        if is_trial:
             actions += self._fanout.release(now)
         self._carry_out(actions)
 
@@ -255,19 +263,80 @@
     ) -> None:
         parts = self._parts
         parts.metrics.count('sub_requests_failed', result.outcome.value)
-        quarantined = False
-        if result.outcome is Outcome.BROKEN:
-            quarantined = parts.suspects.broke(self._fp, sent.target)
+        if result.outcome is Outcome.BROKEN and parts.suspects.enabled:
+            self._on_break(attempt, sent)
+            return
         self._account(sent, result.outcome)
         if result.outcome is Outcome.DRAINING:
             parts.routing.take_leaving(sent.target)
         now = parts.clock()
-        broke = result.outcome is Outcome.BROKEN
-        if quarantined or (broke and self._fanout.holding):
-            self._carry_out(self._fanout.stop(MissingReason.QUARANTINED, now))
-            return
         self._carry_out(self._fanout.failed(attempt, result.outcome, now))
 
+    def _take_success(self, attempt: AttemptId, target: TargetId) -> None:
+        """Count a success, but not of what left before the trial did."""
+        if self._proved or not self._parts.suspects.enabled:
+            return
+        if self._fanout.alone and attempt != self._fanout.trial:
+            return
+        self._proved = True
+        tried = isinstance(self._exchange.trial, Lead | Canary)
+        self._exchange.trial = Allow()
+        self._parts.suspects.succeeded(self._fp, target, tried)
+
+    def _on_break(self, attempt: AttemptId, sent: _Sent) -> None:
+        """Hold all else back until the request is admitted again."""
+        parts = self._parts
+        tried = self._fanout.trial in (None, attempt) and isinstance(
+            self._exchange.trial, Lead | Canary
+        )
+        if tried:
+            self._exchange.trial = Allow()
+        self._proved = False
+        judged = parts.suspects.broke(self._fp, sent.target, tried)
+        self._account(sent, Outcome.BROKEN)
+        self._release_at = None
+        self._unjudged += 1
+        task = asyncio.ensure_future(self._readmit(judged))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self._carry_out(self._fanout.pause(attempt, parts.clock()))
+
+    async def _readmit(self, judged: typing.Awaitable[None]) -> None:
+        await judged
+        self._unjudged -= 1
+        if self._unjudged or self._over:
+            return
+        admission = await self._parts.suspects.admit(
+            self._fp, self._exchange.deadline_at
+        )
+        on_trial = isinstance(admission, Lead | Canary)
+        if self._unjudged or self._over:
+            if on_trial:
+                self._parts.suspects.trial_ended(self._fp)
+            return
+        now = self._parts.clock()
+        match admission:
+            case Refuse(retry_after_s):
+                actions = self._fanout.stop(
+                    MissingReason.QUARANTINED, now, retry_after_s
+                )
+            case Canary(broken):
+                actions = self._fanout.resume(now, broken)
+            case Lead():
+                actions = self._fanout.resume(now, None)
+            case _:
+                actions = self._fanout.release(now)
+        if on_trial and self._fanout.trial is not None:
+            self._exchange.trial = admission
+        elif on_trial:
+            # Nothing was left to send.
+            self._parts.suspects.trial_ended(self._fp)
+        self._carry_out(actions)
+
+    @property
+    def _over(self) -> bool:
+        return self._closed or self._done.done()
+
     def _schedule(self) -> None:
         if self._done.done():
             return
--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -14,6 +14,7 @@
 from ..controllers.leaving import Leaving
 from ..controllers.nodes import Nodes
 from ..controllers.routing import Routing
+from ..controllers.suspects import Suspects
 from ..exceptions import ConflictError
 from ..exceptions import NotFoundError
 from ..exceptions import PlatformError
@@ -24,6 +25,9 @@
 from ..messages import TargetBooking
 from ..metrics import Metrics
 from ..platform_client import PlatformClient
+from ..quarantine import Allow
+from ..quarantine import Canary
+from ..quarantine import Lead
 from ..target_client import BookingAnswer
 from ..target_client import TargetClient
 from ..types import AttemptId
@@ -32,6 +36,7 @@
 from ..types import RefusalKind
 from ..types import Revision
 from ..types import ShardId
+from ..types import TargetId
 from .chain import Proceed
 from .exchange import Exchange
 
@@ -63,6 +68,7 @@
     client: TargetClient
     platform: PlatformClient
     routing: Routing
+    suspects: Suspects
     nodes: Nodes
     leaving: Leaving
     claimer: bookings.Claimer
@@ -255,7 +261,12 @@
         exchange = self._exchange
         self._parts.metrics.count('booking_dispatches')
 
+        if self._parts.suspects.enabled:
+            self._parts.suspects.sent(exchange.fingerprint, action.target)
+
         def finish(answer: BookingAnswer) -> None:
+            if self._parts.suspects.enabled:
+                self._judge(action.target, answer)
             self._handle(_event(action.attempt, answer))
 
         self._parts.client.book(
@@ -273,6 +284,19 @@
             finish,
         )
 
+    def _judge(self, target: TargetId, answer: BookingAnswer) -> None:
+        """Count for or against the booking's like what the target did."""
+        exchange = self._exchange
+        suspects = self._parts.suspects
+        tried = isinstance(exchange.trial, Lead | Canary)
+        if answer.outcome is Outcome.BROKEN and answer.sent:
+            exchange.trial = Allow()
+            self._spawn(suspects.broke(exchange.fingerprint, target, tried))
+        elif answer.outcome is Outcome.OK and tried:
+            exchange.trial = Allow()
+            suspects.succeeded(exchange.fingerprint, target, tried)
+        suspects.ended(exchange.fingerprint, target)
+
 
 def _event(attempt: AttemptId, answer: BookingAnswer) -> bookings.Event:
     if answer.reply is not None:
--- a/sesameward/filters/quarantining.py
+++ b/sesameward/filters/quarantining.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
-
+from ..bookings import unclaimed_run
 from ..controllers.suspects import Suspects
 from ..exceptions import RefusalError
 from ..quarantine import Canary
@@ -11,6 +10,7 @@
 from ..quarantine import Lead
 from ..quarantine import Refuse
 from ..types import RefusalKind
+from ..types import RunState
 from .chain import Proceed
 from .exchange import Exchange
 
@@ -18,40 +18,69 @@
 class CheckQuarantine:
     """Decide by its fingerprint how a query may be sent."""
 
-    def __init__(self, suspects: Suspects, clock):
+    def __init__(self, suspects: Suspects):
         self._suspects = suspects
-        self._clock = clock
 
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> None:
         """Fill in the fingerprint and the trial; end the trial after it."""
+        if not self._suspects.enabled:
+            return await proceed(exchange)
         exchange.fingerprint = fingerprint(
             exchange.service.service, exchange.query
         )
-        exchange.trial = await self._admit(exchange)
+        exchange.trial = await self._suspects.admit(
+            exchange.fingerprint, exchange.deadline_at
+        )
+        _check(exchange, RunState.NO)
+        try:
+            await proceed(exchange)
+        finally:
+            _end_trial(exchange, self._suspects)
+
+
+class CheckBookingQuarantine:
+    """Refuse a booking before its claim where its like broke targets."""
+
+    def __init__(self, suspects: Suspects):
+        self._suspects = suspects
+
+    async def __call__(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Fill in the fingerprint and the trial; the booking ends it."""
+        if not self._suspects.enabled:
+            return await proceed(exchange)
+        exchange.fingerprint = fingerprint(
+            exchange.service.service, exchange.booking
+        )
+        exchange.trial = await self._suspects.admit_booking(
+            exchange.fingerprint, exchange.deadline_at
+        )
+        _check(exchange, unclaimed_run(exchange.attempt))
         try:
             await proceed(exchange)
         finally:
-            if isinstance(exchange.trial, Lead | Canary):
-                self._suspects.trial_ended(exchange.fingerprint)
-
-    async def _admit(self, exchange: Exchange):
-        while True:
-            verdict = self._suspects.admit(exchange.fingerprint)
-            if not isinstance(verdict, Refuse):
-                return verdict
-            if not verdict.on_trial:
-                raise RefusalError(
-                    RefusalKind.QUARANTINED,
-                    'this request broke the targets that ran it',
-                    'change the request or come back later',
-                    retry_after_s=verdict.retry_after_s,
-                )
-            wait_until = self._clock() + verdict.retry_after_s
-            if wait_until >= exchange.deadline_at:
-                raise RefusalError(
-                    RefusalKind.QUARANTINED,
-                    'an equal request is still being tried on one target',
-                    'come back after the given time',
-                    retry_after_s=verdict.retry_after_s,
-                )
-            await asyncio.sleep(verdict.retry_after_s)
+            _end_trial(exchange, self._suspects)
+
+
+def _end_trial(exchange: Exchange, suspects: Suspects) -> None:
+    if isinstance(exchange.trial, Lead | Canary):
+        suspects.trial_ended(exchange.fingerprint)
+
+
+def _check(exchange: Exchange, run: RunState) -> None:
+    match exchange.trial:
+        case Refuse(retry_after_s, True):
+            raise RefusalError(
+                RefusalKind.QUARANTINED,
+                'an equal request is still being tried on one target',
+                'come back after the given time',
+                run=run,
+                retry_after_s=retry_after_s,
+            )
+        case Refuse(retry_after_s):
+            raise RefusalError(
+                RefusalKind.QUARANTINED,
+                'this request broke the targets that ran it',
+                'change the request or come back later',
+                run=run,
+                retry_after_s=retry_after_s,
+            )
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -120,6 +120,7 @@
     zone: ZoneName
     weight: float
     incarnation: int = 0
+    grpc_port: int = 0
 
 
 class Addresses(msgspec.Struct, frozen=True):
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -8,6 +8,7 @@
 import enum
 import hashlib
 import random
+import typing
 
 import msgspec
 
@@ -30,24 +31,32 @@
 LEAD_BLAME = 0.5
 
 
+Duration = typing.Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)]
+Share = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Bound = typing.Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
+
+
 class QuarantineSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True
 ):
     """Time suspicion and quarantine, and bound their memory."""
 
-    lead_s: float = 0.05
-    suspect_s: float = 60.0
-    alarm_s: float = 10.0
-    quarantine_s: float = 30.0
-    max_quarantine_s: float = 900.0
-    jitter: float = 0.2
-    blame_limit: float = 0.75
-    window_s: float = 1.0
-    same_break_s: float = 0.05
-    trial_timeout_s: float = 5.0
-    trial_retry_s: float = 0.02
-    max_suspects: int = 4_096
-    max_proven: int = 50_000
+    enabled: bool = True
+    lead_s: Duration = 0.05
+    suspect_s: Duration = 60.0
+    alarm_s: Duration = 10.0
+    quarantine_s: Duration = 30.0
+    max_quarantine_s: Duration = 900.0
+    jitter: Share = 0.2
+    blame_limit: Share = 0.75
+    window_s: Duration = 1.0
+    same_break_s: Duration = 0.05
+    trial_timeout_s: Duration = 5.0
+    trial_retry_s: typing.Annotated[float, msgspec.Meta(ge=0.001, le=10.0)] = (
+        0.02
+    )
+    max_suspects: Bound = 4_096
+    max_proven: Bound = 50_000
 
 
 # What admit() decides.
@@ -270,6 +279,10 @@
         """Return how many fingerprints are suspected or refused."""
         return len(self._suspects)
 
+    def is_suspected(self, fp: Fingerprint, now: float) -> bool:
+        """Tell whether a fingerprint is suspected or refused."""
+        return self._suspect(fp, now) is not None
+
     def decided(self, fp: Fingerprint, now: float) -> Admission | None:
         """Decide without a trial, or return None: ask the home."""
         suspect = self._suspect(fp, now)
@@ -305,19 +318,24 @@
         target: TargetId,
         in_flight: Collection[Fingerprint],
         now: float,
+        tried: bool = True,
     ) -> list[Action]:
-        """Count a connection which broke after this request's dispatch."""
+        """Count a connection which broke after this request's dispatch.
+
+        tried tells whether this ends the request's trial; it does not where
+        the sub-request left before the trial and the trial is still out.
+        """
         broken = self._record(fp, target, in_flight, now)
-        if fp in broken.counted:
+        blame = self._take_blame(fp, broken, now) if tried else 0.0
+        if fp in broken.counted and not blame:
             return []
-        broken.counted.add(fp)
         is_new = self._suspect(fp, now) is None
         suspect = self._touch_suspect(fp)
         own = suspect.by_origin.setdefault('', _Blame())
-        own.crashes += 1
-        if self._on_trial(fp, now):
-            trial = self._trials.pop(fp)
-            own.blame += self._share(fp, broken, now) * _BLAME[trial.kind]
+        own.crashes += fp not in broken.counted
+        own.blame += blame
+        broken.counted.add(fp)
+        if blame:
             self._alarm_until = now + self._cfg.alarm_s
         suspect.broken = target
         suspect.forget_at = max(suspect.forget_at, now + self._cfg.suspect_s)
@@ -387,6 +405,16 @@
             self._breaks.append(broken)
         return broken
 
+    def _take_blame(
+        self, fp: Fingerprint, broken: _Break, now: float
+    ) -> float:
+        """End the trial; return what its end says against the request."""
+        was_alone = self._on_trial(fp, now)
+        trial = self._trials.pop(fp, None)
+        if not was_alone:
+            return 0.0
+        return self._share(fp, broken, now) * _BLAME[trial.kind]
+
     def _share(self, fp: Fingerprint, broken: _Break, now: float) -> float:
         share = broken.weights[fp] / sum(broken.weights.values())
         return share / (1 + self._unexplained(fp, now))
--- a/sesameward/settings.py
+++ b/sesameward/settings.py
@@ -9,6 +9,7 @@
 import yaml
 
 from .exceptions import SettingsError
+from .quarantine import QuarantineSettings
 from .types import NodeId
 from .types import ZoneName
 
@@ -60,6 +61,8 @@
     agent: Endpoint
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
+    grpc_port: Port = 0
     seed: int | None = None
 
 
