--- a/sesameward/datagrams.py
+++ b/sesameward/datagrams.py
@@ -28,6 +28,8 @@
     port: int
     zone: ZoneName
     weight: float
+    grpc_port: int = 0
+    incarnation: int = 0
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -77,6 +79,8 @@
                     e.port,
                     _shared(e.zone),
                     e.weight,
+                    e.incarnation,
+                    e.grpc_port,
                 )
                 for e in self.entries
             ),
@@ -175,7 +179,15 @@
         rank=rank_of(member.state),
         leaving=member.leaving,
         entries=tuple(
-            _WireAddress(e.node, e.host, e.port, e.zone, e.weight)
+            _WireAddress(
+                e.node,
+                e.host,
+                e.port,
+                e.zone,
+                e.weight,
+                e.grpc_port,
+                e.incarnation,
+            )
             for e in member.entries
         ),
     )
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -12,6 +12,7 @@
 import time
 
 import defopt
+from grpclib.server import Server
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
@@ -24,10 +25,12 @@
 from .bookings import BookingSettings
 from .bookings import Claimer
 from .budget import BudgetBook
+from .codec import MsgpackCodec
 from .controllers.agent_link import AgentLink
 from .controllers.catalog import Catalog
 from .controllers.freshness import Freshness
 from .controllers.gate import Gate
+from .controllers.homes import Homes
 from .controllers.leaving import Leaving
 from .controllers.nodes import Nodes
 from .controllers.routing import Routing
@@ -43,6 +46,7 @@
 from .filters.parsing import ParseBooking
 from .filters.parsing import ParseQuery
 from .filters.pinning import PinSnapshot
+from .filters.quarantining import CheckBookingQuarantine
 from .filters.quarantining import CheckQuarantine
 from .filters.readiness import CheckReady
 from .hedging import HedgePolicy
@@ -52,10 +56,11 @@
 from .metrics import Metrics
 from .platform_client import PlatformClient
 from .quarantine import Quarantine
-from .quarantine import QuarantineSettings
 from .replicas import ReplicaChooser
 from .settings import EntrySettings
 from .target_client import TargetClient
+from .trials import TrialClient
+from .trials import TrialHandler
 
 EXIT_USAGE = 2
 EXIT_CUT_OFF = 4
@@ -75,6 +80,9 @@
         self._sockets = tornado.netutil.bind_sockets(
             cfg.listen.port, cfg.listen.host
         )
+        self._grpc_sockets = tornado.netutil.bind_sockets(
+            cfg.grpc_port, cfg.listen.host
+        )
         self.address = Address(
             node=cfg.node,
             host=cfg.listen.host,
@@ -82,6 +90,7 @@
             zone=cfg.zone,
             weight=1.0,
             incarnation=time.time_ns(),
+            grpc_port=self._grpc_sockets[0].getsockname()[1],
         )
         self.catalog = Catalog()
         self.routing = Routing(
@@ -97,16 +106,24 @@
             self.metrics,
             self.clock,
         )
+        self.homes = Homes(
+            self.address, TrialClient(), self.metrics, self.clock
+        )
         self.suspects = Suspects(
             Quarantine(
                 f'{cfg.node}/{self.address.incarnation}',
-                QuarantineSettings(),
+                cfg.quarantine,
                 self._rng,
             ),
+            self.homes,
             self.metrics,
             self.clock,
+            cfg.quarantine.enabled,
         )
         self.suspects.spread = self._spread
+        self._grpc = Server(
+            [TrialHandler(self.suspects)], codec=MsgpackCodec()
+        )
         self._rumors: collections.deque[Rumor] = collections.deque(maxlen=256)
         self.link = AgentLink(cfg.agent, self.address, self.metrics, self._rng)
         self.link.apply = self._apply
@@ -119,8 +136,9 @@
         self.metrics.gauge('in_flight', lambda: self.gate.in_flight)
         self.metrics.gauge('revision', lambda: self.catalog.revision)
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Listen and follow the agent."""
+        await self._grpc.start(sock=self._grpc_sockets[0])
         limits = self.cfg.limits
         self._server = tornado.httpserver.HTTPServer(
             self._app(),
@@ -151,6 +169,9 @@
         await self.link.stop()
         self._server.stop()
         await self._server.close_all_connections()
+        self.homes.close()
+        self._grpc.close()
+        await self._grpc.wait_closed()
         self.client.close()
         self.platform.close()
 
@@ -209,7 +230,7 @@
         return [
             CheckReady(self.catalog, self.nodes, self.freshness),
             ParseQuery(self.catalog),
-            CheckQuarantine(self.suspects, self.clock),
+            CheckQuarantine(self.suspects),
             Admit(self.gate, self.clock),
             PinSnapshot(self.routing),
             Answer(parts),
@@ -220,6 +241,7 @@
             client=self.client,
             platform=self.platform,
             routing=self.routing,
+            suspects=self.suspects,
             nodes=self.nodes,
             leaving=self.leaving,
             claimer=Claimer(self.cfg.node, self.address.incarnation),
@@ -231,6 +253,7 @@
         return [
             CheckReady(self.catalog, self.nodes, self.freshness),
             ParseBooking(self.catalog),
+            CheckBookingQuarantine(self.suspects),
             Admit(self.gate, self.clock),
             Book(parts),
         ]
@@ -253,6 +276,7 @@
                     self.routing.take_status(status)
             case feed.NodesUpdate():
                 self.nodes.apply(update, self.link.is_guest)
+                self.homes.take(update.addresses.addresses)
                 self._share()
                 if not self.link.is_guest:
                     self.link.set_others(update.agents)
@@ -307,7 +331,7 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
-    entry.start()
+    await entry.start()
     _relax_garbage_collection()
     print(f'{{"port": {entry.address.port}}}', flush=True)
     await entry.stop.wait()
