--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -157,10 +157,12 @@
                 return self._fanout.start(now)
 
     def _carry_out(self, actions: list[Action]) -> None:
+        sent = self._timer is None
         for action in actions:
             match action:
                 case Send():
                     self._send(action)
+                    sent = True
                 case Emit(rows):
                     self._exchange.caller.send(rows)
                 case Cancel(attempt):
@@ -171,7 +173,9 @@
                     self._exchange.caller.send(end)
                     if not self._done.done():
                         self._done.set_result(None)
-        self._schedule()
+        # Nothing else brings the next hedge forward.
+        if sent:
+            self._schedule()
 
     def _send(self, send: Send) -> None:
         exchange = self._exchange
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -29,6 +29,7 @@
 EJECT_S = 1.0
 EJECT_CAP_S = 60.0
 EJECT_SHARE = 0.5
+MAX_DIVISIONS = 10_000
 
 _FAILURES = frozenset(
     (
@@ -51,6 +52,7 @@
         'ejections',
         'failures',
         'floor_s',
+        'id',
         'in_flight',
         'latency_s',
         'local',
@@ -60,7 +62,10 @@
         'slots',
     )
 
-    def __init__(self, slots: int, local: bool, backoff: Backoff):
+    def __init__(
+        self, target_id: TargetId, slots: int, local: bool, backoff: Backoff
+    ):
+        self.id = target_id
         self.slots = slots
         self.local = local
         self.backoff = backoff
@@ -77,6 +82,10 @@
         self.ejected_until = -math.inf
 
 
+# The replicas in the own zone, and the others.
+_Division = tuple[list[_Replica], list[_Replica]]
+
+
 class ReplicaChooser:
     """Choose between two random replicas by expected latency."""
 
@@ -84,16 +93,20 @@
         self._zone = zone
         self._rng = rng
         self._replicas: dict[TargetId, _Replica] = {}
+        self._divisions: dict[tuple[TargetId, ...], _Division] = {}
+        # Until then some replica is ejected or pauses.
+        self._rest_until = -math.inf
         self._typical_s = FIRST_LATENCY_S
         self._samples = 0
 
     def declare(self, target: declared.Target) -> None:
         """Add a target or take over its changed declaration."""
+        self._divisions.clear()
         local = target.zone == self._zone
         replica = self._replicas.get(target.id)
         if replica is None:
             self._replicas[target.id] = _Replica(
-                target.slots, local, Backoff(self._rng)
+                target.id, target.slots, local, Backoff(self._rng)
             )
             return
         replica.slots = target.slots
@@ -102,6 +115,7 @@
     def forget(self, target_id: TargetId) -> None:
         """Drop a target."""
         self._replicas.pop(target_id, None)
+        self._divisions.clear()
 
     def reported(
         self, target_id: TargetId, report: LoadReport, now: float
@@ -110,7 +124,7 @@
         replica = self._replicas.get(target_id)
         if replica is None:
             return
-        replica.draining = report.draining
+        self._set_draining(replica, report.draining)
         load = report.in_flight + report.queued - replica.in_flight
         replica.others = max(load, 0)
         replica.reported_at = now
@@ -148,8 +162,9 @@
                     self._learn(replica, latency_s, now)
             case Outcome.SHED:
                 replica.backoff.refused(now)
+                self._rest(replica.backoff.until)
             case Outcome.DRAINING:
-                replica.draining = True
+                self._set_draining(replica, True)
         if outcome in _FAILURES:
             self._fail(replica, now)
 
@@ -165,21 +180,20 @@
         avoid: collections.abc.Collection[TargetId] = (),
     ) -> TargetId | None:
         """Return the replica to ask; None when none may be asked."""
-        usable = self._usable(candidates, avoid)
-        if any(self._rests(one, now) for one in usable):
-            usable = self._healthy(usable, now)
-        if not usable:
+        if avoid or now < self._rest_until:
+            usable = self._usable(candidates, avoid)
+            division = self._divide(self._healthy(usable, now))
+        else:
+            division = self._divide_all(tuple(candidates))
+        near, far = division
+        if not near and not far:
             return None
-        near = [one for one in usable if self._replicas[one].local]
-        if len(near) == len(usable):
-            return self._better(near, now)[0]
-        far = [one for one in usable if not self._replicas[one].local]
         best, best_s = self._better(near or far, now)
         if not near or not far:
-            return best
+            return best.id
         other = self._rng.choice(far)
-        other_s = self._cost_s(self._replicas[other], now)
-        return other if other_s + ZONE_COST_S < best_s else best
+        other_s = self._cost_s(other, now)
+        return other.id if other_s + ZONE_COST_S < best_s else best.id
 
     def ejected(
         self,
@@ -212,9 +226,29 @@
             and one not in avoid
         ]
 
-    def _rests(self, one: TargetId, now: float) -> bool:
-        replica = self._replicas[one]
-        return replica.ejected_until > now or replica.backoff.until > now
+    def _divide(self, usable: collections.abc.Sequence[TargetId]) -> _Division:
+        replicas = [self._replicas[one] for one in usable]
+        return (
+            [replica for replica in replicas if replica.local],
+            [replica for replica in replicas if not replica.local],
+        )
+
+    def _divide_all(self, candidates: tuple[TargetId, ...]) -> _Division:
+        division = self._divisions.get(candidates)
+        if division is None:
+            division = self._divide(self._usable(candidates, ()))
+            if len(self._divisions) >= MAX_DIVISIONS:
+                self._divisions.clear()
+            self._divisions[candidates] = division
+        return division
+
+    def _set_draining(self, replica: _Replica, draining: bool) -> None:
+        if replica.draining is not draining:
+            replica.draining = draining
+            self._divisions.clear()
+
+    def _rest(self, until: float) -> None:
+        self._rest_until = max(self._rest_until, until)
 
     def _healthy(self, usable: list[TargetId], now: float) -> list[TargetId]:
         replicas = self._replicas
@@ -224,25 +258,25 @@
         return ready or kept
 
     def _better(
-        self, candidates: list[TargetId], now: float
-    ) -> tuple[TargetId, float]:
+        self, candidates: list[_Replica], now: float
+    ) -> tuple[_Replica, float]:
         count = len(candidates)
+        if count == 1:
+            return candidates[0], self._cost_s(candidates[0], now)
         first = int(self._rng.random() * count)
         one = candidates[first]
-        one_s = self._cost_s(self._replicas[one], now)
-        if count == 1:
-            return one, one_s
-        if count == 2:
-            two = candidates[1 - first]
-            two_s = self._cost_s(self._replicas[two], now)
-            return (two, two_s) if two_s < one_s else (one, one_s)
+        one_s = self._cost_s(one, now)
         step = 1 + int(self._rng.random() * (count - 1))
         two = candidates[(first + step) % count]
-        two_s = self._cost_s(self._replicas[two], now)
+        two_s = self._cost_s(two, now)
         return (two, two_s) if two_s < one_s else (one, one_s)
 
     def _cost_s(self, replica: _Replica, now: float) -> float:
-        latency_s = self._latency_s(replica, now)
+        # An old figure fades, so that a target once slow is tried again.
+        latency_s = self._typical_s * FORGOTTEN
+        faith = 1.0 - (now - replica.observed_at) / FORGET_S
+        if faith > 0.0:
+            latency_s += faith * (replica.latency_s - latency_s)
         load = replica.in_flight + self._others(replica, latency_s, now)
         cost_s = latency_s * (1.0 + load / replica.slots)
         age_s = now - replica.cold_since
@@ -250,23 +284,16 @@
             cost_s /= max(age_s / RAMP_S, RAMP_START)
         return cost_s
 
-    def _latency_s(self, replica: _Replica, now: float) -> float:
-        # An old figure fades, so that a target once slow is tried again.
-        faith = 1.0 - (now - replica.observed_at) / FORGET_S
-        if faith <= 0.0:
-            return self._typical_s * FORGOTTEN
-        usual_s = self._typical_s * FORGOTTEN
-        return usual_s + faith * (replica.latency_s - usual_s)
-
     def _others(
         self, replica: _Replica, latency_s: float, now: float
     ) -> float:
-        faith = 1.0 - (now - replica.reported_at) / REPORT_S
-        told = replica.others * faith if faith > 0.0 else 0.0
         # A queue shows in the latency, whatever the target reports.
         excess = latency_s / replica.floor_s - 1.0
-        implied = excess * replica.slots - replica.in_flight
-        return max(told, implied, 0.0)
+        others = excess * replica.slots - replica.in_flight
+        if replica.others:
+            faith = 1.0 - (now - replica.reported_at) / REPORT_S
+            others = max(others, replica.others * faith)
+        return others if others > 0.0 else 0.0
 
     def _learn(self, replica: _Replica, latency_s: float, now: float) -> None:
         latency_s = max(latency_s, SHORTEST_S)
@@ -292,3 +319,4 @@
         pause_s = min(EJECT_S * 2.0**replica.ejections, EJECT_CAP_S)
         replica.ejections += 1
         replica.ejected_until = now + pause_s * self._rng.uniform(0.8, 1.2)
+        self._rest(replica.ejected_until)
