--- /dev/null
+++ b/tests/test_fanout.py
@@ -0,0 +1,293 @@
+"""Test which sub-requests a query sends, repeats and gives up."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sesameward import declared
+from sesameward.fanout import Cancel
+from sesameward.fanout import Count
+from sesameward.fanout import Emit
+from sesameward.fanout import Fanout
+from sesameward.fanout import FanoutRequest
+from sesameward.fanout import Finish
+from sesameward.fanout import Send
+from sesameward.messages import Record
+from sesameward.messages import ShardReply
+from sesameward.messages import TargetReply
+from sesameward.snapshots import Group
+from sesameward.snapshots import Pin
+from sesameward.types import AttemptId
+from sesameward.types import MissingReason
+from sesameward.types import Outcome
+from sesameward.types import ShardId
+from sesameward.types import Snapshot
+from sesameward.types import TargetId
+
+PINNED = Snapshot(7)
+DEADLINE_S = 1.0
+HEDGE_S = 0.1
+SHARDS = [ShardId(f's{index}') for index in range(6)]
+TARGETS = [TargetId(f't{index}') for index in range(6)]
+FAILURES = [o for o in Outcome if o is not Outcome.OK]
+UNRUN = {'no_snapshot', 'draining', 'connect_failed'}
+
+
+class Chooser:
+    """Choose at random; sometimes nobody."""
+
+    def __init__(self, rng, nobody=0.0):
+        self._rng = rng
+        self._nobody = nobody
+
+    def choose(self, candidates, now, avoid=()):
+        left = [one for one in candidates if one not in avoid]
+        if not left or self._rng.random() < self._nobody:
+            return None
+        return self._rng.choice(left)
+
+
+class Budget:
+    """Grant a number of extra attempts."""
+
+    def __init__(self, tokens):
+        self.tokens = tokens
+        self.deposits = 0
+
+    def deposit(self, target):
+        self.deposits += 1
+
+    def withdraw(self, target):
+        if not self.tokens:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class Hedges:
+    """Hedge after a fixed time."""
+
+    def delay_s(self, key, now, hedges=0):
+        return HEDGE_S if hedges < 3 else None
+
+
+class Caller:
+    """Check every action of a fan-out against its promises."""
+
+    def __init__(self, tokens=3, seed=1, nobody=0.0, lost=()):
+        shards = tuple(declared.Shard(s, start=s, end=f'{s}~') for s in SHARDS)
+        groups = tuple(
+            Group(tuple(SHARDS[i : i + 2]), tuple(TARGETS[i : i + 2]))
+            for i in (0, 2)
+        )
+        groups += (Group(tuple(SHARDS[4:5]), tuple(TARGETS)),)
+        pin = Pin(
+            declared.ShardMap(1, shards), PINNED, groups, tuple(SHARDS[5:])
+        )
+        self.budget = Budget(tokens)
+        self.fanout = Fanout(
+            FanoutRequest('r', 'trip-desk', pin, (1, 2), 0.0, DEADLINE_S),
+            Chooser(random.Random(seed), nobody),
+            self.budget,
+            Hedges(),
+        )
+        self.running: dict[AttemptId, Send] = {}
+        self.ended: list[Send] = []
+        self.merged: list[ShardId] = []
+        self.extras = 0
+        self.end = None
+
+    def take(self, actions):
+        for action in actions:
+            assert self.end is None, 'nothing follows the end'
+            match action:
+                case Send(attempt):
+                    assert attempt not in self.running
+                    assert all(s.attempt != attempt for s in self.ended)
+                    self.running[attempt] = action
+                    if action.reason not in UNRUN | {'first'}:
+                        self.extras += 1
+                case Cancel(attempt):
+                    self.ended.append(self.running.pop(attempt))
+                case Emit(rows):
+                    assert rows.shard not in self.merged
+                    self.merged.append(rows.shard)
+                case Finish(end):
+                    self.end = end
+        return actions
+
+    def start(self):
+        return self.take(self.fanout.start(0.0))
+
+    def reply(self, attempt, now, snapshots=None, extra=(), omit=0):
+        send = self.running.pop(attempt)
+        self.ended.append(send)
+        return self.take(
+            self.fanout.replied(
+                attempt, make_reply(send, snapshots, extra, omit), now
+            )
+        )
+
+    def fail(self, attempt, outcome, now):
+        self.ended.append(self.running.pop(attempt))
+        return self.take(self.fanout.failed(attempt, outcome, now))
+
+    def check_end(self):
+        end = self.end
+        assert end is not None
+        assert not self.running
+        missing = [m.shard for m in end.missing]
+        assert end.answered == len(self.merged)
+        assert end.asked == end.answered + len(missing) == len(SHARDS)
+        assert sorted(self.merged + missing) == SHARDS
+        assert end.complete is (not missing)
+
+
+def make_reply(send, snapshots=None, extra=(), omit=0):
+    shards = [
+        ShardReply(
+            shard,
+            PINNED if snapshots is None else snapshots(shard),
+            (Record(f'{shard}-1', 1),),
+        )
+        for shard in (*send.shards[omit:], *extra)
+    ]
+    return TargetReply(send.attempt, tuple(shards))
+
+
+@st.composite
+def steps(draw):
+    kind = draw(
+        st.sampled_from(['reply', 'fail', 'late', 'lacking', 'odd', 'wait'])
+    )
+    return kind, draw(st.integers(0, 9)), draw(st.sampled_from(FAILURES))
+
+
+@given(
+    st.lists(steps(), max_size=40),
+    st.integers(0, 4),
+    st.integers(0, 2**32),
+    st.sampled_from([0.0, 0.3]),
+)
+def test_every_history_keeps_the_promises(history, tokens, seed, nobody):
+    caller = Caller(tokens, seed, nobody)
+    caller.start()
+    now = 0.0
+    for kind, which, outcome in history:
+        now += 0.01
+        attempts = list(caller.running)
+        if kind == 'late' and caller.ended:
+            old = caller.ended[which % len(caller.ended)]
+            late = caller.fanout.replied(old.attempt, make_reply(old), now)
+            assert late == [Count('replies_dropped', 'unknown_attempt')]
+        elif kind == 'wait':
+            now += which * 0.05
+            caller.take(caller.fanout.due(now))
+        elif caller.end is None and attempts:
+            attempt = attempts[which % len(attempts)]
+            if kind == 'fail':
+                caller.fail(attempt, outcome, now)
+            elif kind == 'lacking':
+                caller.reply(attempt, now, lambda _: None)
+            elif kind == 'odd':
+                other = Snapshot(PINNED + which % 2)
+                caller.reply(
+                    attempt, now, lambda _, s=other: s, SHARDS[:3], which % 2
+                )
+            else:
+                caller.reply(attempt, now)
+        if caller.end is None:
+            assert now < caller.fanout.next_due() or kind != 'wait'
+    caller.take(caller.fanout.due(max(now, DEADLINE_S)))
+    caller.check_end()
+    assert caller.extras <= tokens
+    assert caller.fanout.due(now + 9.0) == []
+
+
+@pytest.fixture
+def caller():
+    """Return a fan-out which has sent its first attempts."""
+    caller = Caller()
+    caller.start()
+    return caller
+
+
+def test_first_attempts_go_out_once_for_each_target(caller):
+    targets = [send.target for send in caller.running.values()]
+    assert len(targets) == len(set(targets)) == caller.budget.deposits
+    asked = sorted(s for send in caller.running.values() for s in send.shards)
+    assert asked == SHARDS[:5]
+
+
+def test_shard_without_replica_is_missing(caller):
+    for attempt in list(caller.running):
+        caller.reply(attempt, 0.01)
+    caller.check_end()
+    (missing,) = caller.end.missing
+    assert missing.shard == SHARDS[5]
+    assert missing.reason is MissingReason.NO_REPLICA
+
+
+def test_other_snapshot_is_asked_for_elsewhere_and_never_merged(caller):
+    attempt, send = next(iter(caller.running.items()))
+    actions = caller.reply(attempt, 0.01, lambda _: Snapshot(PINNED + 1))
+    assert not [a for a in actions if isinstance(a, Emit)]
+    (again,) = [a for a in actions if isinstance(a, Send)]
+    assert again.target != send.target
+    assert again.reason == 'no_snapshot'
+
+
+def test_foreign_shard_and_wrong_attempt_change_nothing(caller):
+    attempt, send = next(iter(caller.running.items()))
+    forged = TargetReply(AttemptId('x'), make_reply(send).shards)
+    assert caller.fanout.replied(attempt, forged, 0.01) == [
+        Count('replies_dropped', 'unknown_attempt')
+    ]
+    foreign = [s for s in SHARDS if s not in send.shards][:2]
+    actions = caller.reply(attempt, 0.01, extra=foreign)
+    assert actions.count(Count('replies_dropped', 'foreign_shard')) == 2
+    assert sorted(caller.merged) == sorted(send.shards)
+
+
+def test_hedge_that_wins_cancels_the_first_attempt(caller):
+    firsts = list(caller.running.values())
+    sent = caller.take(caller.fanout.due(HEDGE_S))
+    hedge = next(a for a in sent if isinstance(a, Send))
+    assert hedge.reason == 'hedge'
+    first = next(s for s in firsts if set(s.shards) & set(hedge.shards))
+    assert hedge.target != first.target
+    actions = caller.reply(hedge.attempt, 0.2)
+    if set(first.shards) <= set(hedge.shards):
+        assert Cancel(first.attempt) in actions
+
+
+def test_hedges_stay_within_the_budget():
+    caller = Caller(tokens=0)
+    caller.start()
+    actions = caller.take(caller.fanout.due(HEDGE_S))
+    assert {type(a) for a in actions} == {Count}
+    assert {a.name for a in actions} == {'hedges_refused'}
+
+
+def test_first_attempts_are_held_until_release():
+    caller = Caller()
+    caller.take(caller.fanout.start(0.0, one_first=True, near=TARGETS[3]))
+    (send,) = caller.running.values()
+    assert set(SHARDS[2:4]) <= set(send.shards)
+    assert caller.fanout.holding
+    caller.take(caller.fanout.release(0.01))
+    assert not caller.fanout.holding
+    for attempt in list(caller.running):
+        caller.reply(attempt, 0.02)
+    caller.check_end()
+
+
+def test_stop_names_the_reason(caller):
+    caller.take(caller.fanout.stop(MissingReason.QUARANTINED, 0.1))
+    caller.check_end()
+    reasons = {m.reason for m in caller.end.missing}
+    assert reasons == {MissingReason.QUARANTINED, MissingReason.NO_REPLICA}
