--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -154,12 +154,7 @@
     @property
     def asked(self) -> int:
         """Return how many shards the query concerns."""
-        pin = self._request.pin
-        return (
-            sum(len(group.shards) for group in pin.groups)
-            + len(pin.without_replica)
-            + len(pin.without_snapshot)
-        )
+        return self._request.pin.shards
 
     @property
     def holding(self) -> bool:
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -156,6 +156,7 @@
                 replica.ejections = 0
                 replica.backoff.succeeded()
                 self._learn(replica, latency_s, now)
+                return
             case Outcome.CANCELLED | Outcome.TIMEOUT:
                 # The latency is only a lower bound here.
                 if latency_s > replica.latency_s:
@@ -191,7 +192,7 @@
         best, best_s = self._better(near or far, now)
         if not near or not far:
             return best.id
-        other = self._rng.choice(far)
+        other = far[int(self._rng.random() * len(far))]
         other_s = self._cost_s(other, now)
         return other.id if other_s + ZONE_COST_S < best_s else best.id
 
@@ -296,15 +297,20 @@
         return others if others > 0.0 else 0.0
 
     def _learn(self, replica: _Replica, latency_s: float, now: float) -> None:
-        latency_s = max(latency_s, SHORTEST_S)
+        if latency_s < SHORTEST_S:
+            latency_s = SHORTEST_S
         if not self._samples:
             self._typical_s = latency_s
         self._samples += 1
         # One straggling request says little about its target.
         usual_s = max(replica.latency_s, self._typical_s)
-        latency_s = min(latency_s, usual_s * SURPRISE)
+        if latency_s > usual_s * SURPRISE:
+            latency_s = usual_s * SURPRISE
         weight = (now - replica.observed_at) / FORGET_S
-        weight = min(max(weight, LATENCY_WEIGHT), 1.0)
+        if weight < LATENCY_WEIGHT:
+            weight = LATENCY_WEIGHT
+        elif weight > 1.0:
+            weight = 1.0
         replica.latency_s += weight * (latency_s - replica.latency_s)
         replica.observed_at = now
         replica.floor_s = min(replica.floor_s * FLOOR_RISE, replica.latency_s)
--- a/sesameward/snapshots.py
+++ b/sesameward/snapshots.py
@@ -36,6 +36,15 @@
     without_replica: tuple[ShardId, ...] = ()
     without_snapshot: tuple[ShardId, ...] = ()
 
+    @property
+    def shards(self) -> int:
+        """Return how many shards it concerns."""
+        return (
+            sum(len(group.shards) for group in self.groups)
+            + len(self.without_replica)
+            + len(self.without_snapshot)
+        )
+
     @property
     def complete(self) -> bool:
         """Tell whether every shard has a replica at the snapshot."""
