--- a/benchmark/path.py
+++ b/benchmark/path.py
@@ -9,6 +9,7 @@
 import statistics
 import sys
 import time
+import typing
 
 import msgspec
 import pycurl
@@ -156,18 +157,48 @@
     }
 
 
-def main() -> int:
-    """Print the figures; return 1 where the ratio is not reached."""
-    shape = Shape(
+def make_shape(instances: int) -> Shape:
+    """Return a tier of which each query asks this many servers."""
+    return Shape(
         nodes=1,
-        instances=20,
-        shards=20,
+        instances=instances,
+        shards=instances,
         latency_ms=0.0,
         records=5,
         slots=8,
         connections=25,
         deadline_ms=5_000,
     )
+
+
+def measure_slope(sizes: typing.Sequence[int]) -> int:
+    """Print the processor time of a query over its sub-requests."""
+    costs_us = []
+    for size in sizes:
+        with multiprocessing.Pool(CALLER_PROCESSES) as pool:
+            with QuickTier(make_shape(size)) as tier:
+                figures = measure_entry(tier, pool)
+        costs_us.append(size * 1e6 / figures['sub_requests_per_core_s'])
+    slope, intercept = statistics.linear_regression(sizes, costs_us)
+    print(
+        json.dumps(
+            {
+                'benchmark': 'path_slope',
+                'sub_requests_per_query': list(sizes),
+                'query_us': [round(cost) for cost in costs_us],
+                'sub_request_us': round(slope, 1),
+                'query_fixed_us': round(intercept),
+            }
+        )
+    )
+    return 0
+
+
+def main() -> int:
+    """Print the figures; return 1 where the ratio is not reached."""
+    if len(sys.argv) > 1:
+        return measure_slope([int(size) for size in sys.argv[1:]])
+    shape = make_shape(20)
     with multiprocessing.Pool(CALLER_PROCESSES) as pool:
         with QuickTier(shape) as tier:
             idle = measure_entry(tier, pool, idle=True)
