--- a/sesameward/estimates.py
+++ b/sesameward/estimates.py
@@ -137,6 +137,11 @@
         self._refused_at = now
         self.closed = True
 
+    def undrain(self) -> None:
+        """Take in that the target's own word to leave is void."""
+        self._refused_at = -math.inf
+        self.closed = self._drain
+
     def succeed(self, latency_s: float, now: float) -> None:
         """Take in the latency of a success."""
         self._failures = 0
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -54,9 +54,9 @@
 
     def returned(self, target_id: TargetId) -> None:
         """Take back that a target said that it is leaving."""
-        replica = self._replicas.get(target_id)
-        if replica is not None:
-            replica.draining = False
+        estimate = self._estimates.get(target_id)
+        if estimate is not None:
+            estimate.undrain()
 
     def started(self, target_id: TargetId, now: float) -> None:
         """Count one sub-request sent."""
