Adapt the fan-out's tests and one mutant to the merged routing

The mutant that sends work to leaving targets patched a method whose shape had changed, so that its entry never became ready; the fan-out's stand-ins lacked what hedging now asks.

--- a/tests/histories/mutants.py
+++ b/tests/histories/mutants.py
@@ -123,9 +123,8 @@
     """Send work to targets that leave."""
 
     def known(self, candidates, avoid):
-        return [
-            c for c in candidates if c in self._replicas and c not in avoid
-        ]
+        known = self._estimates
+        return [known[c] for c in candidates if c in known and c not in avoid]
 
     routing.Routing.usable = lambda self, target: True
     replicas.ReplicaChooser._usable = known
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -50,6 +50,9 @@
             return None
         return self._rng.choice(left)
 
+    def late(self, target_id, waited_s, now):
+        assert waited_s >= 0
+
 
 class Budget:
     """Grant a number of extra attempts."""
@@ -71,7 +74,7 @@
 class Hedges:
     """Hedge after a fixed time."""
 
-    def delay_s(self, key, now, hedges=0):
+    def delay_s(self, key, now, hedges, priority):
         return HEDGE_S if hedges < 3 else None
 
 
@@ -275,12 +278,12 @@
 
 def test_first_attempts_are_held_until_release():
     caller = Caller()
-    caller.take(caller.fanout.start(0.0, one_first=True, near=TARGETS[3]))
+    caller.take(caller.fanout.start(0.0, one_first=True, broken=TARGETS[0]))
     (send,) = caller.running.values()
     assert set(SHARDS[2:4]) <= set(send.shards)
-    assert caller.fanout.holding
+    assert caller.fanout.alone
     caller.take(caller.fanout.release(0.01))
-    assert not caller.fanout.holding
+    assert not caller.fanout.alone
     for attempt in list(caller.running):
         caller.reply(attempt, 0.02)
     caller.check_end()
