--- a/tests/histories/test_mutants.py
+++ b/tests/histories/test_mutants.py
@@ -75,7 +75,8 @@
 
 
 def wrong_and_late_targets(world):
-    world.faults('t0-0', wrong_snapshot=True)
+    for server in range(2):
+        world.faults(f't0-{server}', wrong_snapshot=True)
     queries(world, 6)
     for server in range(2):
         world.faults(f't0-{server}', latency_ms=1_500)
