--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -268,6 +268,8 @@
         def finish(answer: BookingAnswer) -> None:
             if self._parts.suspects.enabled:
                 self._judge(action.target, answer)
+            if answer.outcome is Outcome.DRAINING:
+                self._parts.routing.take_leaving(action.target)
             self._handle(_event(action.attempt, answer))
 
         self._parts.client.book(
