Drain targets for good, reopen them, and name what a leaving process awaits

A target that refused in-band stayed shut on an entry until its load report changed, because agents pass on only changed reports: the hold now ends by time. sesamewardctl drain declares the drain by a conditional write when it knows the platform, and tells the agents for speed; it finds the agent of a node by itself. The VM list is read every 1.5 s, since 2 s with jitter left too little of the 3 s. A second signal ends an agent at once.

--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
@@ -63,6 +64,7 @@
 from .types import TargetId
 
 EXIT_USAGE = 2
+EXIT_KILLED = 4
 NODES_PERIOD_S = 0.5
 NODES_REFRESH_S = 5.0
 OTHER_AGENTS = 3
@@ -73,7 +75,7 @@
 HOLDERS_TTL_S = 60.0
 HOLDERS_REPEAT_S = 20.0
 DRAIN_TOPIC = 'drain'
-DRAIN_TTL_S = 3600.0
+DRAIN_TTL_S = 86_400.0
 
 
 class Agent:
@@ -492,8 +494,15 @@
     agent = Agent(cfg)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+
+    def on_signal() -> None:
+        if stop.is_set():
+            logs.change('agent_killed', entries=len(agent.hub.reports()))
+            os._exit(EXIT_KILLED)
+        stop.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, on_signal)
     await agent.start()
     ports = {
         'http': agent.http_port,
--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -35,6 +35,7 @@
 from .metrics import Metrics
 from .platform_client import PlatformClient
 from .settings import PlatformSettings
+from .types import TargetId
 
 PLATFORM = os.environ.get('SESAMEWARD_PLATFORM', '')
 AGENT = os.environ.get('SESAMEWARD_AGENT', '')
@@ -200,12 +201,22 @@
     *,
     undo: bool = False,
     agent: str = AGENT,
+    platform: str = PLATFORM,
 ) -> ExitCode:
-    """Stop new work on a target or a node; --undo lets it work again."""
+    """Stop new work on a target or a node; --undo lets it work again.
+
+    With --platform a target's drain is declared, so that it lasts; with
+    --agent the agents tell it one another, also while the store is down.
+    """
 
     async def run() -> ExitCode:
-        async with _fleet(agent) as fleet:
-            await fleet.drain({what: name}, not undo)
+        if agent or not platform or what == 'node':
+            async with _fleet(agent) as fleet:
+                await fleet.drain({what: name}, not undo)
+        if platform and what == 'target':
+            async with _platform(platform) as client:
+                ops = operations.Operations(client)
+                await ops.drain(TargetId(name), not undo)
         return ExitCode.OK
 
     return _finish(run())
--- a/sesameward/controllers/leaving.py
+++ b/sesameward/controllers/leaving.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import enum
+import itertools
 import typing
 
 from .. import logs
 
 
+MAX_NAMED = 20
+
+
 class Stage(enum.Enum):
     """Name how far an entry has come with leaving."""
 
@@ -22,7 +26,7 @@
 
     def __init__(self):
         self.stage = Stage.SERVING
-        self._held: set[asyncio.Future] = set()
+        self._held: dict[asyncio.Future, str] = {}
         self._empty = asyncio.Event()
         self._empty.set()
 
@@ -31,9 +35,13 @@
         """Return how much work must end before the process may."""
         return len(self._held)
 
-    def hold(self, work: asyncio.Future) -> None:
+    def waits_for(self) -> list[str]:
+        """Name the work in flight, the oldest first, if it is not much."""
+        return list(itertools.islice(self._held.values(), MAX_NAMED))
+
+    def hold(self, work: asyncio.Future, name: str = '') -> None:
         """Keep the process until this work has ended."""
-        self._held.add(work)
+        self._held[work] = name
         self._empty.clear()
         work.add_done_callback(self._release)
 
@@ -48,18 +56,25 @@
         The entry serves on for serve_on_s, since callers keep addresses.
         """
         self.stage = Stage.LEAVING
-        logs.change('entry_leaving', in_flight=self.in_flight)
+        self._log('entry_leaving')
         announce()
         await asyncio.sleep(serve_on_s)
         self.stage = Stage.CLOSING
-        logs.change('entry_closing', in_flight=self.in_flight)
+        self._log('entry_closing')
         try:
             await asyncio.wait_for(self._empty.wait(), limit_s)
         except asyncio.TimeoutError:
-            logs.change('entry_closed_early', in_flight=self.in_flight)
+            self._log('entry_closed_early')
+        else:
+            self._log('entry_left')
         return self.in_flight
 
+    def _log(self, event: str) -> None:
+        logs.change(
+            event, in_flight=self.in_flight, waits_for=self.waits_for()
+        )
+
     def _release(self, work: asyncio.Future) -> None:
-        self._held.discard(work)
+        del self._held[work]
         if not self._held:
             self._empty.set()
--- a/sesameward/controllers/vm_list.py
+++ b/sesameward/controllers/vm_list.py
@@ -11,7 +11,7 @@
 from ..metrics import Metrics
 from ..platform_client import PlatformClient
 
-PERIOD_S = 2.0
+PERIOD_S = 1.5
 # Bounds what a large fleet asks of the platform together.
 PERIOD_PER_MEMBER_S = 0.05
 MAX_PERIOD_S = 300.0
--- a/sesameward/estimates.py
+++ b/sesameward/estimates.py
@@ -54,7 +54,7 @@
 
     __slots__ = (
         'backoff',
-        'closed',
+        'closed_until',
         'cold_since',
         'ejected_until',
         'id',
@@ -71,6 +71,7 @@
         '_refused_at',
         '_reported_at',
         '_slots',
+        '_told_draining_at',
         '_trust',
         '_typical',
     )
@@ -98,7 +99,8 @@
         self._trust = 0.0
         self._failures = 0
         self._ejections = 0
-        self.closed = False
+        self.closed_until = -math.inf
+        self._told_draining_at = -math.inf
         self.declare(target, local)
 
     @property
@@ -111,7 +113,7 @@
         self.local = local
         self._slots = target.slots
         self._drain = target.drain
-        self.closed = self.closed or target.drain
+        self._set_closed()
 
     def report(self, report: LoadReport, now: float) -> None:
         """Take in what the target says of its load."""
@@ -122,14 +124,13 @@
         self._trust += TRUST_WEIGHT * (credible - self._trust)
         if report.cold:
             self.cold_since = now
-        # A report can lag behind the target's own refusal.
-        held = now - self._refused_at < DRAIN_HOLD_S
-        self.closed = self._drain or report.draining or held
+        self._told_draining_at = now if report.draining else -math.inf
+        self._set_closed()
 
     def drain(self, now: float) -> None:
         """Take in that the target refused because it leaves."""
         self._refused_at = now
-        self.closed = True
+        self._set_closed()
 
     def succeed(self, latency_s: float, now: float) -> None:
         """Take in the latency of a success."""
@@ -171,6 +172,14 @@
             cost_s /= max(age_s / RAMP_S, RAMP_START)
         return cost_s
 
+    def _set_closed(self) -> None:
+        # A report can lag behind the target's own refusal, and no report
+        # may follow that would open the target again.
+        closed_at = max(self._refused_at, self._told_draining_at)
+        self.closed_until = closed_at + DRAIN_HOLD_S
+        if self._drain:
+            self.closed_until = math.inf
+
     def _trust_at(self, now: float) -> float:
         fresh = 1.0 - (now - self._reported_at) / REPORT_S
         return self._trust * fresh if fresh > 0.0 else 0.0
--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -82,7 +82,7 @@
         """Answer the caller; the outcome is stored in the background."""
         run = _Run(exchange, self._parts)
         exchange.claiming = True
-        self._parts.leaving.hold(run.ended)
+        self._parts.leaving.hold(run.ended, f'booking {exchange.key}')
         exchange.caller.answer(await asyncio.shield(run.start()))
         await proceed(exchange)
 
@@ -257,6 +257,8 @@
         self._parts.metrics.count('booking_dispatches')
 
         def finish(answer: BookingAnswer) -> None:
+            if answer.outcome is Outcome.DRAINING:
+                self._parts.routing.take_leaving(action.target)
             self._handle(_event(action.attempt, answer))
 
         self._parts.client.book(
--- a/sesameward/fleet.py
+++ b/sesameward/fleet.py
@@ -68,7 +68,17 @@
     async def drain(self, what: dict[str, str], drain: bool) -> None:
         """Start or end the draining of a target or a node."""
         body = msgspec.json.encode({**what, 'drain': drain})
-        await self._fetch(self._agent, '/v1/drain', body)
+        address = self._agent
+        if 'node' in what:
+            address = await self._address_of(what['node'])
+        await self._fetch(address, '/v1/drain', body)
+
+    async def _address_of(self, node: str) -> str:
+        """Return where the agent of a node listens; this one if unknown."""
+        for member in await self.members():
+            if member.node == node and member.state in LISTED:
+                return f'{member.host}:{member.http_port}'
+        return self._agent
 
     async def views(self) -> list[NodeView]:
         """Return every listed member with its status."""
--- a/sesameward/handlers.py
+++ b/sesameward/handlers.py
@@ -89,7 +89,9 @@
         if self._front.leaving.stage is Stage.LEAVING:
             # Callers which keep their connection open learn to move on.
             self.set_header('Connection', 'close')
-        self._front.leaving.hold(self._ended)
+        self._front.leaving.hold(
+            self._ended, f'{self.request.path} {self.request_id}'
+        )
         length = self.request.headers.get('Content-Length', '0')
         if length.isdigit() and int(length) > self._limits.max_body_bytes:
             self._refuse_size()
--- a/sesameward/operations.py
+++ b/sesameward/operations.py
@@ -23,14 +23,17 @@
 from .exceptions import PlatformUnavailableError
 from .exceptions import ReferencedError
 from .messages import StoredObject
+from .objects import declared_of
 from .platform_client import PlatformClient
 from .types import ChangeId
 from .types import Revision
+from .types import TargetId
 
 Key = tuple[str, str]
 Value = typing.TypeVar('Value')
 
 THROTTLED_TRIES = 10
+RACED_TRIES = 5
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -174,6 +177,27 @@
             return Failure(Outcome(tuple(applied), exc))
         return Success(Outcome(tuple(applied)))
 
+    async def drain(self, target: TargetId, drain: bool) -> Applied:
+        """Declare that a target drains, or no longer does."""
+        for _ in range(RACED_TRIES - 1):
+            try:
+                return await self._write(await self._drain_step(target, drain))
+            except ConflictError:
+                # Another operator changed the pool; keep that change too.
+                continue
+        return await self._write(await self._drain_step(target, drain))
+
+    async def _drain_step(self, target: TargetId, drain: bool) -> Step:
+        for stored in (await self.stored()).values():
+            step = Step(declared_of(stored), stored)
+            if isinstance(step.item, declared.Pool):
+                pool = _with_drain(step.item, target, drain)
+                if pool is not None:
+                    return Step(pool, stored)
+        raise DeclarationError(
+            'target', f'{target} is not declared', 'name a declared target'
+        )
+
     async def _write(self, step: Step) -> Applied:
         kind, name = step.key
         if not step.changes:
@@ -201,6 +225,20 @@
             _check_confirmed(world[key], world)
 
 
+def _with_drain(
+    pool: declared.Pool, target: TargetId, drain: bool
+) -> declared.Pool | None:
+    if all(found.id != target for found in pool.targets):
+        return None
+    targets = tuple(
+        msgspec.structs.replace(found, drain=drain)
+        if found.id == target
+        else found
+        for found in pool.targets
+    )
+    return msgspec.structs.replace(pool, targets=targets)
+
+
 async def _paced(
     call: collections.abc.Callable[[], collections.abc.Awaitable[Value]],
 ) -> Value:
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -110,7 +110,7 @@
         self, candidates: _Candidates, now: float, avoid: _Avoid = ()
     ) -> TargetId | None:
         """Return the replica to ask; None when none may be asked."""
-        usable = self._usable(candidates, avoid)
+        usable = self._usable(candidates, avoid, now)
         for one in usable:
             if one.ejected_until > now or one.backoff.until > now:
                 usable = self._healthy(usable, now)
@@ -128,18 +128,18 @@
 
     def ejected(self, candidates: _Candidates, now: float) -> set[TargetId]:
         """Return which candidates get no work for their failures."""
-        usable = self._usable(candidates, ())
+        usable = self._usable(candidates, (), now)
         return {one.id for one in self._ejected(usable, now)}
 
     def _usable(
-        self, candidates: _Candidates, avoid: _Avoid
+        self, candidates: _Candidates, avoid: _Avoid, now: float
     ) -> list[TargetEstimate]:
         estimates = self._estimates
         return [
             estimates[one]
             for one in candidates
             if one in estimates
-            and not estimates[one].closed
+            and estimates[one].closed_until <= now
             and one not in avoid
         ]
 
--- a/sesameward/standin/processes.py
+++ b/sesameward/standin/processes.py
@@ -227,8 +227,8 @@
         """Return the zone of the VM or server with this number."""
         return f'zone-{index % 4}'
 
-    def list_vms(self) -> None:
-        """Put the entry VMs on the platform's list."""
+    def list_vms(self, *extra: dict) -> None:
+        """Put the entry VMs, and other rows, on the platform's list."""
         vms = [
             {
                 'name': self.node_name(index),
@@ -237,7 +237,7 @@
             }
             for index in range(self.shape.nodes)
         ]
-        call(self.platform.ports['port'], '/standin/vms', vms)
+        call(self.platform.ports['port'], '/standin/vms', [*vms, *extra])
 
     def shard_ids(self) -> list[str]:
         """Return the ids of all shards in the order of their keys."""
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -98,3 +98,36 @@
     with pytest.raises(DeclarationError) as caught:
         operations.read([str(path)])
     assert field in caught.value.field
+
+
+def test_drain_keeps_what_another_operator_changed(
+    with_platform, service, pool, monkeypatch
+):
+    async def scenario(standin, client):
+        ops = Operations(client)
+        await ops.apply([service, pool])
+        first, second = pool.targets
+        moved = msgspec.structs.replace(second, port=9_100)
+        theirs = msgspec.structs.replace(pool, targets=(first, moved))
+        races = [declared.encode(theirs)]
+        stored = ops.stored
+
+        async def raced():
+            found = await stored()
+            if races:
+                standin.store.write(
+                    'pool', pool.name, races.pop(), 'theirs', False
+                )
+            return found
+
+        monkeypatch.setattr(ops, 'stored', raced)
+        assert (await ops.drain(first.id, True)).changed
+        found = await client.get('pool', pool.name)
+        drained = msgspec.structs.replace(first, drain=True)
+        assert declared.decode('pool', found.value).targets == (drained, moved)
+        assert not (await ops.drain(first.id, True)).changed
+        assert (await ops.drain(first.id, False)).changed
+        with pytest.raises(DeclarationError):
+            await ops.drain('t9', True)
+
+    with_platform(scenario)
