--- a/sesameward/controllers/gate.py
+++ b/sesameward/controllers/gate.py
@@ -34,6 +34,11 @@
         """Return how many requests run or wait."""
         return self._inside + len(self._waiting)
 
+    @property
+    def load(self) -> float:
+        """Return the requests inside over those which may run at once."""
+        return self.in_flight / max(self._admission.limit, 1.0)
+
     async def enter(self, exchange: Exchange) -> None:
         """Return once the request may run; raise RefusalError."""
         actions = self._admission.arrive(
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -11,6 +11,7 @@
 import time
 
 import defopt
+import msgspec
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
@@ -31,6 +32,7 @@
 from .controllers.nodes import Nodes
 from .controllers.routing import Routing
 from .controllers.suspects import Suspects
+from .entry_weight import EntryWeight
 from .exceptions import SettingsError
 from .filters.admitting import Admit
 from .filters.answering import Answer
@@ -93,6 +95,7 @@
         self.gate = Gate(
             Admission(cfg.limits, self._rng), self.metrics, self.clock
         )
+        self._weight = EntryWeight()
         self.suspects = Suspects(
             Quarantine(
                 f'{cfg.node}/{self.address.incarnation}',
@@ -276,7 +279,7 @@
         self._rumors.clear()
         return feed.Report(
             node=self.cfg.node,
-            address=self.address,
+            address=self._weighted_address(),
             revision=self.catalog.revision,
             ready=self._ready(),
             leaving=not handlers.serving(self.leaving),
@@ -285,6 +288,10 @@
             rumors=rumors,
         )
 
+    def _weighted_address(self) -> Address:
+        weight = self._weight.update(self.gate.load, self.clock())
+        return msgspec.structs.replace(self.address, weight=weight)
+
     def _requeue(self, report: feed.Report) -> None:
         self._rumors.extendleft(reversed(report.rumors))
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import concurrent.futures
 import json
 import signal
@@ -100,6 +101,18 @@
     assert time.monotonic() - began_at < KNOWN_S
 
 
+def test_callers_spread_over_all_entries(tier):
+    settle(tier)
+    firsts = collections.Counter()
+    for index in range(200):
+        entry = tier.entries[index * 7 % NODES]
+        zone = tier.zone(index)
+        path = f'/v1/addresses?zone={zone}'
+        found = call(entry.ports['port'], path).json()['addresses']
+        firsts[found[0]['port']] += 1
+    assert max(firsts.values()) <= 1.25 * 200 / NODES
+
+
 def in_force(agent):
     status = call(agent.ports['http'], '/v1/status').json()
     return min(
