--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -13,6 +13,7 @@
 
 import defopt
 from grpclib.server import Server
+import msgspec
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
@@ -35,6 +36,7 @@
 from .controllers.nodes import Nodes
 from .controllers.routing import Routing
 from .controllers.suspects import Suspects
+from .entry_weight import EntryWeight
 from .exceptions import SettingsError
 from .filters.admitting import Admit
 from .filters.answering import Answer
@@ -109,6 +111,7 @@
         self.homes = Homes(
             self.address, TrialClient(), self.metrics, self.clock
         )
+        self._weight = EntryWeight()
         self.suspects = Suspects(
             Quarantine(
                 f'{cfg.node}/{self.address.incarnation}',
@@ -305,7 +308,7 @@
         self._rumors.clear()
         return feed.Report(
             node=self.cfg.node,
-            address=self.address,
+            address=self._weighted_address(),
             revision=self.catalog.revision,
             ready=self._ready(),
             leaving=not handlers.serving(self.leaving),
@@ -314,6 +317,10 @@
             rumors=rumors,
         )
 
+    def _weighted_address(self) -> Address:
+        weight = self._weight.update(self.gate.load, self.clock())
+        return msgspec.structs.replace(self.address, weight=weight)
+
     def _requeue(self, report: feed.Report) -> None:
         self._rumors.extendleft(reversed(report.rumors))
 
--- a/sesameward/estimates.py
+++ b/sesameward/estimates.py
@@ -55,7 +55,7 @@
 
     __slots__ = (
         'backoff',
-        'closed',
+        'closed_until',
         'cold_since',
         'ejected_until',
         'fresh',
@@ -73,6 +73,7 @@
         '_refused_at',
         '_reported_at',
         '_slots',
+        '_told_draining_at',
         '_trust',
         '_typical',
     )
@@ -101,7 +102,8 @@
         self._failures = 0
         self._ejections = 0
         self.fresh = typical.samples > WARM_SAMPLES
-        self.closed = False
+        self.closed_until = -math.inf
+        self._told_draining_at = -math.inf
         self.declare(target, local)
 
     def declare(self, target: declared.Target, local: bool) -> None:
@@ -109,7 +111,7 @@
         self.local = local
         self._slots = target.slots
         self._drain = target.drain
-        self.closed = self.closed or target.drain
+        self._set_closed()
 
     def report(self, report: LoadReport, now: float) -> None:
         """Take in what the target says of its load."""
@@ -120,9 +122,8 @@
         self._trust += TRUST_WEIGHT * (credible - self._trust)
         if report.cold:
             self.cold_since = now
-        # A report can lag behind the target's own refusal.
-        held = now - self._refused_at < DRAIN_HOLD_S
-        self.closed = self._drain or report.draining or held
+        self._told_draining_at = now if report.draining else -math.inf
+        self._set_closed()
 
     def start(self, now: float) -> None:
         """Count one sub-request sent."""
@@ -135,12 +136,12 @@
     def drain(self, now: float) -> None:
         """Take in that the target refused because it leaves."""
         self._refused_at = now
-        self.closed = True
+        self._set_closed()
 
     def undrain(self) -> None:
         """Take in that the target's own word to leave is void."""
         self._refused_at = -math.inf
-        self.closed = self._drain
+        self._set_closed()
 
     def succeed(self, latency_s: float, now: float) -> None:
         """Take in the latency of a success."""
@@ -182,6 +183,14 @@
             cost_s /= max(age_s / RAMP_S, RAMP_START)
         return cost_s
 
+    def _set_closed(self) -> None:
+        # A report can lag behind the target's own refusal, and no report
+        # may follow that would open the target again.
+        closed_at = max(self._refused_at, self._told_draining_at)
+        self.closed_until = closed_at + DRAIN_HOLD_S
+        if self._drain:
+            self.closed_until = math.inf
+
     def _trust_at(self, now: float) -> float:
         fresh = 1.0 - (now - self._reported_at) / REPORT_S
         return self._trust * fresh if fresh > 0.0 else 0.0
--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -88,7 +88,7 @@
         """Answer the caller; the outcome is stored in the background."""
         run = _Run(exchange, self._parts)
         exchange.claiming = True
-        self._parts.leaving.hold(run.ended)
+        self._parts.leaving.hold(run.ended, f'booking {exchange.key}')
         exchange.caller.answer(await asyncio.shield(run.start()))
         await proceed(exchange)
 
