--- /dev/null
+++ b/benchmark/crashing.py
@@ -0,0 +1,200 @@
+"""Measure what a crashing request takes over real processes."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import contextlib
+import itertools
+import json
+import re
+import statistics
+import threading
+import time
+import typing
+
+import msgspec
+
+from sesameward.standin.processes import call
+from sesameward.standin.processes import Shape
+from sesameward.standin.processes import Tier
+from sesameward.standin.processes import wait_until
+
+NODES = 5
+SENDS = 10
+CALLERS = 5
+DEADLINE_MS = 1_000
+CRASHES_MS = (1.0, 20.0, 100.0)
+CALM_QUERIES = 500
+SETTLE_S = 0.5
+
+# An earlier crash puts unseen requests on their guard; let that pass.
+ALARM_S = 1.5
+
+WAYS = {
+    'off': {'quarantine': {'enabled': False}},
+    'on': {'quarantine': {'alarm_s': ALARM_S}},
+}
+UNLED = {'quarantine': {'lead_s': 0.0}}
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Hold one run's figures."""
+
+    targets_lost: int
+    innocent_answers: int
+    innocent_incomplete: int
+    innocent_refused: int
+    innocent_failed: int
+    home_fallbacks: int
+
+
+class Callers:
+    """Send harmless queries, half of them unseen, until told to stop."""
+
+    def __init__(self, tier: Tier, run: str):
+        self.answers = self.incomplete = self.refused = self.failed = 0
+        self._tier = tier
+        self._run_name = run
+        self._halt = threading.Event()
+        self._lock = threading.Lock()
+        self._threads = [
+            threading.Thread(target=self._run, args=(index,))
+            for index in range(CALLERS)
+        ]
+
+    def __enter__(self) -> Callers:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self._halt.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, index: int) -> None:
+        entry = self._tier.entries[index % NODES]
+        for number in itertools.count():
+            if self._halt.is_set():
+                return
+            unseen = f'{self._run_name}-{index}-{number}'
+            text = unseen if number % 2 else f'seen-{index}'
+            try:
+                reply = self._tier.query(entry, {'match': {'text': text}})
+            except OSError:
+                self._count('failed')
+                continue
+            self._count('answers')
+            if reply.status != 200:
+                self._count('refused')
+            elif not reply.frames()[-1].get('complete'):
+                self._count('incomplete')
+
+    def _count(self, name: str) -> None:
+        with self._lock:
+            setattr(self, name, getattr(self, name) + 1)
+
+
+def poison(name: str) -> dict:
+    """Return the body of a request which crashes targets."""
+    return {'match': {'text': f'poison {name}'}}
+
+
+def send_in_turn(tier: Tier, body: dict) -> None:
+    """Send to one entry after another, at once after each answer."""
+    for number in range(SENDS):
+        with contextlib.suppress(OSError):
+            tier.query(tier.entries[number % NODES], body)
+
+
+def send_at_once(tier: Tier, body: dict) -> None:
+    """Send to all entries at the same moment, then in turn."""
+    with concurrent.futures.ThreadPoolExecutor(NODES) as pool:
+        list(pool.map(lambda e: tier.query(e, body), tier.entries))
+    send_in_turn(tier, body)
+
+
+def run(
+    tier: Tier,
+    name: str,
+    crash_ms: float,
+    send: typing.Callable[[Tier, dict], None],
+) -> Row:
+    """Return what one poison takes."""
+    before = fallbacks(tier)
+    for target in tier.targets:
+        tier.set_faults(target, crash_on='poison', crash_after_ms=crash_ms)
+    with Callers(tier, name) as callers:
+        time.sleep(SETTLE_S)
+        send(tier, poison(name))
+        time.sleep(SETTLE_S)
+        lost = len(tier.dead_targets())
+    tier.restart_dead_targets()
+    for entry in tier.entries:
+        wait_until(lambda e=entry: tier.is_whole(e), entry.name)
+    return Row(
+        lost,
+        callers.answers,
+        callers.incomplete,
+        callers.refused,
+        callers.failed,
+        fallbacks(tier) - before,
+    )
+
+
+def fallbacks(tier: Tier) -> int:
+    """Return how often all entries did without the home."""
+    pages = [call(e.ports['port'], '/metrics').body for e in tier.entries]
+    counts = re.findall(
+        rb'sesameward_home_fallbacks_total\S* ([0-9.]+)', b''.join(pages)
+    )
+    return sum(int(float(count)) for count in counts)
+
+
+def measure_calm(tier: Tier) -> dict[str, float]:
+    """Return the latency of unseen requests, one at a time."""
+    elapsed_ms = []
+    for number in range(CALM_QUERIES):
+        entry = tier.entries[number % NODES]
+        body = {'match': {'text': f'calm-{number}'}}
+        began_at = time.perf_counter()
+        tier.query(entry, body)
+        elapsed_ms.append((time.perf_counter() - began_at) * 1000)
+    elapsed_ms.sort()
+    return {
+        'p50_ms': round(statistics.median(elapsed_ms), 2),
+        'p99_ms': round(elapsed_ms[int(CALM_QUERIES * 0.99)], 2),
+    }
+
+
+def measure(settings: dict) -> dict[str, object]:
+    """Return the figures of one way."""
+    figures: dict[str, object] = {}
+    shape = Shape(nodes=NODES, deadline_ms=DEADLINE_MS, max_deadline_ms=5_000)
+    with Tier(shape, **settings) as tier:
+        figures['calm'] = measure_calm(tier)
+        print('calm', figures['calm'], flush=True)
+        if settings is UNLED:
+            return figures
+        for crash_ms in CRASHES_MS:
+            for send in (send_in_turn, send_at_once):
+                if settings is WAYS['on']:
+                    time.sleep(ALARM_S)
+                name = f'{send.__name__} {crash_ms:g} ms'
+                row = run(tier, name, crash_ms, send)
+                figures[name] = msgspec.to_builtins(row)
+                print(name, row, flush=True)
+    return figures
+
+
+def main() -> None:
+    """Print each run, then all figures as JSON."""
+    figures = {}
+    for name, settings in {**WAYS, 'unled': UNLED}.items():
+        print(name)
+        figures[name] = measure(settings)
+    print(json.dumps(figures))
+
+
+if __name__ == '__main__':
+    main()
--- a/sesameward/controllers/homes.py
+++ b/sesameward/controllers/homes.py
@@ -12,6 +12,7 @@
 from ..metrics import Metrics
 from ..quarantine import Admission
 from ..quarantine import home
+from ..trials import AdmitRequest
 from ..trials import Event
 from ..trials import TrialClient
 from ..types import Clock
@@ -59,11 +60,11 @@
         """Tell whether another entry decides on a fingerprint."""
         return bool(self._entries) and home(fp, self._entries) != self._own
 
-    async def admit(self, fp: Fingerprint) -> Admission | None:
+    async def admit(self, req: AdmitRequest) -> Admission | None:
         """Return the home's decision; None leaves it to this entry."""
         return await self._ask(
-            fp,
-            lambda address: self._client.admit(address, fp, HOME_TIMEOUT_S),
+            req.fp,
+            lambda address: self._client.admit(address, req, HOME_TIMEOUT_S),
         )
 
     async def report(self, event: Event) -> tuple[Rumor, ...] | None:
--- a/sesameward/controllers/suspects.py
+++ b/sesameward/controllers/suspects.py
@@ -20,6 +20,7 @@
 from ..quarantine import Refuse
 from ..quarantine import Spread
 from ..quarantine import Suspected
+from ..trials import AdmitRequest
 from ..trials import Event
 from ..trials import EventKind
 from ..types import Clock
@@ -53,10 +54,13 @@
         ] = {}
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
-    async def admit(self, fp: Fingerprint, until: float) -> Admission:
+    async def admit(
+        self, fp: Fingerprint, until: float, only_suspects: bool = False
+    ) -> Admission:
         """Decide how a request may be sent; wait for an equal one's trial."""
+        req = AdmitRequest(fp, only_suspects)
         while True:
-            admission = await self._ask(fp)
+            admission = await self._ask(req)
             self._count(admission)
             if not isinstance(admission, Refuse) or not admission.on_trial:
                 return admission
@@ -64,13 +68,6 @@
                 return admission
             await asyncio.sleep(admission.retry_after_s)
 
-    async def admit_booking(self, fp: Fingerprint, until: float) -> Admission:
-        """Decide on a booking, which is on trial only under suspicion."""
-        now = self._clock()
-        if self._quarantine.is_suspected(fp, now):
-            return await self.admit(fp, until)
-        return Allow()
-
     def sent(self, fp: Fingerprint, target: TargetId) -> None:
         """Take in that a sub-request left for a target."""
         self._running.setdefault(target, collections.Counter())[fp] += 1
@@ -115,9 +112,14 @@
 
     # As the home of a fingerprint.
 
-    def decide(self, fp: Fingerprint) -> Admission:
+    def decide(self, req: AdmitRequest) -> Admission:
         """Decide how a request may be sent, if need be on trial."""
-        return self._quarantine.admit(fp, self._clock())
+        now = self._clock()
+        if req.only_suspects and not self._quarantine.is_suspected(
+            req.fp, now
+        ):
+            return Allow()
+        return self._quarantine.admit(req.fp, now)
 
     def take(self, event: Event) -> tuple[Rumor, ...]:
         """Take in what became of a request; return the verdicts."""
@@ -137,12 +139,12 @@
         self._carry_out(actions)
         return tuple(a.rumor for a in actions if isinstance(a, Spread))
 
-    async def _ask(self, fp: Fingerprint) -> Admission:
-        decided = self._quarantine.decided(fp, self._clock())
+    async def _ask(self, req: AdmitRequest) -> Admission:
+        decided = self._quarantine.decided(req.fp, self._clock())
         if decided is not None:
             return decided
-        admission = await self._homes.admit(fp)
-        return self.decide(fp) if admission is None else admission
+        admission = await self._homes.admit(req)
+        return self.decide(req) if admission is None else admission
 
     async def _report(self, event: Event) -> None:
         rumors = await self._homes.report(event)
--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -162,6 +162,7 @@
         self._held_for: dict[TargetId, str] = {}
         self._suspended: dict[ShardId, Outcome] = {}
         self._alone = False
+        self._unproved = False
         self._trial: AttemptId | None = None
         self._answered = 0
         self._uncovered = 0
@@ -178,6 +179,11 @@
             + len(pin.without_snapshot)
         )
 
+    @property
+    def _keeps_hedges(self) -> bool:
+        """Tell whether a hedge might take one more target."""
+        return self._alone or self._unproved
+
     @property
     def alone(self) -> bool:
         """Tell whether all but one attempt wait for release()."""
@@ -219,6 +225,7 @@
             self._held = chosen
             self._broken = broken
             self._alone = True
+            self._unproved = True
             actions = self._send_one_held(now)
         else:
             actions = self._send_first(chosen, now)
@@ -351,6 +358,7 @@
                 self._attempts[attempt] = sent
             return [Count('replies_dropped', 'unknown_attempt')]
         actions: list[Action] = []
+        self._unproved = False
         self._close(attempt, sent)
         lacking: list[ShardId] = []
         returned: set[ShardId] = set()
@@ -402,7 +410,7 @@
         if now >= self._request.deadline_at:
             return self.stop(MissingReason.DEADLINE, now)
         times = self._hedge_times
-        while times and times[0][0] <= now and not self._alone:
+        while times and times[0][0] <= now and not self._keeps_hedges:
             sent = self._attempts.get(heapq.heappop(times)[1])
             if sent is not None:
                 self._hedge(sent, actions, now)
@@ -410,7 +418,7 @@
 
     def next_due(self) -> float:
         """Return when due() has something to do, on the same clock."""
-        if self._alone:
+        if self._keeps_hedges:
             return self._request.deadline_at
         times = self._hedge_times
         while times and times[0][1] not in self._attempts:
--- a/sesameward/filters/quarantining.py
+++ b/sesameward/filters/quarantining.py
@@ -51,8 +51,9 @@
         exchange.fingerprint = fingerprint(
             exchange.service.service, exchange.booking
         )
-        exchange.trial = await self._suspects.admit_booking(
-            exchange.fingerprint, exchange.deadline_at
+        # One sub-request is all that a booking is, so it needs no lead.
+        exchange.trial = await self._suspects.admit(
+            exchange.fingerprint, exchange.deadline_at, only_suspects=True
         )
         _check(exchange, unclaimed_run(exchange.attempt))
         try:
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -29,6 +29,8 @@
 PLAIN_WEIGHT = 1.0
 TRIAL_WEIGHT = 100.0
 LEAD_BLAME = 0.5
+# What has succeeded before more likely ran beside the cause of a crash.
+PROVEN_BLAME = 0.5
 
 
 Duration = typing.Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)]
@@ -226,6 +228,7 @@
     forget_at: float = 0.0
     repeats: int = 0
     broken: TargetId | None = None
+    was_proven: bool = False
     by_origin: dict[str, _Blame] = msgspec.field(default_factory=dict)
 
     @property
@@ -333,7 +336,7 @@
         suspect = self._touch_suspect(fp)
         own = suspect.by_origin.setdefault('', _Blame())
         own.crashes += fp not in broken.counted
-        own.blame += blame
+        own.blame += blame * (PROVEN_BLAME if suspect.was_proven else 1.0)
         broken.counted.add(fp)
         if blame:
             self._alarm_until = now + self._cfg.alarm_s
@@ -430,14 +433,14 @@
         return None
 
     def _unexplained(self, fp: Fingerprint, now: float) -> int:
+        """Count the targets which broke at the time without the request.
+
+        Several entries report one break, each with what it had in flight.
+        """
         since = now - self._cfg.window_s
-        return len(
-            {
-                broken.target
-                for broken in self._breaks
-                if broken.at >= since and fp not in broken.weights
-            }
-        )
+        recent = [broken for broken in self._breaks if broken.at >= since]
+        explained = {b.target for b in recent if fp in b.weights}
+        return len({b.target for b in recent} - explained)
 
     def _weight(self, fp: Fingerprint, now: float) -> float:
         if self._on_trial(fp, now):
@@ -501,8 +504,10 @@
         return suspect
 
     def _touch_suspect(self, fp: Fingerprint) -> _Suspect:
+        was_proven = fp in self._proven
         self._proven.pop(fp, None)
         suspect = self._suspects.setdefault(fp, _Suspect())
+        suspect.was_proven |= was_proven
         self._suspects.move_to_end(fp)
         if len(self._suspects) > self._cfg.max_suspects:
             self._suspects.popitem(last=False)
--- a/sesameward/standin/processes.py
+++ b/sesameward/standin/processes.py
@@ -163,8 +163,9 @@
 class Tier:
     """Run a platform, targets, agents and entries as processes."""
 
-    def __init__(self, shape: Shape = Shape()):
+    def __init__(self, shape: Shape = Shape(), **entry_settings: object):
         self.shape = shape
+        self.entry_settings = entry_settings
         self._stack = contextlib.ExitStack()
         self.dir = pathlib.Path(
             self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -273,6 +274,23 @@
         )
         self.targets[name] = process
 
+    def dead_targets(self) -> list[str]:
+        """Return the targets whose processes have ended."""
+        return [
+            name
+            for name, process in self.targets.items()
+            if process.exit_code is not None
+        ]
+
+    def restart_dead_targets(self) -> None:
+        """Start the targets again which have ended; wait for them."""
+        dead = self.dead_targets()
+        for name in dead:
+            instance, server = name.removeprefix('t').split('-')
+            self.start_target(int(instance), int(server))
+        for name in dead:
+            wait_until(lambda n=name: self.calls(n) is not None, name)
+
     def start_agent(self, index: int, **extra: object) -> Process:
         """Start the agent of one VM."""
         others = [a for i, a in enumerate(self.agents) if i != index]
@@ -296,6 +314,7 @@
     def start_entry(self, index: int, **extra: object) -> Process:
         """Start an entry on one VM."""
         agent = self.agents[index]
+        extra = {**self.entry_settings, **extra}
         cfg = {
             'node': self.node_name(index),
             'zone': self.zone(index),
--- a/sesameward/standin/target.py
+++ b/sesameward/standin/target.py
@@ -37,6 +37,7 @@
     shed_chance: float = 0.0
     cold_ms: float = 0.0
     crash_on: str = ''
+    crash_after_ms: float = 0.0
     lose_reply_chance: float = 0.0
     lie_idle: bool = False
     report_draining: bool | None = None
@@ -187,6 +188,7 @@
         state.calls.shards += len(query.shards)
         state.calls.last_work_at = asyncio.get_running_loop().time()
         if faults.crash_on and faults.crash_on.encode() in bytes(query.match):
+            await asyncio.sleep(faults.crash_after_ms / 1000)
             os._exit(_EXIT_CRASHED)
         if faults.drop_connections:
             return self.drop()
@@ -241,6 +243,7 @@
         if faults.crash_on and faults.crash_on.encode() in bytes(
             booking.action
         ):
+            await asyncio.sleep(faults.crash_after_ms / 1000)
             os._exit(_EXIT_CRASHED)
         await asyncio.sleep(state.service_time_s())
         if state.rng.random() < faults.lose_reply_chance:
--- a/sesameward/trials.py
+++ b/sesameward/trials.py
@@ -32,9 +32,13 @@
 
 
 class AdmitRequest(msgspec.Struct, frozen=True):
-    """Ask how a request of this fingerprint may be sent."""
+    """Ask how a request of this fingerprint may be sent.
+
+    Where only suspects matter, any other is allowed without a trial.
+    """
 
     fp: Fingerprint
+    only_suspects: bool = False
 
 
 class AdmitReply(msgspec.Struct, frozen=True):
@@ -73,7 +77,7 @@
 class Decisions(typing.Protocol):
     """Decide on trials as the home of their fingerprints."""
 
-    def decide(self, fp: Fingerprint) -> Admission: ...
+    def decide(self, req: AdmitRequest) -> Admission: ...
 
     def take(self, event: Event) -> tuple[Rumor, ...]: ...
 
@@ -97,7 +101,7 @@
 
     async def _admit(self, stream: Stream) -> None:
         req = await stream.recv_message()
-        admission = self._decisions.decide(req.fp)
+        admission = self._decisions.decide(req)
         await stream.send_message(AdmitReply(admission))
 
     async def _report(self, stream: Stream) -> None:
@@ -118,10 +122,9 @@
         self._channels: dict[Endpoint, Channel] = {}
 
     async def admit(
-        self, address: Address, fp: Fingerprint, timeout_s: float
+        self, address: Address, req: AdmitRequest, timeout_s: float
     ) -> Admission:
         """Return the home's decision; raise PeerUnavailableError."""
-        req = AdmitRequest(fp)
         reply = await self._call(address, ADMIT, req, AdmitReply, timeout_s)
         return reply.admission
 
--- /dev/null
+++ b/tests/test_crashing.py
@@ -0,0 +1,213 @@
+"""Test over real processes that requests which crash targets are held."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import re
+import signal
+import time
+
+import pytest
+
+from sesameward.bookings import KIND
+from sesameward.bookings import object_name
+from sesameward.standin.processes import call
+from sesameward.standin.processes import Shape
+from sesameward.standin.processes import Tier
+from sesameward.standin.processes import wait_until
+from sesameward.types import BookingKey
+from sesameward.types import ServiceName
+
+NODES = 5
+QUARANTINE_S = 6.0
+ALARM_S = 1.0
+
+
+@pytest.fixture(scope='module')
+def started_tier():
+    shape = Shape(nodes=NODES, deadline_ms=2_000, max_deadline_ms=5_000)
+    settings = {
+        'quarantine_s': QUARANTINE_S,
+        'max_quarantine_s': QUARANTINE_S,
+        'alarm_s': ALARM_S,
+        # The poison crashes within it also while the machine is busy.
+        'lead_s': 0.5,
+    }
+    with Tier(shape, quarantine=settings) as started:
+        yield started
+
+
+@pytest.fixture
+def tier(started_tier):
+    """Return the tier, whole, unsuspecting and without faults."""
+    time.sleep(ALARM_S)
+    settle(started_tier)
+    return started_tier
+
+
+def settle(tier):
+    tier.restart_dead_targets()
+    for target in tier.targets:
+        tier.set_faults(target)
+    for entry in tier.entries:
+        wait_until(lambda e=entry: len(addresses(e)) == NODES, 'all addresses')
+        wait_until(lambda e=entry: tier.is_whole(e), entry.name)
+
+
+def addresses(entry):
+    return call(entry.ports['port'], '/v1/addresses').json()['addresses']
+
+
+def counted(tier, reason):
+    """Return how often all entries counted this about fingerprints."""
+    pattern = rf'sesameward_quarantine\S*reason="{reason}"\S* ([0-9.]+)'
+    texts = [
+        call(entry.ports['port'], '/metrics').body.decode()
+        for entry in tier.entries
+    ]
+    return sum(float(n) for t in texts for n in re.findall(pattern, t))
+
+
+def set_all(tier, **faults):
+    for target in tier.targets:
+        tier.set_faults(target, **faults)
+
+
+def at_once(tier, entries, bodies):
+    """Send all bodies at the same moment to the entries in turn."""
+    with concurrent.futures.ThreadPoolExecutor(len(bodies)) as pool:
+        return list(
+            pool.map(
+                lambda pair: tier.query(
+                    entries[pair[0] % len(entries)], pair[1]
+                ),
+                enumerate(bodies),
+            )
+        )
+
+
+def incomplete(replies):
+    """Return the refusals and the ends of incomplete answers."""
+    ends = [reply.frames()[-1] for reply in replies]
+    return [end for end in ends if not end.get('complete')]
+
+
+def query(text):
+    return {'match': {'text': text}}
+
+
+@pytest.mark.parametrize('crash_ms', [0, 20])
+def test_five_entries_at_once_lose_at_most_two_targets(tier, crash_ms):
+    set_all(tier, crash_on='poison', crash_after_ms=crash_ms)
+    body = query(f'poison {crash_ms}')
+    replies = at_once(tier, tier.entries, [body] * NODES)
+    for entry in tier.entries:
+        replies.append(tier.query(entry, body))
+    assert 1 <= len(tier.dead_targets()) <= 2
+    for reply in replies:
+        if reply.status == 200:
+            end = reply.frames()[-1]
+            assert not end['complete']
+            assert end['retry_after_s'] > 0
+        else:
+            assert reply.json()['kind'] == 'quarantined'
+            assert int(reply.headers['Retry-After']) >= 1
+    assert [r.status for r in replies[-NODES:]] == [503] * NODES
+
+
+def test_innocents_on_a_crashed_target_are_answered_whole(tier):
+    bodies = [query(f'innocent {number // 2}') for number in range(20)]
+    assert incomplete(at_once(tier, tier.entries, bodies)) == []
+    set_all(tier, latency_ms=60, crash_on='poison', crash_after_ms=20)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(at_once, tier, tier.entries, bodies)
+        time.sleep(0.03)
+        tier.query(tier.entries[0], query('poison amid innocents'))
+        replies = sent.result()
+    assert 1 <= len(tier.dead_targets()) <= 2
+    assert incomplete(replies) == []
+
+
+def test_quarantined_request_is_released_after_its_time(tier):
+    set_all(tier, crash_on='poison')
+    body = query('poison for a time')
+    for entry in tier.entries:
+        tier.query(entry, body)
+    refused = tier.query(tier.entries[0], body)
+    assert refused.status == 503
+    settle(tier)
+    assert tier.query(tier.entries[1], body).status == 503
+    time.sleep(refused.json()['retry_after_s'])
+    wait_until(
+        lambda: (
+            (reply := tier.query(tier.entries[0], body)).status == 200
+            and reply.frames()[-1]['complete']
+        ),
+        'the release',
+        QUARANTINE_S,
+    )
+
+
+def test_restarts_of_targets_quarantine_nobody(tier):
+    before = counted(tier, 'quarantined')
+    set_all(tier, latency_ms=60)
+    bodies = [query(f'caller {number}') for number in range(50)]
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(at_once, tier, tier.entries, bodies)
+        time.sleep(0.1)
+        for name in ('t0-0', 't1-1'):
+            tier.targets[name].send(signal.SIGKILL)
+        replies = sent.result()
+    assert incomplete(replies) == []
+    assert counted(tier, 'quarantined') == before
+
+
+def test_frozen_home_delays_others_once(tier):
+    frozen, *others = tier.entries
+    frozen.send(signal.SIGSTOP)
+    took = []
+    try:
+        for number in range(40):
+            began_at = time.monotonic()
+            reply = tier.query(others[number % 4], query(f'home {number}'))
+            took.append(time.monotonic() - began_at)
+            assert reply.frames()[-1]['complete']
+    finally:
+        frozen.send(signal.SIGCONT)
+    # About a fifth of these ask the frozen home unless it is passed over.
+    assert sum(took_s > 0.1 for took_s in took) <= len(others)
+
+
+def book_crashing(tier, number):
+    return tier.book(
+        tier.entries[number % NODES],
+        f'crashing-key-{number}',
+        headers={'Sesameward-Attempt': '1'},
+        action={'text': 'poison'},
+    )
+
+
+def test_booking_that_crashes_targets_is_refused_before_its_claim(tier):
+    set_all(tier, crash_on='poison')
+    crashed = [book_crashing(tier, number) for number in range(2)]
+    wait_until(lambda: len(tier.dead_targets()) == 2, 'both ends', 2.0)
+    assert [reply.json()['run'] for reply in crashed] == ['unknown'] * 2
+    settle(tier)
+    set_all(tier, crash_on='poison')
+    refused = [book_crashing(tier, number) for number in range(2, 7)]
+    assert not tier.dead_targets()
+    for reply in refused:
+        assert reply.status == 503
+        assert reply.json()['kind'] == 'quarantined'
+        assert reply.json()['run'] == 'no'
+        assert int(reply.headers['Retry-After']) >= 1
+    port = tier.platform.ports['port']
+    claims = call(port, f'/v1/objects/{KIND}').json()['objects']
+    names = {claim['name'] for claim in claims}
+    assert claim_name(1) in names
+    assert not {claim_name(number) for number in range(2, 7)} & names
+
+
+def claim_name(number):
+    key = BookingKey(f'crashing-key-{number}')
+    return object_name(ServiceName('trip-desk'), key)
--- /dev/null
+++ b/tests/test_fanout_trials.py
@@ -0,0 +1,132 @@
+"""Test that a fan-out on trial takes no further target."""
+
+from __future__ import annotations
+
+import pytest
+
+from sesameward import fanout
+from sesameward.messages import ShardReply
+from sesameward.messages import TargetReply
+from sesameward.snapshots import Group
+from sesameward.snapshots import Pin
+from sesameward.types import MissingReason
+from sesameward.types import Outcome
+from sesameward.types import RecordVersion
+from sesameward.types import RequestId
+from sesameward.types import ShardId
+from sesameward.types import Snapshot
+from sesameward.types import TargetId
+
+SNAPSHOT = Snapshot(1)
+DEADLINE_S = 9.0
+
+
+class First:
+    """Choose the first replica, and hedge after a second."""
+
+    def choose(self, candidates, now, avoid=()):
+        return next((c for c in candidates if c not in avoid), None)
+
+    def deposit(self, target):
+        pass
+
+    def withdraw(self, target):
+        return True
+
+    def delay_s(self, key, now, hedges=0):
+        return 1.0
+
+
+@pytest.fixture
+def query(service):
+    """Return a fan-out over two shards of two replicas each."""
+    groups = tuple(
+        Group((ShardId(f's{i}'),), (TargetId(f't{i}a'), TargetId(f't{i}b')))
+        for i in range(2)
+    )
+    pin = Pin(service.maps[0], SNAPSHOT, groups)
+    req = fanout.FanoutRequest(
+        RequestId('r'), 'trip-desk', pin, (RecordVersion(1),), 0.0, DEADLINE_S
+    )
+    return fanout.Fanout(req, First(), First(), First())
+
+
+def sends(actions):
+    return [a for a in actions if isinstance(a, fanout.Send)]
+
+
+def ends(actions):
+    return [a.end for a in actions if isinstance(a, fanout.Finish)]
+
+
+def reply_to(send):
+    shards = tuple(ShardReply(shard, SNAPSHOT) for shard in send.shards)
+    return TargetReply(send.attempt, shards)
+
+
+def answer(query, send, now):
+    return query.replied(send.attempt, reply_to(send), now)
+
+
+def test_nothing_leaves_after_a_break_until_it_is_admitted(query):
+    first, second = sends(query.start(0.0))
+    assert sends(query.pause(first.attempt, 0.1)) == []
+    connect_failed = query.failed(second.attempt, Outcome.CONNECT_FAILED, 0.2)
+    assert sends(connect_failed) == []
+    assert sends(query.due(5.0)) == []
+    (canary,) = sends(query.resume(5.1, first.target))
+    # It keeps away from the replicas of the target which broke.
+    assert canary.shards == second.shards
+    assert sends(query.due(7.0)) == []
+    assert not ends(answer(query, canary, 7.1))
+    (last,) = sends(query.release(7.1))
+    (end,) = ends(answer(query, last, 7.2))
+    assert end.complete
+
+
+def test_older_break_leaves_the_trial_alone(query):
+    first, second = sends(query.start(0.0))
+    query.pause(first.attempt, 0.1)
+    (canary,) = sends(query.resume(0.2, None))
+    query.pause(second.attempt, 0.3)
+    assert query.trial == canary.attempt
+    query.pause(canary.attempt, 0.4)
+    assert query.trial is None
+
+
+def test_lead_is_not_hedged_before_a_success(query):
+    (lead,) = sends(query.start(0.0, one_first=True))
+    assert sends(query.due(2.0)) == []
+    (other,) = sends(query.release(2.1))
+    assert sends(query.due(4.0)) == []
+    answer(query, other, 4.1)
+    (hedge,) = sends(query.due(4.2))
+    assert hedge.shards == lead.shards
+
+
+def test_trial_without_a_verdict_is_followed_by_another(query):
+    (lead,) = sends(query.start(0.0, one_first=True))
+    actions = query.failed(lead.attempt, Outcome.CONNECT_FAILED, 0.1)
+    (again,) = sends(actions)
+    assert query.trial == again.attempt
+
+
+@pytest.mark.parametrize(
+    'reason, retry_after_s',
+    [
+        (MissingReason.QUARANTINED, 30.0),
+        (MissingReason.OVERLOADED, 30.0),
+        (MissingReason.NO_REPLICA, 30.0),
+        (MissingReason.DEADLINE, None),
+    ],
+)
+def test_end_tells_when_to_come_back(query, reason, retry_after_s):
+    query.start(0.0)
+    (end,) = ends(query.stop(reason, 1.0, 30.0))
+    assert end.retry_after_s == retry_after_s
+
+
+def test_without_a_known_time_the_end_tells_the_usual_one(query):
+    query.start(0.0, one_first=True)
+    (end,) = ends(query.stop(MissingReason.NO_REPLICA, 1.0))
+    assert end.retry_after_s == fanout.RETRY_AFTER_S
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -161,6 +161,36 @@
     assert not [a for a in actions if isinstance(a, quarantine.Quarantined)]
 
 
+def test_what_succeeded_before_is_quarantined_one_crash_later():
+    local = make()
+    local.succeeded(GOOD, T0, 0.0)
+    local.broke(GOOD, T0, {GOOD}, 1.0, tried=False)
+    for number in range(2):
+        now = 2.0 + number
+        assert isinstance(local.admit(GOOD, now), quarantine.Canary)
+        local.broke(GOOD, TargetId(f'u{number}'), {GOOD}, now + 0.1)
+    assert isinstance(local.admit(GOOD, 4.0), quarantine.Refuse)
+
+
+def test_only_the_end_of_the_trial_is_blamed(crashed_once):
+    local, _ = crashed_once
+    assert isinstance(local.admit(BAD, 1.0), quarantine.Canary)
+    for number in range(3):
+        older = TargetId(f'u{number}')
+        local.broke(BAD, older, {BAD}, 1.01, tried=False)
+    assert local.admit(BAD, 1.02).on_trial
+    actions = local.broke(BAD, T1, {BAD}, 1.1)
+    assert [a for a in actions if isinstance(a, quarantine.Quarantined)]
+
+
+def test_reports_of_one_break_by_two_entries_are_one(crashed_once):
+    local, _ = crashed_once
+    assert isinstance(local.admit(BAD, 1.0), quarantine.Canary)
+    local.broke(GOOD, T1, {GOOD}, 1.1, tried=False)
+    actions = local.broke(BAD, T1, {BAD}, 1.1)
+    assert [a for a in actions if isinstance(a, quarantine.Quarantined)]
+
+
 def test_memory_is_bounded():
     local = make(max_suspects=10, max_proven=10)
     for index in range(100):
