Quarantine crashing requests for real; let another attempt lead

Causes, found with real processes: (1) the target's stand-in never crashed, since 'in' on msgspec.Raw raises; it answered 500 instead. (3) Where the leading sub-request found only dead replicas, those held back waited for the deadline; now the next one leads.

--- a/sesameward/fanout.py
+++ b/sesameward/fanout.py
@@ -200,6 +200,11 @@
         held, self._held = self._held, {}
         return self._send_first(held, now)
 
+    def _send_next_held(self, now: float) -> list[Action]:
+        """Let another attempt lead when the first one proved nothing."""
+        target = next(iter(self._held))
+        return self._send_first({target: self._held.pop(target)}, now)
+
     def _nearest(
         self,
         chosen: typing.Mapping[TargetId, typing.Sequence[ShardId]],
@@ -276,6 +281,8 @@
         actions: list[Action] = []
         wanted = [shard for shard in sent.shards if shard in self._wanted]
         self._retry(wanted, outcome, actions, now)
+        if self._held and not self._attempts:
+            actions += self._send_next_held(now)
         self._finish_if_done(actions, now)
         return actions
 
--- a/sesameward/standin/target.py
+++ b/sesameward/standin/target.py
@@ -186,7 +186,7 @@
         state.calls.queries += 1
         state.calls.shards += len(query.shards)
         state.calls.last_work_at = asyncio.get_running_loop().time()
-        if faults.crash_on and faults.crash_on.encode() in query.match:
+        if faults.crash_on and faults.crash_on.encode() in bytes(query.match):
             os._exit(_EXIT_CRASHED)
         if faults.drop_connections:
             return self.drop()
@@ -238,7 +238,9 @@
             return self.refuse(booking.attempt, 'shed', 50)
         # A booking which has begun takes effect even if its caller leaves.
         state.calls.bookings[booking.key] += 1
-        if faults.crash_on and faults.crash_on.encode() in booking.action:
+        if faults.crash_on and faults.crash_on.encode() in bytes(
+            booking.action
+        ):
             os._exit(_EXIT_CRASHED)
         await asyncio.sleep(state.service_time_s())
         if state.rng.random() < faults.lose_reply_chance:
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -291,3 +291,16 @@
     caller.check_end()
     reasons = {m.reason for m in caller.end.missing}
     assert reasons == {MissingReason.QUARANTINED, MissingReason.NO_REPLICA}
+
+
+def test_another_attempt_leads_when_the_first_found_no_replica():
+    caller = Caller(tokens=0)
+    caller.take(caller.fanout.start(0.0, one_first=True, near=TARGETS[3]))
+    while caller.fanout.holding:
+        assert caller.running, 'held attempts must not wait for the deadline'
+        attempt = next(iter(caller.running))
+        caller.fail(attempt, Outcome.CONNECT_FAILED, 0.01)
+    assert caller.end is None
+    while caller.running:
+        caller.fail(next(iter(caller.running)), Outcome.ERROR, 0.02)
+    caller.check_end()
