--- a/benchmark/crashing.py
+++ b/benchmark/crashing.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sesameward.standin.processes import call
+from sesameward.standin.processes import Process
 from sesameward.standin.processes import Shape
 from sesameward.standin.processes import Tier
 from sesameward.standin.processes import wait_until
@@ -142,6 +143,12 @@
     )
 
 
+def lists_all(entry: Process) -> bool:
+    """Tell whether an entry knows all others, and so every home."""
+    found = call(entry.ports['port'], '/v1/addresses').json()
+    return len(found['addresses']) == NODES
+
+
 def fallbacks(tier: Tier) -> int:
     """Return how often all entries did without the home."""
     pages = [call(e.ports['port'], '/metrics').body for e in tier.entries]
@@ -172,6 +179,8 @@
     figures: dict[str, object] = {}
     shape = Shape(nodes=NODES, deadline_ms=DEADLINE_MS, max_deadline_ms=5_000)
     with Tier(shape, **settings) as tier:
+        for entry in tier.entries:
+            wait_until(lambda e=entry: lists_all(e), 'all addresses')
         figures['calm'] = measure_calm(tier)
         print('calm', figures['calm'], flush=True)
         if settings is UNLED:
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -113,6 +113,7 @@
             assert reply.json()['kind'] == 'quarantined'
             assert int(reply.headers['Retry-After']) >= 1
     assert [r.status for r in replies[-NODES:]] == [503] * NODES
+    assert counted(tier, 'quarantined') >= 1
 
 
 def test_innocents_on_a_crashed_target_are_answered_whole(tier):
