Let the check of two reports of one break catch the fault

The check passed with the fault put back: with no other request in flight the blame came to exactly 0.75. Now both breaks are reported by another entry first, with one more request beside; it fails with the fault put back (count of the other breaks as before) and passes without.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -183,11 +183,13 @@
     assert [a for a in actions if isinstance(a, quarantine.Quarantined)]
 
 
-def test_reports_of_one_break_by_two_entries_are_one(crashed_once):
-    local, _ = crashed_once
-    assert isinstance(local.admit(BAD, 1.0), quarantine.Canary)
-    local.broke(GOOD, T1, {GOOD}, 1.1, tried=False)
-    actions = local.broke(BAD, T1, {BAD}, 1.1)
+def test_reports_of_one_break_by_two_entries_are_one():
+    local = make()
+    beside = {BAD, Fingerprint('beside')}
+    for now, target in ((0.0, T0), (1.0, T1)):
+        assert not isinstance(local.admit(BAD, now), quarantine.Refuse)
+        local.broke(GOOD, target, {GOOD}, now + 0.01, tried=False)
+        actions = local.broke(BAD, target, beside, now + 0.01)
     assert [a for a in actions if isinstance(a, quarantine.Quarantined)]
 
 
