--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -210,3 +210,22 @@
         assert (reply.failure, reply.sent) == (Failure.TIMEOUT, True)
 
     on_bench(scenario)
+
+
+def test_descriptors_reused_between_lanes_at_once(on_bench):
+    async def scenario(bench):
+        for _ in range(20):
+            sends = [
+                bench.send(b'a', bench.once if index % 3 else bench.lane)
+                for index in range(60)
+            ]
+            cancelled = [
+                bench.transfers.submit(bench.lane, b'hang', lambda _: None)
+                for _ in range(10)
+            ]
+            replies = await asyncio.gather(*sends)
+            assert {r.status for r in replies} == {200}
+            for transfer in cancelled:
+                bench.transfers.cancel(transfer)
+
+    on_bench(scenario)
