Carry 4,800 members and 30,000 targets in one agent

Each VM list was checked against a list of all members (0.27 s each time); a starting agent took itself for home to all 30,000 targets; the book was decoded and held as objects for each update. Members are one tuple until one changes, the list is checked against a set, pools are decoded one at a time and reach entries as stored, and a large fleet's homes wait 5 s for the members.

--- a/benchmark/control.py
+++ b/benchmark/control.py
@@ -1,4 +1,4 @@
-"""Measure what one agent's membership costs at several sizes."""
+"""Measure what one whole agent costs at several sizes."""
 
 from __future__ import annotations
 
@@ -9,14 +9,19 @@
 import random
 import subprocess
 import sys
+import tempfile
 import time
 
 from grpclib.server import Server
 import msgspec
+import pycurl
 
+from sesameward import agent as agent_module
+from sesameward.agent import Agent
 from sesameward import antientropy
 from sesameward.antientropy import AntiEntropy
 from sesameward.codec import MsgpackCodec
+from sesameward.controllers.target_states import TargetStates
 from sesameward import datagrams
 from sesameward.datagrams import Ack
 from sesameward.datagrams import Datagram
@@ -26,13 +31,11 @@
 from sesameward.datagrams import PingRequest
 from sesameward.datagrams import Update
 from sesameward.datagrams import WireRumor
-from sesameward.declared import Target
+from sesameward import declared
 from sesameward.gossip import bind_reply
-from sesameward.gossip import Gossip
 from sesameward.messages import Address
-from sesameward.messages import LoadReport
 from sesameward.messages import Member
-from sesameward.messages import TargetStatus
+from sesameward.messages import Vm
 from sesameward.metrics import Metrics
 from sesameward.peers import PeerClient
 from sesameward.peers import PeerHandler
@@ -44,6 +47,8 @@
 from sesameward.settings import Endpoint
 from sesameward.settings import MembershipSettings
 from sesameward.settings import PlatformSettings
+from sesameward.standin.platform import Platform
+from sesameward.standin import target
 from sesameward.swim import Swim
 from sesameward.types import NodeId
 from sesameward.types import ShardId
@@ -51,12 +56,22 @@
 from sesameward.types import ZoneName
 
 HOST = '127.0.0.1'
+NODE = NodeId('erie-00-0000')
 CFG = MembershipSettings(keys=('benchmark',))
 TARGETS = 30_000
 WINDOW_S = 20.0
 JOIN_TIMEOUT_S = 60.0
 IP_UDP_BYTES = 28
 SYNC_CONNECTION_BYTES = 1_200
+CONFIG_PER_S = 4_300 / 86_400
+BUSY_CONFIG_PER_S = 0.5
+POOL_TARGETS = 500
+TARGET_PORTS = 20
+PROBES_PER_S = 10
+HOMES = 13
+SHARDS = 850
+# A probe is one packet and one acknowledgement in each direction.
+IP_TCP_BYTES = 2 * 52
 NORMAL_CHANGES_PER_S = 4_300 / 86_400 + 2 * 2_620 / 86_400
 BUSY_CHANGES_PER_S = 3.0
 GOSSIPS_PER_PROBE = 2
@@ -71,6 +86,15 @@
     members: int
     changes_per_s: float
     targets: int = TARGETS
+    config_per_s: float = 0.0
+
+
+class Ports(msgspec.Struct, frozen=True):
+    """Name where the rest of the fleet listens."""
+
+    gossip: int
+    grpc: int
+    platform: int
 
 
 class Cost(msgspec.Struct, frozen=True):
@@ -79,24 +103,27 @@
     members: int
     changes_per_s: float
     targets: int
+    config_per_s: float
     seen: int
+    own_targets: int
     join_s: float
     core_percent: float
     resident_mb: float
-    import_mb: float
-    targets_mb: float
+    peak_mb: float
     sent_kb_per_s: float
     received_kb_per_s: float
+    probes_per_s: float
     syncs: int
+    revision: int
 
 
 CASES = (
-    Case(5, NORMAL_CHANGES_PER_S, targets=0),
-    Case(5, NORMAL_CHANGES_PER_S),
+    Case(5, NORMAL_CHANGES_PER_S, targets=20),
     Case(500, NORMAL_CHANGES_PER_S),
-    Case(1_500, NORMAL_CHANGES_PER_S),
-    Case(4_800, NORMAL_CHANGES_PER_S),
-    Case(4_800, BUSY_CHANGES_PER_S),
+    Case(4_800, NORMAL_CHANGES_PER_S, targets=0),
+    Case(4_800, NORMAL_CHANGES_PER_S, config_per_s=CONFIG_PER_S),
+    Case(4_800, BUSY_CHANGES_PER_S, config_per_s=CONFIG_PER_S),
+    Case(4_800, NORMAL_CHANGES_PER_S, config_per_s=BUSY_CONFIG_PER_S),
 )
 
 
@@ -141,8 +168,49 @@
         await server.start(HOST, 0)
         self._grpc_port = server._server.sockets[0].getsockname()[1]
         self._build()
-        print(self._port, self._grpc_port, flush=True)
-        await asyncio.gather(self._probe(), self._compare())
+        platform = Platform()
+        port = platform.start()
+        self._declare(platform)
+        ports = Ports(self._port, self._grpc_port, port)
+        print(msgspec.json.encode(ports).decode(), flush=True)
+        await asyncio.gather(
+            self._probe(), self._compare(), self._reconfigure(platform)
+        )
+
+    def _declare(self, platform: Platform) -> None:
+        """Put the service, its targets and a VM into the store."""
+        ports = [
+            target.serve(
+                target.TargetState((ShardId('s0'),), 2, 0.0, 0, 1), HOST, 0
+            )
+            for _ in range(TARGET_PORTS)
+        ]
+        self._pools = [
+            build_pool(start, min(POOL_TARGETS, self._case.targets), ports)
+            for start in range(0, self._case.targets, POOL_TARGETS)
+        ]
+        platform.vms = (Vm(NODE, HOST, ZoneName('erie-00')),)
+        for item in (build_service(), *self._pools):
+            self._write(platform, item)
+
+    def _write(self, platform: Platform, item: declared.Declared) -> None:
+        kind, value = declared.kind_of(item), declared.encode(item)
+        platform.store.write(kind, item.name, value, '', False)
+
+    async def _reconfigure(self, platform: Platform) -> None:
+        """Change one pool after another at the case's rate."""
+        count = 0
+        while self._case.config_per_s and self._pools:
+            await asyncio.sleep(1.0 / self._case.config_per_s)
+            count += 1
+            pool = self._pools[count % len(self._pools)]
+            first = msgspec.structs.replace(
+                pool.targets[0], connect_ms=float(count)
+            )
+            targets = (first, *pool.targets[1:])
+            self._write(
+                platform, msgspec.structs.replace(pool, targets=targets)
+            )
 
     async def _compare(self) -> None:
         """Ask the agent for what differs as often as peers would."""
@@ -198,8 +266,8 @@
                     self._learn(update)
             case Ping(seq, target):
                 self._send(target, Ack(seq), self._take())
-            case PingRequest(seq, _):
-                self._send(message.sender, Ack(seq), self._take())
+            case PingRequest(seq, node):
+                self._send(node, Ack(seq), self._take())
 
     def _learn(self, update: Update) -> None:
         match update:
@@ -262,76 +330,124 @@
 # The measured agent.
 
 
-def build_targets(count: int) -> dict[TargetId, tuple]:
-    """Return declared targets and what is known of them, by id."""
-    targets = (build_target(index) for index in range(count))
-    return {
-        target.id: (target, TargetStatus(target.id, report=LoadReport()))
-        for target in targets
-    }
+def build_service() -> declared.Service:
+    """Return a service of as many shards as a query asks."""
+    starts = [f'k{index:03}' for index in range(SHARDS)]
+    starts[0] = ''
+    return declared.Service(
+        name='trip-desk',
+        maps=(
+            declared.ShardMap(
+                1,
+                tuple(
+                    declared.Shard(ShardId(f's{index}'), start, end)
+                    for index, (start, end) in enumerate(
+                        zip(starts, [*starts[1:], None], strict=True)
+                    )
+                ),
+            ),
+        ),
+        record_versions=(1,),
+    )
+
+
+def build_pool(start: int, count: int, ports: list[int]) -> declared.Pool:
+    """Return one pool of the book."""
+    return declared.Pool(
+        name=f'trip-desk-{start:05}',
+        service='trip-desk',
+        targets=tuple(
+            declared.Target(
+                id=TargetId(f'trip-desk-{index:05}'),
+                host=HOST,
+                port=ports[index % len(ports)],
+                zone=ZoneName('erie-00'),
+                shards=(ShardId(f's{index % SHARDS}'),),
+            )
+            for index in range(start, start + count)
+        ),
+    )
 
 
-def build_target(index: int) -> Target:
-    """Return one declared target."""
-    return Target(
-        id=TargetId(f'trip-desk-{index:05}'),
-        host=f'10.{index >> 16}.{index >> 8 & 255}.{index & 255}',
-        port=9_000,
+def build_settings(ports: Ports) -> AgentSettings:
+    """Return the settings of the measured agent."""
+    return AgentSettings(
+        node=NODE,
         zone=ZoneName('erie-00'),
-        shards=(ShardId(f's{index % 850}'),),
+        http=Endpoint(HOST, 0),
+        grpc=Endpoint(HOST, 0),
+        gossip=Endpoint(HOST, 0),
+        platform=PlatformSettings(f'http://{HOST}:{ports.platform}'),
+        membership=CFG,
+        seeds=(Endpoint(HOST, ports.gossip),),
+        # It watches the store, as only a few agents of each zone do.
+        watchers_per_zone=10_000,
+        probes_per_s=PROBES_PER_S,
+        homes=HOMES,
     )
 
 
-def resident_mb() -> float:
-    """Return this process's resident memory."""
-    with open('/proc/self/statm', encoding='ascii') as statm:
-        pages = int(statm.read().split()[1])
-    return pages * os.sysconf('SC_PAGE_SIZE') / 1_048_576
+def resident_mb(name: str) -> float:
+    """Return this process's resident memory, at present or at most."""
+    with open('/proc/self/status', encoding='ascii') as status:
+        line = next(line for line in status if line.startswith(name))
+    return int(line.split()[1]) / 1_024
 
 
-def import_agent() -> None:
-    """Load what an agent's process loads besides its membership."""
-    import tornado.httpserver  # noqa: F401
-    import tornado.web  # noqa: F401
-    import yaml  # noqa: F401
+class CountedProbes(TargetStates):
+    """Count the probes."""
 
+    probes = 0
 
-async def measure(case: Case, port: int, grpc_port: int) -> Cost:
+    def _probe(self, probed: object, now: float) -> None:
+        self.probes += 1
+        super()._probe(probed, now)
+
+
+async def measure(case: Case, ports: Ports) -> Cost:
     """Join and return the cost of a steady stretch."""
-    import_agent()
-    import_mb = resident_mb()
-    targets = build_targets(case.targets)
-    targets_mb = resident_mb() - import_mb
-    metrics = Metrics('agent')
-    handler = PeerHandler(lambda sealed: gossip.answer_sync(sealed))
-    server = Server([handler], codec=MsgpackCodec())
-    await server.start(HOST, 0)
-    own_grpc_port = server._server.sockets[0].getsockname()[1]
-    gossip = Gossip(
-        AgentSettings(
-            node=NodeId('erie-00-0000'),
-            zone=ZoneName('erie-00'),
-            http=Endpoint(HOST, 0),
-            grpc=Endpoint(HOST, 0),
-            gossip=Endpoint(HOST, 0),
-            platform=PlatformSettings('http://127.0.0.1:1'),
-            membership=CFG,
-            seeds=(Endpoint(HOST, port),),
-        ),
-        build_member(0, 1, own_grpc_port),
-        metrics,
-        random.Random(1),
-        PeerClient(),
-    )
+    agent_module.TargetStates = CountedProbes
+    agent = Agent(build_settings(ports))
     began = time.monotonic()
-    await gossip.start()
-    while len(gossip.members()) < case.members:
+    await agent.start()
+    while len(agent.gossip.members()) < case.members:
         if time.monotonic() - began > JOIN_TIMEOUT_S:
             break
         await asyncio.sleep(0.1)
     join_s = time.monotonic() - began
-    await asyncio.sleep(case.members / 100 * 0.13 + 2.0)
+    entry = start_entry(agent, ports)
+    try:
+        return await measure_window(case, agent, join_s)
+    finally:
+        entry.kill()
+        entry.wait()
+
+
+def start_entry(agent: Agent, ports: Ports) -> subprocess.Popen:
+    """Start the entry which the agent feeds."""
+    cfg = {
+        'node': NODE,
+        'zone': 'erie-00',
+        'listen': {'host': HOST, 'port': 0},
+        'agent': {'host': HOST, 'port': agent.grpc_port},
+        'platform': {'url': f'http://{HOST}:{ports.platform}'},
+    }
+    handle, path = tempfile.mkstemp(suffix='.yaml')
+    with open(handle, 'w', encoding='utf-8') as file:
+        json.dump(cfg, file)
+    return subprocess.Popen(
+        [sys.executable, '-m', 'sesameward.entry', path],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+async def measure_window(case: Case, agent: Agent, join_s: float) -> Cost:
+    """Return the cost of a steady stretch."""
+    metrics = agent.metrics
+    await asyncio.sleep(case.members / 100 * 0.13 + 5.0)
     before = _traffic(metrics)
+    probes = agent.targets.probes
     cpu_s = time.process_time()
     began = time.monotonic()
     await asyncio.sleep(WINDOW_S)
@@ -341,23 +457,43 @@
         after - earlier
         for after, earlier in zip(_traffic(metrics), before, strict=True)
     )
-    cost = Cost(
+    probes = agent.targets.probes - probes
+    own_targets = len(agent.targets.statuses())
+    if own_targets:
+        asked, answered = await asyncio.to_thread(probe_bytes, agent)
+        sent += probes * asked
+        received += probes * answered
+    return Cost(
         members=case.members,
         changes_per_s=round(case.changes_per_s, 3),
-        targets=len(targets),
-        seen=len(gossip.members()),
+        targets=case.targets,
+        config_per_s=round(case.config_per_s, 3),
+        seen=len(agent.gossip.members()),
+        own_targets=own_targets,
         join_s=round(join_s, 2),
         core_percent=round(100 * cpu_s / elapsed_s, 3),
-        resident_mb=round(resident_mb(), 1),
-        import_mb=round(import_mb, 1),
-        targets_mb=round(targets_mb, 1),
+        resident_mb=round(resident_mb('VmRSS'), 1),
+        peak_mb=round(resident_mb('VmHWM'), 1),
         sent_kb_per_s=round(sent / elapsed_s / 1_000, 3),
         received_kb_per_s=round(received / elapsed_s / 1_000, 3),
+        probes_per_s=round(probes / elapsed_s, 2),
         syncs=syncs,
+        revision=agent.configuration.revision,
     )
-    await gossip.stop(leave=False)
-    server.close()
-    return cost
+
+
+def probe_bytes(agent: Agent) -> tuple[int, int]:
+    """Return the bytes of one probe in each direction with headers."""
+    probed = next(iter(agent.targets._probed.values()))
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, probed.lane.url)
+    curl.setopt(pycurl.PROXY, '')
+    curl.setopt(pycurl.WRITEFUNCTION, lambda _: None)
+    curl.perform()
+    asked = curl.getinfo(pycurl.REQUEST_SIZE)
+    answered = curl.getinfo(pycurl.HEADER_SIZE)
+    answered += int(curl.getinfo(pycurl.SIZE_DOWNLOAD_T))
+    return asked + IP_TCP_BYTES, answered + IP_TCP_BYTES
 
 
 def _traffic(metrics: Metrics) -> tuple[int, int, int]:
@@ -383,10 +519,9 @@
         [*command, 'others', text], stdout=subprocess.PIPE, text=True
     )
     try:
-        port, grpc_port = others.stdout.readline().split()
         result = subprocess.run(
-            [*command, 'agent', text, port, grpc_port],
-            capture_output=True,
+            [*command, 'agent', text, others.stdout.readline()],
+            stdout=subprocess.PIPE,
             text=True,
             check=True,
         )
@@ -398,42 +533,55 @@
     )
 
 
-def slope(low: float, high: float, steps: float) -> float:
-    """Return the rise per step."""
-    return round((high - low) / steps, 6)
+RATES = ('core_percent', 'sent_kb_per_s', 'received_kb_per_s')
+BOUNDS = {
+    'core_percent': MAX_CORE_PERCENT,
+    'resident_mb': MAX_RESIDENT_MB,
+    'peak_mb': MAX_RESIDENT_MB,
+    'sent_kb_per_s': MAX_KB_PER_S,
+    'received_kb_per_s': MAX_KB_PER_S,
+}
+
+
+def slopes(
+    low: Cost, high: Cost, steps: float, names: tuple[str, ...] = RATES
+) -> dict[str, float]:
+    """Return the rise of some figures per step."""
+    return {
+        name: round((getattr(high, name) - getattr(low, name)) / steps, 6)
+        for name in names
+    }
+
+
+def misses(cost: Cost) -> dict[str, float]:
+    """Return the figures above their bounds."""
+    return {
+        name: getattr(cost, name)
+        for name, bound in BOUNDS.items()
+        if getattr(cost, name) > bound
+    }
 
 
 def summarize(costs: list[Cost]) -> dict:
     """Return figures, slopes and what misses its bound."""
-    bare, small, _, _, large, busy = costs
-    members = large.members - small.members
-    changes = busy.changes_per_s - large.changes_per_s
-    names = ('core_percent', 'sent_kb_per_s', 'received_kb_per_s')
-    misses = [
-        name
-        for name, bound in (
-            ('core_percent', MAX_CORE_PERCENT),
-            ('resident_mb', MAX_RESIDENT_MB),
-            ('sent_kb_per_s', MAX_KB_PER_S),
-            ('received_kb_per_s', MAX_KB_PER_S),
-        )
-        if getattr(large, name) > bound
-    ]
+    today, small, bare, large, busy, edited = costs
+    with_memory = (*RATES, 'resident_mb')
     return {
         'benchmark': 'control',
+        'today': msgspec.to_builtins(today),
         'at_4800': msgspec.to_builtins(large),
-        'per_member': {
-            name: slope(getattr(small, name), getattr(large, name), members)
-            for name in (*names, 'resident_mb')
-        },
-        'per_change_per_s': {
-            name: slope(getattr(large, name), getattr(busy, name), changes)
-            for name in names
-        },
-        'resident_mb_per_target': slope(
-            bare.resident_mb, small.resident_mb, small.targets
+        'per_member': slopes(
+            small, large, large.members - small.members, with_memory
+        ),
+        'per_target': slopes(bare, large, large.targets, with_memory),
+        'per_member_change_per_s': slopes(
+            large, busy, busy.changes_per_s - large.changes_per_s
+        ),
+        'per_config_change_per_s': slopes(
+            large, edited, edited.config_per_s - large.config_per_s
         ),
-        'misses': misses,
+        'misses': misses(large),
+        'misses_today': misses(today),
     }
 
 
@@ -443,9 +591,10 @@
         case ['others', text]:
             case_ = msgspec.json.decode(text, type=Case)
             asyncio.run(Others(case_).serve())
-        case ['agent', text, port, grpc_port]:
+        case ['agent', text, ports]:
             case_ = msgspec.json.decode(text, type=Case)
-            cost = asyncio.run(measure(case_, int(port), int(grpc_port)))
+            where = msgspec.json.decode(ports, type=Ports)
+            cost = asyncio.run(measure(case_, where))
             print(msgspec.json.encode(cost).decode())
         case _:
             with concurrent.futures.ThreadPoolExecutor(3) as pool:
--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -30,7 +30,6 @@
 from .controllers.rollup import Rollup
 from .controllers.target_states import TargetStates
 from .controllers.vm_list import VmList
-from .declared import Pool
 from .exceptions import AdminError
 from .exceptions import RumorTooLargeError
 from .exceptions import SettingsError
@@ -66,7 +65,11 @@
 EXIT_USAGE = 2
 EXIT_KILLED = 4
 NODES_PERIOD_S = 0.5
-NODES_REFRESH_S = 5.0
+NODES_REFRESH_S = 30.0
+# Bounds what the updates to the entries of a large fleet cost.
+NODES_GAP_PER_MEMBER_S = 0.0002
+SETTLE_S = 5.0
+MAX_UNSETTLED = 1_000
 OTHER_AGENTS = 3
 # An entry which is stopped at the same time reports it within this time.
 STOP_GRACE_S = 0.5
@@ -161,6 +164,8 @@
         self._nodes_stale = True
         self._nodes_at = 0.0
         self._home_buckets: frozenset[int] = frozenset()
+        self._homes_settle_at = 0.0
+        self._unsettled = False
         self._holders_stale = True
         self._homes_stale = True
 
@@ -176,6 +181,7 @@
         self.gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
         self.gossip.subscribe(HOLDERS_TOPIC, self._on_holders)
         self.gossip.subscribe(DRAIN_TOPIC, self._on_drain)
+        self._homes_settle_at = self.clock() + SETTLE_S
         await self.gossip.start()
         await self._grpc.start(sock=self._grpc_sockets[0])
         self._http.add_sockets(self._http_sockets)
@@ -296,10 +302,9 @@
 
     def _config_update(self) -> feed.ConfigUpdate:
         book = self.configuration.book
-        services = book.services()
-        pools = [p for name in services for p in book.pools(name)]
+        found = book.in_force()
         return feed.ConfigUpdate(
-            book.revision, tuple(services.values()), tuple(pools)
+            book.revision, tuple(found[key] for key in sorted(found))
         )
 
     def _nodes_update(self) -> feed.NodesUpdate:
@@ -363,7 +368,8 @@
         all_own = tuple(r.address for r in self.hub.reports())
         reported = (all_own, self.hub.addresses())
         changed = self._nodes_stale or reported != self._reported
-        if not changed and now < self._nodes_at:
+        gap_s = len(self.homes) * NODES_GAP_PER_MEMBER_S
+        if now < self._nodes_at - (NODES_REFRESH_S - gap_s if changed else 0):
             return False
         self._nodes_stale = False
         self._nodes_at = now + NODES_REFRESH_S
@@ -373,18 +379,32 @@
     def _check_homes(self) -> None:
         self._homes_stale = False
         buckets = self.homes.own()
-        if buckets != self._home_buckets:
+        if buckets != self._home_buckets or self._unsettled:
             self._home_buckets = buckets
-            self._declare_targets(self._config_update().pools)
+            self._unsettled = False
+            self._declare_targets()
 
-    def _declare_targets(self, pools: typing.Iterable[Pool]) -> None:
+    def _declare_targets(self) -> None:
         """Probe the targets to which this node is home."""
-        self.targets.declare(
-            target
-            for pool in pools
-            for target in pool.targets
-            if bucket_of(target.id) in self._home_buckets
-        )
+        own, limits = [], set()
+        # One pool at a time is decoded, since all together take much memory.
+        for pool in self.configuration.book.all_pools():
+            for target in pool.targets:
+                limits.add(target.connections)
+                if bucket_of(target.id) in self._home_buckets:
+                    own.append(target)
+        self._limits = frozenset(limits)
+        if len(own) <= MAX_UNSETTLED or self._is_settled():
+            self.targets.declare(own)
+        else:
+            self._unsettled = self._homes_stale = True
+
+    def _is_settled(self) -> bool:
+        """Tell whether the members have been known for a while.
+
+        An agent that has just started takes itself for home to all.
+        """
+        return self.clock() >= self._homes_settle_at
 
     def _tell_holders(self) -> None:
         now = self.clock()
@@ -412,10 +432,7 @@
 
     def _on_config(self, changed: typing.Sequence[StoredObject]) -> None:
         update = self._config_update()
-        self._limits = frozenset(
-            target.connections for p in update.pools for target in p.targets
-        )
-        self._declare_targets(update.pools)
+        self._declare_targets()
         self.hub.send(update)
         self.hub.send(self._nodes_update())
 
@@ -438,9 +455,11 @@
     def _on_vms(self, vms: tuple[Vm, ...]) -> None:
         nodes = [NodeId(vm.name) for vm in vms if vm.role == 'entry']
         alive = [m.node for m in self.gossip.members()]
+        before = (self.holders.holders, self.holders.full)
         self.holders.listed(nodes, alive, self.clock())
-        self._nodes_stale = True
-        self._holders_stale = True
+        if before != (self.holders.holders, self.holders.full):
+            self._nodes_stale = True
+            self._holders_stale = True
         self.gossip.set_hints(
             Endpoint(vm.host, self.cfg.gossip.port)
             for vm in vms
--- a/sesameward/controllers/catalog.py
+++ b/sesameward/controllers/catalog.py
@@ -5,6 +5,7 @@
 from .. import declared
 from .. import logs
 from ..feed import ConfigUpdate
+from ..objects import declared_of
 from ..types import Revision
 from ..types import TargetId
 
@@ -25,10 +26,16 @@
             return False
         self.revision = update.revision
         self.ready = True
-        self.services = {s.name: s for s in update.services}
-        self.targets = {t.id: t for p in update.pools for t in p.targets}
-        self.service_of = {
-            t.id: p.service for p in update.pools for t in p.targets
-        }
+        self.services = {}
+        pools = []
+        for stored in update.objects:
+            match declared_of(stored):
+                case declared.Service() as service:
+                    self.services[service.name] = service
+                case declared.Pool() as pool:
+                    pools.append(pool)
+        pools = [p for p in pools if p.service in self.services]
+        self.targets = {t.id: t for p in pools for t in p.targets}
+        self.service_of = {t.id: p.service for p in pools for t in p.targets}
         logs.change('config_in_force', revision=self.revision)
         return True
--- a/sesameward/controllers/rollup.py
+++ b/sesameward/controllers/rollup.py
@@ -95,6 +95,8 @@
         self._clock = clock
         self._lease = Lease(node, times)
         self._held = False
+        self._ranked: collections.abc.Sequence[Member] | None = None
+        self._candidate = False
 
     def holds(self) -> bool:
         """Tell whether this node writes the summary at the moment."""
@@ -129,8 +131,14 @@
             await self._write(claim)
 
     def _is_candidate(self) -> bool:
-        nodes = {m.node for m in self._members()} | {self._node}
-        return self._node in pick(f'{KIND}/{NAME}', nodes, CANDIDATES)
+        members = self._members()
+        # A tuple can't change, so the choice holds while it is the same.
+        if members is not self._ranked or not isinstance(members, tuple):
+            nodes = {m.node for m in members} | {self._node}
+            chosen = pick(f'{KIND}/{NAME}', nodes, CANDIDATES)
+            self._ranked = members
+            self._candidate = self._node in chosen
+        return self._candidate
 
     async def _observe(self) -> None:
         try:
--- a/sesameward/controllers/target_states.py
+++ b/sesameward/controllers/target_states.py
@@ -86,6 +86,9 @@
             known = self._probed.get(target.id)
             if known is None or known.target != target:
                 self._add(target, known)
+        latest_at = self._clock() + self._period_s
+        for probed in self._probed.values():
+            probed.due_at = min(probed.due_at, latest_at)
 
     def statuses(self) -> tuple[TargetStatus, ...]:
         """Return the state of all targets."""
--- a/sesameward/feed.py
+++ b/sesameward/feed.py
@@ -4,11 +4,10 @@
 
 import msgspec
 
-from .declared import Pool
-from .declared import Service
 from .messages import Address
 from .messages import Addresses
 from .messages import Rumor
+from .messages import StoredObject
 from .messages import TargetStatus
 from .settings import Endpoint
 from .types import NodeId
@@ -26,11 +25,13 @@
 
 
 class ConfigUpdate(msgspec.Struct, frozen=True, tag='config'):
-    """Carry the whole declared configuration of one revision."""
+    """Carry the whole declared configuration of one revision.
+
+    The objects stay encoded, so that an agent holds no second form of them.
+    """
 
     revision: Revision
-    services: tuple[Service, ...]
-    pools: tuple[Pool, ...]
+    objects: tuple[StoredObject, ...]
 
 
 class TargetsUpdate(msgspec.Struct, frozen=True, tag='targets'):
--- a/sesameward/gossip.py
+++ b/sesameward/gossip.py
@@ -69,6 +69,7 @@
         self._sync_transport = transport
         self._me = me
         self._swim: Swim | None = None
+        self._members: tuple[Member, ...] | None = None
         self._anti_entropy: AntiEntropy | None = None
         self._seals = Seals(cfg.membership.keys, os.urandom(8))
         self._hints: tuple[Endpoint, ...] = ()
@@ -117,9 +118,14 @@
         """Return the own record."""
         return self._swim.me if self._swim else self._me
 
-    def members(self) -> list[Member]:
-        """Return all members which are not dead and have not left."""
-        return self._swim.members()
+    def members(self) -> tuple[Member, ...]:
+        """Return all members which are not dead and have not left.
+
+        It is the same tuple until one of them changes.
+        """
+        if self._members is None:
+            self._members = tuple(self._swim.members())
+        return self._members
 
     def known(self) -> list[Member]:
         """Return all members, also those which are dead or have left."""
@@ -253,6 +259,8 @@
         self._schedule()
 
     def _act(self, actions: list[Action]) -> None:
+        if any(isinstance(action, Changed) for action in actions):
+            self._members = None
         for action in actions:
             match action:
                 case Send(host, port, message):
--- a/sesameward/objects.py
+++ b/sesameward/objects.py
@@ -152,6 +152,12 @@
             if isinstance(item, declared.Pool)
         ]
 
+    def all_pools(self) -> collections.abc.Iterator[declared.Pool]:
+        """Decode the pools in force one by one."""
+        for item in self._decoded('pool'):
+            if isinstance(item, declared.Pool):
+                yield item
+
     def _decoded(
         self, kind: str, service: ServiceName | None = None
     ) -> collections.abc.Iterator[declared.Declared]:
--- a/sesameward/shares.py
+++ b/sesameward/shares.py
@@ -85,6 +85,7 @@
         now: float,
     ) -> None:
         """Take in a fresh VM list and who is alive by membership."""
+        alive = frozenset(alive)
         before = self._listed | set(self._absent_since)
         self._listed = set(nodes)
         self._seen |= self._listed
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -102,7 +102,7 @@
             lambda: tier.calls(TARGET)['queries'] > before, 'work', UNDONE_S
         )
     assert ends
-    assert all(end['complete'] for end in ends)
+    assert [end for end in ends if not end['complete']] == []
 
 
 def test_drain_cuts_off_nothing_in_flight(tier):
@@ -117,7 +117,7 @@
         tier.set_faults(target)
     drain_by_operator(tier, False)
     assert len(ends) >= len(tier.entries)
-    assert all(end['complete'] for end in ends)
+    assert [end for end in ends if not end['complete']] == []
 
 
 def events(process):
