--- a/sesameward/controllers/target_states.py
+++ b/sesameward/controllers/target_states.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import typing
 
@@ -21,6 +22,7 @@
 
 FAILURES_UNTIL_DEAD = 3
 TICKS = 5
+NOT_DUE = math.inf
 STATUS_OK = 200
 
 OnStatuses = typing.Callable[[tuple[TargetStatus, ...]], None]
@@ -32,7 +34,7 @@
     lane: Lane
     status: TargetStatus
     failures: int = 0
-    due_at: float = 0.0
+    due_at: float = NOT_DUE
     running: bool = False
 
 
@@ -86,9 +88,7 @@
             known = self._probed.get(target.id)
             if known is None or known.target != target:
                 self._add(target, known)
-        latest_at = self._clock() + self._period_s
-        for probed in self._probed.values():
-            probed.due_at = min(probed.due_at, latest_at)
+        self._spread_probes()
 
     def statuses(self) -> tuple[TargetStatus, ...]:
         """Return the state of all targets."""
@@ -126,12 +126,20 @@
             self._transfers.forget(known.lane)
             status = known.status
         url = f'http://{target.host}:{target.port}/v1/load'
-        # Probes are spread over a period, so that none comes in a burst.
-        due_at = self._clock() + self._rng.random() * self._period_s / 2
         self._probed[target.id] = _Probed(
-            target, Lane(url, [], reads=True), status, due_at=due_at
+            target, Lane(url, [], reads=True), status
         )
 
+    def _spread_probes(self) -> None:
+        """Let new targets not come in a burst, nor old ones too late."""
+        now = self._clock()
+        needed_s = len(self._probed) / self._probes_per_s
+        first_s = max(self._min_period_s / 2, needed_s)
+        for probed in self._probed.values():
+            if probed.due_at == NOT_DUE:
+                probed.due_at = now + self._rng.random() * first_s
+            probed.due_at = min(probed.due_at, now + self._period_s)
+
     async def _run(self) -> None:
         # Few ticks cost few wakeups of the process.
         tick_s = self._min_period_s / TICKS
