--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -192,6 +192,8 @@
             asyncio.ensure_future(self._tell_nodes()),
             asyncio.ensure_future(self.rollup.run()),
         ]
+        for task in self._tasks:
+            logs.watch(task)
         logs.change('agent_started', http=self.http_port, grpc=self.grpc_port)
 
     async def stop(self) -> None:
--- a/sesameward/controllers/agent_link.py
+++ b/sesameward/controllers/agent_link.py
@@ -71,6 +71,8 @@
             asyncio.ensure_future(self._keep_following()),
             asyncio.ensure_future(self._keep_reporting()),
         ]
+        for task in self._tasks:
+            logs.watch(task)
 
     def set_others(self, others: tuple[Endpoint, ...]) -> None:
         """Replace the agents to follow while the own one is gone."""
--- a/sesameward/controllers/freshness.py
+++ b/sesameward/controllers/freshness.py
@@ -31,6 +31,7 @@
     def start(self) -> None:
         """Begin to beat."""
         self._task = asyncio.ensure_future(self._run())
+        logs.watch(self._task)
 
     async def stop(self) -> None:
         """End the beat."""
--- a/sesameward/controllers/gate.py
+++ b/sesameward/controllers/gate.py
@@ -47,7 +47,13 @@
     @property
     def load(self) -> float:
         """Return the requests inside over those which may run at once."""
-        return self.in_flight / max(self._admission.limit, 1.0)
+        return max(
+            (
+                (one.in_flight + one.queued) / max(one.limit, 1.0)
+                for one in self._admissions.values()
+            ),
+            default=0.0,
+        )
 
     async def enter(self, exchange: Exchange) -> None:
         """Return once the request may run; raise RefusalError."""
--- a/sesameward/controllers/target_states.py
+++ b/sesameward/controllers/target_states.py
@@ -71,6 +71,7 @@
     def start(self) -> None:
         """Begin to probe."""
         self._task = asyncio.ensure_future(self._run())
+        logs.watch(self._task)
 
     async def stop(self) -> None:
         """End probing."""
--- a/sesameward/controllers/vm_list.py
+++ b/sesameward/controllers/vm_list.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from .. import logs
 from ..exceptions import PlatformError
 from ..messages import Vm
 from ..metrics import Metrics
@@ -42,6 +43,7 @@
     def start(self) -> None:
         """Begin to read."""
         self._task = asyncio.ensure_future(self._run())
+        logs.watch(self._task)
 
     async def stop(self) -> None:
         """End reading."""
--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -6,6 +6,7 @@
 import dataclasses
 import typing
 
+from .. import logs
 from ..budget import BudgetBook
 from ..controllers.routing import Routing
 from ..controllers.suspects import Suspects
@@ -314,6 +315,7 @@
         self._release_at = None
         self._unjudged += 1
         task = asyncio.ensure_future(self._readmit(judged))
+        logs.watch(task)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self._carry_out(self._fanout.pause(attempt, parts.clock()))
--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from .. import bookings
+from .. import logs
 from ..controllers.leaving import Leaving
 from ..controllers.nodes import Nodes
 from ..controllers.routing import Routing
@@ -167,6 +168,7 @@
 
     def _spawn(self, work: typing.Coroutine) -> None:
         task = asyncio.ensure_future(work)
+        logs.watch(task)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/sesameward/logs.py
+++ b/sesameward/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 
 import eliot
@@ -13,6 +14,16 @@
     eliot.to_file(sys.stderr)
 
 
+def watch(task: asyncio.Future) -> None:
+    """Log the end of a background task by an error."""
+    task.add_done_callback(_tell_failure)
+
+
+def _tell_failure(task: asyncio.Future) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        change('task_failed', error=repr(task.exception()))
+
+
 def change(event: str, **fields: object) -> None:
     """Log one change of state."""
     eliot.log_message(message_type=event, **fields)
