--- a/sesameward/controllers/suspects.py
+++ b/sesameward/controllers/suspects.py
@@ -10,7 +10,6 @@
 from ..metrics import Metrics
 from ..quarantine import Action
 from ..quarantine import Admission
-from ..quarantine import Allow
 from ..quarantine import Canary
 from ..quarantine import Cleared
 from ..quarantine import Lead
@@ -53,11 +52,9 @@
         ] = {}
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
-    async def admit(
-        self, fp: Fingerprint, until: float, only_suspects: bool = False
-    ) -> Admission:
+    async def admit(self, fp: Fingerprint, until: float) -> Admission:
         """Decide how a request may be sent; wait for an equal one's trial."""
-        req = AdmitRequest(fp, only_suspects)
+        req = AdmitRequest(fp)
         while True:
             admission = await self._ask(req)
             self._count(admission)
@@ -120,12 +117,7 @@
 
     def decide(self, req: AdmitRequest) -> Admission:
         """Decide how a request may be sent, if need be on trial."""
-        now = self._clock()
-        if req.only_suspects and not self._quarantine.is_suspected(
-            req.fp, now
-        ):
-            return Allow()
-        return self._quarantine.admit(req.fp, now)
+        return self._quarantine.admit(req.fp, self._clock())
 
     def take(self, event: Event) -> tuple[Rumor, ...]:
         """Take in what became of a request; return the verdicts."""
--- a/sesameward/filters/quarantining.py
+++ b/sesameward/filters/quarantining.py
@@ -51,9 +51,10 @@
         exchange.fingerprint = fingerprint(
             exchange.service.service, exchange.booking
         )
-        # One sub-request is all that a booking is, so it needs no lead.
+        # A booking is one sub-request, so its trial holds nothing back; but
+        # an equal one waits until it is known what became of this one.
         exchange.trial = await self._suspects.admit(
-            exchange.fingerprint, exchange.deadline_at, only_suspects=True
+            exchange.fingerprint, exchange.deadline_at
         )
         _check(exchange, unclaimed_run(exchange.attempt))
         try:
--- a/sesameward/trials.py
+++ b/sesameward/trials.py
@@ -38,7 +38,6 @@
     """
 
     fp: Fingerprint
-    only_suspects: bool = False
 
 
 class AdmitReply(msgspec.Struct, frozen=True):
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -20,6 +20,7 @@
 TARGET = 't1-0'
 LEFT_S = 3.0
 UNDONE_S = 15.0
+PROBE_S = 1.5
 QUERY = '/v1/services/trip-desk/query'
 
 
@@ -27,6 +28,8 @@
 def tier():
     shape = Shape(instances=2, deadline_ms=2_000, max_deadline_ms=10_000)
     with Tier(shape) as started:
+        # Entries know all replicas, not just one of each, after a probe.
+        time.sleep(PROBE_S)
         yield started
 
 
