Judge queries and bookings by one quarantine filter

Both did the same but for the body; the booking's handler already says what is certain of a refusal before the claim.

--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -48,7 +48,6 @@
 from .filters.parsing import ParseBooking
 from .filters.parsing import ParseQuery
 from .filters.pinning import PinSnapshot
-from .filters.quarantining import CheckBookingQuarantine
 from .filters.quarantining import CheckQuarantine
 from .filters.readiness import CheckReady
 from .hedging import HedgePolicy
@@ -256,7 +255,7 @@
         return [
             CheckReady(self.catalog, self.nodes, self.freshness),
             ParseBooking(self.catalog),
-            CheckBookingQuarantine(self.suspects),
+            CheckQuarantine(self.suspects),
             Admit(self.gate, self.clock),
             Book(parts),
         ]
--- a/sesameward/filters/chain.py
+++ b/sesameward/filters/chain.py
@@ -1,7 +1,8 @@
 """Run a request through its filters, each of which may refuse it.
 
 A query passes readiness, parsing, quarantining, admitting, pinning and
-answering; a booking passes readiness, parsing, admitting and booking.
+answering; a booking passes readiness, parsing, quarantining, admitting and
+booking.
 Each filter does its part, awaits proceed(exchange) and may clean up.
 """
 
--- a/sesameward/filters/quarantining.py
+++ b/sesameward/filters/quarantining.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ..bookings import unclaimed_run
 from ..controllers.suspects import Suspects
 from ..exceptions import RefusalError
 from ..quarantine import Canary
@@ -10,53 +9,31 @@
 from ..quarantine import Lead
 from ..quarantine import Refuse
 from ..types import RefusalKind
-from ..types import RunState
 from .chain import Proceed
 from .exchange import Exchange
 
 
 class CheckQuarantine:
-    """Decide by its fingerprint how a query may be sent."""
+    """Decide by its fingerprint how a query or a booking may be sent.
 
-    def __init__(self, suspects: Suspects):
-        self._suspects = suspects
-
-    async def __call__(self, exchange: Exchange, proceed: Proceed) -> None:
-        """Fill in the fingerprint and the trial; end the trial after it."""
-        if not self._suspects.enabled:
-            return await proceed(exchange)
-        exchange.fingerprint = fingerprint(
-            exchange.service.service, exchange.query
-        )
-        exchange.trial = await self._suspects.admit(
-            exchange.fingerprint, exchange.deadline_at
-        )
-        _check(exchange, RunState.NO)
-        try:
-            await proceed(exchange)
-        finally:
-            _end_trial(exchange, self._suspects)
-
-
-class CheckBookingQuarantine:
-    """Refuse a booking before its claim where its like broke targets."""
+    A booking is one sub-request, so its trial holds nothing back; but an
+    equal one waits until it is known what became of this one.
+    """
 
     def __init__(self, suspects: Suspects):
         self._suspects = suspects
 
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> None:
-        """Fill in the fingerprint and the trial; the booking ends it."""
+        """Fill in the fingerprint and the trial; end the trial after it."""
         if not self._suspects.enabled:
             return await proceed(exchange)
         exchange.fingerprint = fingerprint(
-            exchange.service.service, exchange.booking
+            exchange.service.service, exchange.query or exchange.booking
         )
-        # A booking is one sub-request, so its trial holds nothing back; but
-        # an equal one waits until it is known what became of this one.
         exchange.trial = await self._suspects.admit(
             exchange.fingerprint, exchange.deadline_at
         )
-        _check(exchange, unclaimed_run(exchange.attempt))
+        _check(exchange)
         try:
             await proceed(exchange)
         finally:
@@ -68,14 +45,13 @@
         suspects.trial_ended(exchange.fingerprint)
 
 
-def _check(exchange: Exchange, run: RunState) -> None:
+def _check(exchange: Exchange) -> None:
     match exchange.trial:
         case Refuse(retry_after_s, True):
             raise RefusalError(
                 RefusalKind.QUARANTINED,
                 'an equal request is still being tried on one target',
                 'come back after the given time',
-                run=run,
                 retry_after_s=retry_after_s,
             )
         case Refuse(retry_after_s):
@@ -83,6 +59,5 @@
                 RefusalKind.QUARANTINED,
                 'this request broke the targets that ran it',
                 'change the request or come back later',
-                run=run,
                 retry_after_s=retry_after_s,
             )
