--- a/sesameward/metrics.py
+++ b/sesameward/metrics.py
@@ -5,6 +5,7 @@
 import collections
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import generate_latest
 from prometheus_client import REGISTRY
@@ -33,8 +34,6 @@
 
     def gauge(self, name: str, read) -> None:
         """Show the number that read() returns under this name."""
-        from opentelemetry.metrics import Observation
-
         self._meter.create_observable_gauge(
             f'sesameward_{name}', [lambda _: [Observation(read())]]
         )
@@ -46,8 +45,6 @@
         return generate_latest(REGISTRY)
 
     def _expose(self, name: str) -> None:
-        from opentelemetry.metrics import Observation
-
         if name in self._counters:
             return
 
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -282,10 +282,6 @@
         """Return how many fingerprints are suspected or refused."""
         return len(self._suspects)
 
-    def is_suspected(self, fp: Fingerprint, now: float) -> bool:
-        """Tell whether a fingerprint is suspected or refused."""
-        return self._suspect(fp, now) is not None
-
     def decided(self, fp: Fingerprint, now: float) -> Admission | None:
         """Decide without a trial, or return None: ask the home."""
         suspect = self._suspect(fp, now)
