--- a/sesameward/config_peers.py
+++ b/sesameward/config_peers.py
@@ -68,7 +68,9 @@
             if page.cursor is None:
                 return msgspec.structs.replace(page, objects=tuple(objects))
             full = page.full
-            request = Pull(request.digest, after=page.cursor)
+            request = Pull(
+                request.digest, after=page.cursor, kind=request.kind
+            )
             page = await self._page(member, request)
             objects += page.objects
             if page.full != full:
--- a/sesameward/gossip.py
+++ b/sesameward/gossip.py
@@ -32,8 +32,8 @@
 from .messages import Rumor
 from .metrics import Metrics
 from .seals import Seals
-from .settings import AgentSettings
 from .settings import Endpoint
+from .settings import MembershipSettings
 from .swim import Swim
 from .types import Clock
 
@@ -43,6 +43,22 @@
 MAX_SYNC_ROUNDS = 128
 
 
+class GossipSettings(typing.Protocol):
+    """Hold what a gossiping process needs of its settings."""
+
+    @property
+    def gossip(self) -> Endpoint:
+        """Return the address of the UDP socket."""
+
+    @property
+    def membership(self) -> MembershipSettings:
+        """Return the timing of the failure detector."""
+
+    @property
+    def seeds(self) -> tuple[Endpoint, ...]:
+        """Return addresses to greet first."""
+
+
 class SyncTransport(typing.Protocol):
     """Carry one sealed request of the anti-entropy to a peer."""
 
@@ -55,7 +71,7 @@
 
     def __init__(
         self,
-        cfg: AgentSettings,
+        cfg: GossipSettings,
         me: Member,
         metrics: Metrics,
         rng: random.Random,
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -293,12 +293,16 @@
 
 
 class Pull(msgspec.Struct, frozen=True):
-    """Ask an agent for objects; hold the answer until it has wanted."""
+    """Ask an agent for objects; hold the answer until it has wanted.
+
+    An empty kind means all declared objects of an agent.
+    """
 
     digest: Digest
     wanted: Revision = Revision(0)
     wait_s: float = 0.0
     after: Revision | None = None
+    kind: str = ''
 
 
 class Delta(msgspec.Struct, frozen=True):
--- a/sesameward/objects.py
+++ b/sesameward/objects.py
@@ -22,6 +22,8 @@
 PAGE_BYTES = 1_000_000
 
 Key = tuple[str, str]
+# Returns the decoded object; raises DeclarationError.
+Check = collections.abc.Callable[[StoredObject], object]
 
 
 class _Held(msgspec.Struct):
@@ -40,8 +42,15 @@
     there. Changes above it are taken in too, but don't raise the revision.
     """
 
-    def __init__(self, metrics: Metrics | None = None):
+    def __init__(
+        self,
+        metrics: Metrics | None = None,
+        kinds: collections.abc.Container[str] = declared.KINDS.keys(),
+        check: Check | None = None,
+    ):
         self._metrics = metrics
+        self._kinds = kinds
+        self._check = check or _checked
         self._held: dict[Key, _Held] = {}
         self._floor = Revision(0)
         self._checksum = 0
@@ -173,7 +182,7 @@
     def _offer(
         self, stored: StoredObject, complete: Revision
     ) -> list[StoredObject]:
-        if stored.kind not in declared.KINDS:
+        if stored.kind not in self._kinds:
             self._count('unknown_kind')
             return []
         key = stored.kind, stored.name
@@ -210,7 +219,7 @@
         self, held: _Held, stored: StoredObject
     ) -> list[StoredObject]:
         try:
-            item = _checked(stored)
+            item = self._check(stored)
         except DeclarationError as exc:
             if stored is held.newest:
                 held.problem = str(exc)
--- /dev/null
+++ b/sesameward/platform/objects.py
@@ -0,0 +1,191 @@
+"""Decode the platform's stored objects into the product's types."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from ..exceptions import DeclarationError
+from ..messages import StoredObject
+from ..serving.routes import CallerLimits
+from ..serving.routes import Destination
+from ..serving.routes import OneService
+from ..serving.routes import Part
+from ..serving.routes import Repeat
+from ..serving.routes import Route
+from ..serving.routes import RouteName
+from ..serving.routes import RouteTable
+from ..serving.routes import Service
+from ..serving.routes import Shards
+from ..serving.routes import Split
+from ..serving.routes import Version
+from ..serving.targets import Target
+from ..serving.targets import TargetState
+from ..types import ServiceName
+from ..types import TargetId
+from ..types import ZoneName
+
+ROUTES_KIND = 'config'
+ROUTES_NAME = 'main'
+TARGETS_KIND = 'servers'
+
+Natural = typing.Annotated[int, msgspec.Meta(ge=1)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+Millis = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+_REPEATS = {'safe': Repeat.SAFE, 'unsafe': Repeat.ONCE}
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    """Hold a route as stored; target_latency_ms is the objective."""
+
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: typing.Literal['safe', 'unsafe']
+    timeout_ms: Millis
+    target_latency_ms: Millis
+    priority: int = 0
+    max_attempts: Natural = 1
+    service: str | None = None
+    traffic_split: tuple[_Part, ...] | None = None
+    gather: tuple[str, ...] | None = None
+    top_k: Count = 0
+    min_coverage: float = 0.0
+
+    def destination(self) -> Destination:
+        """Return where the route's requests go."""
+        if self.gather is not None:
+            return Shards(
+                tuple(ServiceName(name) for name in self.gather),
+                self.top_k,
+                self.min_coverage,
+            )
+        if self.traffic_split is not None:
+            return Split(
+                tuple(
+                    Part(ServiceName(part.service), part.weight)
+                    for part in self.traffic_split
+                )
+            )
+        return OneService(ServiceName(self.service or ''))
+
+    def to_route(self) -> Route:
+        """Return the route in the product's terms."""
+        return Route(
+            name=RouteName(self.name),
+            host=self.hostname,
+            prefix=self.path_prefix,
+            repeat=_REPEATS[self.route_type],
+            timeout_s=self.timeout_ms / 1_000,
+            objective_s=self.target_latency_ms / 1_000,
+            priority=self.priority,
+            max_attempts=self.max_attempts,
+            destination=self.destination(),
+        )
+
+
+class _Service(msgspec.Struct):
+    """Hold a service; max_conns counts the connections of all callers."""
+
+    name: str
+    max_conns: Natural
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: Natural = 16_384
+    max_body_bytes: Natural = 262_144
+    header_timeout_ms: Millis = 3_000
+    idle_timeout_ms: Millis = 15_000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Server(msgspec.Struct):
+    """Hold a registration.
+
+    warmup_left_ms is how much longer the target is slow after its start,
+    born the Unix millisecond of that start.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: Natural
+    state: typing.Literal['ready', 'draining']
+    seq: Count
+    version: str = ''
+    warmup_left_ms: Millis = 0
+    born: int = 0
+
+
+class ObjectDecoder:
+    """Decode the objects that are followed; raise DeclarationError."""
+
+    def __init__(self):
+        self._config = msgspec.json.Decoder(_Config)
+        self._server = msgspec.json.Decoder(_Server)
+
+    def routes(self, stored: StoredObject) -> RouteTable:
+        """Return the routes of the newest configuration."""
+        if stored.name != ROUTES_NAME:
+            raise DeclarationError(
+                'name', f'is {stored.name}', f'use {ROUTES_NAME}'
+            )
+        config = _decode(self._config, stored)
+        limits = config.limits
+        return RouteTable(
+            Version(config.version),
+            [route.to_route() for route in config.routes],
+            [
+                Service(ServiceName(service.name), service.max_conns)
+                for service in config.services
+            ],
+            CallerLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_ms / 1_000,
+                limits.idle_timeout_ms / 1_000,
+            ),
+        )
+
+    def target(self, stored: StoredObject) -> Target:
+        """Return the target that an entry registers."""
+        server = _decode(self._server, stored)
+        host, _, port = server.address.rpartition(':')
+        if not host or not port.isdigit() or int(port) > 65_535:
+            raise DeclarationError(
+                'address', f'is {server.address!r}', 'write HOST:PORT'
+            )
+        return Target(
+            id=TargetId(stored.name),
+            service=ServiceName(server.service),
+            host=host,
+            port=int(port),
+            zone=ZoneName(server.zone),
+            slots=server.slots,
+            state=TargetState(server.state),
+            warmup_s=server.warmup_left_ms / 1_000,
+            started_ms=server.born,
+        )
+
+
+def _decode(decoder: msgspec.json.Decoder, stored: StoredObject):
+    try:
+        return decoder.decode(stored.value)
+    except msgspec.DecodeError as exc:
+        problem, _, where = str(exc).partition(' - at ')
+        raise DeclarationError(
+            where.strip('`') or stored.name, problem, 'write it again'
+        ) from exc
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -186,6 +186,11 @@
                 record_key,
                 msgspec.json.decode(action),
             )
+    return fingerprint_of(*parts)
+
+
+def fingerprint_of(*parts: object) -> Fingerprint:
+    """Return the fingerprint of what equal requests have in common."""
     data = msgspec.json.encode(parts, order='sorted')
     hashed = hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES)
     return Fingerprint(hashed.hexdigest())
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -23,8 +23,14 @@
 class ReplicaChooser:
     """Choose between two random replicas by expected latency."""
 
-    def __init__(self, zone: ZoneName, rng: random.Random):
+    def __init__(
+        self,
+        zone: ZoneName,
+        rng: random.Random,
+        zone_cost_s: float = ZONE_COST_S,
+    ):
         self._zone = zone
+        self._zone_cost_s = zone_cost_s
         self._rng = rng
         self._estimates: dict[TargetId, TargetEstimate] = {}
         self._typical = TypicalLatency()
@@ -120,7 +126,7 @@
         if near and len(near) < len(usable):
             far = [one for one in usable if not one.local]
             other, other_s = self._better(far, now)
-            if other_s + ZONE_COST_S < best_s:
+            if other_s + self._zone_cost_s < best_s:
                 return other.id
         return best.id
 
--- /dev/null
+++ b/sesameward/serving/choice.py
@@ -0,0 +1,153 @@
+"""Choose the replica for a sub-request and notice a replica that pauses.
+
+Load pattern: every replica of a shard stands still for about 100 ms each few
+seconds, at its own times. Of 20 shards, one is paused in every second query,
+so a replica whose oldest request is overdue gets no new work until it
+answers, and what already waits there is asked of another replica.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+import typing
+
+from ..latency import LatencyTracker
+from ..messages import LoadReport
+from ..replicas import ReplicaChooser
+from ..types import Outcome
+from ..types import TargetId
+from ..types import ZoneName
+from .routes import RouteName
+from .targets import Target
+
+# Latencies of routes differ by their work; all are scaled to this median
+# before targets are compared by them.
+REFERENCE_S = 0.008
+# In scaled seconds: another zone is asked only when the own zone's replica
+# has two more requests than it has slots free for, as bytes between zones
+# are the dearest resource and two slots run side by side.
+ZONE_COST_S = 0.006
+# A request is overdue beyond this quantile of its route's latencies, by
+# this factor.
+OVERDUE_QUANTILE = 0.9
+OVERDUE_FACTOR = 1.3
+# Until a route's latencies are known; about two work times of a sweep.
+FIRST_TYPICAL_S = 0.02
+LATENCY_WINDOW_S = 8.0
+
+Token = typing.NewType('Token', int)
+
+
+class Sent(typing.NamedTuple):
+    """Hold one sub-request that has no end yet."""
+
+    target_id: TargetId
+    route: RouteName
+    at: float
+    overdue_at: float
+
+
+class Choice:
+    """Rank replicas by load, latency, zone and overdue requests."""
+
+    def __init__(self, zone: ZoneName, rng: random.Random):
+        self._rng = rng
+        self._chooser = ReplicaChooser(zone, rng, ZONE_COST_S)
+        self._latencies = LatencyTracker(LATENCY_WINDOW_S)
+        self._tokens = itertools.count(1)
+        self._sent: dict[Token, Sent] = {}
+        self._overdue_at: dict[TargetId, dict[Token, float]] = {}
+
+    def declare(self, target: Target) -> None:
+        """Add a target or take over its changed registration."""
+        self._chooser.declare(target)
+
+    def forget(self, target_id: TargetId) -> None:
+        """Drop a target."""
+        self._chooser.forget(target_id)
+
+    def reported(
+        self, target_id: TargetId, report: LoadReport, now: float
+    ) -> None:
+        """Take in what a target says of its load."""
+        self._chooser.reported(target_id, report, now)
+
+    def unreachable(self, target_id: TargetId, now: float) -> None:
+        """Take in that a target accepts no connection."""
+        self._chooser.started(target_id, now)
+        self._chooser.finished(target_id, Outcome.CONNECT_FAILED, 0.0, now)
+
+    def choose(
+        self,
+        candidates: typing.Sequence[TargetId],
+        now: float,
+        avoid: typing.Collection[TargetId] = (),
+    ) -> TargetId | None:
+        """Return the replica to ask; None where none may be asked."""
+        paused = [one for one in candidates if self.paused(one, now)]
+        if paused:
+            found = self._chooser.choose(candidates, now, {*avoid, *paused})
+            if found is not None:
+                return found
+        return self._chooser.choose(candidates, now, avoid)
+
+    def paused(self, target_id: TargetId, now: float) -> bool:
+        """Tell whether a request at the target is overdue."""
+        waiting = self._overdue_at.get(target_id)
+        if not waiting:
+            return False
+        return any(at <= now for at in waiting.values())
+
+    def sent(self, target_id: TargetId, route: RouteName, now: float) -> Token:
+        """Count one sub-request sent."""
+        token = Token(next(self._tokens))
+        overdue_s = self.overdue_s(route, now)
+        sent = Sent(target_id, route, now, now + overdue_s)
+        self._sent[token] = sent
+        waiting = self._overdue_at.setdefault(target_id, {})
+        waiting[token] = sent.overdue_at
+        self._chooser.started(target_id, now)
+        return token
+
+    def ended(
+        self,
+        token: Token,
+        outcome: Outcome,
+        now: float,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Count one sub-request ended; further calls change nothing."""
+        sent = self._sent.pop(token, None)
+        if sent is None:
+            return
+        waiting = self._overdue_at.get(sent.target_id)
+        if waiting is not None:
+            waiting.pop(token, None)
+            if not waiting:
+                del self._overdue_at[sent.target_id]
+        latency_s = now - sent.at
+        scaled_s = latency_s * REFERENCE_S / self.typical_s(sent.route, now)
+        if outcome is Outcome.OK:
+            self._latencies.observe(sent.route, latency_s, now)
+        self._chooser.finished(
+            sent.target_id, outcome, scaled_s, now, retry_after_s
+        )
+
+    def typical_s(self, route: RouteName, now: float) -> float:
+        """Return the median latency of a route's sub-requests."""
+        return self._quantile(route, 0.5, now) or FIRST_TYPICAL_S
+
+    def overdue_s(self, route: RouteName, now: float) -> float:
+        """Return after how long a sub-request of a route is overdue."""
+        found = self._quantile(route, OVERDUE_QUANTILE, now)
+        return (found or FIRST_TYPICAL_S) * OVERDUE_FACTOR
+
+    def hedge_s(self, route: RouteName, quantile: float, now: float) -> float:
+        """Return the latency that this share of sub-requests stays below."""
+        return self._quantile(route, quantile, now) or FIRST_TYPICAL_S
+
+    def _quantile(
+        self, route: RouteName, fraction: float, now: float
+    ) -> float | None:
+        return self._latencies.quantile(route, fraction, now)
--- /dev/null
+++ b/sesameward/serving/crashes.py
@@ -0,0 +1,94 @@
+"""Keep a request that crashes targets from reaching more of them.
+
+Load pattern: one request, sent again and again to any node, crashes each
+target that begins to run it. Equal requests share a fingerprint; what is
+known of one is told to all nodes.
+"""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from .. import logs
+from ..messages import Rumor
+from ..metrics import Metrics
+from ..quarantine import Canary
+from ..quarantine import Cleared
+from ..quarantine import fingerprint_of
+from ..quarantine import Quarantine
+from ..quarantine import Quarantined
+from ..quarantine import QuarantineSettings
+from ..quarantine import Refuse
+from ..quarantine import Spread
+from ..quarantine import Suspected
+from ..types import Fingerprint
+from ..types import TargetId
+from .http_server import Request
+
+# A first request of its kind is sent at once: leading with one target
+# would cost every new query a round trip.
+SETTINGS = QuarantineSettings(lead_s=0.0)
+
+
+class Crashes:
+    """Connect the quarantine with requests that are passed on."""
+
+    def __init__(self, origin: str, metrics: Metrics, rng: random.Random):
+        self._quarantine = Quarantine(origin, SETTINGS, rng)
+        self._metrics = metrics
+        self.spread: typing.Callable[[Rumor], None] = lambda _: None
+
+    def refused_s(self, req: Request, now: float) -> float:
+        """Return for how long a request is refused; 0 where it is not."""
+        if not self._quarantine.suspects:
+            return 0.0
+        fp = _fingerprint(req)
+        match self._quarantine.admit(fp, now):
+            case Refuse(retry_after_s, on_trial):
+                # An equal request on trial may be harmless, so others of
+                # its kind do not wait for it.
+                return 0.0 if on_trial else retry_after_s
+            case Canary():
+                self._metrics.count('canaries')
+        return 0.0
+
+    def broke(self, req: Request, target_id: TargetId, now: float) -> None:
+        """Count a connection that broke after a request was sent."""
+        fp = _fingerprint(req)
+        self._act(self._quarantine.broke(fp, target_id, (), now))
+
+    def succeeded(self, req: Request, target_id: TargetId, now: float) -> None:
+        """Clear a request that ended well."""
+        if self._quarantine.suspects:
+            fp = _fingerprint(req)
+            self._act(self._quarantine.succeeded(fp, target_id, now))
+
+    def heard(self, rumor: Rumor, now: float) -> None:
+        """Take over what another node says."""
+        self._act(self._quarantine.heard(rumor, now))
+
+    def _act(self, actions: typing.Iterable) -> None:
+        for action in actions:
+            match action:
+                case Spread(rumor):
+                    self.spread(rumor)
+                case Suspected(fp):
+                    logs.change('request_suspected', fingerprint=fp)
+                case Quarantined(fp, for_s):
+                    self._metrics.count('quarantined')
+                    logs.change(
+                        'request_quarantined', fingerprint=fp, for_s=for_s
+                    )
+                case Cleared(fp):
+                    logs.change('request_cleared', fingerprint=fp)
+
+
+def _fingerprint(req: Request) -> Fingerprint:
+    return fingerprint_of(
+        'request',
+        req.method.decode('latin-1'),
+        req.host,
+        req.target.decode('latin-1'),
+        req.body.hex(),
+    )
--- /dev/null
+++ b/sesameward/serving/gather.py
@@ -0,0 +1,281 @@
+"""Decide on one query over shards: whom to ask, when again, when to end.
+
+Load pattern: one of many shards is late in most queries, since each replica
+pauses at its own times. An answer without that shard is worth the square of
+its coverage, one after the objective next to nothing; so a slow shard is
+asked of its other replica while the repeat can still help, and just before
+the objective passes the answer goes out with what is there, if that is
+enough.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import typing
+
+import msgspec
+
+from ..types import TargetId
+from .attempts import AttemptNo
+from .attempts import End
+from .attempts import Send
+from .attempts import SURELY_NOT_RUN
+from .attempts import View
+from .attempts import Why
+from .routes import Route
+from .routes import Shards
+
+# A shard is asked of a second replica once it is slower than this part of
+# its route's sub-requests; at the budget of 0.2 repeats a request, half of
+# that is left for replicas that pause or fail.
+HEDGE_QUANTILE = 0.9
+# Repeats kept back for shards that are overdue; a node's part of the slack
+# alone is about eight.
+HEDGE_RESERVE = 3.0
+# Sub-requests that surely did not run may go out again this often.
+MAX_NOT_RUN = 3
+# Breaks after dispatch in one query which suggest that the query itself
+# crashes targets; one target crashing by chance breaks one.
+MAX_BREAKS = 3
+# Pause between looks at the shards that are still open.
+LOOK_S = 0.004
+
+
+class Ending(enum.Enum):
+    """Say how a query ended."""
+
+    WHOLE = 'whole'
+    PARTIAL = 'partial'
+    TOO_FEW = 'too_few'
+    HOPELESS = 'hopeless'
+
+
+class Finish(msgspec.Struct, frozen=True):
+    """End the query; was_run tells whether any target may have run it."""
+
+    ending: Ending
+    was_run: bool
+
+
+Action = Send | Finish
+
+
+class _Shard:
+    __slots__ = ('asked', 'breaks', 'done', 'not_run', 'open')
+
+    def __init__(self):
+        self.asked: list[TargetId] = []
+        self.open: dict[AttemptNo, tuple[TargetId, float]] = {}
+        self.done = False
+        self.not_run = 0
+        self.breaks = 0
+
+
+class Gather:
+    """Hold the state of one query."""
+
+    def __init__(
+        self,
+        route: Route,
+        view: View,
+        cutoff_at: float,
+        deadline_at: float,
+    ):
+        shards = typing.cast(Shards, route.destination)
+        self._route = route
+        self._services = shards.services
+        self._needed = max(
+            1, math.ceil(shards.min_coverage * len(shards.services) - 1e-9)
+        )
+        self._view = view
+        self._cutoff_at = cutoff_at
+        self._deadline_at = deadline_at
+        self._shards = [_Shard() for _ in shards.services]
+        self._attempts = 0
+        self._answered = 0
+        self._breaks = 0
+        self._was_run = False
+        self._finished = False
+
+    @property
+    def answered(self) -> int:
+        """Return how many shards have answered."""
+        return self._answered
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the query has ended."""
+        return self._finished
+
+    def missing(self) -> list[int]:
+        """Return the positions of the shards without an answer."""
+        return [at for at, shard in enumerate(self._shards) if not shard.done]
+
+    def start(self, now: float) -> list[Action]:
+        """Ask one replica of each shard, unless too few could answer."""
+        reachable = sum(
+            bool(self._view.targets.candidates(service))
+            for service in self._services
+        )
+        if reachable < self._needed:
+            return self._finish(Ending.HOPELESS)
+        actions: list[Action] = []
+        for at, service in enumerate(self._services):
+            self._view.budget.requested(service, now)
+            actions += self._send(at, Why.FIRST, now)
+        return actions
+
+    def replied(self, at: int, attempt: AttemptNo, now: float) -> list[Action]:
+        """Take in a part; a second one of the same shard is not used."""
+        shard = self._shards[at]
+        shard.open.pop(attempt, None)
+        self._was_run = True
+        if self._finished or shard.done:
+            return []
+        shard.done = True
+        self._answered += 1
+        return self._judge(now)
+
+    def uses(self, at: int) -> bool:
+        """Tell whether a part of this shard is still wanted."""
+        return not self._finished and not self._shards[at].done
+
+    def failed(
+        self, at: int, attempt: AttemptNo, end: End, now: float
+    ) -> list[Action]:
+        """Take in a failure; ask another replica where that may help."""
+        shard = self._shards[at]
+        shard.open.pop(attempt, None)
+        if end in SURELY_NOT_RUN:
+            shard.not_run += 1
+        else:
+            self._was_run = True
+            shard.breaks += end is End.BROKEN
+            self._breaks += end is End.BROKEN
+        if self._finished or shard.done:
+            return []
+        if shard.open:
+            return self._judge(now)
+        sends = self._retry(at, end, now)
+        return sends or self._judge(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Hedge shards that are late; end the query when its time is up."""
+        if self._finished:
+            return []
+        if now >= self._deadline_at or (
+            now >= self._cutoff_at and self._answered >= self._needed
+        ):
+            return self._finish(self._by_coverage())
+        actions: list[Action] = []
+        hedge_s = self._view.choice.hedge_s(
+            self._route.name, HEDGE_QUANTILE, now
+        )
+        for at, shard in enumerate(self._shards):
+            if not shard.done:
+                actions += self._hedge(at, shard, hedge_s, now)
+        return actions
+
+    def next_at(self, now: float) -> float:
+        """Return when tick() should be called next."""
+        if now < self._cutoff_at:
+            return min(now + LOOK_S, self._cutoff_at, self._deadline_at)
+        return min(now + LOOK_S, self._deadline_at)
+
+    # Sending again.
+
+    def _hedge(
+        self, at: int, shard: _Shard, hedge_s: float, now: float
+    ) -> list[Action]:
+        if len(shard.open) != 1:
+            return [] if shard.open else self._ask_late(at, shard, now)
+        if not self._may_run_again(shard):
+            return []
+        ((target_id, sent_at),) = shard.open.values()
+        if self._view.choice.paused(target_id, now):
+            why, reserve = Why.HEDGE_PAUSED, 0.0
+        elif now - sent_at >= hedge_s:
+            why, reserve = Why.HEDGE_SLOW, HEDGE_RESERVE
+        else:
+            return []
+        return self._send(at, why, now, reserve)
+
+    def _ask_late(self, at: int, shard: _Shard, now: float) -> list[Action]:
+        """Ask a shard that had no replica when it was its turn."""
+        if shard.asked or shard.not_run > MAX_NOT_RUN:
+            return []
+        return self._send(at, Why.FIRST, now)
+
+    def _retry(self, at: int, end: End, now: float) -> list[Action]:
+        shard = self._shards[at]
+        if shard.not_run > MAX_NOT_RUN or not self._may_run_again(shard):
+            return []
+        match end:
+            case End.NOT_SENT:
+                return self._send(at, Why.RETRY_NOT_SENT, now)
+            case End.NOT_RUN | End.MISDIRECTED:
+                return self._send(at, Why.RETRY_NOT_RUN, now)
+            case _:
+                return self._send(at, Why.RETRY_FAILED, now)
+
+    def _may_run_again(self, shard: _Shard) -> bool:
+        if self._breaks >= MAX_BREAKS:
+            return False
+        ran = len(shard.asked) - shard.not_run
+        return ran < self._route.max_attempts
+
+    def _send(
+        self, at: int, why: Why, now: float, reserve: float = 0.0
+    ) -> list[Action]:
+        shard = self._shards[at]
+        service = self._services[at]
+        view = self._view
+        candidates = view.targets.candidates(service)
+        target_id = view.choice.choose(candidates, now, shard.asked)
+        if target_id is None and why is Why.RETRY_NOT_RUN:
+            # The only replica is full; it may have room by now.
+            target_id = view.choice.choose(candidates, now)
+        if target_id is None:
+            return []
+        free = why in (Why.FIRST, Why.RETRY_NOT_SENT)
+        if not free and not view.budget.take(service, now, reserve):
+            return []
+        self._attempts += 1
+        attempt = AttemptNo(self._attempts)
+        shard.asked.append(target_id)
+        shard.open[attempt] = target_id, now
+        return [Send(at, attempt, target_id, why)]
+
+    # The end.
+
+    def _judge(self, now: float) -> list[Action]:
+        if self._answered == len(self._shards):
+            return self._finish(Ending.WHOLE)
+        if now >= self._cutoff_at and self._answered >= self._needed:
+            return self._finish(Ending.PARTIAL)
+        hopeful = sum(
+            bool(shard.open) for shard in self._shards if not shard.done
+        )
+        if hopeful:
+            return []
+        if self._answered >= self._needed or not self._can_wait(now):
+            return self._finish(self._by_coverage())
+        return []
+
+    def _can_wait(self, now: float) -> bool:
+        """Tell whether a shard that was never asked may still be."""
+        return any(
+            not shard.done and not shard.asked and shard.not_run <= MAX_NOT_RUN
+            for shard in self._shards
+        )
+
+    def _by_coverage(self) -> Ending:
+        if self._answered >= self._needed:
+            return Ending.PARTIAL
+        return Ending.TOO_FEW
+
+    def _finish(self, ending: Ending) -> list[Action]:
+        self._finished = True
+        was_run = self._was_run or any(s.open for s in self._shards)
+        return [Finish(ending, was_run)]
--- /dev/null
+++ b/sesameward/serving/mirror.py
@@ -0,0 +1,348 @@
+"""Keep all objects of one kind current while few nodes ask the store.
+
+Load pattern: a change wakes every watch, each call is priced, and the store
+may turn some nodes away while it serves others. So one node of all watches a
+kind and the others follow it; a node that has heard of no fresh reading for
+too long watches itself, in an order that spreads these takeovers in time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+import msgspec
+
+from .. import logs
+from ..exceptions import CompactedError
+from ..exceptions import PeerUnavailableError
+from ..exceptions import PlatformError
+from ..exceptions import PlatformThrottledError
+from ..messages import Delta
+from ..messages import Member
+from ..messages import Pull
+from ..messages import Rumor
+from ..messages import StoredObject
+from ..metrics import Metrics
+from ..objects import ObjectBook
+from ..rendezvous import pick
+from ..spread import Backoff
+from ..types import Clock
+from ..types import NodeId
+from ..types import Revision
+
+TOPIC = 'reading'
+RUMOR_TTL_S = 5.0
+
+# A watch that says nothing for longer may be cut off, and both deployments
+# want a change in force within 3 s, a takeover by another node included.
+WATCH_WAIT_S = 1.0
+WATCH_SLACK_S = 0.5
+# Changes within this time share one call.
+WATCH_GAP_S = 0.15
+LIST_TIMEOUT_S = 1.5
+# Readings come once a watch; two may be missed before others step in, and
+# each further node waits this much longer.
+TAKEOVER_S = 2.0
+TAKEOVER_STEP_S = 0.5
+MAX_STEPS = 8
+IDLE_LOOK_S = 0.1
+BACKOFF_BASE_S = 0.1
+BACKOFF_CAP_S = 0.8
+PULL_TRIES = 3
+# At its start a node asks its peers before it lists by itself.
+START_PEERS = 2
+
+
+class Store(typing.Protocol):
+    """Read the objects of the platform's store."""
+
+    async def list(
+        self, kind: str, timeout_s: float
+    ) -> tuple[Revision, list[StoredObject]]:
+        """Return all objects; raise PlatformError."""
+
+    async def watch(
+        self, kind: str, since: Revision, wait_s: float, timeout_s: float
+    ) -> tuple[Revision, list[StoredObject]]:
+        """Return what changed since; raise CompactedError."""
+
+
+class Reading(msgspec.Struct, frozen=True, array_like=True):
+    """Tell that a node has just read the store."""
+
+    node: NodeId
+    revision: Revision
+
+
+PullFrom = collections.abc.Callable[
+    [Member, Pull], collections.abc.Awaitable[Delta]
+]
+OnChange = collections.abc.Callable[[list[StoredObject]], None]
+
+
+class Mirror:
+    """Hold one kind's objects as of a revision that never goes back."""
+
+    def __init__(
+        self,
+        kind: str,
+        node: NodeId,
+        store: Store,
+        pull: PullFrom,
+        members: collections.abc.Callable[
+            [], collections.abc.Sequence[Member]
+        ],
+        publish: collections.abc.Callable[[Rumor], None],
+        on_change: OnChange,
+        metrics: Metrics,
+        rng: random.Random,
+        clock: Clock,
+    ):
+        self.kind = kind
+        self.book = ObjectBook(metrics, (kind,), lambda stored: None)
+        self._node = node
+        self._store = store
+        self._pull = pull
+        self._members = members
+        self._publish = publish
+        self._on_change = on_change
+        self._metrics = metrics
+        self._rng = rng
+        self._clock = clock
+        self._read_at = -1e9
+        self._started_at = clock()
+        self._heard = 0
+        self._position: Revision | None = None
+        self._watching = False
+        self._task: asyncio.Task | None = None
+        self._call: asyncio.Task | None = None
+        self._pulls: set[asyncio.Task] = set()
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether the objects have ever been read."""
+        return self._read_at > 0.0
+
+    def age_s(self, now: float) -> float:
+        """Return how long ago the objects were known to be the newest."""
+        return now - self._read_at
+
+    @property
+    def watching(self) -> bool:
+        """Tell whether this node watches the store."""
+        return self._watching
+
+    def start(self) -> None:
+        """Begin to follow or watch."""
+        self._started_at = self._clock()
+        self._task = asyncio.ensure_future(self._run())
+        logs.watch(self._task)
+
+    async def stop(self) -> None:
+        """End all calls."""
+        tasks = [self._task, *self._pulls]
+        for task in tasks:
+            if task is not None:
+                task.cancel()
+        await asyncio.gather(
+            *(t for t in tasks if t is not None), return_exceptions=True
+        )
+
+    def doubt(self) -> None:
+        """Read again at once; this process stood still for a while."""
+        self._read_at = min(self._read_at, self._clock() - TAKEOVER_S)
+        self._position = None
+        if self._call is not None:
+            self._call.cancel()
+
+    def hear(self, rumor: Rumor) -> None:
+        """Take in that another node has read the store."""
+        if rumor.version <= self._heard:
+            return
+        self._heard = rumor.version
+        reading = msgspec.msgpack.decode(rumor.body, type=Reading)
+        if reading.node == self._node:
+            return
+        if reading.revision <= self.book.revision:
+            self._fresh()
+        else:
+            self._begin_pull(reading)
+
+    def answer(self, request: Pull) -> Delta:
+        """Answer the pull of another node."""
+        return self.book.delta(request.digest, request.after)
+
+    # Watching.
+
+    async def _run(self) -> None:
+        backoff = Backoff(self._rng, BACKOFF_BASE_S, BACKOFF_CAP_S)
+        await self._ask_peers()
+        while True:
+            self._set_watching(self._should_watch(self._clock()))
+            if not self._watching:
+                await asyncio.sleep(IDLE_LOOK_S)
+                continue
+            try:
+                await self._read()
+                backoff.reset()
+                await asyncio.sleep(WATCH_GAP_S)
+            except PlatformError as exc:
+                self._metrics.count('store_retries', type(exc).__name__)
+                pause_s = backoff.next_s()
+                if isinstance(exc, PlatformThrottledError):
+                    pause_s += exc.retry_after_s
+                await asyncio.sleep(pause_s)
+
+    async def _read(self) -> None:
+        self._call = asyncio.ensure_future(self._read_once())
+        try:
+            await self._call
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                self._call.cancel()
+                raise
+        finally:
+            self._call = None
+
+    def _should_watch(self, now: float) -> bool:
+        rank = self._rank()
+        if rank == 0:
+            return True
+        if not self.is_known:
+            # The first reading is wanted at once by whoever has no peers.
+            waited_s = now - self._started_at
+            return waited_s >= min(rank, MAX_STEPS) * TAKEOVER_STEP_S
+        patience_s = TAKEOVER_S + min(rank, MAX_STEPS) * TAKEOVER_STEP_S
+        return self.age_s(now) >= patience_s
+
+    def _rank(self) -> int:
+        nodes = {m.node for m in self._members() if not m.leaving}
+        nodes.add(self._node)
+        ranked = pick(f'mirror:{self.kind}', nodes, len(nodes))
+        return ranked.index(self._node)
+
+    def _set_watching(self, watching: bool) -> None:
+        if watching == self._watching:
+            return
+        self._watching = watching
+        if not watching:
+            self._position = None
+        logs.change(
+            'store_watch',
+            kind=self.kind,
+            watching=watching,
+            read_age_s=round(self.age_s(self._clock()), 3),
+            revision=self.book.revision,
+        )
+
+    async def _read_once(self) -> None:
+        if self._position is None:
+            await self._list()
+            return
+        try:
+            through, events = await self._store.watch(
+                self.kind,
+                self._position,
+                WATCH_WAIT_S,
+                WATCH_WAIT_S + WATCH_SLACK_S,
+            )
+        except CompactedError:
+            logs.change(
+                'store_history_gone', kind=self.kind, since=self._position
+            )
+            self._position = None
+            await self._list()
+            return
+        self._position = max(self._position, through)
+        if events:
+            newest = max(event.revision for event in events)
+            self._took(self.book.apply(events, newest))
+        self._tell()
+
+    async def _list(self) -> None:
+        revision, objects = await self._store.list(self.kind, LIST_TIMEOUT_S)
+        if revision < self.book.revision:
+            raise PlatformThrottledError(
+                f'the store listed {self.kind} as of {revision}, '
+                f'older than {self.book.revision}',
+                0.0,
+            )
+        self._took(self.book.replace(objects, revision))
+        self._position = revision
+        self._tell()
+
+    def _took(self, changed: list[StoredObject]) -> None:
+        if changed:
+            logs.change(
+                'objects_changed',
+                kind=self.kind,
+                revision=self.book.revision,
+                count=len(changed),
+            )
+            self._on_change(changed)
+
+    def _fresh(self) -> None:
+        if not self.is_known:
+            logs.change(
+                'objects_known', kind=self.kind, revision=self.book.revision
+            )
+        self._read_at = self._clock()
+
+    def _tell(self) -> None:
+        self._fresh()
+        self._heard += 1
+        reading = Reading(self._node, self.book.revision)
+        self._publish(
+            Rumor(
+                TOPIC,
+                self.kind,
+                self._heard,
+                msgspec.msgpack.encode(reading),
+                RUMOR_TTL_S,
+            )
+        )
+
+    # Following.
+
+    def _begin_pull(self, reading: Reading) -> None:
+        if self._pulls:
+            return
+        task = asyncio.ensure_future(self._catch_up(reading))
+        self._pulls.add(task)
+        task.add_done_callback(self._pulls.discard)
+        logs.watch(task)
+
+    async def _catch_up(self, reading: Reading) -> None:
+        for _ in range(PULL_TRIES):
+            member = self._member(reading.node)
+            if member is None:
+                return
+            if await self._pull_from(member):
+                if self.book.revision >= reading.revision:
+                    self._fresh()
+                    return
+
+    def _member(self, node: NodeId) -> Member | None:
+        for member in self._members():
+            if member.node == node:
+                return member
+        return None
+
+    async def _ask_peers(self) -> None:
+        peers = [m for m in self._members() if m.node != self._node]
+        for member in self._rng.sample(peers, min(START_PEERS, len(peers))):
+            await self._pull_from(member)
+
+    async def _pull_from(self, member: Member) -> bool:
+        request = Pull(self.book.digest(), kind=self.kind)
+        try:
+            delta = await self._pull(member, request)
+        except PeerUnavailableError:
+            self._metrics.count('mirror_pulls', 'peer_unavailable')
+            return False
+        self._metrics.count('mirror_pulls', 'answered')
+        self._took(self.book.apply_delta(delta))
+        return True
--- /dev/null
+++ b/sesameward/serving/node.py
@@ -0,0 +1,384 @@
+"""Run one node: callers' requests, directory, readiness, control."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+import typing
+
+import uvloop
+
+from .. import logs
+from ..exceptions import PlatformError
+from ..exceptions import SettingsError
+from ..messages import Rumor
+from ..metrics import Metrics
+from ..quarantine import TOPIC as QUARANTINE_TOPIC
+from ..settings import Endpoint
+from ..spread import Backoff
+from . import mirror
+from .attempts import View
+from .beliefs import Beliefs
+from .beliefs import Decoder
+from .budget_window import BudgetWindow
+from .choice import Choice
+from .crashes import Crashes
+from .directory import Addresses
+from .directory import Directory
+from .front import Deps
+from .front import Front
+from .http_server import Answer
+from .http_server import HttpServer
+from .http_server import Request
+from .http_server import Responder
+from .lines import LineWriter
+from .mirror import Mirror
+from .mirror import Store
+from .peers import Peers
+from .pools import Pools
+from .pools import WARM_PERIOD_S
+from .settings import NodeSettings
+from .splits import Splits
+from .targets import TargetTable
+from .wire import Wire
+
+# Upkeep: warm connections, expire targets, notice pauses and settings.
+UPKEEP_S = WARM_PERIOD_S
+# An upkeep round that comes so much later than planned means that the
+# process stood still, and what it believed may be outdated.
+STALL_S = 1.0
+# The settings file is looked at for changes this often.
+SETTINGS_S = 1.0
+# After SIGTERM callers still come by their kept addresses for this long.
+SERVE_ON_S = 2.5
+# Kept back of the time until SIGKILL to end by itself.
+EXIT_SLACK_S = 0.5
+REGISTER_BASE_S = 0.5
+REGISTER_CAP_S = 5.0
+# The list of nodes is read again this often, in case gossip lost some.
+NODES_S = 15.0
+
+
+class Registry(typing.Protocol):
+    """Find nodes through the store."""
+
+    async def register(self, cfg: NodeSettings) -> None:
+        """Write this node's addresses; raise PlatformError."""
+
+    async def nodes(self) -> list[Endpoint]:
+        """Return where nodes gossip; raise PlatformError."""
+
+
+class Queries(typing.Protocol):
+    """Translate the directory's and readiness' calls."""
+
+    def is_resolve(self, req: Request) -> bool:
+        """Tell whether a request asks for addresses."""
+
+    def is_readiness(self, req: Request) -> bool:
+        """Tell whether a request asks for readiness."""
+
+    def addresses_answer(self, addresses: Addresses) -> Answer:
+        """Return addresses in the caller's format."""
+
+
+class Adapter(typing.NamedTuple):
+    """Hold everything that speaks a deployment's own protocol."""
+
+    wire: Wire
+    decoder: Decoder
+    store: Store
+    registry: Registry
+    queries: Queries
+    routes_kind: str
+    targets_kind: str
+    read_settings: typing.Callable[[], NodeSettings]
+    settings_changed: typing.Callable[[], bool]
+
+
+class Node:
+    """Wire one node's parts together."""
+
+    def __init__(self, cfg: NodeSettings, adapter: Adapter):
+        self._cfg = cfg
+        self._adapter = adapter
+        self._clock = time.monotonic
+        self._rng = random.Random(cfg.seed)
+        self.metrics = Metrics('node')
+        now = self._clock()
+        self.targets = TargetTable()
+        self.choice = Choice(cfg.zone, self._rng)
+        self.budget = BudgetWindow(
+            cfg.bounds.retry_ratio,
+            cfg.bounds.retry_slack,
+            cfg.bounds.retry_window_s,
+            now,
+        )
+        self.pools = Pools(
+            self.metrics, self._rng, self._clock, self._on_unreachable
+        )
+        splits = Splits()
+        self.beliefs = Beliefs(
+            adapter.decoder,
+            self.targets,
+            self.choice,
+            self.pools,
+            splits,
+            self.budget,
+            self.metrics,
+            self._clock,
+        )
+        self.peers = Peers(cfg, self.metrics, self._rng, self._clock)
+        origin = f'{cfg.node}:{time.time_ns()}'
+        self._crashes = Crashes(origin, self.metrics, self._rng)
+        self._crashes.spread = self.peers.publish
+        self.routes_mirror = self._mirror(
+            adapter.routes_kind, self.beliefs.take_routes
+        )
+        self.targets_mirror = self._mirror(
+            adapter.targets_kind, self.beliefs.take_targets
+        )
+        self.beliefs.routes_mirror = self.routes_mirror
+        self._directory = Directory(self.targets, self._rng)
+        self.front = Front(
+            Deps(
+                adapter.wire,
+                View(self.targets, self.choice, self.budget),
+                self.pools,
+                splits,
+                self._crashes,
+                self.metrics,
+                self._clock,
+                self._rng.random,
+            ),
+            self.beliefs,
+        )
+        self.callers = self._server(self.front.handle)
+        self._others = [
+            (self._server(self._answer_readiness), cfg.readiness),
+            (self._server(self._answer_directory), cfg.directory),
+            (
+                self._server(self._answer_metrics),
+                Endpoint(cfg.gossip.host, cfg.metrics_port),
+            ),
+        ]
+        self._leaving = False
+        self._is_offered = False
+        self._tasks: list[asyncio.Task] = []
+        self._done = asyncio.Event()
+
+    def _mirror(self, kind: str, on_change: mirror.OnChange) -> Mirror:
+        made = Mirror(
+            kind,
+            self._cfg.node,
+            self._adapter.store,
+            self.peers.pull,
+            self.peers.members,
+            self.peers.publish,
+            on_change,
+            self.metrics,
+            self._rng,
+            self._clock,
+        )
+        self.peers.on_pull(kind, made.answer)
+        return made
+
+    def _server(
+        self, handle: typing.Callable[[Request, Responder], None]
+    ) -> HttpServer:
+        return HttpServer(handle, self.metrics, self._clock)
+
+    # Life.
+
+    async def run(self) -> None:
+        """Serve until SIGTERM has been carried out."""
+        logs.change('started', zone=self._cfg.zone, pid=os.getpid())
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._begin_leaving)
+        loop.add_signal_handler(signal.SIGINT, self._begin_leaving)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self.peers.gossip.subscribe(mirror.TOPIC, self._on_reading)
+        self.peers.gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
+        callers = self._cfg.callers
+        await self.callers.start(callers.host, callers.port)
+        for server, at in self._others:
+            await server.start(at.host, at.port)
+        await self.peers.start()
+        self.routes_mirror.start()
+        self.targets_mirror.start()
+        for work in (self._keep_up(), self._keep_registered()):
+            self._spawn(work)
+        await self._done.wait()
+        await self._stop()
+
+    def _spawn(self, work: typing.Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        logs.watch(task)
+        self._tasks.append(task)
+
+    def _begin_leaving(self) -> None:
+        if self._leaving:
+            return
+        self._leaving = True
+        logs.change('leaving', in_flight=len(self.front.runs))
+        self.peers.leave()
+        self.callers.leaving = True
+        self._spawn(self._leave())
+
+    async def _leave(self) -> None:
+        """Serve on, then close between requests and end before SIGKILL."""
+        begun = self._clock()
+        until = begun + self._cfg.bounds.grace_s - EXIT_SLACK_S
+        await asyncio.sleep(SERVE_ON_S)
+        self.callers.stop_listening()
+        while self.callers.close_idle() and self._clock() < until:
+            await asyncio.sleep(0.05)
+        logs.change(
+            'stopping',
+            in_flight=len(self.front.runs),
+            after_s=round(self._clock() - begun, 3),
+        )
+        # What was just answered must leave the buffers.
+        await asyncio.sleep(0.1)
+        self._done.set()
+
+    async def _stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await self.routes_mirror.stop()
+        await self.targets_mirror.stop()
+        await self.peers.stop()
+        self.callers.stop()
+        for server, _ in self._others:
+            server.stop()
+        self.pools.close()
+        logs.change('stopped')
+
+    def _reload(self) -> None:
+        try:
+            cfg = self._adapter.read_settings()
+        except SettingsError as exc:
+            self.metrics.count('reloads', 'refused')
+            logs.change('reload_refused', error=str(exc))
+            return
+        self.metrics.count('reloads', 'done')
+        logs.change('reloaded', seeds=[str(seed) for seed in cfg.seeds])
+        self.peers.set_hints(cfg.seeds)
+
+    # Upkeep.
+
+    async def _keep_up(self) -> None:
+        before = self._clock()
+        boot = _boottime()
+        settings_at = before
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            now = self._clock()
+            stood_s = max(now - before, _boottime() - boot) - UPKEEP_S
+            before, boot = now, _boottime()
+            if stood_s > STALL_S:
+                logs.change('stood_still', for_s=round(stood_s, 3))
+                self.routes_mirror.doubt()
+                self.targets_mirror.doubt()
+            self._look_after(now)
+            if now - settings_at >= SETTINGS_S:
+                settings_at = now
+                if self._adapter.settings_changed():
+                    self._reload()
+
+    def _look_after(self, now: float) -> None:
+        self.beliefs.expire()
+        sharers = self.peers.sharers(now)
+        self.budget.set_nodes(sharers)
+        self.pools.set_limits(self.beliefs.limit, sharers)
+        self.pools.warm()
+        table = self.beliefs.table
+        if table is not None:
+            self.callers.limits = table.limits
+        is_ready = self.ready()
+        if is_ready != self._is_offered and not self._leaving:
+            self._is_offered = is_ready
+            logs.change('ready' if is_ready else 'not_ready')
+            self.peers.set_entry(is_ready)
+
+    async def _keep_registered(self) -> None:
+        backoff = Backoff(self._rng, REGISTER_BASE_S, REGISTER_CAP_S)
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._adapter.registry.register(self._cfg)
+                    registered = True
+                self.peers.set_hints(await self._adapter.registry.nodes())
+                backoff.reset()
+                pause_s = NODES_S * self._rng.uniform(0.8, 1.2)
+            except PlatformError as exc:
+                self.metrics.count('store_retries', type(exc).__name__)
+                pause_s = 0.1 + backoff.next_s()
+            await asyncio.sleep(pause_s)
+
+    def _on_unreachable(self, target_id) -> None:
+        self.choice.unreachable(target_id, self._clock())
+
+    def _on_reading(self, rumor: Rumor) -> None:
+        for made in (self.routes_mirror, self.targets_mirror):
+            if made.kind == rumor.key:
+                made.hear(rumor)
+
+    def _on_quarantine(self, rumor: Rumor) -> None:
+        self._crashes.heard(rumor, self._clock())
+
+    # The other addresses.
+
+    def ready(self) -> bool:
+        """Tell whether callers should come."""
+        return (
+            not self._leaving
+            and self.beliefs.table is not None
+            and len(self.targets) > 0
+        )
+
+    def _answer_readiness(self, req: Request, responder: Responder) -> None:
+        if not self._adapter.queries.is_readiness(req):
+            responder.send(Answer(404))
+        else:
+            responder.send(Answer(200 if self.ready() else 503))
+
+    def _answer_directory(self, req: Request, responder: Responder) -> None:
+        queries = self._adapter.queries
+        if not queries.is_resolve(req):
+            responder.send(Answer(404))
+            return
+        found = self._directory.addresses(
+            self.peers.members(),
+            self.beliefs.asked_services,
+            self._cfg.bounds.address_ttl_s,
+        )
+        if not found.addresses:
+            self.metrics.count('resolves', 'no_node')
+            responder.send(Answer(503))
+            return
+        self.metrics.count('resolves', 'answered')
+        responder.send(queries.addresses_answer(found))
+
+    def _answer_metrics(self, req: Request, responder: Responder) -> None:
+        if req.path != '/metrics':
+            responder.send(Answer(404))
+            return
+        headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
+        responder.send(Answer(200, headers, self.metrics.render()))
+
+
+def _boottime() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def serve(cfg: NodeSettings, adapter: Adapter) -> None:
+    """Run a node in this process."""
+    writer = LineWriter(sys.stdout.fileno(), cfg.node)
+    logs.send_to(writer.write)
+    uvloop.run(Node(cfg, adapter).run())
--- /dev/null
+++ b/sesameward/serving/targets.py
@@ -0,0 +1,124 @@
+"""Hold the targets of all services and which of them may get work."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import msgspec
+
+from ..types import Revision
+from ..types import ServiceName
+from ..types import TargetId
+from ..types import ZoneName
+
+# A registration that lapsed while the store was away is back within two
+# seconds of its return; a target that left on purpose serves for longer.
+LAPSE_S = 2.0
+
+
+class TargetState(enum.Enum):
+    """Say what a target has told of itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class Target(msgspec.Struct, frozen=True):
+    """Hold the registration of one target.
+
+    warmup_s tells how much longer the target is slow after its start;
+    started_ms is the Unix time of that start, or 0 where it is not told.
+    """
+
+    id: TargetId
+    service: ServiceName
+    host: str
+    port: int
+    zone: ZoneName
+    slots: int
+    state: TargetState
+    warmup_s: float = 0.0
+    started_ms: int = 0
+
+    @property
+    def drain(self) -> bool:
+        """Tell whether the target must get no new work."""
+        return self.state is TargetState.DRAINING
+
+
+class Change(msgspec.Struct, frozen=True):
+    """Report one target added, changed or removed (target is None)."""
+
+    target_id: TargetId
+    target: Target | None
+    revision: Revision
+
+
+class TargetTable:
+    """Group targets by service; keep lapsed ones for a moment.
+
+    A lapsed target is used only where its service has no other.
+    """
+
+    def __init__(self):
+        self._targets: dict[TargetId, Target] = {}
+        self._lapsed: dict[TargetId, float] = {}
+        self._groups: dict[ServiceName, tuple[TargetId, ...]] = {}
+
+    def get(self, target_id: TargetId) -> Target | None:
+        """Return a target or None."""
+        return self._targets.get(target_id)
+
+    def __iter__(self) -> typing.Iterator[Target]:
+        return iter(tuple(self._targets.values()))
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    def put(self, target: Target) -> None:
+        """Add a target or take over its new registration."""
+        old = self._targets.get(target.id)
+        if old is not None and old.service != target.service:
+            self._drop(target.id)
+        self._lapsed.pop(target.id, None)
+        self._targets[target.id] = target
+        self._regroup(target.service)
+
+    def lapse(self, target_id: TargetId, now: float) -> None:
+        """Take in that a registration is gone."""
+        target = self._targets.get(target_id)
+        if target is not None and target_id not in self._lapsed:
+            self._lapsed[target_id] = now
+            self._regroup(target.service)
+
+    def expire(self, now: float) -> list[TargetId]:
+        """Drop targets that lapsed a while ago; return them."""
+        gone = [
+            target_id
+            for target_id, at in self._lapsed.items()
+            if now - at >= LAPSE_S
+        ]
+        for target_id in gone:
+            self._drop(target_id)
+        return gone
+
+    def candidates(self, service: ServiceName) -> tuple[TargetId, ...]:
+        """Return the targets of a service that may get new work."""
+        return self._groups.get(service, ())
+
+    def _drop(self, target_id: TargetId) -> None:
+        self._lapsed.pop(target_id, None)
+        target = self._targets.pop(target_id, None)
+        if target is not None:
+            self._regroup(target.service)
+
+    def _regroup(self, service: ServiceName) -> None:
+        members = [t for t in self._targets.values() if t.service == service]
+        usable = [t.id for t in members if not t.drain]
+        sure = [one for one in usable if one not in self._lapsed]
+        group = tuple(sorted(sure or usable))
+        if group:
+            self._groups[service] = group
+        else:
+            self._groups.pop(service, None)
