Make the node's parts inside the loop that runs them

Cause: grpclib binds its server to the loop of the moment it is made; the node was made before its loop ran, so no pull was ever answered and each node watched for itself after two seconds. Ruled out: the shared port of UDP and TCP, uvloop, the address family (a trace of the protocol's calls showed that the server saw no connection). Faults of the loop are logged now.

--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -4,13 +4,13 @@
 
 import sys
 
-from ..exceptions import SettingsError
-from ..serving.node import Adapter
-from ..serving.node import serve
 from . import boot
 from . import objects
 from . import store
 from . import wire
+from ..exceptions import SettingsError
+from ..serving.node import Adapter
+from ..serving.node import serve
 
 EXIT_SETTINGS = 2
 
--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -104,6 +104,7 @@
         readiness=_endpoint(name, 'listen.ready', boot.listen.ready),
         directory=_endpoint(name, 'listen.directory', boot.listen.directory),
         gossip=Endpoint(boot.ip, port),
+        peer_port=port + 1,
         metrics_port=boot.internal_ports[1],
         store=_endpoint(name, 'platform.address', boot.platform.address),
         # The platform hands out no secret; this keeps deployments apart.
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -8,16 +8,16 @@
 
 import msgspec
 
+from . import gather
+from . import relay
+from . import routes
+from . import topk
 from .. import logs
 from ..metrics import Metrics
 from ..types import Clock
 from ..types import Outcome
 from ..types import ServiceName
 from ..types import TargetId
-from . import gather
-from . import relay
-from . import routes
-from . import topk
 from .attempts import AttemptNo
 from .attempts import End
 from .attempts import Send
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -340,8 +340,15 @@
         request = Pull(self.book.digest(), kind=self.kind)
         try:
             delta = await self._pull(member, request)
-        except PeerUnavailableError:
+        except PeerUnavailableError as exc:
             self._metrics.count('mirror_pulls', 'peer_unavailable')
+            logs.change(
+                'pull_failed',
+                kind=self.kind,
+                peer=member.node,
+                error=str(exc),
+                cause=repr(exc.__cause__),
+            )
             return False
         self._metrics.count('mirror_pulls', 'answered')
         self._took(self.book.apply_delta(delta))
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from . import mirror
 from .. import logs
 from ..exceptions import PlatformError
 from ..exceptions import SettingsError
@@ -20,7 +21,6 @@
 from ..quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from ..spread import Backoff
-from . import mirror
 from .attempts import View
 from .beliefs import Beliefs
 from .beliefs import Decoder
@@ -198,6 +198,7 @@
         """Serve until SIGTERM has been carried out."""
         logs.change('started', zone=self._cfg.zone, pid=os.getpid())
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._on_fault)
         loop.add_signal_handler(signal.SIGTERM, self._begin_leaving)
         loop.add_signal_handler(signal.SIGINT, self._begin_leaving)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -215,6 +216,16 @@
         await self._done.wait()
         await self._stop()
 
+    def _on_fault(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        self.metrics.count('loop_faults')
+        logs.change(
+            'loop_fault',
+            problem=context.get('message'),
+            error=repr(context.get('exception')),
+        )
+
     def _spawn(self, work: typing.Coroutine) -> None:
         task = asyncio.ensure_future(work)
         logs.watch(task)
@@ -381,4 +392,9 @@
     """Run a node in this process."""
     writer = LineWriter(sys.stdout.fileno(), cfg.node)
     logs.send_to(writer.write)
-    uvloop.run(Node(cfg, adapter).run())
+    uvloop.run(_run(cfg, adapter))
+
+
+async def _run(cfg: NodeSettings, adapter: Adapter) -> None:
+    # The node's parts bind to the loop that runs when they are made.
+    await Node(cfg, adapter).run()
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -55,7 +55,7 @@
             zone=cfg.zone,
             host=cfg.gossip.host,
             gossip_port=cfg.gossip.port,
-            grpc_port=cfg.gossip.port,
+            grpc_port=cfg.peer_port,
             http_port=cfg.readiness.port,
         )
         self.gossip = Gossip(cfg, me, metrics, rng, transport=PeerClient())
@@ -74,7 +74,7 @@
 
     async def start(self) -> None:
         """Listen and begin to join."""
-        await self._server.start(self._cfg.gossip.host, self._cfg.gossip.port)
+        await self._server.start(self._cfg.gossip.host, self._cfg.peer_port)
         self._serving = True
         await self.gossip.start()
 
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -29,7 +29,8 @@
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Hold the settings of one node.
 
-    gossip is bound for UDP and for the nodes' own calls over TCP.
+    gossip is bound for UDP; at peer_port of the same host the node answers
+    the calls of other nodes.
     """
 
     node: NodeId
@@ -38,6 +39,7 @@
     readiness: Endpoint
     directory: Endpoint
     gossip: Endpoint
+    peer_port: Port
     metrics_port: Port
     store: Endpoint
     membership: MembershipSettings
