--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -5,12 +5,12 @@
 import sys
 
 from . import boot
-from . import objects
-from . import store
-from . import wire
 from ..exceptions import SettingsError
+from . import objects
 from ..serving.node import Adapter
 from ..serving.node import serve
+from . import store
+from . import wire
 
 EXIT_SETTINGS = 2
 
--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import urllib.parse
+
 import msgspec
 
 from ..messages import LoadReport
@@ -14,6 +16,7 @@
 from ..serving.wire import Told
 from ..types import RequestId
 from ..types import TargetId
+from ..types import ZoneName
 
 REQUEST_ID = b'sesameward-request-id'
 DEADLINE = b'sesameward-deadline-ms'
@@ -80,17 +83,17 @@
         )
 
     def sub_request(
-        self, req: Request, asked: Asked, target_id: TargetId, left_s: float
+        self, head: bytes, body: bytes, target_id: TargetId, left_s: float
     ) -> bytes:
         """Return a request's bytes for one target."""
         return (
             b'%sSesameward-Deadline-Ms: %d\r\n'
             b'Sesameward-Expect-Instance: %s\r\n\r\n%s'
             % (
-                asked.head,
+                head,
                 max(1, int(left_s * 1_000)),
                 target_id.encode(),
-                req.body,
+                body,
             )
         )
 
@@ -147,6 +150,11 @@
         """Tell whether a request asks for readiness."""
         return req.path == READY_PATH
 
+    def caller_zone(self, req: Request) -> ZoneName:
+        """Return where the caller is; empty where it does not say."""
+        query = urllib.parse.parse_qs(req.query.decode('latin-1'))
+        return ZoneName(query.get('zone', [''])[0])
+
     def addresses_answer(self, addresses: Addresses) -> Answer:
         """Return addresses in the callers' format."""
         body = msgspec.json.encode(
--- a/sesameward/serving/choice.py
+++ b/sesameward/serving/choice.py
@@ -27,7 +27,7 @@
 # In scaled seconds: another zone is asked only when the own zone's replica
 # has two more requests than it has slots free for, as bytes between zones
 # are the dearest resource and two slots run side by side.
-ZONE_COST_S = 0.006
+ZONE_COST_S = 0.03
 # A request is overdue beyond this quantile of its route's latencies, by
 # this factor.
 OVERDUE_QUANTILE = 0.9
--- a/sesameward/serving/crashes.py
+++ b/sesameward/serving/crashes.py
@@ -24,7 +24,6 @@
 from ..quarantine import Suspected
 from ..types import Fingerprint
 from ..types import TargetId
-from .http_server import Request
 
 # A first request of its kind is sent at once: leading with one target
 # would cost every new query a round trip.
@@ -39,11 +38,11 @@
         self._metrics = metrics
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
-    def refused_s(self, req: Request, now: float) -> float:
+    def refused_s(self, subject: bytes, body: bytes, now: float) -> float:
         """Return for how long a request is refused; 0 where it is not."""
         if not self._quarantine.suspects:
             return 0.0
-        fp = _fingerprint(req)
+        fp = _fingerprint(subject, body)
         match self._quarantine.admit(fp, now):
             case Refuse(retry_after_s, on_trial):
                 # An equal request on trial may be harmless, so others of
@@ -53,15 +52,19 @@
                 self._metrics.count('canaries')
         return 0.0
 
-    def broke(self, req: Request, target_id: TargetId, now: float) -> None:
+    def broke(
+        self, subject: bytes, body: bytes, target_id: TargetId, now: float
+    ) -> None:
         """Count a connection that broke after a request was sent."""
-        fp = _fingerprint(req)
+        fp = _fingerprint(subject, body)
         self._act(self._quarantine.broke(fp, target_id, (), now))
 
-    def succeeded(self, req: Request, target_id: TargetId, now: float) -> None:
+    def succeeded(
+        self, subject: bytes, body: bytes, target_id: TargetId, now: float
+    ) -> None:
         """Clear a request that ended well."""
         if self._quarantine.suspects:
-            fp = _fingerprint(req)
+            fp = _fingerprint(subject, body)
             self._act(self._quarantine.succeeded(fp, target_id, now))
 
     def heard(self, rumor: Rumor, now: float) -> None:
@@ -84,11 +87,5 @@
                     logs.change('request_cleared', fingerprint=fp)
 
 
-def _fingerprint(req: Request) -> Fingerprint:
-    return fingerprint_of(
-        'request',
-        req.method.decode('latin-1'),
-        req.host,
-        req.target.decode('latin-1'),
-        req.body.hex(),
-    )
+def _fingerprint(subject: bytes, body: bytes) -> Fingerprint:
+    return fingerprint_of('request', subject.hex(), body.hex())
--- a/sesameward/serving/directory.py
+++ b/sesameward/serving/directory.py
@@ -44,10 +44,13 @@
         self,
         members: typing.Sequence[Member],
         services: typing.Collection[ServiceName],
+        zone: ZoneName,
         max_ttl_s: float,
     ) -> Addresses:
         """Return the nodes for a caller, in random order."""
         usable = _usable(members)
+        own = [m for m in usable if m.zone == zone]
+        usable = own or usable
         near_zones = self._near_zones(services)
         near = [m for m in usable if m.zone in near_zones]
         if len(near) >= max(MIN_NEAR, MIN_NEAR_PART * len(usable)):
--- /dev/null
+++ b/sesameward/serving/exchange.py
@@ -0,0 +1,199 @@
+"""Carry one sub-request to a target and say how it ended."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+import msgspec
+
+from ..metrics import Metrics
+from ..types import Clock
+from ..types import Outcome
+from ..types import RequestId
+from ..types import TargetId
+from .attempts import End
+from .attempts import View
+from .crashes import Crashes
+from .pools import IDLE_S
+from .pools import Pools
+from .routes import RouteName
+from .target_connection import Broken
+from .target_connection import Reply
+from .target_connection import TargetConnection
+from .wire import Told
+from .wire import Wire
+
+# A request that runs once never rides on a connection idle for longer, as
+# the target may just be closing it.
+ONCE_MAX_IDLE_S = 1.0
+
+
+class Tools(msgspec.Struct):
+    """Hold what every sub-request needs."""
+
+    wire: Wire
+    view: View
+    pools: Pools
+    crashes: Crashes
+    metrics: Metrics
+    clock: Clock
+
+
+class SubRequest(msgspec.Struct):
+    """Hold what is asked of a target.
+
+    subject is what equal requests have in common beside their body; head and
+    body are the request's bytes that are the same for all targets.
+    """
+
+    request_id: RequestId
+    route: RouteName
+    method: bytes
+    subject: bytes
+    head: bytes
+    body: bytes
+    deadline_at: float
+    is_shard: bool
+    runs_once: bool
+
+
+class Result(msgspec.Struct):
+    """Hold how a sub-request ended; reply is None where end says why."""
+
+    end: End | None
+    reply: Reply | None = None
+    signature: bytes | None = None
+
+
+OnResult = typing.Callable[[Result], None]
+
+
+class Exchange:
+    """Run one sub-request over a pooled connection."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        sub: SubRequest,
+        target_id: TargetId,
+        is_wanted: typing.Callable[[], bool],
+        on_result: OnResult,
+    ):
+        self._tools = tools
+        self._sub = sub
+        self._target_id = target_id
+        self._is_wanted = is_wanted
+        self._on_result = on_result
+        self._conn: TargetConnection | None = None
+
+    def begin(self) -> None:
+        """Send as soon as there is a connection."""
+        self._tools.pools.acquire(
+            self._target_id,
+            self._connected,
+            ONCE_MAX_IDLE_S if self._sub.runs_once else IDLE_S,
+        )
+
+    def abandon(self) -> None:
+        """Close the connection, so that the target stops."""
+        if self._conn is not None:
+            self._conn.abandon()
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the target may be running the request."""
+        return self._conn is not None
+
+    def _connected(self, conn: TargetConnection | None) -> None:
+        if not self._is_wanted():
+            return
+        if conn is None:
+            self._on_result(Result(End.NOT_SENT))
+            return
+        tools = self._tools
+        sub = self._sub
+        now = tools.clock()
+        left_s = max(sub.deadline_at - now, 0.001)
+        token = tools.view.choice.sent(self._target_id, sub.route, now)
+        self._conn = conn
+        conn.send(
+            tools.wire.sub_request(
+                sub.head, sub.body, self._target_id, left_s
+            ),
+            functools.partial(self._ended, token),
+            self._is_own,
+            sub.method == b'HEAD',
+        )
+
+    def _is_own(self, reply: Reply) -> bool:
+        told_id = self._tools.wire.read_reply(reply).request_id
+        return told_id is None or told_id == self._sub.request_id
+
+    def _ended(self, token, what: Reply | Broken) -> None:
+        self._conn = None
+        tools = self._tools
+        now = tools.clock()
+        if isinstance(what, Reply):
+            told = tools.wire.read_reply(what)
+            outcome, result = self._judge(what, told, now)
+            if told.load is not None:
+                tools.view.choice.reported(self._target_id, told.load, now)
+            retry_after_s = told.retry_after_s
+        else:
+            tools.metrics.count('target_breaks', what.value)
+            outcome, end = _BREAKS[what]
+            if what is Broken.ABANDONED and now >= self._sub.deadline_at:
+                outcome = Outcome.TIMEOUT
+            result = Result(end)
+            retry_after_s = 0.0
+        tools.view.choice.ended(token, outcome, now, retry_after_s)
+        if outcome is Outcome.OK:
+            tools.crashes.succeeded(
+                self._sub.subject, self._sub.body, self._target_id, now
+            )
+        elif result.end is End.BROKEN:
+            tools.crashes.broke(
+                self._sub.subject, self._sub.body, self._target_id, now
+            )
+        self._on_result(result)
+
+    def _judge(
+        self, reply: Reply, told: Told, now: float
+    ) -> tuple[Outcome, Result]:
+        metrics = self._tools.metrics
+        if told.not_run:
+            if reply.status == 421:
+                self._tools.view.targets.lapse(self._target_id, now)
+                end, outcome = End.MISDIRECTED, Outcome.DRAINING
+            else:
+                end, outcome = End.NOT_RUN, Outcome.SHED
+            metrics.count('target_refusals', end.value)
+            return outcome, Result(end)
+        is_success = 200 <= reply.status < 300
+        if is_success and (told.signature is None or told.is_encoded):
+            metrics.count('target_failures', 'unsigned')
+            return Outcome.ERROR, Result(End.FAILED)
+        if is_success:
+            return Outcome.OK, Result(None, reply, told.signature)
+        metrics.count('target_failures', str(reply.status))
+        if self._sub.is_shard:
+            return Outcome.ERROR, Result(End.FAILED)
+        is_final = is_final_status(reply.status)
+        outcome = Outcome.OK if is_final else Outcome.ERROR
+        return outcome, Result(None, reply, told.signature)
+
+
+def is_final_status(status: int) -> bool:
+    """Tell whether another target would hardly answer otherwise."""
+    return status < 500 and status not in (408, 421, 429)
+
+
+_BREAKS = {
+    Broken.NOT_SENT: (Outcome.CONNECT_FAILED, End.NOT_SENT),
+    Broken.RESET: (Outcome.BROKEN, End.BROKEN),
+    Broken.CLOSED: (Outcome.BROKEN, End.BROKEN),
+    Broken.NOT_HTTP: (Outcome.BROKEN, End.FAILED),
+    Broken.TOO_LARGE: (Outcome.ERROR, End.FAILED),
+    Broken.ABANDONED: (Outcome.CANCELLED, End.FAILED),
+}
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -3,39 +3,51 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import typing
 
 import msgspec
 
+from .. import logs
 from . import gather
+from ..messages import Member
 from . import relay
-from . import routes
 from . import topk
-from .. import logs
-from ..metrics import Metrics
-from ..types import Clock
+from ..types import NodeId
 from ..types import Outcome
 from ..types import ServiceName
 from ..types import TargetId
-from .attempts import AttemptNo
 from .attempts import End
 from .attempts import Send
-from .attempts import View
+from .attempts import Why
 from .choice import Token
-from .crashes import Crashes
+from .delegate_client import DelegateClient
+from .delegation import Ask
+from .delegation import AskNo
+from .delegation import Delegation
+from .delegation import Item
+from .delegation import Mark
+from .delegation import PartEnd
+from .delegation import Parts
+from .exchange import Exchange
+from .exchange import is_final_status
+from .exchange import Result
+from .exchange import SubRequest
+from .exchange import Tools
+from .gather import Gather
 from .http_server import Answer
 from .http_server import Request
 from .http_server import Responder
-from .pools import IDLE_S
-from .pools import Pools
+from .relay import Relay
+from .routes import OneService
+from .routes import Repeat
+from .routes import Route
+from .routes import RouteTable
+from .routes import Shards
+from .routes import Split
+from .routes import Version
 from .splits import Splits
-from .target_connection import Broken
 from .target_connection import Reply
-from .target_connection import TargetConnection
 from .wire import Asked
-from .wire import Told
-from .wire import Wire
 
 # One way between callers and this node, at most; both deployments' pages
 # name 1 and 3 ms.
@@ -47,9 +59,6 @@
 GONE_S = 0.25
 # A target is given this long beyond the deadline that it was told.
 OVERRUN_S = 0.3
-# A request that runs once never rides on a connection idle for longer, as
-# the target may just be closing it.
-ONCE_MAX_IDLE_S = 1.0
 # A caller that was refused comes back after about this time, spread so that
 # refused callers don't return together.
 RETRY_S = 0.3
@@ -64,7 +73,7 @@
     """Hold what a node believes of the configuration."""
 
     @property
-    def table(self) -> routes.RouteTable | None:
+    def table(self) -> RouteTable | None:
         """Return the routes in force."""
 
     def age_s(self, now: float) -> float:
@@ -74,13 +83,10 @@
 class Deps(msgspec.Struct):
     """Hold what every request needs."""
 
-    wire: Wire
-    view: View
-    pools: Pools
+    tools: Tools
+    delegation: Delegation
+    delegates: DelegateClient
     splits: Splits
-    crashes: Crashes
-    metrics: Metrics
-    clock: Clock
     random: typing.Callable[[], float]
 
 
@@ -95,12 +101,12 @@
     def handle(self, req: Request, responder: Responder) -> None:
         """Answer a request, now or later."""
         deps = self._deps
-        now = deps.clock()
+        now = deps.tools.clock()
         table = self._beliefs.table
         if table is None:
             self._refuse(req, responder, 503, 'no_configuration')
             return
-        asked = deps.wire.read_request(req)
+        asked = deps.tools.wire.read_request(req)
         if asked is None:
             self._refuse(req, responder, 400, 'no_request_id')
             return
@@ -110,7 +116,9 @@
             status = 404 if fresh else 503
             self._refuse(req, responder, status, 'no_route', asked)
             return
-        quarantine_s = deps.crashes.refused_s(req, now)
+        quarantine_s = deps.tools.crashes.refused_s(
+            subject_of(req), req.body, now
+        )
         if quarantine_s > 0.0:
             self._refuse(
                 req, responder, 503, 'quarantined', asked, quarantine_s
@@ -122,18 +130,18 @@
         self,
         req: Request,
         asked: Asked,
-        route: routes.Route,
-        table: routes.RouteTable,
+        route: Route,
+        table: RouteTable,
         responder: Responder,
         now: float,
     ) -> None:
         match route.destination:
-            case routes.Shards():
+            case Shards():
                 run: _Run = _GatherRun(self, req, asked, route, responder)
-            case routes.Split() as split:
+            case Split() as split:
                 service = self._deps.splits.pick(route.name, split)
                 run = _RelayRun(self, req, asked, route, responder, service)
-            case routes.OneService(service):
+            case OneService(service):
                 run = _RelayRun(self, req, asked, route, responder, service)
         run.version = table.version
         self.runs.add(run)
@@ -149,14 +157,14 @@
         retry_after_s: float | None = None,
     ) -> None:
         deps = self._deps
-        deps.metrics.count('refused', reason)
+        deps.tools.metrics.count('refused', reason)
         logs.change(
             'refused',
             request=asked.request_id if asked else None,
             path=req.path,
             status=status,
             reason=reason,
-            routes_age_s=round(self._beliefs.age_s(deps.clock()), 3),
+            routes_age_s=round(self._beliefs.age_s(deps.tools.clock()), 3),
         )
         answer = Answer(status)
         if status == 503:
@@ -182,157 +190,110 @@
 class _Run:
     """Carry the sends of one request to targets and the ends back."""
 
+    _plan: Gather | Relay
+
     def __init__(
         self,
         front: Front,
         req: Request,
         asked: Asked,
-        route: routes.Route,
+        route: Route,
         responder: Responder,
     ):
         self._front = front
         self._deps = front.deps
+        self._tools = front.deps.tools
         self._req = req
         self._asked = asked
         self._route = route
         self._responder = responder
-        self._live: dict[AttemptNo, TargetConnection] = {}
+        self._live: set[Exchange] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_over = False
-        self._sends: list[str] = []
-        self.version = routes.Version(0)
+        self._repeats: list[str] = []
+        self.version = Version(0)
         patience_s = asked.patience_s
         if patience_s is None or patience_s > route.timeout_s:
             patience_s = route.timeout_s
         self._deadline_at = req.arrived_at + patience_s
+        self._sub = SubRequest(
+            asked.request_id,
+            route.name,
+            req.method,
+            subject_of(req),
+            asked.head,
+            req.body,
+            self._deadline_at,
+            isinstance(route.destination, Shards),
+            route.repeat is Repeat.ONCE,
+        )
         responder.on_gone = self._on_gone
 
-    # What the kinds of request differ in.
-
-    _plan: gather.Gather | relay.Relay
-
     def begin(self, now: float) -> None:
         """Send the first sub-requests."""
         self._act(self._plan.start(now))
         self._schedule()
 
-    def _take_reply(
-        self, send: Send, reply: Reply, told: Told, now: float
-    ) -> tuple[Outcome, list]:
-        raise NotImplementedError
-
-    def _take_end(self, send: Send, end: End, now: float) -> list:
-        raise NotImplementedError
-
-    def _finish(self, action: object) -> None:
-        raise NotImplementedError
-
     # Sends and their ends.
 
     def _act(self, actions: typing.Iterable) -> None:
         for action in actions:
             if isinstance(action, Send):
+                if action.why is not Why.FIRST:
+                    self._note_repeat(action)
                 self._send(action)
             elif not self._is_over:
                 self._is_over = True
                 self._finish(action)
 
+    def _note_repeat(self, send: Send) -> None:
+        self._tools.metrics.count('sub_requests', send.why.value)
+        self._repeats.append(f'{send.why.value}:{send.target_id}')
+
     def _send(self, send: Send) -> None:
-        if send.why.value != 'first':
-            self._deps.metrics.count('sub_requests', send.why.value)
-            self._sends.append(f'{send.why.value}:{send.target_id}')
-        once = self._route.repeat is routes.Repeat.ONCE
-        self._deps.pools.acquire(
+        exchange = Exchange(
+            self._tools,
+            self._sub,
             send.target_id,
-            functools.partial(self._connected, send),
-            ONCE_MAX_IDLE_S if once else IDLE_S,
-        )
-
-    def _connected(self, send: Send, conn: TargetConnection | None) -> None:
-        if self._is_over or not self._wants(send):
-            return
-        deps = self._deps
-        now = deps.clock()
-        if conn is None:
-            self._act(self._take_end(send, End.NOT_SENT, now))
-            return
-        left_s = self._deadline_at - now
-        data = deps.wire.sub_request(
-            self._req, self._asked, send.target_id, max(left_s, 0.001)
-        )
-        token = deps.view.choice.sent(send.target_id, self._route.name, now)
-        self._live[send.attempt] = conn
-        conn.send(
-            data,
-            functools.partial(self._ended, send, token),
-            self._is_own,
-            self._req.method == b'HEAD',
+            lambda: self._wants(send),
+            lambda result: self._took(send, exchange, result),
         )
+        self._live.add(exchange)
+        exchange.begin()
 
     def _wants(self, send: Send) -> bool:
-        return True
+        return not self._is_over
 
-    def _is_own(self, reply: Reply) -> bool:
-        told_id = self._deps.wire.read_reply(reply).request_id
-        return told_id is None or told_id == self._asked.request_id
+    def _took(self, send: Send, exchange: Exchange, result: Result) -> None:
+        self._live.discard(exchange)
+        self._act(self._take(send, result, self._tools.clock()))
 
-    def _ended(self, send: Send, token: Token, what: Reply | Broken) -> None:
-        deps = self._deps
-        now = deps.clock()
-        self._live.pop(send.attempt, None)
-        choice = deps.view.choice
-        if isinstance(what, Reply):
-            told = deps.wire.read_reply(what)
-            if told.load is not None:
-                choice.reported(send.target_id, told.load, now)
-            outcome, actions = self._judge(send, what, told, now)
-            choice.ended(token, outcome, now, told.retry_after_s)
-            if outcome is Outcome.OK:
-                deps.crashes.succeeded(self._req, send.target_id, now)
-        else:
-            deps.metrics.count('target_breaks', what.value)
-            outcome, end = _BREAKS[what]
-            if what is Broken.ABANDONED and now >= self._deadline_at:
-                outcome = Outcome.TIMEOUT
-            choice.ended(token, outcome, now)
-            if end is End.BROKEN:
-                deps.crashes.broke(self._req, send.target_id, now)
-            actions = self._take_end(send, end, now)
-        self._act(actions)
+    def _take(self, send: Send, result: Result, now: float) -> list:
+        raise NotImplementedError
 
-    def _judge(
-        self, send: Send, reply: Reply, told: Told, now: float
-    ) -> tuple[Outcome, list]:
-        if told.not_run:
-            if reply.status == 421:
-                self._deps.view.targets.lapse(send.target_id, now)
-                end, outcome = End.MISDIRECTED, Outcome.DRAINING
-            else:
-                end, outcome = End.NOT_RUN, Outcome.SHED
-            self._deps.metrics.count('target_refusals', end.value)
-            return outcome, self._take_end(send, end, now)
-        return self._take_reply(send, reply, told, now)
+    def _finish(self, action: object) -> None:
+        raise NotImplementedError
 
     # Time.
 
     def _schedule(self) -> None:
         if self._is_over:
             return
-        at = self._plan.next_at(self._deps.clock())
+        at = self._plan.next_at(self._tools.clock())
         loop = asyncio.get_running_loop()
         self._timer = loop.call_at(at, self._tick)
 
     def _tick(self) -> None:
-        self._act(self._plan.tick(self._deps.clock()))
+        self._act(self._plan.tick(self._tools.clock()))
         self._schedule()
 
     # The end.
 
     def _respond(self, answer: Answer, ending: str, **fields: object) -> None:
-        now = self._deps.clock()
-        took_s = now - self._req.arrived_at
-        self._deps.metrics.count('answers', f'{ending}:{answer.status}')
-        self._deps.metrics.observe('request_s', self._route.name, took_s)
+        tools = self._tools
+        took_s = tools.clock() - self._req.arrived_at
+        tools.metrics.count('answers', f'{ending}:{answer.status}')
+        tools.metrics.observe('request_s', self._route.name, took_s)
         logs.change(
             'answer',
             request=self._asked.request_id,
@@ -341,7 +302,8 @@
             ending=ending,
             status=answer.status,
             took_ms=round(took_s * 1_000, 2),
-            repeats=self._sends,
+            repeats=self._repeats,
+            fresh=self._req.is_first,
             **fields,
         )
         self._responder.send(answer)
@@ -359,87 +321,209 @@
         if self._is_over:
             return
         self._is_over = True
-        self._deps.metrics.count('callers_gone')
+        self._tools.metrics.count('callers_gone')
         logs.change(
             'caller_gone',
             request=self._asked.request_id,
             route=self._route.name,
-            running=len(self._live),
+            running=sum(one.is_running for one in self._live),
         )
         self._leave()
-        if self._live and self._route.repeat is routes.Repeat.SAFE:
+        if self._live and self._route.repeat is Repeat.SAFE:
             asyncio.get_running_loop().call_later(GONE_S, self._abandon)
 
     def _abandon(self) -> None:
-        for conn in tuple(self._live.values()):
-            conn.abandon()
+        for exchange in tuple(self._live):
+            exchange.abandon()
+        self._live.clear()
+
 
+class _OpenAsk:
+    """Hold what a helper still owes for one ask."""
 
-_BREAKS = {
-    Broken.NOT_SENT: (Outcome.CONNECT_FAILED, End.NOT_SENT),
-    Broken.RESET: (Outcome.BROKEN, End.BROKEN),
-    Broken.CLOSED: (Outcome.BROKEN, End.BROKEN),
-    Broken.NOT_HTTP: (Outcome.BROKEN, End.FAILED),
-    Broken.TOO_LARGE: (Outcome.ERROR, End.FAILED),
-    Broken.ABANDONED: (Outcome.CANCELLED, End.FAILED),
-}
+    def __init__(self, node: NodeId, no: AskNo):
+        self.node = node
+        self.no = no
+        self.open: dict[int, tuple[Send, Token]] = {}
+        self.is_tainted = False
 
 
 class _GatherRun(_Run):
-    """Ask all shards and merge what they return."""
+    """Ask all shards, some through helpers, and merge what they return."""
 
     def __init__(
         self,
         front: Front,
         req: Request,
         asked: Asked,
-        route: routes.Route,
+        route: Route,
         responder: Responder,
     ):
         super().__init__(front, req, asked, route, responder)
-        self._shards = typing.cast(routes.Shards, route.destination)
-        self._parts: list[tuple[bytes, bytes]] = []
+        self._shards = typing.cast(Shards, route.destination)
+        self._signatures: list[bytes] = []
+        self._bodies: list[bytes] = []
+        self._batches: dict[tuple[NodeId, bool], list[Send]] = {}
+        self._helpers: dict[NodeId, Member] = {}
+        self._asks: dict[AskNo, _OpenAsk] = {}
         ways = 4 if req.is_first else 2
         cutoff_s = route.objective_s - ways * CALLER_S - FINISH_S
-        self._plan = gather.Gather(
+        self._plan = Gather(
             route,
-            self._deps.view,
+            self._tools.view,
             min(req.arrived_at + cutoff_s, self._deadline_at),
             self._deadline_at,
         )
 
+    def _act(self, actions: typing.Iterable) -> None:
+        super()._act(actions)
+        if self._batches:
+            batches, self._batches = self._batches, {}
+            for (node, is_first), sends in batches.items():
+                self._ask(self._helpers[node], is_first, sends)
+
+    def _send(self, send: Send) -> None:
+        if send.why is not Why.FIRST:
+            self._mark(send.shard)
+        target = self._tools.view.targets.get(send.target_id)
+        helper = None
+        if target is not None:
+            helper = self._deps.delegation.helper(
+                target.zone, self._tools.clock()
+            )
+        if helper is None:
+            super()._send(send)
+            return
+        self._helpers[helper.node] = helper
+        key = helper.node, send.why is Why.FIRST
+        self._batches.setdefault(key, []).append(send)
+
     def _wants(self, send: Send) -> bool:
         return self._plan.uses(send.shard)
 
-    def _take_reply(
-        self, send: Send, reply: Reply, told: Told, now: float
-    ) -> tuple[Outcome, list]:
-        if not 200 <= reply.status < 300 or not _is_whole(told):
-            self._deps.metrics.count('target_failures', str(reply.status))
-            actions = self._take_end(send, End.FAILED, now)
-            return Outcome.ERROR, actions
+    def _take(self, send: Send, result: Result, now: float) -> list:
+        if result.end is not None or result.reply is None:
+            end = result.end or End.FAILED
+            return self._plan.failed(send.shard, send.attempt, end, now)
         if self._plan.uses(send.shard):
-            self._parts.append((told.signature, reply.body))
-        return Outcome.OK, self._plan.replied(send.shard, send.attempt, now)
+            self._signatures.append(result.signature or b'')
+            self._bodies.append(result.reply.body)
+        return self._plan.replied(send.shard, send.attempt, now)
+
+    # Helpers.
 
-    def _take_end(self, send: Send, end: End, now: float) -> list:
-        return self._plan.failed(send.shard, send.attempt, end, now)
+    def _ask(self, helper: Member, is_first: bool, sends: list[Send]) -> None:
+        if self._is_over:
+            return
+        tools = self._tools
+        now = tools.clock()
+        no = self._deps.delegates.next_no()
+        ask = self._asks[no] = _OpenAsk(helper.node, no)
+        choice = tools.view.choice
+        for at, send in enumerate(sends):
+            token = choice.sent(send.target_id, self._route.name, now)
+            ask.open[at] = send, token
+        sub = self._sub
+        message = Ask(
+            no,
+            sub.request_id,
+            sub.route,
+            sub.method,
+            sub.subject,
+            sub.head,
+            sub.body,
+            max(1, int((self._deadline_at - now) * 1_000)),
+            self._shards.top_k,
+            tuple(Item(at, send.target_id) for at, send in enumerate(sends)),
+            is_first,
+        )
+        self._deps.delegates.ask(
+            helper, message, lambda parts: self._took_parts(ask, parts)
+        )
+
+    def _mark(self, shard: int) -> None:
+        """Tell a helper that a shard of its ask is asked elsewhere too."""
+        for ask in self._asks.values():
+            for at, (send, _) in ask.open.items():
+                if send.shard == shard:
+                    self._deps.delegates.tell(ask.node, Mark(ask.no, at))
+
+    def _took_parts(self, ask: _OpenAsk, parts: Parts | None) -> None:
+        if parts is None:
+            ends = [PartEnd(at, End.FAILED) for at in ask.open]
+            self._took_ends(ask, ends, Outcome.CANCELLED)
+            return
+        filtered = [
+            end for end in parts.ends if end.end is None and end.whole is None
+        ]
+        # Filtered records stand for themselves only beside all the parts
+        # that they were compared with.
+        if any(not self._is_wanted(ask, end) for end in filtered):
+            ask.is_tainted = True
+        if filtered and not ask.is_tainted:
+            self._bodies.append(parts.records)
+        self._took_ends(ask, parts.ends, Outcome.ERROR)
+
+    def _is_wanted(self, ask: _OpenAsk, end: PartEnd) -> bool:
+        opened = ask.open.get(end.no)
+        return opened is not None and self._plan.uses(opened[0].shard)
+
+    def _took_ends(
+        self,
+        ask: _OpenAsk,
+        ends: typing.Iterable[PartEnd],
+        failure: Outcome,
+    ) -> None:
+        now = self._tools.clock()
+        actions: list = []
+        for end in ends:
+            opened = ask.open.pop(end.no, None)
+            if opened is None:
+                continue
+            send, token = opened
+            outcome = Outcome.OK if end.end is None else failure
+            self._tools.view.choice.ended(token, outcome, now)
+            actions += self._took_end(ask, send, end, now)
+        if not ask.open:
+            self._asks.pop(ask.no, None)
+            self._deps.delegates.end(ask.node, ask.no, True)
+        self._act(actions)
+
+    def _took_end(
+        self, ask: _OpenAsk, send: Send, end: PartEnd, now: float
+    ) -> list:
+        if end.end is not None:
+            return self._plan.failed(send.shard, send.attempt, end.end, now)
+        if end.whole is None and ask.is_tainted:
+            self._tools.metrics.count('parts_unusable')
+            return self._plan.failed(send.shard, send.attempt, End.FAILED, now)
+        if self._plan.uses(send.shard):
+            self._signatures.append(end.signature)
+            if end.whole is not None:
+                self._bodies.append(end.whole)
+        return self._plan.replied(send.shard, send.attempt, now)
+
+    def _leave(self) -> None:
+        super()._leave()
+        now = self._tools.clock()
+        for ask in tuple(self._asks.values()):
+            for _, token in ask.open.values():
+                self._tools.view.choice.ended(token, Outcome.CANCELLED, now)
+            self._deps.delegates.end(ask.node, ask.no, False)
+        self._asks.clear()
 
     def _finish(self, action: gather.Finish) -> None:
         asked = len(self._shards.services)
-        missing = asked - len(self._parts)
+        missing = asked - len(self._signatures)
         match action.ending:
             case gather.Ending.WHOLE | gather.Ending.PARTIAL:
-                body = topk.merge(
-                    (part for _, part in self._parts), self._shards.top_k
-                )
-                signatures = [signature for signature, _ in self._parts]
-                answer = self._deps.wire.merged_answer(
-                    signatures, missing, body
+                answer = self._tools.wire.merged_answer(
+                    self._signatures,
+                    missing,
+                    topk.merge(self._bodies, self._shards.top_k),
                 )
             case _:
-                status = 504 if action.was_run else 503
-                answer = Answer(status)
+                answer = Answer(504 if action.was_run else 503)
                 self._front.add_retry_after(answer)
         self._respond(
             answer,
@@ -457,36 +541,24 @@
         front: Front,
         req: Request,
         asked: Asked,
-        route: routes.Route,
+        route: Route,
         responder: Responder,
         service: ServiceName,
     ):
         super().__init__(front, req, asked, route, responder)
         self._reply: Reply | None = None
         self._target_id: TargetId | None = None
-        self._plan = relay.Relay(
-            route, service, self._deps.view, self._deadline_at
-        )
+        self._plan = Relay(route, service, self._tools.view, self._deadline_at)
 
-    def _take_reply(
-        self, send: Send, reply: Reply, told: Told, now: float
-    ) -> tuple[Outcome, list]:
-        is_success = 200 <= reply.status < 300
-        if is_success and not _is_whole(told):
-            self._deps.metrics.count('target_failures', 'unsigned')
-            end = End.FAILED
-            return Outcome.ERROR, self._take_end(send, end, now)
-        is_final = reply.status < 500 and reply.status not in (408, 421, 429)
+    def _take(self, send: Send, result: Result, now: float) -> list:
+        if result.reply is None:
+            end = result.end or End.FAILED
+            return self._plan.failed(send.attempt, end, now)
         if not self._is_over:
-            self._reply = reply
+            self._reply = result.reply
             self._target_id = send.target_id
-        outcome = Outcome.OK if is_final else Outcome.ERROR
-        if not is_final:
-            self._deps.metrics.count('target_failures', str(reply.status))
-        return outcome, self._plan.replied(send.attempt, is_final, now)
-
-    def _take_end(self, send: Send, end: End, now: float) -> list:
-        return self._plan.failed(send.attempt, end, now)
+        is_final = is_final_status(result.reply.status)
+        return self._plan.replied(send.attempt, is_final, now)
 
     def _finish(self, action: relay.Finish) -> None:
         match action.verdict:
@@ -513,8 +585,9 @@
             # The target did not say that it never ran the request, and these
             # would promise it.
             return Answer(502)
-        return self._deps.wire.reply_answer(reply)
+        return self._tools.wire.reply_answer(reply)
 
 
-def _is_whole(told: Told) -> bool:
-    return told.signature is not None and not told.is_encoded
+def subject_of(req: Request) -> bytes:
+    """Return what equal requests have in common beside their body."""
+    return b'%s %s%s' % (req.method, req.host.encode(), req.target)
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -12,23 +12,28 @@
 
 import uvloop
 
-from . import mirror
 from .. import logs
 from ..exceptions import PlatformError
 from ..exceptions import SettingsError
 from ..messages import Rumor
 from ..metrics import Metrics
+from . import mirror
 from ..quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from ..spread import Backoff
+from ..types import ZoneName
 from .attempts import View
 from .beliefs import Beliefs
 from .beliefs import Decoder
 from .budget_window import BudgetWindow
 from .choice import Choice
 from .crashes import Crashes
+from .delegate_client import DelegateClient
+from .delegate_server import DelegateHandler
+from .delegation import Delegation
 from .directory import Addresses
 from .directory import Directory
+from .exchange import Tools
 from .front import Deps
 from .front import Front
 from .http_server import Answer
@@ -82,6 +87,9 @@
     def is_readiness(self, req: Request) -> bool:
         """Tell whether a request asks for readiness."""
 
+    def caller_zone(self, req: Request) -> ZoneName:
+        """Return where the caller is; empty where it does not say."""
+
     def addresses_answer(self, addresses: Addresses) -> Answer:
         """Return addresses in the caller's format."""
 
@@ -144,15 +152,25 @@
         )
         self.beliefs.routes_mirror = self.routes_mirror
         self._directory = Directory(self.targets, self._rng)
+        tools = Tools(
+            adapter.wire,
+            View(self.targets, self.choice, self.budget),
+            self.pools,
+            self._crashes,
+            self.metrics,
+            self._clock,
+        )
+        self.delegation = Delegation(cfg.node, cfg.zone)
+        self._delegates = DelegateClient(
+            self.delegation, self.metrics, self._clock
+        )
+        self.peers.add_handler(DelegateHandler(tools))
         self.front = Front(
             Deps(
-                adapter.wire,
-                View(self.targets, self.choice, self.budget),
-                self.pools,
+                tools,
+                self.delegation,
+                self._delegates,
                 splits,
-                self._crashes,
-                self.metrics,
-                self._clock,
                 self._rng.random,
             ),
             self.beliefs,
@@ -262,6 +280,7 @@
             task.cancel()
         await self.routes_mirror.stop()
         await self.targets_mirror.stop()
+        self._delegates.close()
         await self.peers.stop()
         self.callers.stop()
         for server, _ in self._others:
@@ -303,10 +322,11 @@
 
     def _look_after(self, now: float) -> None:
         self.beliefs.expire()
+        self.delegation.set_members(self.peers.members())
         sharers = self.peers.sharers(now)
         self.budget.set_nodes(sharers)
         self.pools.set_limits(self.beliefs.limit, sharers)
-        self.pools.warm()
+        self.pools.warm(self.delegation.zones())
         table = self.beliefs.table
         if table is not None:
             self.callers.limits = table.limits
@@ -367,6 +387,7 @@
         found = self._directory.addresses(
             self.peers.members(),
             self.beliefs.asked_services,
+            queries.caller_zone(req),
             self._cfg.bounds.address_ttl_s,
         )
         if not found.addresses:
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+from grpclib._typing import IServable
 from grpclib.server import Server
 
 from .. import logs
@@ -59,30 +60,31 @@
             http_port=cfg.readiness.port,
         )
         self.gossip = Gossip(cfg, me, metrics, rng, transport=PeerClient())
-        self._server = Server(
-            [
-                PeerHandler(self.gossip.answer_sync),
-                PullHandler(self._answer),
-            ],
-            codec=MsgpackCodec(),
-        )
-        self._serving = False
+        self._handlers = [
+            PeerHandler(self.gossip.answer_sync),
+            PullHandler(self._answer),
+        ]
+        self._server: Server | None = None
 
     def on_pull(self, kind: str, answer: Answer) -> None:
         """Answer the pulls of one kind of objects."""
         self._answers[kind] = answer
 
+    def add_handler(self, handler: IServable) -> None:
+        """Serve more calls; to be called before the start."""
+        self._handlers.append(handler)
+
     async def start(self) -> None:
         """Listen and begin to join."""
+        self._server = Server(self._handlers, codec=MsgpackCodec())
         await self._server.start(self._cfg.gossip.host, self._cfg.peer_port)
-        self._serving = True
         await self.gossip.start()
 
     async def stop(self) -> None:
         """Tell the others and close everything."""
         await self.gossip.stop()
         self._pulls.close()
-        if self._serving:
+        if self._server is not None:
             self._server.close()
 
     async def pull(self, member: Member, request: Pull) -> Delta:
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -12,6 +12,7 @@
 from ..shares import WarmPolicy
 from ..types import Clock
 from ..types import TargetId
+from ..types import ZoneName
 from .target_connection import TargetConnection
 from .targets import Target
 
@@ -134,14 +135,19 @@
         if pool.connecting < len(pool.waiting):
             self._open_one(pool)
 
-    def warm(self) -> None:
-        """Open connections where none is kept, a few at a time."""
+    def warm(self, helped: typing.Collection[ZoneName] = ()) -> None:
+        """Open connections where none is kept, a few at a time.
+
+        Targets in a helped zone are asked through another node.
+        """
         now = self._clock()
         left = WARM_BATCH
         for pool in self._pools.values():
             self._close_old(pool, now)
             if pool.total >= WARM or pool.target.drain:
                 continue
+            if pool.target.zone in helped:
+                continue
             if left > 0 and self._warm.grant(
                 pool.target.id, CONNECT_MS, 1, now
             ):
--- a/sesameward/serving/wire.py
+++ b/sesameward/serving/wire.py
@@ -49,7 +49,7 @@
         """Return what a request says; None where it lacks its id."""
 
     def sub_request(
-        self, req: Request, asked: Asked, target_id: TargetId, left_s: float
+        self, head: bytes, body: bytes, target_id: TargetId, left_s: float
     ) -> bytes:
         """Return a request's bytes for one target."""
 
