--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -37,6 +37,8 @@
     retry_budget_ratio: float
     retry_budget_slack: float
     budget_window_s: Positive
+    config_ms: Positive
+    drain_ms: Positive
     grace_s: Positive
     ttl_max_s: Positive
 
@@ -120,6 +122,7 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_slack=bounds.retry_budget_slack,
             retry_window_s=bounds.budget_window_s,
+            in_force_s=min(bounds.config_ms, bounds.drain_ms) / 1_000,
             grace_s=bounds.grace_s,
             address_ttl_s=bounds.ttl_max_s,
         ),
--- a/sesameward/serving/crashes.py
+++ b/sesameward/serving/crashes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 import typing
 
@@ -23,11 +24,15 @@
 from ..quarantine import Spread
 from ..quarantine import Suspected
 from ..types import Fingerprint
+from ..types import RequestId
 from ..types import TargetId
 
 # A first request of its kind is sent at once: leading with one target
 # would cost every new query a round trip.
 SETTINGS = QuarantineSettings(lead_s=0.0)
+# Requests whose first break is remembered. A target that dies or a network
+# that resets breaks many different requests once, which says nothing of any.
+MAX_BROKEN_ONCE = 1_000
 
 
 class Crashes:
@@ -36,6 +41,9 @@
     def __init__(self, origin: str, metrics: Metrics, rng: random.Random):
         self._quarantine = Quarantine(origin, SETTINGS, rng)
         self._metrics = metrics
+        self._broken_once: collections.OrderedDict[Fingerprint, RequestId] = (
+            collections.OrderedDict()
+        )
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
     def refused_s(self, subject: bytes, body: bytes, now: float) -> float:
@@ -53,11 +61,22 @@
         return 0.0
 
     def broke(
-        self, subject: bytes, body: bytes, target_id: TargetId, now: float
+        self,
+        subject: bytes,
+        body: bytes,
+        request_id: RequestId,
+        target_id: TargetId,
+        now: float,
     ) -> None:
         """Count a connection that broke after a request was sent."""
         fp = _fingerprint(subject, body)
-        self._act(self._quarantine.broke(fp, target_id, (), now))
+        known = self._broken_once.get(fp)
+        if known is None:
+            self._broken_once[fp] = request_id
+            while len(self._broken_once) > MAX_BROKEN_ONCE:
+                self._broken_once.popitem(last=False)
+        elif known != request_id:
+            self._act(self._quarantine.broke(fp, target_id, (), now))
 
     def succeeded(
         self, subject: bytes, body: bytes, target_id: TargetId, now: float
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -154,7 +154,11 @@
             )
         elif result.end is End.BROKEN:
             tools.crashes.broke(
-                self._sub.subject, self._sub.body, self._target_id, now
+                self._sub.subject,
+                self._sub.body,
+                self._sub.request_id,
+                self._target_id,
+                now,
             )
         self._on_result(result)
 
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -471,10 +471,12 @@
     def _took_ends(
         self,
         ask: _OpenAsk,
-        ends: typing.Iterable[PartEnd],
+        ends: typing.Sequence[PartEnd],
         failure: Outcome,
     ) -> None:
         now = self._tools.clock()
+        # One of the ends may end the query, but its message counts whole.
+        wanted = {end.no for end in ends if self._is_wanted(ask, end)}
         actions: list = []
         for end in ends:
             opened = ask.open.pop(end.no, None)
@@ -483,21 +485,26 @@
             send, token = opened
             outcome = Outcome.OK if end.end is None else failure
             self._tools.view.choice.ended(token, outcome, now)
-            actions += self._took_end(ask, send, end, now)
+            actions += self._took_end(ask, send, end, end.no in wanted, now)
         if not ask.open:
             self._asks.pop(ask.no, None)
             self._deps.delegates.end(ask.node, ask.no, True)
         self._act(actions)
 
     def _took_end(
-        self, ask: _OpenAsk, send: Send, end: PartEnd, now: float
+        self,
+        ask: _OpenAsk,
+        send: Send,
+        end: PartEnd,
+        is_wanted: bool,
+        now: float,
     ) -> list:
         if end.end is not None:
             return self._plan.failed(send.shard, send.attempt, end.end, now)
         if end.whole is None and ask.is_tainted:
             self._tools.metrics.count('parts_unusable')
             return self._plan.failed(send.shard, send.attempt, End.FAILED, now)
-        if self._plan.uses(send.shard):
+        if is_wanted:
             self._signatures.append(end.signature)
             if end.whole is not None:
                 self._bodies.append(end.whole)
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -43,14 +43,20 @@
 # Changes within this time share one call.
 WATCH_GAP_S = 0.15
 LIST_TIMEOUT_S = 1.5
-# Readings come once a watch; two may be missed before others step in, and
-# each further node waits this much longer.
-TAKEOVER_S = 2.0
-TAKEOVER_STEP_S = 0.5
-MAX_STEPS = 8
+# Readings come once a watch and take some tenths of a second to spread;
+# without one for this long the next node steps in. The others follow spread
+# over the rest of the time in which a change must be in force.
+TAKEOVER_S = 1.7
+# Kept of that time for the reading itself.
+READ_S = 0.6
+# A reading is told this much later at most if others were just told; the
+# gossip's budget carries about four small rumors a second.
+TELL_GAP_S = 0.25
 IDLE_LOOK_S = 0.1
 BACKOFF_BASE_S = 0.1
-BACKOFF_CAP_S = 0.8
+BACKOFF_CAP_S = 1.0
+# Steps between nodes that have no reading yet.
+FIRST_STEP_S = 0.2
 PULL_TRIES = 3
 # At its start a node asks its peers before it lists by itself.
 START_PEERS = 2
@@ -97,6 +103,7 @@
         ],
         publish: collections.abc.Callable[[Rumor], None],
         on_change: OnChange,
+        in_force_s: float,
         metrics: Metrics,
         rng: random.Random,
         clock: Clock,
@@ -109,12 +116,15 @@
         self._members = members
         self._publish = publish
         self._on_change = on_change
+        self._spread_s = max(0.0, in_force_s - READ_S - TAKEOVER_S)
         self._metrics = metrics
         self._rng = rng
         self._clock = clock
         self._read_at = -1e9
         self._started_at = clock()
         self._heard = 0
+        self._told_at = -1e9
+        self._tell_timer: asyncio.TimerHandle | None = None
         self._position: Revision | None = None
         self._watching = False
         self._task: asyncio.Task | None = None
@@ -143,6 +153,8 @@
 
     async def stop(self) -> None:
         """End all calls."""
+        if self._tell_timer is not None:
+            self._tell_timer.cancel()
         tasks = [self._task, *self._pulls]
         for task in tasks:
             if task is not None:
@@ -208,21 +220,19 @@
             self._call = None
 
     def _should_watch(self, now: float) -> bool:
-        rank = self._rank()
+        rank, count = self._rank()
         if rank == 0:
             return True
         if not self.is_known:
-            # The first reading is wanted at once by whoever has no peers.
-            waited_s = now - self._started_at
-            return waited_s >= min(rank, MAX_STEPS) * TAKEOVER_STEP_S
-        patience_s = TAKEOVER_S + min(rank, MAX_STEPS) * TAKEOVER_STEP_S
+            return now - self._started_at >= rank * FIRST_STEP_S
+        patience_s = TAKEOVER_S + self._spread_s * rank / count
         return self.age_s(now) >= patience_s
 
-    def _rank(self) -> int:
+    def _rank(self) -> tuple[int, int]:
         nodes = {m.node for m in self._members() if not m.leaving}
         nodes.add(self._node)
         ranked = pick(f'mirror:{self.kind}', nodes, len(nodes))
-        return ranked.index(self._node)
+        return ranked.index(self._node), len(ranked)
 
     def _set_watching(self, watching: bool) -> None:
         if watching == self._watching:
@@ -293,6 +303,18 @@
 
     def _tell(self) -> None:
         self._fresh()
+        now = self._clock()
+        if now - self._told_at >= TELL_GAP_S:
+            self._publish_reading()
+        elif self._tell_timer is None:
+            loop = asyncio.get_running_loop()
+            self._tell_timer = loop.call_later(
+                self._told_at + TELL_GAP_S - now, self._publish_reading
+            )
+
+    def _publish_reading(self) -> None:
+        self._tell_timer = None
+        self._told_at = self._clock()
         self._heard += 1
         reading = Reading(self._node, self.book.revision)
         self._publish(
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -198,6 +198,7 @@
             self.peers.members,
             self.peers.publish,
             on_change,
+            self._cfg.bounds.in_force_s,
             self.metrics,
             self._rng,
             self._clock,
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -16,12 +16,14 @@
     """Hold what all nodes together promise.
 
     In any retry_window_s a service gets at most retry_ratio x requests +
-    retry_slack repeats. grace_s is the time between SIGTERM and SIGKILL.
+    retry_slack repeats. A change is in force in_force_s after the store took
+    it. grace_s is the time between SIGTERM and SIGKILL.
     """
 
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: Seconds = 10.0
+    in_force_s: Seconds = 3.0
     grace_s: Seconds = 6.0
     address_ttl_s: Seconds = 5.0
 
