--- a/sesameward/serving/beliefs.py
+++ b/sesameward/serving/beliefs.py
@@ -16,7 +16,6 @@
 from .mirror import Mirror
 from .pools import Pools
 from .routes import RouteTable
-from .routes import Shards
 from .splits import Splits
 from .targets import Target
 from .targets import TargetTable
@@ -51,7 +50,6 @@
     ):
         self.table: RouteTable | None = None
         self.routes_mirror: Mirror | None = None
-        self.asked_services: frozenset[ServiceName] = frozenset()
         self._decoder = decoder
         self._targets = targets
         self._choice = choice
@@ -98,13 +96,6 @@
             name for route in table.routes for name in route.services()
         }
         self._used = frozenset(services)
-        shards = [
-            name
-            for route in table.routes
-            if isinstance(route.destination, Shards)
-            for name in route.services()
-        ]
-        self.asked_services = frozenset(shards or services)
         self._splits.keep({route.name for route in table.routes})
         self._budget.forget(services)
         self._declare_used()
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -154,7 +154,7 @@
             adapter.targets_kind, self.beliefs.take_targets
         )
         self.beliefs.routes_mirror = self.routes_mirror
-        self._directory = Directory(self.targets, self._rng)
+        self._directory = Directory(self._rng)
         tools = Tools(
             adapter.wire,
             View(self.targets, self.choice, self.budget),
@@ -398,7 +398,6 @@
             return
         found = self._directory.addresses(
             self.peers.members(),
-            self.beliefs.asked_services,
             queries.caller_zone(req),
             self._cfg.bounds.address_ttl_s,
         )
--- a/sesameward/serving/topk.py
+++ b/sesameward/serving/topk.py
@@ -33,7 +33,9 @@
         """
         best = self._best
         top_k = self._top_k
-        kept = []
+        kept: list[bytes] = []
+        if not top_k:
+            return b''
         for record in sorted(records(body), reverse=True):
             if record <= self._floor:
                 break
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,92 @@
+"""Notice replicas that pause and keep new work away from them."""
+
+import random
+
+import pytest
+
+from sesameward.serving.choice import Choice
+from sesameward.serving.targets import Target
+from sesameward.serving.targets import TargetState
+from sesameward.types import Outcome
+
+
+def target(name, zone='z'):
+    return Target(name, 's', 'h', 1, zone, 2, TargetState.READY)
+
+
+@pytest.fixture
+def choice():
+    choice = Choice('z', random.Random(1))
+    for name in ('a', 'b'):
+        choice.declare(target(name))
+    return choice
+
+
+def learn(choice, latency_s, now=0.0, count=60):
+    for n in range(count):
+        for name in ('a', 'b'):
+            token = choice.sent(name, 'r', now + n * 0.01)
+            choice.ended(token, Outcome.OK, now + n * 0.01 + latency_s)
+
+
+def test_replica_with_an_overdue_request_gets_no_new_work(choice):
+    learn(choice, 0.005)
+    choice.sent('a', 'r', 1.0)
+    assert not choice.paused('a', 1.001)
+    assert choice.paused('a', 1.05)
+    picked = {choice.choose(('a', 'b'), 1.05) for _ in range(50)}
+    assert picked == {'b'}
+
+
+def test_it_gets_work_again_once_it_has_answered(choice):
+    learn(choice, 0.005)
+    token = choice.sent('a', 'r', 1.0)
+    choice.ended(token, Outcome.OK, 1.1)
+    assert not choice.paused('a', 1.1)
+    picked = {choice.choose(('a', 'b'), 5.0) for _ in range(200)}
+    assert 'a' in picked
+
+
+def test_all_replicas_paused_is_no_reason_to_ask_none(choice):
+    learn(choice, 0.005)
+    choice.sent('a', 'r', 1.0)
+    choice.sent('b', 'r', 1.0)
+    assert choice.choose(('a', 'b'), 1.2) in ('a', 'b')
+
+
+def test_overdue_follows_each_route_by_itself(choice):
+    learn(choice, 0.005)
+    choice.sent('a', 'slow-route', 1.0)
+    assert not choice.paused('a', 1.015)
+
+
+def test_ending_twice_changes_nothing(choice):
+    token = choice.sent('a', 'r', 0.0)
+    choice.ended(token, Outcome.OK, 0.1)
+    choice.ended(token, Outcome.BROKEN, 0.2)
+    assert not choice.paused('a', 10.0)
+
+
+def test_unreachable_target_is_left_alone_for_a_while(choice):
+    for _ in range(4):
+        choice.unreachable('a', 0.0)
+    picked = {choice.choose(('a', 'b'), 0.1) for _ in range(50)}
+    assert picked == {'b'}
+
+
+def test_own_zone_is_preferred_while_it_has_room():
+    choice = Choice('z', random.Random(1))
+    choice.declare(target('near'))
+    choice.declare(target('far', zone='y'))
+    learn_one = choice.sent('near', 'r', 0.0)
+    choice.ended(learn_one, Outcome.OK, 0.01)
+    picked = {choice.choose(('near', 'far'), 1.0) for _ in range(50)}
+    assert picked == {'near'}
+
+
+def test_other_zone_is_asked_where_the_near_replica_is_paused():
+    choice = Choice('z', random.Random(1))
+    choice.declare(target('near'))
+    choice.declare(target('far', zone='y'))
+    choice.sent('near', 'r', 0.0)
+    assert choice.choose(('near', 'far'), 1.0) == 'far'
--- /dev/null
+++ b/tests/test_delegation.py
@@ -0,0 +1,78 @@
+"""Choose helpers in other zones and leave silent ones alone."""
+
+import pytest
+
+from sesameward.messages import Address
+from sesameward.messages import Member
+from sesameward.serving.delegation import Delegation
+from sesameward.serving.delegation import QUIET_S
+from sesameward.serving.delegation import RETRY_S
+from sesameward.types import MemberState
+
+
+def member(node, zone, **kwargs):
+    entry = Address(node, 'h', 1, zone, 1.0)
+    return Member(node, zone, 'h', 1, 2, 3, **({'entries': (entry,)} | kwargs))
+
+
+@pytest.fixture
+def delegation():
+    delegation = Delegation('me', 'z')
+    delegation.set_members(
+        (
+            member('me', 'z'),
+            member('near', 'z'),
+            member('b1', 'b'),
+            member('b2', 'b'),
+            member('c1', 'c'),
+        )
+    )
+    return delegation
+
+
+def test_own_zone_needs_no_helper(delegation):
+    assert delegation.helper('z', 0.0) is None
+
+
+def test_zone_without_nodes_has_no_helper(delegation):
+    assert delegation.helper('d', 0.0) is None
+
+
+def test_helper_with_least_open_asks_is_taken(delegation):
+    delegation.sent('b1', 1, 0.0)
+    assert delegation.helper('b', 0.0).node == 'b2'
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'leaving': True},
+        {'entries': ()},
+        {'state': MemberState.SUSPECT},
+    ],
+)
+def test_leaving_unready_or_suspected_nodes_do_not_help(delegation, change):
+    delegation.set_members((member('c1', 'c', **change),))
+    assert delegation.helper('c', 0.0) is None
+
+
+def test_silent_helper_is_left_alone_and_tried_again(delegation):
+    delegation.sent('c1', 1, 0.0)
+    assert delegation.helper('c', QUIET_S / 2) is not None
+    late = QUIET_S * 1.1
+    assert delegation.helper('c', late) is None
+    assert delegation.helper('c', late + RETRY_S / 2) is None
+    delegation.ended('c1', 1)
+    assert delegation.helper('c', late + RETRY_S) is not None
+
+
+def test_helper_that_answers_others_is_not_silent(delegation):
+    delegation.sent('c1', 1, 0.0)
+    delegation.heard('c1', QUIET_S)
+    assert delegation.helper('c', 1.5 * QUIET_S) is not None
+
+
+def test_lost_helper_is_left_alone_for_a_while(delegation):
+    delegation.lost('c1', 0.0)
+    assert delegation.helper('c', RETRY_S / 2) is None
+    assert delegation.helper('c', RETRY_S) is not None
--- /dev/null
+++ b/tests/test_gather.py
@@ -0,0 +1,209 @@
+"""Decide on queries over shards under the loads that they meet."""
+
+import random
+
+import pytest
+
+from sesameward.serving.attempts import End
+from sesameward.serving.attempts import Send
+from sesameward.serving.attempts import View
+from sesameward.serving.attempts import Why
+from sesameward.serving.budget_window import BudgetWindow
+from sesameward.serving.choice import Choice
+from sesameward.serving.gather import Ending
+from sesameward.serving.gather import Finish
+from sesameward.serving.gather import Gather
+from sesameward.serving.routes import Repeat
+from sesameward.serving.routes import Route
+from sesameward.serving.routes import Shards
+from sesameward.serving.targets import Target
+from sesameward.serving.targets import TargetState
+from sesameward.serving.targets import TargetTable
+
+SHARDS = 10
+CUTOFF_AT = 100.08
+DEADLINE_AT = 100.4
+NOW = 100.0
+
+
+def make_route(max_attempts=2, min_coverage=0.8):
+    shards = Shards(tuple(f's{n}' for n in range(SHARDS)), 50, min_coverage)
+    return Route(
+        'r', 'h', '/p/', Repeat.SAFE, 0.4, 0.1, 1, max_attempts, shards
+    )
+
+
+@pytest.fixture
+def view():
+    targets = TargetTable()
+    choice = Choice('z', random.Random(1))
+    for shard in range(SHARDS):
+        for replica in 'ab':
+            target = Target(
+                f't{shard}{replica}',
+                f's{shard}',
+                'h',
+                1,
+                'z',
+                2,
+                TargetState.READY,
+            )
+            targets.put(target)
+            choice.declare(target)
+    return View(targets, choice, BudgetWindow(0.2, 500.0, 10.0, 0.0))
+
+
+def make_gather(view, **kwargs):
+    return Gather(make_route(**kwargs), view, CUTOFF_AT, DEADLINE_AT)
+
+
+@pytest.fixture
+def query(view):
+    return make_gather(view)
+
+
+def sends(actions):
+    return [one for one in actions if isinstance(one, Send)]
+
+
+def ending(actions):
+    (finish,) = [one for one in actions if isinstance(one, Finish)]
+    return finish.ending
+
+
+def answer(query, firsts, shards, now):
+    actions = []
+    for send in firsts:
+        if send.shard in shards:
+            actions += query.replied(send.shard, send.attempt, now)
+    return actions
+
+
+def test_each_shard_is_asked_once(query):
+    firsts = sends(query.start(NOW))
+    assert [one.shard for one in firsts] == list(range(SHARDS))
+    assert {one.why for one in firsts} == {Why.FIRST}
+
+
+def test_all_answers_end_it_whole(query):
+    firsts = sends(query.start(NOW))
+    actions = answer(query, firsts, range(SHARDS), NOW + 0.02)
+    assert ending(actions) is Ending.WHOLE
+
+
+def test_one_late_shard_is_hedged_at_its_other_replica(query):
+    firsts = sends(query.start(NOW))
+    answer(query, firsts, range(1, SHARDS), NOW + 0.02)
+    (hedge,) = sends(query.tick(NOW + 0.05))
+    assert hedge.shard == 0
+    assert hedge.target_id != firsts[0].target_id
+    assert hedge.why in (Why.HEDGE_SLOW, Why.HEDGE_PAUSED)
+    assert sends(query.tick(NOW + 0.06)) == []
+
+
+def test_paused_replica_is_hedged_before_the_usual_delay(query, view):
+    firsts = sends(query.start(NOW))
+    # Another query's request at the same target has been out for long.
+    view.choice.sent(firsts[3].target_id, 'r', NOW - 1.0)
+    (hedge,) = sends(query.tick(NOW + 0.001))
+    assert hedge.shard == 3
+    assert hedge.why is Why.HEDGE_PAUSED
+
+
+def test_answer_goes_out_at_the_cutoff_with_what_is_there(query):
+    firsts = sends(query.start(NOW))
+    answer(query, firsts, range(8), NOW + 0.02)
+    assert ending(query.tick(CUTOFF_AT)) is Ending.PARTIAL
+    assert query.missing() == [8, 9]
+
+
+def test_too_few_shards_wait_beyond_the_cutoff(query):
+    firsts = sends(query.start(NOW))
+    answer(query, firsts, range(7), NOW + 0.02)
+    query.tick(CUTOFF_AT)
+    assert not query.finished
+    actions = answer(query, firsts, [7], CUTOFF_AT + 0.05)
+    assert ending(actions) is Ending.PARTIAL
+
+
+def test_too_few_shards_at_the_deadline_are_a_failure(query):
+    firsts = sends(query.start(NOW))
+    answer(query, firsts, range(7), NOW + 0.02)
+    assert ending(query.tick(DEADLINE_AT)) is Ending.TOO_FEW
+
+
+def test_nothing_is_sent_where_too_few_shards_have_targets(view):
+    for shard in range(3):
+        for replica in 'ab':
+            view.targets.lapse(f't{shard}{replica}', 0.0)
+    view.targets.expire(NOW)
+    (finish,) = make_gather(view).start(NOW)
+    assert finish == Finish(Ending.HOPELESS, was_run=False)
+
+
+def test_shard_without_targets_does_not_hold_up_the_others(view):
+    for replica in 'ab':
+        view.targets.lapse(f't0{replica}', 0.0)
+    view.targets.expire(NOW)
+    query = make_gather(view)
+    firsts = sends(query.start(NOW))
+    actions = answer(query, firsts, range(1, SHARDS), NOW + 0.02)
+    assert ending(actions) is Ending.PARTIAL
+
+
+def test_refused_part_is_asked_of_the_other_replica(query):
+    firsts = sends(query.start(NOW))
+    one = firsts[4]
+    (retry,) = query.failed(4, one.attempt, End.NOT_RUN, NOW + 0.01)
+    assert retry.why is Why.RETRY_NOT_RUN
+    assert retry.target_id != one.target_id
+
+
+def test_never_more_replicas_run_it_than_allowed(view):
+    query = make_gather(view, max_attempts=1)
+    firsts = sends(query.start(NOW))
+    assert query.failed(2, firsts[2].attempt, End.FAILED, NOW) == []
+    assert sends(query.tick(NOW + 0.05)) == []
+
+
+def test_unsent_request_goes_elsewhere_without_budget(view):
+    view = view._replace(budget=BudgetWindow(0.0, 0.0, 10.0, 0.0))
+    query = make_gather(view)
+    firsts = sends(query.start(NOW))
+    assert query.failed(1, firsts[1].attempt, End.FAILED, NOW) == []
+    (retry,) = query.failed(2, firsts[2].attempt, End.NOT_SENT, NOW)
+    assert retry.why is Why.RETRY_NOT_SENT
+
+
+def test_no_hedge_without_budget(view):
+    view = view._replace(budget=BudgetWindow(0.0, 0.0, 10.0, 0.0))
+    query = make_gather(view)
+    query.start(NOW)
+    assert query.tick(NOW + 0.05) == []
+
+
+def test_query_that_breaks_several_targets_is_not_sent_on(query):
+    firsts = sends(query.start(NOW))
+    for shard in range(2):
+        query.failed(shard, firsts[shard].attempt, End.BROKEN, NOW)
+    assert query.failed(2, firsts[2].attempt, End.BROKEN, NOW) == []
+    assert sends(query.tick(NOW + 0.05)) == []
+
+
+def test_second_answer_of_a_shard_is_not_used(query):
+    firsts = sends(query.start(NOW))
+    (hedge, *_) = sends(query.tick(NOW + 0.05))
+    query.replied(hedge.shard, hedge.attempt, NOW + 0.06)
+    assert not query.uses(hedge.shard)
+    before = query.answered
+    first = firsts[hedge.shard]
+    assert query.replied(first.shard, first.attempt, NOW + 0.07) == []
+    assert query.answered == before
+
+
+def test_failure_tells_whether_a_target_may_have_run_it(query):
+    firsts = sends(query.start(NOW))
+    for one in firsts:
+        query.failed(one.shard, one.attempt, End.FAILED, NOW + 0.01)
+    (finish,) = query.tick(DEADLINE_AT)
+    assert finish.was_run
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,145 @@
+"""Decide on requests to one target; some must run at most once."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sesameward.serving.attempts import End
+from sesameward.serving.attempts import Send
+from sesameward.serving.attempts import SURELY_NOT_RUN
+from sesameward.serving.attempts import View
+from sesameward.serving.attempts import Why
+from sesameward.serving.budget_window import BudgetWindow
+from sesameward.serving.choice import Choice
+from sesameward.serving.relay import Finish
+from sesameward.serving.relay import Relay
+from sesameward.serving.relay import Verdict
+from sesameward.serving.routes import OneService
+from sesameward.serving.routes import Repeat
+from sesameward.serving.routes import Route
+from sesameward.serving.targets import Target
+from sesameward.serving.targets import TargetState
+from sesameward.serving.targets import TargetTable
+
+NOW = 100.0
+DEADLINE_AT = 101.0
+
+
+def make_view(names='abc', slack=500.0):
+    targets = TargetTable()
+    choice = Choice('z', random.Random(1))
+    for name in names:
+        target = Target(name, 's', 'h', 1, 'z', 2, TargetState.READY)
+        targets.put(target)
+        choice.declare(target)
+    return View(targets, choice, BudgetWindow(0.2, slack, 10.0, 0.0))
+
+
+def make_relay(view, repeat, max_attempts=2):
+    route = Route(
+        'r', 'h', '/p/', repeat, 1.0, 0.3, 1, max_attempts, OneService('s')
+    )
+    return Relay(route, 's', view, DEADLINE_AT)
+
+
+@pytest.fixture
+def view():
+    return make_view()
+
+
+@pytest.fixture
+def once(view):
+    return make_relay(view, Repeat.ONCE)
+
+
+@pytest.fixture
+def safe(view):
+    return make_relay(view, Repeat.SAFE)
+
+
+def test_success_ends_it(safe):
+    (send,) = safe.start(NOW)
+    assert safe.replied(send.attempt, True, NOW) == [Finish(Verdict.REPLY)]
+
+
+def test_no_target_is_a_refusal_at_once():
+    relay = make_relay(make_view(''), Repeat.ONCE)
+    assert relay.start(NOW) == [Finish(Verdict.REFUSED)]
+
+
+def test_broken_request_that_may_run_once_is_not_sent_again(once):
+    (send,) = once.start(NOW)
+    actions = once.failed(send.attempt, End.BROKEN, NOW)
+    assert actions == [Finish(Verdict.FAILED)]
+
+
+def test_it_is_sent_again_where_no_byte_left(once):
+    (send,) = once.start(NOW)
+    (again,) = once.failed(send.attempt, End.NOT_SENT, NOW)
+    assert again.why is Why.RETRY_NOT_SENT
+    assert again.target_id != send.target_id
+
+
+def test_it_is_refused_where_each_target_says_it_did_not_run(once):
+    actions = once.start(NOW)
+    while isinstance(actions[0], Send):
+        actions = once.failed(actions[0].attempt, End.NOT_RUN, NOW)
+    assert actions == [Finish(Verdict.REFUSED)]
+
+
+def test_it_is_never_hedged(once):
+    once.start(NOW)
+    assert once.tick(NOW + 0.9) == []
+
+
+def test_deadline_after_a_send_is_no_refusal(once):
+    once.start(NOW)
+    assert once.tick(DEADLINE_AT) == [Finish(Verdict.TIMEOUT)]
+
+
+def test_failed_answer_of_a_safe_request_is_tried_elsewhere(safe):
+    (send,) = safe.start(NOW)
+    (again,) = safe.replied(send.attempt, False, NOW)
+    assert again.why is Why.RETRY_FAILED
+    assert again.target_id != send.target_id
+
+
+def test_last_failed_answer_is_passed_on(safe):
+    (send,) = safe.start(NOW)
+    (again,) = safe.replied(send.attempt, False, NOW)
+    actions = safe.replied(again.attempt, False, NOW)
+    assert actions == [Finish(Verdict.REPLY)]
+
+
+def test_failed_answer_of_a_request_that_runs_once_is_passed_on(once):
+    (send,) = once.start(NOW)
+    actions = once.replied(send.attempt, False, NOW)
+    assert actions == [Finish(Verdict.REPLY)]
+
+
+def test_far_tail_of_a_safe_request_is_hedged_once(safe):
+    safe.start(NOW)
+    (hedge,) = safe.tick(NOW + 0.5)
+    assert hedge.why is Why.HEDGE_SLOW
+    assert safe.tick(NOW + 0.6) == []
+
+
+@given(
+    st.lists(st.sampled_from(list(End)), max_size=8),
+    st.sampled_from(list(Repeat)),
+)
+def test_at_most_once_and_true_refusals(ends, repeat):
+    relay = make_relay(make_view(), repeat, max_attempts=3)
+    may_have_run = 0
+    actions = relay.start(NOW)
+    for end in ends:
+        if not actions or not isinstance(actions[0], Send):
+            break
+        may_have_run += end not in SURELY_NOT_RUN
+        actions = relay.failed(actions[0].attempt, end, NOW)
+    if repeat is Repeat.ONCE:
+        assert may_have_run <= 1
+    if Finish(Verdict.REFUSED) in actions:
+        assert may_have_run == 0
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,71 @@
+"""Keep targets by service, with a moment's patience for lapsed ones."""
+
+import pytest
+
+from sesameward.serving.targets import LAPSE_S
+from sesameward.serving.targets import Target
+from sesameward.serving.targets import TargetState
+from sesameward.serving.targets import TargetTable
+
+
+def target(name, service='s', state=TargetState.READY):
+    return Target(name, service, 'h', 1, 'z', 2, state)
+
+
+@pytest.fixture
+def table():
+    table = TargetTable()
+    table.put(target('a'))
+    table.put(target('b'))
+    return table
+
+
+def test_draining_targets_get_no_work(table):
+    table.put(target('a', state=TargetState.DRAINING))
+    assert table.candidates('s') == ('b',)
+
+
+def test_last_draining_target_gets_no_work_either(table):
+    table.put(target('a', state=TargetState.DRAINING))
+    table.put(target('b', state=TargetState.DRAINING))
+    assert table.candidates('s') == ()
+
+
+def test_lapsed_target_gives_way_to_others(table):
+    table.lapse('a', 0.0)
+    assert table.candidates('s') == ('b',)
+
+
+def test_lapsed_targets_serve_where_a_store_outage_took_all(table):
+    table.lapse('a', 0.0)
+    table.lapse('b', 0.0)
+    assert table.candidates('s') == ('a', 'b')
+    assert table.expire(LAPSE_S - 0.1) == []
+    assert table.candidates('s') == ('a', 'b')
+
+
+def test_lapsed_targets_are_gone_after_a_while(table):
+    table.lapse('a', 0.0)
+    table.lapse('b', 0.0)
+    assert sorted(table.expire(LAPSE_S)) == ['a', 'b']
+    assert table.candidates('s') == ()
+    assert table.get('a') is None
+
+
+def test_second_lapse_does_not_prolong_the_first(table):
+    table.lapse('a', 0.0)
+    table.lapse('a', LAPSE_S)
+    assert table.expire(LAPSE_S) == ['a']
+
+
+def test_returning_target_is_whole_again(table):
+    table.lapse('a', 0.0)
+    table.put(target('a'))
+    assert table.candidates('s') == ('a', 'b')
+    assert table.expire(10 * LAPSE_S) == []
+
+
+def test_id_that_moves_to_another_service_leaves_the_first(table):
+    table.put(target('a', service='t'))
+    assert table.candidates('s') == ('b',)
+    assert table.candidates('t') == ('a',)
