Show the platform path by real processes against stand-ins

The stand-ins speak the platform's published protocol: an object store with lists, watches and fault switches, and targets that note what they run. A fleet runs nodes as processes on loopback.

--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -46,15 +46,15 @@
 class _Boot(msgspec.Struct):
     """Hold the fields that are used; others are ignored.
 
-    internal_ports are the first and the last port for the nodes' own
-    traffic. seeds are addresses of the control role, of which only the host
-    says where another node is.
+    zones maps each zone to its region. internal_ports are the first and the
+    last port for the nodes' own traffic. seeds are addresses of the control
+    role, of which only the host says where another node is.
     """
 
     node: str
     ip: str
     zone: str
-    region: str
+    zones: dict[str, str]
     listen: _Listen
     internal_ports: tuple[Natural, Natural]
     platform: _Platform
@@ -111,7 +111,7 @@
         store=_endpoint(name, 'platform.address', boot.platform.address),
         # The platform hands out no secret; this keeps deployments apart.
         membership=MembershipSettings(
-            keys=(f'{boot.region}@{boot.platform.address}',),
+            keys=(','.join(sorted(boot.zones)),),
             probes_per_period=2,
         ),
         seeds=tuple(
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -299,6 +299,11 @@
             self._transport.close()
         return True
 
+    def abort(self) -> None:
+        """Break the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     @property
     def busy(self) -> bool:
         """Tell whether a request is in progress."""
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -114,8 +114,14 @@
 class Node:
     """Wire one node's parts together."""
 
-    def __init__(self, cfg: NodeSettings, adapter: Adapter):
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        adapter: Adapter,
+        flush_logs: typing.Callable[[], None] = lambda: None,
+    ):
         self._cfg = cfg
+        self._flush_logs = flush_logs
         self._adapter = adapter
         self._clock = time.monotonic
         self._rng = random.Random(cfg.seed)
@@ -327,6 +333,7 @@
                 self.routes_mirror.doubt()
                 self.targets_mirror.doubt()
             self._look_after(now)
+            self._flush_logs()
             if now - settings_at >= SETTINGS_S:
                 settings_at = now
                 if self._adapter.settings_changed():
@@ -424,9 +431,12 @@
     """Run a node in this process."""
     writer = LineWriter(sys.stdout.fileno(), cfg.node)
     logs.send_to(writer.write)
-    uvloop.run(_run(cfg, adapter))
+    uvloop.run(_run(cfg, adapter, writer))
 
 
-async def _run(cfg: NodeSettings, adapter: Adapter) -> None:
+async def _run(
+    cfg: NodeSettings, adapter: Adapter, writer: LineWriter
+) -> None:
     # The node's parts bind to the loop that runs when they are made.
-    await Node(cfg, adapter).run()
+    await Node(cfg, adapter, writer.flush).run()
+    writer.flush()
--- /dev/null
+++ b/sesameward/standin/shard_target.py
@@ -0,0 +1,156 @@
+"""Stand in for servers of the users' platform, with fault switches."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import time
+
+import msgspec
+
+from .. import logs
+from ..metrics import Metrics
+from ..serving.http_server import Answer
+from ..serving.http_server import HttpServer
+from ..serving.http_server import Request
+from ..serving.http_server import Responder
+
+RECORD_BYTES = 16
+RECORDS = 20
+QUEUE = 12
+
+
+class TargetFaults(msgspec.Struct):
+    """Hold the faults that a stand-in shows at the moment."""
+
+    work_s: float = 0.003
+    paused: bool = False
+    fails: bool = False
+    sheds: bool = False
+    loses_answers: bool = False
+    encodes: bool = False
+
+
+class Run(msgspec.Struct, frozen=True):
+    """Hold one request that a target ran, as it arrived."""
+
+    target: str
+    request_id: str
+    method: bytes
+    path: str
+    body: bytes
+    at: float
+
+
+class ShardTarget:
+    """Answer requests as one server of a service does."""
+
+    def __init__(self, target_id: str, service: str, slots: int = 2):
+        self.id = target_id
+        self.service = service
+        self.faults = TargetFaults()
+        self.runs: list[Run] = []
+        self.port = 0
+        self._slots = asyncio.Semaphore(slots)
+        self._slot_count = slots
+        self._waiting = 0
+        self._running = 0
+        self._count = itertools.count(1)
+        self._http = HttpServer(
+            self._handle, Metrics('target'), time.monotonic
+        )
+
+    async def start(self, port: int = 0) -> int:
+        """Listen; return the port."""
+        await self._http.start('127.0.0.1', port)
+        self.port = self._http.port
+        return self.port
+
+    def stop(self) -> None:
+        """Break all connections, as a crash does."""
+        self._http.stop_listening()
+        for conn in tuple(self._http.connections):
+            conn.abort()
+        self._http.stop()
+
+    def entry(self, zone: str, state: str = 'ready') -> dict:
+        """Return what the server registers of itself."""
+        return {
+            'service': self.service,
+            'address': f'127.0.0.1:{self.port}',
+            'zone': zone,
+            'version': 'v1',
+            'slots': self._slot_count,
+            'state': state,
+            'warmup_left_ms': 0,
+            'seq': 1,
+        }
+
+    def _handle(self, req: Request, responder: Responder) -> None:
+        headers = {name.lower(): value for name, value in req.headers}
+        wanted = headers.get(b'sesameward-expect-instance')
+        request_id = headers.get(b'sesameward-request-id', b'')
+        if wanted is not None and wanted.decode() != self.id:
+            responder.send(self._not_run(421))
+        elif not request_id:
+            responder.send(self._not_run(400))
+        elif self.faults.sheds or self._waiting >= QUEUE:
+            responder.send(self._not_run(503))
+        else:
+            work = self._run(req, request_id, responder)
+            logs.watch(asyncio.ensure_future(work))
+
+    async def _run(
+        self, req: Request, request_id: bytes, responder: Responder
+    ) -> None:
+        self._waiting += 1
+        async with self._slots:
+            self._waiting -= 1
+            while self.faults.paused:
+                await asyncio.sleep(0.002)
+            self._running += 1
+            self.runs.append(
+                Run(
+                    self.id,
+                    request_id.decode(),
+                    req.method,
+                    req.path,
+                    req.body,
+                    time.monotonic(),
+                )
+            )
+            await asyncio.sleep(self.faults.work_s)
+            self._running -= 1
+        if not self.faults.loses_answers:
+            responder.send(self._answer(request_id, req))
+
+    def _answer(self, request_id: bytes, req: Request) -> Answer:
+        stamp = f'{self.id}.{next(self._count)}.{request_id.decode()}'
+        load = f'{self._running},{self._waiting},{self._slot_count}'
+        headers = [
+            (b'Sesameward-Request-Id', request_id),
+            (b'Sesameward-Server-Stamp', stamp.encode()),
+            (b'Sesameward-Server-Load', load.encode()),
+        ]
+        if self.faults.encodes:
+            headers.append((b'Content-Encoding', b'gzip'))
+        status = 500 if self.faults.fails else 200
+        return Answer(status, headers, records(self.service, req.path))
+
+    def _not_run(self, status: int) -> Answer:
+        headers = [
+            (b'Sesameward-Not-Executed', b'1'),
+            (b'Sesameward-Instance-Id', self.id.encode()),
+        ]
+        return Answer(status, headers)
+
+
+def records(service: str, path: str) -> bytes:
+    """Return the records that a service holds for a path."""
+    return b''.join(
+        hashlib.blake2b(
+            f'{service} {path} {n}'.encode(), digest_size=RECORD_BYTES
+        ).digest()
+        for n in range(RECORDS)
+    )
--- /dev/null
+++ b/tests/promises.py
@@ -0,0 +1,77 @@
+"""Check answers of the platform path against what its targets hold."""
+
+from __future__ import annotations
+
+from sesameward.serving.target_connection import Reply
+from sesameward.standin.shard_target import RECORD_BYTES
+from sesameward.standin.shard_target import records
+
+TOP_K = 10
+REFUSALS = (408, 421, 429, 503)
+
+
+def header(reply: Reply, name: str) -> str:
+    """Return a header's value, or an empty text."""
+    for found, value in reply.headers:
+        if found.lower() == name.lower().encode():
+            return value.decode()
+    return ''
+
+
+def named_targets(reply: Reply, request_id: str) -> list[str]:
+    """Return the targets whose parts an answer names, all of the request."""
+    stamps = header(reply, 'Sesameward-Part-Stamps')
+    targets = []
+    for stamp in stamps.split(','):
+        target_id, _, of = stamp.strip().split('.')
+        assert of == request_id, 'a part belongs to another request'
+        targets.append(target_id)
+    return targets
+
+
+def check_query(
+    fleet, reply: Reply, path: str, request_id: str, shards: int
+) -> int:
+    """Check an answer that merges shards; return how many it covers."""
+    targets = named_targets(reply, request_id)
+    services = [fleet.targets[target_id].service for target_id in targets]
+    assert len(set(services)) == len(services), 'a shard counts twice'
+    missing = int(header(reply, 'Sesameward-Missing-Parts') or '0')
+    assert len(services) + missing == shards, 'the coverage is not true'
+    assert len(services) >= shards / 2, 'less than the least coverage'
+    found = sorted(
+        (
+            data[at : at + RECORD_BYTES]
+            for data in (records(service, path) for service in services)
+            for at in range(0, len(data), RECORD_BYTES)
+        ),
+        reverse=True,
+    )
+    assert reply.body == b''.join(found[:TOP_K]), 'not the greatest records'
+    return len(services)
+
+
+def check_single(fleet, reply: Reply, path: str, request_id: str) -> None:
+    """Check a success that one target gave."""
+    target_id, _, of = header(reply, 'Sesameward-Server-Stamp').split('.')
+    assert of == request_id, 'the answer belongs to another request'
+    service = fleet.targets[target_id].service
+    assert reply.body == records(service, path), 'not the whole answer'
+
+
+def runs_of(fleet, request_id: str) -> list:
+    """Return where a request ran."""
+    return [
+        run
+        for target in fleet.targets.values()
+        for run in target.runs
+        if run.request_id == request_id
+    ]
+
+
+def check_once(fleet, reply: Reply | None, request_id: str) -> None:
+    """Check a request that may run at most once."""
+    runs = runs_of(fleet, request_id)
+    assert len(runs) <= 1, 'it ran twice'
+    if reply is not None and reply.status in REFUSALS:
+        assert not runs, 'it was refused as not run, but ran'
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,423 @@
+"""Translate the platform's settings, objects, calls and headers."""
+
+import asyncio
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sesameward.exceptions import CompactedError
+from sesameward.exceptions import DeclarationError
+from sesameward.exceptions import PlatformThrottledError
+from sesameward.exceptions import PlatformUnavailableError
+from sesameward.exceptions import SettingsError
+from sesameward.messages import StoredObject
+from sesameward.metrics import Metrics
+from sesameward.platform import boot
+from sesameward.platform.objects import ObjectDecoder
+from sesameward.platform.store import StoreCalls
+from sesameward.platform.wire import PlatformQueries
+from sesameward.platform.wire import PlatformWire
+from sesameward.serving.directory import Addresses
+from sesameward.serving.http_server import Answer
+from sesameward.serving.http_server import HttpServer
+from sesameward.serving.http_server import Request
+from sesameward.serving.routes import OneService
+from sesameward.serving.routes import Part
+from sesameward.serving.routes import Repeat
+from sesameward.serving.routes import Shards
+from sesameward.serving.routes import Split
+from sesameward.serving.target_connection import Reply
+from sesameward.serving.targets import TargetState
+from sesameward.standin.object_store import ObjectStore
+
+BOOT = {
+    'node': 'n1',
+    'ip': '10.0.0.1',
+    'zone': 'z1',
+    'region': 'r',
+    'zones': {'z1': 'r', 'z2': 'r'},
+    'listen': {
+        'front': '10.0.0.1:80',
+        'ready': '10.0.0.1:81',
+        'directory': '10.0.0.1:82',
+        'control': '10.0.0.1:83',
+    },
+    'internal_ports': [7000, 7015],
+    'seeds': ['10.0.0.2:83'],
+    'platform': {'address': '10.0.0.9:90', 'form': 'objects'},
+    'bounds': {
+        'retry_budget_ratio': 0.2,
+        'retry_budget_slack': 54,
+        'budget_window_s': 10,
+        'config_ms': 3000,
+        'drain_ms': 2000,
+        'grace_s': 6,
+        'ttl_max_s': 5,
+    },
+    'unknown_field': [1, 2],
+}
+
+
+def parse(**changes):
+    return boot.parse('boot.json', json.dumps(BOOT | changes).encode())
+
+
+def test_settings_are_translated():
+    cfg = parse()
+    assert (cfg.node, cfg.zone) == ('n1', 'z1')
+    assert str(cfg.callers) == '10.0.0.1:80'
+    assert str(cfg.gossip) == '10.0.0.1:7000'
+    assert (cfg.peer_port, cfg.metrics_port) == (7001, 7015)
+    assert [str(seed) for seed in cfg.seeds] == ['10.0.0.2:7000']
+    assert cfg.bounds.in_force_s == 2.0
+    assert cfg.bounds.retry_slack == 54
+
+
+@pytest.mark.parametrize(
+    ('changes', 'field'),
+    [
+        ({'node': 7}, 'node'),
+        ({'platform': {}}, 'platform'),
+        ({'platform': {'address': 'nowhere'}}, 'platform.address'),
+        ({'internal_ports': [1]}, 'internal_ports'),
+        ({'bounds': BOOT['bounds'] | {'grace_s': -1}}, 'bounds.grace_s'),
+        ({'listen': BOOT['listen'] | {'front': 'x:99999'}}, 'listen.front'),
+    ],
+)
+def test_wrong_settings_name_field_and_remedy(changes, field):
+    with pytest.raises(SettingsError) as caught:
+        parse(**changes)
+    assert caught.value.field == field
+    assert caught.value.remedy
+
+
+def test_missing_settings_name_the_field():
+    data = {k: v for k, v in BOOT.items() if k != 'zone'}
+    with pytest.raises(SettingsError, match='zone'):
+        boot.parse('boot.json', json.dumps(data).encode())
+
+
+def stored(spec, name='main', kind='config'):
+    return StoredObject(kind, name, 7, json.dumps(spec).encode())
+
+
+ROUTE = {
+    'name': 'r1',
+    'hostname': 'h',
+    'path_prefix': '/p/',
+    'route_type': 'safe',
+    'timeout_ms': 250,
+    'target_latency_ms': 44,
+    'priority': 2,
+    'max_attempts': 2,
+}
+
+
+@pytest.mark.parametrize(
+    ('extra', 'destination'),
+    [
+        ({'service': 's'}, OneService('s')),
+        (
+            {'traffic_split': [{'service': 's', 'weight': 3}]},
+            Split((Part('s', 3.0),)),
+        ),
+        (
+            {'gather': ['s', 't'], 'top_k': 5, 'min_coverage': 0.75},
+            Shards(('s', 't'), 5, 0.75),
+        ),
+    ],
+)
+def test_routes_are_translated(extra, destination):
+    spec = {
+        'version': 12,
+        'routes': [ROUTE | extra],
+        'services': [{'name': 's', 'max_conns': 25}],
+        'limits': {'idle_timeout_ms': 15_000},
+    }
+    table = ObjectDecoder().routes(stored(spec))
+    (route,) = table.routes
+    assert table.version == 12
+    assert route.destination == destination
+    assert (route.timeout_s, route.objective_s) == (0.25, 0.044)
+    assert route.repeat is Repeat.SAFE
+    assert table.services['s'].max_connections == 25
+    assert table.limits.idle_timeout_s == 15.0
+
+
+def test_other_objects_beside_the_configuration_are_refused():
+    with pytest.raises(DeclarationError):
+        ObjectDecoder().routes(stored({'version': 1}, name='other'))
+
+
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.3:8080',
+    'zone': 'z1',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'draining',
+    'warmup_left_ms': 1500,
+    'seq': 4,
+    'born': 1_700_000_000_000,
+}
+
+
+def test_targets_are_translated():
+    target = ObjectDecoder().target(stored(ENTRY, 'i-1', 'servers'))
+    assert (target.id, target.host, target.port) == ('i-1', '10.0.0.3', 8080)
+    assert target.state is TargetState.DRAINING
+    assert target.drain
+    assert target.warmup_s == 1.5
+    assert target.started_ms == ENTRY['born']
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(sorted(ENTRY)),
+        st.none() | st.integers(-5, 5) | st.text(max_size=5) | st.booleans(),
+        min_size=1,
+    )
+)
+def test_forged_entries_are_refused_or_readable(changes):
+    try:
+        target = ObjectDecoder().target(
+            stored(ENTRY | changes, 'i-1', 'servers')
+        )
+    except DeclarationError as exc:
+        assert exc.remedy
+    else:
+        assert target.slots >= 1
+        assert 0 < len(target.host)
+
+
+def test_bytes_that_are_no_json_are_refused():
+    with pytest.raises(DeclarationError):
+        ObjectDecoder().target(StoredObject('servers', 'i-1', 7, b'\xff{'))
+
+
+# The store.
+
+
+def settings_for(port):
+    return parse(platform={'address': f'127.0.0.1:{port}'})
+
+
+@pytest.fixture
+def with_store():
+    """Run a scenario with a stand-in store and the calls to it."""
+
+    def run(scenario):
+        async def main():
+            store = ObjectStore()
+            cfg = settings_for(await store.open_door('d'))
+            try:
+                return await scenario(store, StoreCalls(cfg), cfg)
+            finally:
+                store.stop()
+
+        return asyncio.run(main())
+
+    return run
+
+
+def test_lists_are_read_page_by_page(with_store):
+    async def scenario(store, calls, cfg):
+        for n in range(120):
+            store.put('servers', f'i-{n:03}', {'n': n})
+        revision, objects = await calls.list('servers', 1.0)
+        assert revision == store.revision
+        assert len(objects) == 120
+        assert json.loads(objects[7].value) == {'n': 7}
+
+    with_store(scenario)
+
+
+def test_watch_tells_changes_and_removals(with_store):
+    async def scenario(store, calls, cfg):
+        since, _ = await calls.list('servers', 1.0)
+        watch = asyncio.create_task(calls.watch('servers', since, 1.0, 2.0))
+        await asyncio.sleep(0.05)
+        store.put('servers', 'i-1', {'n': 1})
+        through, (event,) = await watch
+        assert (event.name, event.deleted) == ('i-1', False)
+        store.delete('servers', 'i-1')
+        _, (event,) = await calls.watch('servers', through, 1.0, 2.0)
+        assert (event.name, event.deleted) == ('i-1', True)
+
+    with_store(scenario)
+
+
+def test_forgotten_history_is_told(with_store):
+    async def scenario(store, calls, cfg):
+        since, _ = await calls.list('servers', 1.0)
+        store.put('servers', 'i-1', {})
+        store.forget_history()
+        with pytest.raises(CompactedError):
+            await calls.watch('servers', since, 0.1, 1.0)
+
+    with_store(scenario)
+
+
+def test_registration_is_found_and_repeatable(with_store):
+    async def scenario(store, calls, cfg):
+        await calls.register(cfg)
+        await calls.register(cfg)
+        assert [str(one) for one in await calls.nodes()] == ['10.0.0.1:7000']
+
+    with_store(scenario)
+
+
+@pytest.mark.parametrize('fault', ['busy_for', 'silent_for'])
+def test_store_that_turns_away_is_unavailable(with_store, fault):
+    async def scenario(store, calls, cfg):
+        getattr(store.faults, fault).add('d')
+        with pytest.raises(PlatformUnavailableError):
+            await calls.list('servers', 0.2)
+        getattr(store.faults, fault).clear()
+        await calls.list('servers', 1.0)
+
+    with_store(scenario)
+
+
+def test_rates_are_told_with_when_to_come_back():
+    async def main():
+        def handle(req, responder):
+            responder.send(Answer(429, [(b'Retry-After', b'0.7')]))
+
+        http = HttpServer(
+            handle, Metrics('t'), asyncio.get_running_loop().time
+        )
+        await http.start('127.0.0.1', 0)
+        with pytest.raises(PlatformThrottledError) as caught:
+            await StoreCalls(settings_for(http.port)).list('servers', 1.0)
+        assert caught.value.retry_after_s == 0.7
+        http.stop()
+
+    asyncio.run(main())
+
+
+# Headers.
+
+
+def make_request(headers, method=b'GET', body=b''):
+    return Request(
+        method, b'/p/1?q=2', '/p/1', b'q=2', 'h', headers, body, 0.0, True
+    )
+
+
+HEADERS = [
+    (b'Host', b'h'),
+    (b'Sesameward-Request-Id', b'abc'),
+    (b'Sesameward-Deadline-Ms', b'250'),
+    (b'Sesameward-Expect-Instance', b'i-evil'),
+    (b'X-Other', b'1'),
+    (b'Connection', b'keep-alive, X-Hop'),
+    (b'X-Hop', b'2'),
+    (b'Transfer-Encoding', b'chunked'),
+]
+
+
+def test_request_is_passed_on_with_its_own_headers_only():
+    wire = PlatformWire()
+    asked = wire.read_request(make_request(HEADERS, b'POST', b'body'))
+    assert (asked.request_id, asked.patience_s) == ('abc', 0.25)
+    data = wire.sub_request(asked.head, b'body', 'i-1', 0.2)
+    head, _, body = data.partition(b'\r\n\r\n')
+    assert head.split(b'\r\n') == [
+        b'POST /p/1?q=2 HTTP/1.1',
+        b'Host: h',
+        b'Sesameward-Request-Id: abc',
+        b'X-Other: 1',
+        b'Content-Length: 4',
+        b'Sesameward-Deadline-Ms: 200',
+        b'Sesameward-Expect-Instance: i-1',
+    ]
+    assert body == b'body'
+
+
+def test_request_without_an_id_is_none():
+    assert PlatformWire().read_request(make_request(HEADERS[:1])) is None
+
+
+@pytest.mark.parametrize('value', [b'', b'x', b'-5', b'0'])
+def test_unreadable_patience_is_none(value):
+    headers = [*HEADERS[:2], (b'Sesameward-Deadline-Ms', value)]
+    asked = PlatformWire().read_request(make_request(headers))
+    assert asked.patience_s is None
+
+
+def test_reply_is_read():
+    told = PlatformWire().read_reply(
+        Reply(
+            200,
+            b'OK',
+            [
+                (b'Sesameward-Request-Id', b'abc'),
+                (b'sesameward-server-stamp', b'st'),
+                (b'Sesameward-Server-Load', b'3,1,8'),
+                (b'Content-Encoding', b'gzip'),
+            ],
+            b'',
+        )
+    )
+    assert (told.request_id, told.signature) == ('abc', b'st')
+    assert (told.load.in_flight, told.load.queued) == (3, 1)
+    assert told.is_encoded
+    assert not told.not_run
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'not_run'),
+    [
+        (503, [(b'Sesameward-Not-Executed', b'1')], True),
+        (503, [], False),
+        (421, [], True),
+        (500, [], False),
+    ],
+)
+def test_only_the_targets_own_word_means_not_run(status, headers, not_run):
+    told = PlatformWire().read_reply(Reply(status, b'', headers, b''))
+    assert told.not_run is not_run
+
+
+def test_reply_goes_back_unchanged_but_for_the_connection():
+    headers = [
+        (b'Content-Type', b'x/y'),
+        (b'Sesameward-Server-Stamp', b'st'),
+        (b'Keep-Alive', b'timeout=3'),
+        (b'Content-Length', b'2'),
+    ]
+    answer = PlatformWire().reply_answer(Reply(201, b'Made', headers, b'hi'))
+    assert (answer.status, answer.reason, answer.body) == (201, b'Made', b'hi')
+    assert answer.headers == headers[:2]
+
+
+def test_merged_answer_tells_its_parts_and_what_is_missing():
+    answer = PlatformWire().merged_answer([b'a', b'b'], 1, b'x')
+    assert answer.headers == [
+        (b'Sesameward-Part-Stamps', b'a, b'),
+        (b'Sesameward-Missing-Parts', b'1'),
+    ]
+    assert len(PlatformWire().merged_answer([b'a'], 0, b'').headers) == 1
+
+
+def test_directory_calls_are_translated():
+    queries = PlatformQueries()
+    req = Request(
+        b'GET',
+        b'/v1/resolve?zone=z1',
+        '/v1/resolve',
+        b'name=h&zone=z1',
+        'h',
+        [],
+        b'',
+        0.0,
+        True,
+    )
+    assert queries.is_resolve(req)
+    assert not queries.is_readiness(req)
+    assert queries.caller_zone(req) == 'z1'
+    answer = queries.addresses_answer(Addresses(('h:1',), 5.0))
+    assert json.loads(answer.body) == {'addrs': ['h:1'], 'ttl_s': 5.0}
--- /dev/null
+++ b/tests/test_platform_node.py
@@ -0,0 +1,357 @@
+"""Serve callers by real processes against stand-ins of the platform."""
+
+import asyncio
+import functools
+import signal
+import time
+
+import pytest
+
+from sesameward.standin.fleet import CONFIG_MS
+from sesameward.standin.fleet import Fleet
+from tests import promises
+
+SHARDS = 4
+
+
+def with_fleet(**kwargs):
+    """Run a coroutine function with a fleet that is ready."""
+
+    def wrap(scenario):
+        @functools.wraps(scenario)
+        def run():
+            async def main():
+                async with Fleet(shards=SHARDS, **kwargs) as fleet:
+                    await scenario(fleet)
+
+            asyncio.run(main())
+
+        # Keep pytest from taking the scenario's parameter for a fixture.
+        del run.__wrapped__
+        return run
+
+    return wrap
+
+
+async def query(fleet, node, path='/q/1'):
+    request_id = fleet.request_id()
+    reply = await fleet.ask(node, path, request_id)
+    if reply.status != 200:
+        return reply.status
+    return promises.check_query(fleet, reply, path, request_id, SHARDS)
+
+
+async def until(holds, limit_s):
+    begun = time.monotonic()
+    while not await holds():
+        assert time.monotonic() - begun < limit_s, 'it took too long'
+        await asyncio.sleep(0.03)
+    return time.monotonic() - begun
+
+
+@with_fleet()
+async def test_each_node_serves_whole_answers(fleet):
+    for node in fleet.nodes:
+        for n in range(5):
+            assert await query(fleet, node, f'/q/{n}') == SHARDS
+
+
+@with_fleet()
+async def test_single_requests_are_passed_on_unchanged(fleet):
+    for n, node in enumerate(fleet.nodes):
+        request_id = fleet.request_id()
+        path = f'/once/{n}'
+        reply = await fleet.ask(node, path, request_id, 'POST', b'body')
+        assert reply.status == 200
+        promises.check_single(fleet, reply, path, request_id)
+        (run,) = promises.runs_of(fleet, request_id)
+        assert (run.method, run.path, run.body) == (b'POST', path, b'body')
+
+
+@with_fleet()
+async def test_unknown_route_is_404_and_reaches_no_target(fleet):
+    asked = []
+
+    async def refused():
+        asked.append(fleet.request_id())
+        reply = await fleet.ask(fleet.nodes[0], '/nowhere/', asked[-1])
+        # A node that has just started is not sure of its routes yet.
+        assert reply.status in (404, 503)
+        return reply.status == 404
+
+    await until(refused, CONFIG_MS / 1_000)
+    for request_id in asked:
+        assert promises.runs_of(fleet, request_id) == []
+
+
+@with_fleet()
+async def test_change_is_in_force_on_all_nodes_in_time(fleet):
+    fleet.put_config(extra_routes=('/added/',))
+
+    async def served():
+        replies = [await fleet.ask(n, '/added/1') for n in fleet.nodes]
+        return all(reply.status == 200 for reply in replies)
+
+    await until(served, CONFIG_MS / 1_000)
+    fleet.put_config()
+
+    async def dropped():
+        replies = [await fleet.ask(n, '/added/1') for n in fleet.nodes]
+        return all(reply.status == 404 for reply in replies)
+
+    await until(dropped, CONFIG_MS / 1_000)
+
+
+@with_fleet()
+async def test_node_that_the_store_turns_away_follows_its_peers(fleet):
+    away = {node.name for node in fleet.nodes[:2]}
+    fleet.store.faults.busy_for |= away
+    fleet.put_config(extra_routes=('/added/',))
+
+    async def served():
+        replies = [await fleet.ask(n, '/added/1') for n in fleet.nodes]
+        return all(reply.status == 200 for reply in replies)
+
+    await until(served, CONFIG_MS / 1_000)
+
+
+@with_fleet()
+async def test_restarted_node_serves_while_the_store_is_silent(fleet):
+    node = fleet.nodes[0]
+    fleet.store.faults.silent_for |= {n.name for n in fleet.nodes}
+    node.send(signal.SIGKILL)
+    node.process.wait()
+    node.start()
+    await until(lambda: fleet.is_ready(node), 5.0)
+    assert await query(fleet, node) == SHARDS
+
+
+@with_fleet()
+async def test_all_nodes_killed_at_once_serve_again(fleet):
+    for node in fleet.nodes:
+        node.send(signal.SIGKILL)
+    for node in fleet.nodes:
+        node.process.wait()
+        node.start()
+    await fleet.until_ready()
+    for node in fleet.nodes:
+        assert await query(fleet, node) == SHARDS
+
+
+@with_fleet()
+async def test_draining_target_gets_no_new_work_after_seconds(fleet):
+    leaving = fleet.services['shard-0'][0]
+    fleet.drain(leaving)
+    await asyncio.sleep(2.0)
+    before = len(fleet.targets[leaving].runs)
+    for n in range(20):
+        node = fleet.nodes[n % len(fleet.nodes)]
+        assert await query(fleet, node, f'/q/{n}') == SHARDS
+    assert len(fleet.targets[leaving].runs) == before
+
+
+@with_fleet()
+async def test_crashed_target_costs_no_coverage(fleet):
+    fleet.crash(fleet.services['shard-1'][0])
+    for n in range(20):
+        node = fleet.nodes[n % len(fleet.nodes)]
+        assert await query(fleet, node, f'/q/{n}') == SHARDS
+
+
+@with_fleet()
+async def test_paused_replica_does_not_hold_up_answers(fleet):
+    for _ in range(10):
+        for node in fleet.nodes:
+            await query(fleet, node)
+    fleet.targets[fleet.services['shard-2'][0]].faults.paused = True
+    slowest = 0.0
+    for n in range(15):
+        begun = time.monotonic()
+        node = fleet.nodes[n % len(fleet.nodes)]
+        assert await query(fleet, node, f'/q/{n}') >= SHARDS - 1
+        slowest = max(slowest, time.monotonic() - begun)
+    # The objective is 200 ms; a paused replica alone would never answer.
+    assert slowest < 0.3
+
+
+@with_fleet()
+async def test_shard_without_targets_is_told_as_missing(fleet):
+    for target_id in fleet.services['shard-3']:
+        fleet.crash(target_id)
+        fleet.store.delete('servers', target_id)
+    await asyncio.sleep(3.0)
+    assert await query(fleet, fleet.nodes[0]) == SHARDS - 1
+
+
+@with_fleet()
+async def test_address_that_changed_hands_runs_nothing_foreign(fleet):
+    old = fleet.targets[fleet.services['desk'][0]]
+    port = old.port
+    old.stop()
+    await asyncio.sleep(0.05)
+    new = type(old)('i-new', 'other')
+    await new.start(port)
+    fleet.targets['i-new'] = new
+    for n in range(10):
+        request_id = fleet.request_id()
+        node = fleet.nodes[n % len(fleet.nodes)]
+        path = f'/once/{n}'
+        reply = await fleet.ask(node, path, request_id, 'POST', b'x')
+        promises.check_once(fleet, reply, request_id)
+    assert new.runs == []
+
+
+@with_fleet()
+async def test_forged_entries_harm_no_others(fleet):
+    for n, entry in enumerate(
+        [
+            'text',
+            None,
+            {'service': 'shard-0'},
+            {'service': 7, 'address': 'x', 'state': 'ready'},
+            {
+                'service': 'shard-0',
+                'address': 'nowhere',
+                'zone': 'z',
+                'slots': 2,
+                'state': 'gone fishing',
+                'seq': 1,
+            },
+        ]
+    ):
+        fleet.store.put('servers', f'forged-{n}', entry)
+    await asyncio.sleep(1.0)
+    for node in fleet.nodes:
+        assert await query(fleet, node) == SHARDS
+
+
+@with_fleet()
+async def test_sigterm_cuts_nothing(fleet):
+    node = fleet.nodes[0]
+    for target in fleet.targets.values():
+        target.faults.work_s = 0.15
+    stop = asyncio.Event()
+    cut = []
+
+    async def call():
+        while not stop.is_set():
+            request_id = fleet.request_id()
+            try:
+                reply = await fleet.ask(node, '/safe/1', request_id)
+            except Exception:
+                # A connection that was refused has lost nothing.
+                if promises.runs_of(fleet, request_id):
+                    cut.append(request_id)
+                await asyncio.sleep(0.05)
+            else:
+                if reply.status == 200:
+                    promises.check_single(fleet, reply, '/safe/1', request_id)
+
+    callers = [asyncio.create_task(call()) for _ in range(3)]
+    await asyncio.sleep(0.3)
+    node.send(signal.SIGTERM)
+    begun = time.monotonic()
+
+    async def unready():
+        return not await fleet.is_ready(node)
+
+    await until(unready, 0.5)
+    while node.is_running:
+        assert time.monotonic() - begun < 6.0
+        await asyncio.sleep(0.05)
+    stop.set()
+    await asyncio.gather(*callers)
+    assert node.process.returncode == 0
+    assert cut == []
+
+
+@with_fleet()
+async def test_leaving_node_is_out_of_all_directories(fleet):
+    leaving, other = fleet.nodes[0], fleet.nodes[1]
+    address = f'{leaving.host}:8104'
+
+    async def is_in():
+        return address in await fleet.resolve(other, leaving.zone)
+
+    await until(is_in, 3.0)
+    leaving.send(signal.SIGTERM)
+
+    async def is_out():
+        return address not in await fleet.resolve(other, leaving.zone)
+
+    await until(is_out, 2.0)
+
+
+@with_fleet()
+async def test_changed_settings_file_is_read_without_a_signal(fleet):
+    node = fleet.nodes[0]
+    node.settings.write_text(node.settings.read_text() + '\n')
+
+    async def reloaded():
+        return bool(node.lines('reloaded'))
+
+    await until(reloaded, 3.0)
+    node.settings.write_text('{')
+
+    async def refused():
+        return bool(node.lines('reload_refused'))
+
+    await until(refused, 3.0)
+    assert await query(fleet, node) == SHARDS
+
+
+@with_fleet()
+async def test_sighup_cuts_nothing(fleet):
+    node = fleet.nodes[0]
+    pending = [
+        asyncio.create_task(query(fleet, node, f'/q/{n}')) for n in range(10)
+    ]
+    await asyncio.sleep(0.01)
+    node.send(signal.SIGHUP)
+    assert await asyncio.gather(*pending) == [SHARDS] * 10
+
+
+@with_fleet(nodes=2)
+async def test_frozen_helper_is_gone_round(fleet):
+    for n in range(30):
+        await query(fleet, fleet.nodes[0], f'/q/{n}')
+    fleet.nodes[1].send(signal.SIGSTOP)
+    covered = []
+    for n in range(20):
+        covered.append(await query(fleet, fleet.nodes[0], f'/q/{n}'))
+    fleet.nodes[1].send(signal.SIGCONT)
+    assert covered[-10:] == [SHARDS] * 10
+
+
+@with_fleet()
+async def test_metrics_and_logs_tell_of_requests(fleet):
+    node = fleet.nodes[0]
+    request_id = fleet.request_id()
+    await fleet.ask(node, '/q/1', request_id)
+    (line,) = [
+        one for one in node.lines('answer') if one['request'] == request_id
+    ]
+    assert (line['ending'], line['shards'], line['missing']) == (
+        'whole',
+        SHARDS,
+        [],
+    )
+
+
+@pytest.mark.parametrize('fault', ['sheds', 'fails', 'loses_answers'])
+def test_requests_that_run_once_run_at_most_once(fault):
+    async def main():
+        async with Fleet(nodes=2, shards=SHARDS) as fleet:
+            for target_id in fleet.services['desk'][:1]:
+                setattr(fleet.targets[target_id].faults, fault, True)
+            asked = []
+            for n in range(12):
+                request_id = fleet.request_id()
+                node = fleet.nodes[n % 2]
+                path = f'/once/{n}'
+                reply = await fleet.ask(node, path, request_id, 'POST', b'x')
+                asked.append((reply, request_id))
+            for reply, request_id in asked:
+                promises.check_once(fleet, reply, request_id)
+
+    asyncio.run(main())
