--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -7,6 +7,7 @@
 import difflib
 import enum
 import os
+import pathlib
 import random
 import sys
 import typing
@@ -19,6 +20,7 @@
 
 from . import declared
 from . import operations
+from . import story
 from .controllers import rollup
 from .exceptions import AgentRefusalError
 from .exceptions import ConflictError
@@ -34,12 +36,15 @@
 from .messages import StoredObject
 from .metrics import Metrics
 from .platform_client import PlatformClient
+from .serving.http_caller import HttpCaller
 from .settings import PlatformSettings
 from .types import TargetId
 
 PLATFORM = os.environ.get('SESAMEWARD_PLATFORM', '')
 AGENT = os.environ.get('SESAMEWARD_AGENT', '')
 CALLS_PER_S = 200.0
+# A node answers such a call within milliseconds.
+NODE_TIMEOUT_S = 3.0
 READABLE = [*declared.KINDS, rollup.KIND]
 
 Output = typing.Literal['table', 'json']
@@ -195,6 +200,102 @@
     return _finish(run())
 
 
+def node(
+    address: str,
+    *,
+    show: typing.Literal['status', 'members', 'targets', 'routes'] = 'status',
+    output: Output = 'table',
+) -> ExitCode:
+    """Show what a node of the platform path believes, and how old it is.
+
+    :param address: HOST:PORT of the node's metrics
+    """
+
+    async def run() -> ExitCode:
+        status = await _node_status(address)
+        if show == 'status':
+            _show(
+                [
+                    {
+                        'node': status['node'],
+                        'version': status['version'],
+                        'ready': status['ready'],
+                        'leaving': status['leaving'],
+                        **belief,
+                    }
+                    for belief in status['beliefs']
+                ],
+                output,
+            )
+        else:
+            _show(status[show], output)
+        return ExitCode.OK
+
+    return _finish(run())
+
+
+async def _node_status(address: str) -> dict[str, typing.Any]:
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit():
+        raise DeclarationError(
+            'address', f'is {address!r}', 'give HOST:PORT of a node'
+        )
+    caller = HttpCaller(host, int(port))
+    try:
+        reply = await caller.call(
+            f'GET /status HTTP/1.1\r\nHost: {address}\r\n\r\n'.encode(),
+            NODE_TIMEOUT_S,
+        )
+    finally:
+        caller.close()
+    if reply.status != 200:
+        raise PlatformError(
+            f'{address} answered {reply.status}; give its metrics address'
+        )
+    return msgspec.json.decode(reply.body)
+
+
+def explain(
+    request_id: str, *files: str, output: Output = 'table'
+) -> ExitCode:
+    """Tell a request's story from log files of nodes, or standard input."""
+    if files:
+        texts: list[str] = []
+        for name in files:
+            try:
+                text = pathlib.Path(name).read_text(errors='replace')
+            except OSError as exc:
+                print(f'{name}: {exc.strerror}', file=sys.stderr)
+                return ExitCode.INVALID
+            texts += text.splitlines()
+    else:
+        texts = sys.stdin.read().splitlines()
+    told = story.explain(request_id, story.read(texts))
+    if not told:
+        print(
+            f'no line tells of {request_id}; name the logs of all nodes',
+            file=sys.stderr,
+        )
+        return ExitCode.REFUSED
+    begun = told[0]['at']
+    _show([_story_row(line, begun) for line in told], output)
+    return ExitCode.OK
+
+
+def _story_row(line: story.Line, begun: float) -> Row:
+    rest = {
+        key: value
+        for key, value in line.items()
+        if key not in ('at', 'node', 'event')
+    }
+    return {
+        'after_s': round(line['at'] - begun, 3),
+        'node': line.get('node'),
+        'event': line['event'],
+        'what': ' '.join(f'{key}={value}' for key, value in rest.items()),
+    }
+
+
 def drain(
     what: typing.Literal['target', 'node'],
     name: str,
@@ -233,6 +334,8 @@
         members,
         targets,
         drain,
+        node,
+        explain,
     )
 }
 
--- a/sesameward/replicas.py
+++ b/sesameward/replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import math
 import random
 
 from . import declared
@@ -135,6 +136,11 @@
         usable = self._usable(candidates, (), now)
         return {one.id for one in self._ejected(usable, now)}
 
+    def ejected_until(self, target_id: TargetId) -> float:
+        """Return until when a target's failures keep work from it."""
+        estimate = self._estimates.get(target_id)
+        return estimate.ejected_until if estimate else -math.inf
+
     def _usable(
         self, candidates: _Candidates, avoid: _Avoid, now: float
     ) -> list[TargetEstimate]:
--- a/sesameward/serving/choice.py
+++ b/sesameward/serving/choice.py
@@ -52,7 +52,9 @@
     """Rank replicas by load, latency, zone and overdue requests."""
 
     def __init__(self, zone: ZoneName, rng: random.Random):
-        self._rng = rng
+        self.on_ejected: typing.Callable[[TargetId, float], None] = (
+            lambda target_id, for_s: None
+        )
         self._chooser = ReplicaChooser(zone, rng, ZONE_COST_S)
         self._latencies = LatencyTracker(LATENCY_WINDOW_S)
         self._tokens = itertools.count(1)
@@ -76,7 +78,7 @@
     def unreachable(self, target_id: TargetId, now: float) -> None:
         """Take in that a target accepts no connection."""
         self._chooser.started(target_id, now)
-        self._chooser.finished(target_id, Outcome.CONNECT_FAILED, 0.0, now)
+        self._finish(target_id, Outcome.CONNECT_FAILED, 0.0, now)
 
     def choose(
         self,
@@ -130,9 +132,23 @@
         scaled_s = latency_s * REFERENCE_S / self.typical_s(sent.route, now)
         if outcome is Outcome.OK:
             self._latencies.observe(sent.route, latency_s, now)
+        self._finish(sent.target_id, outcome, scaled_s, now, retry_after_s)
+
+    def _finish(
+        self,
+        target_id: TargetId,
+        outcome: Outcome,
+        latency_s: float,
+        now: float,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        before = self._chooser.ejected_until(target_id)
         self._chooser.finished(
-            sent.target_id, outcome, scaled_s, now, retry_after_s
+            target_id, outcome, latency_s, now, retry_after_s
         )
+        until = self._chooser.ejected_until(target_id)
+        if until > before:
+            self.on_ejected(target_id, until - now)
 
     def typical_s(self, route: RouteName, now: float) -> float:
         """Return the median latency of a route's sub-requests."""
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -108,6 +108,9 @@
     """Choose helpers and notice those that do not answer."""
 
     def __init__(self, node: NodeId, zone: ZoneName):
+        self.on_quiet: typing.Callable[[NodeId, float], None] = (
+            lambda node, for_s: None
+        )
         self._node = node
         self._zone = zone
         self._helpers: dict[NodeId, _Helper] = {}
@@ -181,7 +184,9 @@
         if not helper.open:
             return True
         oldest = next(iter(helper.open.values()))
-        if now - max(oldest, helper.heard_at) > QUIET_S:
+        quiet_s = now - max(oldest, helper.heard_at)
+        if quiet_s > QUIET_S:
             helper.down_until = now + RETRY_S
+            self.on_quiet(node, quiet_s)
             return False
         return True
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -211,6 +211,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_over = False
         self._repeats: list[str] = []
+        self._failures: list[str] = []
         self.version = Version(0)
         patience_s = asked.patience_s
         if patience_s is None or patience_s > route.timeout_s:
@@ -250,6 +251,11 @@
         self._tools.metrics.count('sub_requests', send.why.value)
         self._repeats.append(f'{send.why.value}:{send.target_id}')
 
+    def _note_failure(self, send: Send, end: End | None) -> End:
+        end = end or End.FAILED
+        self._failures.append(f'{end.value}:{send.target_id}')
+        return end
+
     def _send(self, send: Send) -> None:
         exchange = Exchange(
             self._tools,
@@ -303,6 +309,7 @@
             status=answer.status,
             took_ms=round(took_s * 1_000, 2),
             repeats=self._repeats,
+            failures=self._failures,
             fresh=self._req.is_first,
             **fields,
         )
@@ -403,7 +410,7 @@
 
     def _take(self, send: Send, result: Result, now: float) -> list:
         if result.end is not None or result.reply is None:
-            end = result.end or End.FAILED
+            end = self._note_failure(send, result.end)
             return self._plan.failed(send.shard, send.attempt, end, now)
         if self._plan.uses(send.shard):
             self._signatures.append(result.signature or b'')
@@ -503,6 +510,7 @@
         now: float,
     ) -> list:
         if end.end is not None:
+            self._note_failure(send, end.end)
             return self._plan.failed(send.shard, send.attempt, end.end, now)
         if end.whole is None and ask.is_tainted:
             self._tools.metrics.count('parts_unusable')
@@ -562,7 +570,7 @@
 
     def _take(self, send: Send, result: Result, now: float) -> list:
         if result.reply is None:
-            end = result.end or End.FAILED
+            end = self._note_failure(send, result.end)
             return self._plan.failed(send.attempt, end, now)
         if not self._is_over:
             self._reply = result.reply
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -143,6 +143,7 @@
         self._tell_timer: asyncio.TimerHandle | None = None
         self._position: Revision | None = None
         self._watching = False
+        self._is_store_lost = False
         self._task: asyncio.Task | None = None
         self._call: asyncio.Task | None = None
         self._pulls: set[asyncio.Task] = set()
@@ -214,15 +215,28 @@
                 continue
             try:
                 await self._read()
+                self._note_store(None)
                 backoff.reset()
                 await asyncio.sleep(self._gap_s)
             except PlatformError as exc:
                 self._metrics.count('store_retries', type(exc).__name__)
+                self._note_store(exc)
                 pause_s = backoff.next_s()
                 if isinstance(exc, PlatformThrottledError):
                     pause_s += exc.retry_after_s
                 await asyncio.sleep(pause_s)
 
+    def _note_store(self, exc: PlatformError | None) -> None:
+        if (exc is not None) == self._is_store_lost:
+            return
+        self._is_store_lost = exc is not None
+        logs.change(
+            'store_lost' if self._is_store_lost else 'store_back',
+            kind=self.kind,
+            read_age_s=round(self.age_s(self._clock()), 3),
+            error=str(exc) if exc is not None else None,
+        )
+
     async def _read(self) -> None:
         self._call = asyncio.ensure_future(self._read_once())
         try:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -10,6 +10,7 @@
 import time
 import typing
 
+import msgspec
 import uvloop
 
 from .. import logs
@@ -18,9 +19,12 @@
 from ..messages import Rumor
 from ..metrics import Metrics
 from . import mirror
+from . import node_status
 from ..quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from ..spread import Backoff
+from ..types import NodeId
+from ..types import TargetId
 from ..types import ZoneName
 from .attempts import View
 from .beliefs import Beliefs
@@ -170,6 +174,8 @@
             self._clock,
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
+        self.delegation.on_quiet = self._on_quiet
+        self.choice.on_ejected = self._on_ejected
         self._delegates = DelegateClient(
             self.delegation, self.metrics, self._clock
         )
@@ -371,9 +377,17 @@
                 pause_s = 0.1 + backoff.next_s()
             await asyncio.sleep(pause_s)
 
-    def _on_unreachable(self, target_id) -> None:
+    def _on_unreachable(self, target_id: TargetId) -> None:
         self.choice.unreachable(target_id, self._clock())
 
+    def _on_ejected(self, target_id: TargetId, for_s: float) -> None:
+        self.metrics.count('targets_ejected')
+        logs.change('target_ejected', target=target_id, for_s=round(for_s, 3))
+
+    def _on_quiet(self, node: NodeId, quiet_s: float) -> None:
+        self.metrics.count('helpers_quiet')
+        logs.change('helper_quiet', helper=node, quiet_s=round(quiet_s, 3))
+
     def _on_reading(self, rumor: Rumor) -> None:
         for made in (self.routes_mirror, self.targets_mirror):
             if made.kind == rumor.key:
@@ -416,12 +430,31 @@
         responder.send(queries.addresses_answer(found))
 
     def _answer_metrics(self, req: Request, responder: Responder) -> None:
+        if req.path == '/status':
+            responder.send(self._status_answer())
+            return
         if req.path != '/metrics':
             responder.send(Answer(404))
             return
         headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
         responder.send(Answer(200, headers, self.metrics.render()))
 
+    def _status_answer(self) -> Answer:
+        body = msgspec.json.encode(
+            node_status.collect(
+                self._cfg.node,
+                self._leaving,
+                self.ready(),
+                self.beliefs,
+                self.targets,
+                self.choice,
+                (self.routes_mirror, self.targets_mirror),
+                self.peers.members(),
+                self._clock(),
+            )
+        )
+        return Answer(200, [(b'Content-Type', b'application/json')], body)
+
 
 def _boottime() -> float:
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/sesameward/serving/node_status.py
@@ -0,0 +1,142 @@
+"""Show what a node believes and how old each belief is."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from ..messages import Member
+from ..types import NodeId
+from ..types import Revision
+from ..types import ServiceName
+from ..types import TargetId
+from ..types import ZoneName
+from .beliefs import Beliefs
+from .choice import Choice
+from .mirror import Mirror
+from .routes import OneService
+from .routes import Route
+from .routes import RouteName
+from .routes import Shards
+from .routes import Version
+from .targets import TargetTable
+
+
+class BeliefStatus(msgspec.Struct, frozen=True):
+    """Tell from when one kind of objects is; age_s is None if unread."""
+
+    kind: str
+    revision: Revision
+    age_s: float | None
+    watching: bool
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """Tell what is believed of one node."""
+
+    node: NodeId
+    zone: ZoneName
+    state: str
+    leaving: bool
+    offered: bool
+
+
+class TargetStatus(msgspec.Struct, frozen=True):
+    """Tell what is believed of one target."""
+
+    target: TargetId
+    service: ServiceName
+    zone: ZoneName
+    state: str
+    paused: bool
+    ejected_s: float
+
+
+class RouteStatus(msgspec.Struct, frozen=True):
+    """Tell how one route is served."""
+
+    route: RouteName
+    host: str
+    prefix: str
+    kind: str
+    to: tuple[ServiceName, ...]
+    timeout_ms: float
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """Hold everything that an operator may ask of a node."""
+
+    node: NodeId
+    version: Version | None
+    ready: bool
+    leaving: bool
+    beliefs: tuple[BeliefStatus, ...]
+    members: tuple[MemberStatus, ...]
+    targets: tuple[TargetStatus, ...]
+    routes: tuple[RouteStatus, ...]
+
+
+def collect(
+    node: NodeId,
+    leaving: bool,
+    ready: bool,
+    beliefs: Beliefs,
+    targets: TargetTable,
+    choice: Choice,
+    mirrors: typing.Iterable[Mirror],
+    members: typing.Iterable[Member],
+    now: float,
+) -> NodeStatus:
+    """Return a node's status at this moment."""
+    table = beliefs.table
+    return NodeStatus(
+        node=node,
+        version=table.version if table else None,
+        ready=ready,
+        leaving=leaving,
+        beliefs=tuple(_belief(mirror, now) for mirror in mirrors),
+        members=tuple(
+            MemberStatus(
+                m.node, m.zone, m.state.value, m.leaving, bool(m.entries)
+            )
+            for m in members
+        ),
+        targets=tuple(
+            TargetStatus(
+                t.id,
+                t.service,
+                t.zone,
+                t.state.value,
+                choice.paused(t.id, now),
+                choice.ejected_s(t.id, now),
+            )
+            for t in targets
+        ),
+        routes=tuple(_route(route) for route in table.routes) if table else (),
+    )
+
+
+def _belief(mirror: Mirror, now: float) -> BeliefStatus:
+    age_s = round(mirror.age_s(now), 3) if mirror.is_known else None
+    return BeliefStatus(
+        mirror.kind, mirror.book.revision, age_s, mirror.watching
+    )
+
+
+def _route(route: Route) -> RouteStatus:
+    match route.destination:
+        case Shards():
+            kind = 'shards'
+        case OneService():
+            kind = 'service'
+        case _:
+            kind = 'split'
+    return RouteStatus(
+        route.name,
+        route.host,
+        route.prefix,
+        f'{kind}, {route.repeat.value}',
+        route.services(),
+        route.timeout_s * 1_000,
+    )
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import functools
+import json
 import signal
+import sys
 import time
 
 import pytest
@@ -355,3 +357,42 @@
                 promises.check_once(fleet, reply, request_id)
 
     asyncio.run(main())
+
+
+@with_fleet()
+async def test_operator_follows_a_request_and_sees_beliefs(fleet):
+    for target_id in fleet.services['desk']:
+        fleet.targets[target_id].faults.fails = True
+    node = fleet.nodes[0]
+    request_id = fleet.request_id()
+    reply = await fleet.ask(node, '/once/1', request_id, 'POST', b'x')
+    assert reply.status == 500
+    logs = [str(one.log) for one in fleet.nodes]
+    told = await ctl('explain', request_id, *logs, '--output', 'json')
+    (answer,) = [row for row in told if row['event'] == 'answer']
+    assert 'status=500' in answer['what']
+    events = {row['event'] for row in told}
+    assert 'routes_in_force' in events
+    address = f'{node.host}:7395'
+    (routes, targets) = await ctl('node', address, '--output', 'json')
+    assert routes['version'] == fleet.version
+    assert targets['kind'] == 'servers'
+    members = await ctl(
+        'node', address, '--show', 'members', '--output', 'json'
+    )
+    assert {one['node'] for one in members} == {
+        one.name for one in fleet.nodes
+    }
+
+
+async def ctl(*args):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'sesameward.cmdline',
+        *args,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    out, _ = await process.communicate()
+    assert process.returncode == 0
+    return json.loads(out)
