--- a/sesameward/serving/choice.py
+++ b/sesameward/serving/choice.py
@@ -101,6 +101,10 @@
             return False
         return any(at <= now for at in waiting.values())
 
+    def ejected_s(self, target_id: TargetId, now: float) -> float:
+        """Return for how long a target's failures keep work from it."""
+        return max(0.0, self._chooser.ejected_until(target_id) - now)
+
     def sent(self, target_id: TargetId, route: RouteName, now: float) -> Token:
         """Count one sub-request sent."""
         token = Token(next(self._tokens))
