--- a/sesameward/standin/processes.py
+++ b/sesameward/standin/processes.py
@@ -200,7 +200,9 @@
         for index in range(self.shape.nodes):
             self.entries.append(self.start_entry(index))
         for name, process in self.targets.items():
-            self.target_ports[name] = process.ports['ports'][0]
+            # A process may serve several targets, each at a port that is
+            # known already.
+            self.target_ports.setdefault(name, process.ports['ports'][0])
         self.declare()
         self.wait_ready()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -93,10 +93,12 @@
 
     async def _restart(self, node, number: signal.Signals) -> None:
         self._world.disturbed(node.name, number is signal.SIGTERM)
+        process = node.process
         node.send(number)
-        while node.is_running:
+        while process.poll() is None:
             await asyncio.sleep(0.02)
-        if not self._world.over:
+        # Another fault may have restarted it meanwhile.
+        if node.process is process and not self._world.over:
             node.start()
 
     async def _node_kill(self, fault: Fault) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -25,6 +25,8 @@
 DRAIN_S = 3.0
 CALM_S = 4.0
 SETTLE_S = 6.0
+# A run that takes so much longer than its schedule hangs.
+LIMIT_S = 60.0
 
 
 class SoakFleet(Fleet):
@@ -112,7 +114,7 @@
 
     async def run(self, length_s: float) -> list[str]:
         """Play the seed's schedule; return what was violated."""
-        async with self.fleet:
+        async with asyncio.timeout(length_s + LIMIT_S), self.fleet:
             callers = [
                 asyncio.create_task(self._call(random.Random(n)))
                 for n in range(CALLERS)
