Retry parts that were lost on the way; tell lost answers from crashes

Ruled out: the retry budget (a part of it was left), the deadline. Change: a query is taken to crash targets only where four of five ends are breaks; a shard that found no budget is asked again as soon as there is some.

--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -35,9 +35,11 @@
 HEDGE_RESERVE = 3.0
 # Sub-requests that surely did not run may go out again this often.
 MAX_NOT_RUN = 3
-# Breaks after dispatch in one query which suggest that the query itself
-# crashes targets; one target crashing by chance breaks one.
+# Breaks after dispatch which suggest that the query itself crashes targets:
+# so many, and more than this part of all that ended. Where a network or many
+# targets lose answers, a good part of the others still comes back.
 MAX_BREAKS = 3
+BREAK_PART = 0.8
 # Pause between looks at the shards that are still open.
 LOOK_S = 0.004
 
@@ -188,8 +190,10 @@
     def _hedge(
         self, at: int, shard: _Shard, hedge_s: float, now: float
     ) -> list[Action]:
+        if not shard.open:
+            return self._ask_late(at, shard, now)
         if len(shard.open) != 1:
-            return [] if shard.open else self._ask_late(at, shard, now)
+            return []
         if not self._may_run_again(shard):
             return []
         ((target_id, sent_at),) = shard.open.values()
@@ -202,10 +206,14 @@
         return self._send(at, why, now, reserve)
 
     def _ask_late(self, at: int, shard: _Shard, now: float) -> list[Action]:
-        """Ask a shard that had no replica when it was its turn."""
-        if shard.asked or shard.not_run > MAX_NOT_RUN:
+        """Ask a shard that had no replica or budget when it was its turn."""
+        if shard.not_run > MAX_NOT_RUN:
+            return []
+        if not shard.asked:
+            return self._send(at, Why.FIRST, now)
+        if not self._may_run_again(shard):
             return []
-        return self._send(at, Why.FIRST, now)
+        return self._send(at, Why.RETRY_FAILED, now)
 
     def _retry(self, at: int, end: End, now: float) -> list[Action]:
         shard = self._shards[at]
@@ -219,8 +227,12 @@
             case _:
                 return self._send(at, Why.RETRY_FAILED, now)
 
+    def _seems_to_crash_targets(self) -> bool:
+        ended = self._answered + self._breaks
+        return self._breaks >= MAX_BREAKS and self._breaks > BREAK_PART * ended
+
     def _may_run_again(self, shard: _Shard) -> bool:
-        if self._breaks >= MAX_BREAKS:
+        if self._seems_to_crash_targets():
             return False
         ran = len(shard.asked) - shard.not_run
         return ran < self._route.max_attempts
@@ -254,20 +266,25 @@
             return self._finish(Ending.WHOLE)
         if now >= self._cutoff_at and self._answered >= self._needed:
             return self._finish(Ending.PARTIAL)
-        hopeful = sum(
-            bool(shard.open) for shard in self._shards if not shard.done
-        )
-        if hopeful:
-            return []
-        if self._answered >= self._needed or not self._can_wait(now):
+        if self._answered >= self._needed or now >= self._deadline_at:
+            if not any(self._is_hopeful(shard) for shard in self._shards):
+                return self._finish(self._by_coverage())
+        elif not any(
+            self._is_hopeful(shard) or self._may_be_asked(shard)
+            for shard in self._shards
+        ):
             return self._finish(self._by_coverage())
         return []
 
-    def _can_wait(self, now: float) -> bool:
-        """Tell whether a shard that was never asked may still be."""
-        return any(
-            not shard.done and not shard.asked and shard.not_run <= MAX_NOT_RUN
-            for shard in self._shards
+    def _is_hopeful(self, shard: _Shard) -> bool:
+        return not shard.done and bool(shard.open)
+
+    def _may_be_asked(self, shard: _Shard) -> bool:
+        """Tell whether a shard may still get another sub-request."""
+        return (
+            not shard.done
+            and shard.not_run <= MAX_NOT_RUN
+            and self._may_run_again(shard)
         )
 
     def _by_coverage(self) -> Ending:
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -190,6 +190,29 @@
     assert sends(query.tick(NOW + 0.05)) == []
 
 
+def test_answers_lost_on_the_way_are_asked_for_again(query):
+    firsts = sends(query.start(NOW))
+    answer(query, firsts, range(4), NOW + 0.01)
+    retried = []
+    for shard in range(4, SHARDS):
+        retried += query.failed(
+            shard, firsts[shard].attempt, End.BROKEN, NOW + 0.02
+        )
+    assert [one.shard for one in retried] == list(range(4, SHARDS))
+
+
+def test_shard_without_budget_is_asked_once_there_is_some(view):
+    # One repeat is earned 1.25 s after the budget's start.
+    budget = BudgetWindow(0.0, 10.0, 10.0, NOW - 1.22)
+    query = make_gather(view._replace(budget=budget))
+    firsts = sends(query.start(NOW))
+    answer(query, firsts, range(1, SHARDS - 1), NOW + 0.01)
+    assert query.failed(0, firsts[0].attempt, End.FAILED, NOW + 0.01) == []
+    assert sends(query.tick(NOW + 0.01)) == []
+    (retry,) = [one for one in sends(query.tick(NOW + 0.04)) if one.shard == 0]
+    assert retry.target_id != firsts[0].target_id
+
+
 def test_second_answer_of_a_shard_is_not_used(query):
     firsts = sends(query.start(NOW))
     (hedge, *_) = sends(query.tick(NOW + 0.05))
