--- a/sesameward/serving/choice.py
+++ b/sesameward/serving/choice.py
@@ -4,6 +4,10 @@
 seconds, at its own times. Of 20 shards, one is paused in every second query,
 so a replica whose oldest request is overdue gets no new work until it
 answers, and what already waits there is asked of another replica.
+
+Load pattern: many replicas fall silent at once, and each of many nodes asks
+each of them only now and then. So one that answered nothing for much longer
+than a pause is left alone for a moment by all nodes that hear of it.
 """
 
 from __future__ import annotations
@@ -32,6 +36,11 @@
 # this factor.
 OVERDUE_QUANTILE = 0.9
 OVERDUE_FACTOR = 1.3
+# Longer than the pauses of targets, with some room; one that answers nothing
+# for so long is taken to be gone.
+SILENT_AFTER_S = 0.2
+# It is tried again after this time, by one request of each node.
+SILENT_FOR_S = 1.5
 # Until a route's latencies are known; about two work times of a sweep.
 FIRST_TYPICAL_S = 0.02
 LATENCY_WINDOW_S = 8.0
@@ -58,6 +67,11 @@
         self._chooser = ReplicaChooser(zone, rng, ZONE_COST_S)
         self._latencies = LatencyTracker(LATENCY_WINDOW_S)
         self._tokens = itertools.count(1)
+        self.on_silent: typing.Callable[[TargetId], None] = lambda target_id: (
+            None
+        )
+        self._answered_at: dict[TargetId, float] = {}
+        self._silent_until: dict[TargetId, float] = {}
         self._sent: dict[Token, Sent] = {}
         self._overdue_at: dict[TargetId, dict[Token, float]] = {}
 
@@ -68,6 +82,8 @@
     def forget(self, target_id: TargetId) -> None:
         """Drop a target."""
         self._chooser.forget(target_id)
+        self._answered_at.pop(target_id, None)
+        self._silent_until.pop(target_id, None)
 
     def reported(
         self, target_id: TargetId, report: LoadReport, now: float
@@ -79,6 +95,23 @@
         """Take in that a target accepts no connection."""
         self._chooser.started(target_id, now)
         self._finish(target_id, Outcome.CONNECT_FAILED, 0.0, now)
+        self._note_silence(target_id, now)
+
+    def heard_silent(self, target_id: TargetId, now: float) -> None:
+        """Take in that another node got no answer from a target."""
+        answered_at = self._answered_at.get(target_id, -SILENT_FOR_S)
+        if now - answered_at > SILENT_AFTER_S:
+            self._silent_until[target_id] = now + SILENT_FOR_S
+
+    def silent(self, target_id: TargetId, now: float) -> bool:
+        """Tell whether a target is taken to be gone."""
+        until = self._silent_until.get(target_id)
+        return until is not None and now < until
+
+    def _note_silence(self, target_id: TargetId, now: float) -> None:
+        if not self.silent(target_id, now):
+            self._silent_until[target_id] = now + SILENT_FOR_S
+            self.on_silent(target_id)
 
     def choose(
         self,
@@ -87,9 +120,13 @@
         avoid: typing.Collection[TargetId] = (),
     ) -> TargetId | None:
         """Return the replica to ask; None where none may be asked."""
-        paused = [one for one in candidates if self.paused(one, now)]
-        if paused:
-            found = self._chooser.choose(candidates, now, {*avoid, *paused})
+        late = [
+            one
+            for one in candidates
+            if self.silent(one, now) or self.paused(one, now)
+        ]
+        if late:
+            found = self._chooser.choose(candidates, now, {*avoid, *late})
             if found is not None:
                 return found
         return self._chooser.choose(candidates, now, avoid)
@@ -136,6 +173,14 @@
         scaled_s = latency_s * REFERENCE_S / self.typical_s(sent.route, now)
         if outcome is Outcome.OK:
             self._latencies.observe(sent.route, latency_s, now)
+            self._answered_at[sent.target_id] = now
+            self._silent_until.pop(sent.target_id, None)
+        elif (
+            outcome in (Outcome.TIMEOUT, Outcome.CANCELLED)
+            and latency_s >= SILENT_AFTER_S
+            and self._answered_at.get(sent.target_id, -1.0) < sent.at
+        ):
+            self._note_silence(sent.target_id, now)
         self._finish(sent.target_id, outcome, scaled_s, now, retry_after_s)
 
     def _finish(
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -86,13 +86,21 @@
         self._running = {item.no: made for item, made in exchanges}
         for item, exchange in exchanges:
             target = self._tools.view.targets.get(item.target_id)
-            if target is None or target.drain:
+            if target is None or target.drain or self._is_silent(item):
                 self._took(item, Result(End.NOT_SENT))
             else:
                 exchange.begin()
         loop = asyncio.get_running_loop()
         loop.call_later(left_s + OVERRUN_S, self._abandon)
 
+    def _is_silent(self, item: Item) -> bool:
+        # The asker can still turn to another replica at once; a repeat has
+        # no other.
+        choice = self._tools.view.choice
+        return self._ask.filtered and choice.silent(
+            item.target_id, self._tools.clock()
+        )
+
     def mark(self, no: int, floor: bytes) -> None:
         """Let no other part rest on this one."""
         self._marked[no] = floor
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -22,6 +22,7 @@
 from . import node_status
 from ..quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
+from . import silences
 from ..spread import Backoff
 from ..types import NodeId
 from ..types import TargetId
@@ -154,6 +155,11 @@
             self._clock,
         )
         self.peers = Peers(cfg, self.metrics, self._rng, self._clock)
+        # A restarted node's rumors must override those of its predecessor.
+        self._silences = silences.Silences(
+            cfg.node, self.peers.publish, time.time
+        )
+        self.choice.on_silent = self._silences.note
         origin = f'{cfg.node}:{time.time_ns()}'
         self._crashes = Crashes(origin, self.metrics, self._rng)
         self._crashes.spread = self.peers.publish
@@ -245,6 +251,7 @@
         loop.add_signal_handler(signal.SIGINT, self._begin_leaving)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.peers.gossip.subscribe(mirror.TOPIC, self._on_reading)
+        self.peers.gossip.subscribe(silences.TOPIC, self._on_silences)
         self.peers.gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
         callers = self._cfg.callers
         await self.callers.start(callers.host, callers.port)
@@ -347,6 +354,7 @@
 
     def _look_after(self, now: float) -> None:
         self.beliefs.expire()
+        self._silences.tell()
         self.delegation.set_members(self.peers.members())
         sharers = self.peers.sharers(now)
         self.budget.set_nodes(sharers)
@@ -393,6 +401,13 @@
             if made.kind == rumor.key:
                 made.hear(rumor)
 
+    def _on_silences(self, rumor: Rumor) -> None:
+        if rumor.key == self._cfg.node:
+            return
+        now = self._clock()
+        for target_id in silences.read(rumor):
+            self.choice.heard_silent(target_id, now)
+
     def _on_quarantine(self, rumor: Rumor) -> None:
         self._crashes.heard(rumor, self._clock())
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,6 +5,8 @@
 import pytest
 
 from sesameward.serving.choice import Choice
+from sesameward.serving.choice import SILENT_AFTER_S
+from sesameward.serving.choice import SILENT_FOR_S
 from sesameward.serving.targets import Target
 from sesameward.serving.targets import TargetState
 from sesameward.types import Outcome
@@ -90,3 +92,44 @@
     choice.declare(target('far', zone='y'))
     choice.sent('near', 'r', 0.0)
     assert choice.choose(('near', 'far'), 1.0) == 'far'
+
+
+def test_replica_that_answers_nothing_is_left_alone_and_told(choice):
+    told = []
+    choice.on_silent = told.append
+    learn(choice, 0.005)
+    token = choice.sent('a', 'r', 1.0)
+    choice.ended(token, Outcome.TIMEOUT, 1.0 + 2 * SILENT_AFTER_S)
+    assert told == ['a']
+    now = 1.5
+    assert choice.silent('a', now)
+    assert {choice.choose(('a', 'b'), now) for _ in range(50)} == {'b'}
+    assert not choice.silent('a', now + SILENT_FOR_S)
+
+
+def test_abandoned_request_of_a_pausing_replica_says_nothing(choice):
+    learn(choice, 0.005)
+    token = choice.sent('a', 'r', 1.0)
+    choice.ended(token, Outcome.CANCELLED, 1.0 + SILENT_AFTER_S / 2)
+    assert not choice.silent('a', 1.2)
+
+
+def test_answer_ends_the_silence(choice):
+    choice.heard_silent('a', 1.0)
+    assert choice.silent('a', 1.1)
+    token = choice.sent('a', 'r', 1.1)
+    choice.ended(token, Outcome.OK, 1.2)
+    assert not choice.silent('a', 1.2)
+
+
+def test_other_nodes_word_does_not_override_a_fresh_answer(choice):
+    token = choice.sent('a', 'r', 1.0)
+    choice.ended(token, Outcome.OK, 1.1)
+    choice.heard_silent('a', 1.15)
+    assert not choice.silent('a', 1.15)
+
+
+def test_all_replicas_silent_is_no_reason_to_ask_none(choice):
+    choice.heard_silent('a', 1.0)
+    choice.heard_silent('b', 1.0)
+    assert choice.choose(('a', 'b'), 1.1) in ('a', 'b')
