--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/$(VENV)/bin
 SEEDS ?= 3
 BENCHMARKS := path tail load control membership configuration bookings \
-	quarantine crashing
+	quarantine crashing node
 
 .PHONY: env test lint format demo soak histories fault-matrix clean \
 	$(BENCHMARKS:%=bench-%)
--- a/sesameward/serving/beliefs.py
+++ b/sesameward/serving/beliefs.py
@@ -151,8 +151,14 @@
             self._pools.declare(target)
 
     def _lapse(self, target_id: TargetId, reason: str) -> None:
-        if self._targets.get(target_id) is not None:
-            logs.change('target', target=target_id, state=reason)
+        target = self._targets.get(target_id)
+        if target is not None:
+            logs.change(
+                'target',
+                target=target_id,
+                service=target.service,
+                state=reason,
+            )
             self._targets.lapse(target_id, self._clock())
 
     def expire(self) -> None:
--- a/sesameward/serving/directory.py
+++ b/sesameward/serving/directory.py
@@ -12,6 +12,9 @@
 from ..types import ZoneName
 
 MAX_ADDRESSES = 64
+# A caller with a single address has none left when that node is lost, and
+# keeps asking it until its answer runs out.
+MIN_ADDRESSES = 2
 # Callers ask again after this time. Half of the callers of a small deployment
 # came back after two seconds and paid a fifth of the objective for asking.
 TTL_S = 5.0
@@ -25,7 +28,7 @@
 
 
 class Directory:
-    """Choose among live nodes those of the caller's zone.
+    """Choose among live nodes those of the caller's zone, and a spare.
 
     Load pattern: callers open a connection for most requests, and each
     crossing between zones counts four times until the answer is there.
@@ -40,15 +43,19 @@
         zone: ZoneName,
         max_ttl_s: float,
     ) -> Addresses:
-        """Return the nodes for a caller, in random order."""
+        """Return the nodes for a caller, those of its zone first."""
         usable = _usable(members)
-        near = [member for member in usable if member.zone == zone]
+        self._rng.shuffle(usable)
+        # The sort is stable, so nodes of equal distance stay shuffled.
+        usable.sort(key=lambda member: member.zone != zone)
+        near = sum(member.zone == zone for member in usable)
+        # Nobody is far from a caller whose zone has no node.
+        count = max(near, MIN_ADDRESSES) if near else len(usable)
         found = [
             f'{address.host}:{address.port}'
-            for member in near or usable
+            for member in usable[:count]
             for address in member.entries
         ]
-        self._rng.shuffle(found)
         return Addresses(tuple(found[:MAX_ADDRESSES]), min(TTL_S, max_ttl_s))
 
 
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -103,13 +103,13 @@
         deps = self._deps
         now = deps.tools.clock()
         table = self._beliefs.table
-        if table is None:
-            self._refuse(req, responder, 503, 'no_configuration')
-            return
         asked = deps.tools.wire.read_request(req)
         if asked is None:
             self._refuse(req, responder, 400, 'no_request_id')
             return
+        if table is None:
+            self._refuse(req, responder, 503, 'no_configuration', asked)
+            return
         route = table.find(req.host, req.path)
         if route is None:
             fresh = self._beliefs.age_s(now) <= ROUTES_FRESH_S
--- a/sesameward/story.py
+++ b/sesameward/story.py
@@ -9,6 +9,8 @@
 # Changes of belief this long before a request began may explain it.
 BEFORE_S = 5.0
 AFTER_S = 1.0
+# A target that left may be missed for much longer.
+TARGETS_BEFORE_S = 30.0
 
 # Events that change what a node believes, with the fields that tell how.
 _BELIEFS = frozenset(
@@ -75,14 +77,16 @@
         if line in own:
             story.append(line)
             continue
-        if not begun - BEFORE_S <= line['at'] <= ended + AFTER_S:
+        event = line['event']
+        about_target = event in _ABOUT_TARGETS
+        before_s = TARGETS_BEFORE_S if about_target else BEFORE_S
+        if not begun - before_s <= line['at'] <= ended + AFTER_S:
             continue
         if line.get('node') not in nodes:
             continue
-        event = line['event']
         if event in _BELIEFS:
             story.append(line)
-        elif event in _ABOUT_TARGETS and (
+        elif about_target and (
             line.get('target') in targets or line.get('service') in services
         ):
             story.append(line)
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -9,7 +9,7 @@
 
 @pytest.mark.parametrize(
     'args',
-    [('path', '2', '4')],
+    [('path', '2', '4'), ('node', '4')],
     ids=lambda args: args[0],
 )
 def test_benchmark_runs_and_ends_with_its_figures(args):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -27,6 +27,16 @@
     assert sorted(found.addresses) == ['a1:80', 'a2:80']
 
 
+def test_caller_never_depends_on_one_node(directory):
+    members = (member('a1', 'a'), member('b1', 'b'), member('c1', 'c'))
+    spares = set()
+    for _ in range(50):
+        first, spare = directory.addresses(members, 'a', 5.0).addresses
+        assert first == 'a1:80'
+        spares.add(spare)
+    assert spares == {'b1:80', 'c1:80'}
+
+
 def test_all_nodes_where_the_zone_has_none(directory):
     members = (member('a1', 'a'), member('b1', 'b'))
     found = directory.addresses(members, 'c', 5.0)
