Ignore SIGHUP until the node handles it

Cause, from soak seed 118 (log of node-2): SIGHUP came 0.1 s after a restart and ended the process, whose handler was not yet installed. Ruled out: the kill before it (the process had started again and served), the store. Change: the signal is ignored before the imports; the settings are read after that, through the object that notices later changes. The test fails without it; the seed stays as a regression case.

--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -2,29 +2,43 @@
 
 from __future__ import annotations
 
+import signal
 import sys
+import typing
 
-from . import boot
-from ..exceptions import SettingsError
-from . import objects
-from ..serving.node import Adapter
-from ..serving.node import serve
-from . import store
-from . import wire
+if typing.TYPE_CHECKING:
+    from .boot import SettingsFile
+    from ..serving.settings import NodeSettings
 
 EXIT_SETTINGS = 2
 
 
 def main() -> int:
     """Serve until SIGTERM."""
-    name = boot.path()
+    # Until the node handles it, SIGHUP would end the process. The rest is
+    # imported after this, as that takes most of the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from . import boot
+    from ..exceptions import SettingsError
+
+    settings = boot.SettingsFile(boot.path())
     try:
-        cfg = boot.load(name)
+        cfg = settings.read()
     except SettingsError as exc:
         print(f'sesameward: {exc}', file=sys.stderr)
         return EXIT_SETTINGS
+    _serve(cfg, settings)
+    return 0
+
+
+def _serve(cfg: NodeSettings, settings: SettingsFile) -> None:
+    from . import objects
+    from ..serving.node import Adapter
+    from ..serving.node import serve
+    from . import store
+    from . import wire
+
     calls = store.StoreCalls(cfg)
-    settings = boot.SettingsFile(name)
     serve(
         cfg,
         Adapter(
@@ -39,7 +53,6 @@
             settings_changed=settings.changed,
         ),
     )
-    return 0
 
 
 if __name__ == '__main__':
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -396,3 +396,15 @@
     out, _ = await process.communicate()
     assert process.returncode == 0
     return json.loads(out)
+
+
+@with_fleet(nodes=1)
+async def test_sighup_during_the_start_does_not_end_the_process(fleet):
+    (node,) = fleet.nodes
+    for delay_s in (0.04, 0.08, 0.12, 0.16, 0.2, 0.25):
+        node.send(signal.SIGKILL)
+        node.process.wait()
+        node.start()
+        await asyncio.sleep(delay_s)
+        node.send(signal.SIGHUP)
+        await fleet.until_ready()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,16 +12,20 @@
 from tests.soak.faults import schedule
 from tests.soak.world import World
 
-# Seeds that failed once, with their cause; none has so far.
-REGRESSIONS = ()
 CI_SEEDS = (1, 2)
 LENGTH_S = 6.0
+# Seeds that failed once, with the length at which they did.
+REGRESSIONS = {
+    # SIGHUP met a node while it started and ended it.
+    118: 10.0,
+}
 
 
 @pytest.mark.parametrize('seed', [*CI_SEEDS, *REGRESSIONS])
 def test_no_promise_is_broken_under_faults(seed):
     world = World(seed, nodes=3)
-    assert asyncio.run(world.run(LENGTH_S)) == []
+    length_s = REGRESSIONS.get(seed, LENGTH_S)
+    assert asyncio.run(world.run(length_s)) == []
     assert sum(world.outcomes.values()) > 100
 
 
