--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BENCHMARKS := path tail load control membership configuration bookings \
 	quarantine crashing node
 
-.PHONY: env test lint format demo soak histories fault-matrix clean \
+.PHONY: env test lint format demo demo-platform soak histories fault-matrix clean \
 	$(BENCHMARKS:%=bench-%)
 
 env: $(VENV)/.ready
@@ -29,6 +29,9 @@
 demo: env  ## Show the whole path with separate processes.
 	$(PY) -m benchmark.demo
 
+demo-platform: env  ## Show the users' platform path with stand-ins.
+	$(PY) -m benchmark.demo_platform
+
 histories: env  ## Check the promises on seeded runs of real processes.
 	$(PY) -m tests.histories run --seeds $(SEEDS)
 
--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -7,8 +7,8 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from .boot import SettingsFile
     from ..serving.settings import NodeSettings
+    from .boot import SettingsFile
 
 EXIT_SETTINGS = 2
 
