--- a/sesameward/peers.py
+++ b/sesameward/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import typing
 
 from grpclib.client import Channel
@@ -11,11 +10,10 @@
 from grpclib.const import Handler
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Stream
 import msgspec
 
+from . import grpc_errors
 from .codec import MsgpackCodec
 from .exceptions import IntegrityError
 from .exceptions import PeerUnavailableError
@@ -60,14 +58,7 @@
         method = UnaryUnaryMethod(channel, SYNC, Sealed, Sealed)
         try:
             reply = await method(Sealed(sealed), timeout=TIMEOUT_S)
-        except (
-            asyncio.TimeoutError,
-            GRPCError,
-            msgspec.MsgspecError,
-            OSError,
-            ProtocolError,
-            StreamTerminatedError,
-        ) as exc:
+        except grpc_errors.LOST as exc:
             raise PeerUnavailableError(
                 f'agent {member.node} did not answer at '
                 f'{member.host}:{member.grpc_port}: {exc!r}; '
--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -8,11 +8,9 @@
 
 from grpclib.client import Channel
 from grpclib.client import StreamStreamMethod
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
 import msgspec
 
+from .. import grpc_errors
 from .. import logs
 from ..codec import MsgpackCodec
 from ..messages import Member
@@ -108,14 +106,7 @@
         problem = 'closed'
         try:
             await self._talk(node, stream, channel)
-        except (
-            asyncio.TimeoutError,
-            GRPCError,
-            msgspec.MsgspecError,
-            OSError,
-            ProtocolError,
-            StreamTerminatedError,
-        ) as exc:
+        except grpc_errors.LOST as exc:
             problem = repr(exc)
         finally:
             channel.close()
--- a/sesameward/trials.py
+++ b/sesameward/trials.py
@@ -10,12 +10,10 @@
 from grpclib.client import UnaryUnaryMethod
 from grpclib.const import Cardinality
 from grpclib.const import Handler
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import ProtocolError
-from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Stream
 import msgspec
 
+from . import grpc_errors
 from .codec import MsgpackCodec
 from .exceptions import PeerUnavailableError
 from .messages import Address
@@ -164,14 +162,7 @@
         try:
             # The time limit also covers the wait for a connection.
             return await asyncio.wait_for(method(request), timeout_s)
-        except (
-            asyncio.TimeoutError,
-            GRPCError,
-            msgspec.MsgspecError,
-            OSError,
-            ProtocolError,
-            StreamTerminatedError,
-        ) as exc:
+        except grpc_errors.LOST as exc:
             raise PeerUnavailableError(
                 f'entry {address.node} did not answer at '
                 f'{address.host}:{address.grpc_port}: {exc!r}; '
