--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -21,6 +21,8 @@
 from .delegation import PartEnd
 from .delegation import Parts
 from .exchange import Exchange
+from .exchange import GONE_S
+from .exchange import OVERRUN_S
 from .exchange import Result
 from .exchange import SubRequest
 from .exchange import Tools
@@ -29,10 +31,6 @@
 
 # Parts that come within this time travel in one message.
 FLUSH_S = 0.001
-# A target may go on this long after nobody waits for it.
-GONE_S = 0.25
-# A target is given this long beyond the deadline that it was told.
-OVERRUN_S = 0.3
 
 
 class _Work:
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -27,6 +27,11 @@
 # A request that runs once never rides on a connection idle for longer, as
 # the target may just be closing it.
 ONCE_MAX_IDLE_S = 1.0
+# A target may go on this long after nobody waits for it, so that work that
+# is nearly done ends and its connection is kept.
+GONE_S = 0.25
+# A target is given this long beyond the deadline that it was told.
+OVERRUN_S = 0.3
 
 
 class Tools(msgspec.Struct):
--- /dev/null
+++ b/sesameward/serving/gather_run.py
@@ -0,0 +1,244 @@
+"""Run a query over shards, partly through helpers."""
+
+from __future__ import annotations
+
+import typing
+
+from . import gather
+from ..messages import Member
+from ..types import NodeId
+from ..types import Outcome
+from .attempts import End
+from .attempts import Send
+from .attempts import Why
+from .choice import Token
+from .delegation import Ask
+from .delegation import AskNo
+from .delegation import Item
+from .delegation import Mark
+from .delegation import PartEnd
+from .delegation import Parts
+from .deps import add_retry_after
+from .deps import Deps
+from .exchange import Result
+from .gather import Gather
+from .http_server import Answer
+from .http_server import Request
+from .http_server import Responder
+from .routes import Route
+from .routes import Shards
+from .run import Run
+from .topk import Greatest
+from .wire import Asked
+
+# One way between callers and this node, at most; both deployments' pages
+# name 1 and 3 ms.
+CALLER_S = 0.003
+# From the decision to answer until the last byte has left.
+FINISH_S = 0.003
+
+
+class _OpenAsk:
+    """Hold what a helper still owes for one ask."""
+
+    def __init__(self, node: NodeId, no: AskNo):
+        self.node = node
+        self.no = no
+        self.open: dict[int, tuple[Send, Token]] = {}
+        self.is_tainted = False
+
+
+class GatherRun(Run):
+    """Ask all shards, some through helpers, and merge what they return."""
+
+    def __init__(
+        self,
+        deps: Deps,
+        req: Request,
+        asked: Asked,
+        route: Route,
+        responder: Responder,
+    ):
+        super().__init__(deps, req, asked, route, responder)
+        self._shards = typing.cast(Shards, route.destination)
+        self._signatures: list[bytes] = []
+        self._greatest = Greatest(self._shards.top_k)
+        self._batches: dict[tuple[NodeId, bool], list[Send]] = {}
+        self._helpers: dict[NodeId, Member] = {}
+        self._asks: dict[AskNo, _OpenAsk] = {}
+        ways = 4 if req.is_first else 2
+        cutoff_s = route.objective_s - ways * CALLER_S - FINISH_S
+        self._plan = Gather(
+            route,
+            self._tools.view,
+            min(req.arrived_at + cutoff_s, self._deadline_at),
+            self._deadline_at,
+        )
+
+    def _act(self, actions: typing.Iterable) -> None:
+        super()._act(actions)
+        if self._batches:
+            batches, self._batches = self._batches, {}
+            for (node, is_first), sends in batches.items():
+                self._ask(self._helpers[node], is_first, sends)
+
+    def _send(self, send: Send) -> None:
+        if send.why is not Why.FIRST:
+            self._mark(send.shard)
+        target = self._tools.view.targets.get(send.target_id)
+        helper = None
+        if target is not None:
+            helper = self._deps.delegation.helper(
+                target.zone, self._tools.clock()
+            )
+        if helper is None:
+            super()._send(send)
+            return
+        self._helpers[helper.node] = helper
+        key = helper.node, send.why is Why.FIRST
+        self._batches.setdefault(key, []).append(send)
+
+    def _wants(self, send: Send) -> bool:
+        return self._plan.uses(send.shard)
+
+    def _take(self, send: Send, result: Result, now: float) -> list:
+        if result.end is not None or result.reply is None:
+            end = self._note_failure(send, result.end)
+            return self._plan.failed(send.shard, send.attempt, end, now)
+        if self._plan.uses(send.shard):
+            self._signatures.append(result.signature or b'')
+            self._greatest.add(result.reply.body)
+        return self._plan.replied(send.shard, send.attempt, now)
+
+    # Helpers.
+
+    def _ask(self, helper: Member, is_first: bool, sends: list[Send]) -> None:
+        if self._is_over:
+            return
+        tools = self._tools
+        now = tools.clock()
+        no = self._deps.delegates.next_no()
+        ask = self._asks[no] = _OpenAsk(helper.node, no)
+        choice = tools.view.choice
+        for at, send in enumerate(sends):
+            token = choice.sent(send.target_id, self._route.name, now)
+            ask.open[at] = send, token
+        sub = self._sub
+        message = Ask(
+            no,
+            sub.request_id,
+            sub.route,
+            sub.method,
+            sub.subject,
+            sub.head,
+            sub.body,
+            max(1, int((self._deadline_at - now) * 1_000)),
+            self._shards.top_k,
+            tuple(Item(at, send.target_id) for at, send in enumerate(sends)),
+            is_first,
+            self._greatest.floor,
+        )
+        self._deps.delegates.ask(
+            helper, message, lambda parts: self._took_parts(ask, parts)
+        )
+
+    def _mark(self, shard: int) -> None:
+        """Tell a helper that a shard of its ask is asked elsewhere too."""
+        for ask in self._asks.values():
+            for at, (send, _) in ask.open.items():
+                if send.shard == shard:
+                    self._deps.delegates.tell(
+                        ask.node, Mark(ask.no, at, self._greatest.floor)
+                    )
+
+    def _took_parts(self, ask: _OpenAsk, parts: Parts | None) -> None:
+        if parts is None:
+            ends = [PartEnd(at, End.FAILED) for at in ask.open]
+            self._took_ends(ask, ends, Outcome.CANCELLED)
+            return
+        filtered = [
+            end for end in parts.ends if end.end is None and end.whole is None
+        ]
+        # Filtered records stand for themselves only beside all the parts
+        # that they were compared with.
+        if any(not self._is_wanted(ask, end) for end in filtered):
+            ask.is_tainted = True
+        if filtered and not ask.is_tainted:
+            self._greatest.add(parts.records)
+        self._took_ends(ask, parts.ends, Outcome.ERROR)
+
+    def _is_wanted(self, ask: _OpenAsk, end: PartEnd) -> bool:
+        opened = ask.open.get(end.no)
+        return opened is not None and self._plan.uses(opened[0].shard)
+
+    def _took_ends(
+        self,
+        ask: _OpenAsk,
+        ends: typing.Sequence[PartEnd],
+        failure: Outcome,
+    ) -> None:
+        now = self._tools.clock()
+        # One of the ends may end the query, but its message counts whole.
+        wanted = {end.no for end in ends if self._is_wanted(ask, end)}
+        actions: list = []
+        for end in ends:
+            opened = ask.open.pop(end.no, None)
+            if opened is None:
+                continue
+            send, token = opened
+            outcome = Outcome.OK if end.end is None else failure
+            self._tools.view.choice.ended(token, outcome, now)
+            actions += self._took_end(ask, send, end, end.no in wanted, now)
+        if not ask.open:
+            self._asks.pop(ask.no, None)
+            self._deps.delegates.end(ask.node, ask.no, True)
+        self._act(actions)
+
+    def _took_end(
+        self,
+        ask: _OpenAsk,
+        send: Send,
+        end: PartEnd,
+        is_wanted: bool,
+        now: float,
+    ) -> list:
+        if end.end is not None:
+            self._note_failure(send, end.end)
+            return self._plan.failed(send.shard, send.attempt, end.end, now)
+        if end.whole is None and ask.is_tainted:
+            self._tools.metrics.count('parts_unusable')
+            return self._plan.failed(send.shard, send.attempt, End.FAILED, now)
+        if is_wanted:
+            self._signatures.append(end.signature)
+            if end.whole is not None:
+                self._greatest.add(end.whole)
+        return self._plan.replied(send.shard, send.attempt, now)
+
+    def _leave(self) -> None:
+        super()._leave()
+        now = self._tools.clock()
+        for ask in tuple(self._asks.values()):
+            for _, token in ask.open.values():
+                self._tools.view.choice.ended(token, Outcome.CANCELLED, now)
+            self._deps.delegates.end(ask.node, ask.no, False)
+        self._asks.clear()
+
+    def _finish(self, action: gather.Finish) -> None:
+        asked = len(self._shards.services)
+        missing = asked - len(self._signatures)
+        match action.ending:
+            case gather.Ending.WHOLE | gather.Ending.PARTIAL:
+                answer = self._tools.wire.merged_answer(
+                    self._signatures,
+                    missing,
+                    self._greatest.body(),
+                )
+            case _:
+                answer = Answer(504 if action.was_run else 503)
+                add_retry_after(self._deps, answer)
+        self._respond(
+            answer,
+            action.ending.value,
+            shards=asked,
+            missing=[self._shards.services[at] for at in self._plan.missing()],
+        )
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -32,28 +32,16 @@
 from ..types import Clock
 from ..types import NodeId
 from ..types import Revision
+from .takeover import Takeover
 
 TOPIC = 'reading'
 RUMOR_TTL_S = 5.0
 
-# Part of the time in which a change must be in force that a watch waits: it
-# may be cut off without a sign, and a takeover must fit in as well.
-WATCH_PART = 1 / 3
 WATCH_SLACK_S = 0.5
-# Part of that time within which changes share one call.
-GAP_PART = 1 / 15
 LIST_TIMEOUT_S = 1.5
-# Readings come once a watch and take some tenths of a second to spread;
-# without one for this much longer the next node steps in. The others follow
-# over the rest of the time in which a change must be in force.
-READING_S = 0.7
-# Kept of that time for the reading itself.
-READ_S = 0.6
 # A reading is told this much later at most if others were just told; the
 # gossip's budget carries about four small rumors a second.
 TELL_GAP_S = 0.25
-# Steps between nodes that have no reading yet.
-FIRST_STEP_S = 0.2
 # How long a start waits for the first peer.
 FIRST_PEERS_S = 0.5
 FIRST_LOOK_S = 0.02
@@ -114,8 +102,7 @@
         ],
         publish: collections.abc.Callable[[Rumor], None],
         on_change: OnChange,
-        in_force_s: float,
-        first_wait_s: float,
+        takeover: Takeover,
         metrics: Metrics,
         rng: random.Random,
         clock: Clock,
@@ -128,11 +115,7 @@
         self._members = members
         self._publish = publish
         self._on_change = on_change
-        self._wait_s = in_force_s * WATCH_PART
-        self._gap_s = in_force_s * GAP_PART
-        self._takeover_s = self._wait_s + READING_S
-        self._spread_s = max(0.0, in_force_s - READ_S - self._takeover_s)
-        self._first_wait_s = first_wait_s
+        self._takeover = takeover
         self._metrics = metrics
         self._rng = rng
         self._clock = clock
@@ -182,7 +165,9 @@
 
     def doubt(self) -> None:
         """Read again at once; this process stood still for a while."""
-        self._read_at = min(self._read_at, self._clock() - self._takeover_s)
+        self._read_at = min(
+            self._read_at, self._clock() - self._takeover.after_s
+        )
         if self._call is not None:
             self._call.cancel()
 
@@ -217,7 +202,7 @@
                 await self._read()
                 self._note_store(None)
                 backoff.reset()
-                await asyncio.sleep(self._gap_s)
+                await asyncio.sleep(self._takeover.gap_s)
             except PlatformError as exc:
                 self._metrics.count('store_retries', type(exc).__name__)
                 self._note_store(exc)
@@ -250,13 +235,9 @@
 
     def _should_watch(self, now: float) -> bool:
         rank, count = self._rank()
-        if rank == 0 and self.is_known:
-            return True
-        if not self.is_known:
-            wait_s = self._first_wait_s + rank * FIRST_STEP_S
-            return now - self._started_at >= wait_s
-        patience_s = self._takeover_s + self._spread_s * rank / count
-        return self.age_s(now) >= patience_s
+        if self.is_known:
+            return self._takeover.watches(rank, count, self.age_s(now))
+        return self._takeover.watches_first(rank, now - self._started_at)
 
     def _rank(self) -> tuple[int, int]:
         nodes = {m.node for m in self._members() if not m.leaving}
@@ -280,12 +261,13 @@
         if self._position is None:
             # A cheap reading may be old; the watch after it brings the rest.
             await self._list(may_be_old=True)
+        wait_s = self._takeover.wait_s
         try:
             through, events = await self._store.watch(
                 self.kind,
                 self._position,
-                self._wait_s if self.is_known else 0.0,
-                self._wait_s + WATCH_SLACK_S,
+                wait_s if self.is_known else 0.0,
+                wait_s + WATCH_SLACK_S,
             )
         except CompactedError:
             logs.change(
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -10,7 +10,6 @@
 import time
 import typing
 
-import msgspec
 import uvloop
 
 from .. import logs
@@ -26,7 +25,6 @@
 from ..spread import Backoff
 from ..types import NodeId
 from ..types import TargetId
-from ..types import ZoneName
 from .attempts import View
 from .beliefs import Beliefs
 from .beliefs import Decoder
@@ -36,12 +34,12 @@
 from .delegate_client import DelegateClient
 from .delegate_server import DelegateHandler
 from .delegation import Delegation
-from .directory import Addresses
+from .deps import Deps
 from .directory import Directory
+from .endpoints import Endpoints
+from .endpoints import Queries
 from .exchange import Tools
-from .front import Deps
 from .front import Front
-from .http_server import Answer
 from .http_server import HttpServer
 from .http_server import Request
 from .http_server import Responder
@@ -53,6 +51,7 @@
 from .pools import WARM_PERIOD_S
 from .settings import NodeSettings
 from .splits import Splits
+from .takeover import Takeover
 from .targets import TargetTable
 from .wire import Wire
 
@@ -86,22 +85,6 @@
         """Return where nodes gossip; raise PlatformError."""
 
 
-class Queries(typing.Protocol):
-    """Translate the directory's and readiness' calls."""
-
-    def is_resolve(self, req: Request) -> bool:
-        """Tell whether a request asks for addresses."""
-
-    def is_readiness(self, req: Request) -> bool:
-        """Tell whether a request asks for readiness."""
-
-    def caller_zone(self, req: Request) -> ZoneName:
-        """Return where the caller is; empty where it does not say."""
-
-    def addresses_answer(self, addresses: Addresses) -> Answer:
-        """Return addresses in the caller's format."""
-
-
 class Adapter(typing.NamedTuple):
     """Hold everything that speaks a deployment's own protocol."""
 
@@ -170,7 +153,6 @@
             adapter.targets_kind, self.beliefs.take_targets
         )
         self.beliefs.routes_mirror = self.routes_mirror
-        self._directory = Directory(self._rng)
         tools = Tools(
             adapter.wire,
             View(self.targets, self.choice, self.budget),
@@ -197,13 +179,20 @@
             self.beliefs,
         )
         self.callers = self._server(self.front.handle)
+        endpoints = Endpoints(
+            adapter.queries,
+            Directory(self._rng),
+            self.peers.members,
+            self.ready,
+            self._status,
+            cfg.bounds.address_ttl_s,
+            self.metrics,
+        )
+        operators = Endpoint(cfg.gossip.host, cfg.metrics_port)
         self._others = [
-            (self._server(self._answer_readiness), cfg.readiness),
-            (self._server(self._answer_directory), cfg.directory),
-            (
-                self._server(self._answer_metrics),
-                Endpoint(cfg.gossip.host, cfg.metrics_port),
-            ),
+            (self._server(endpoints.readiness), cfg.readiness),
+            (self._server(endpoints.directory), cfg.directory),
+            (self._server(endpoints.operators), operators),
         ]
         self._leaving = False
         self._is_offered = False
@@ -219,8 +208,7 @@
             self.peers.members,
             self.peers.publish,
             on_change,
-            self._cfg.bounds.in_force_s,
-            self._first_wait_s(),
+            Takeover(self._cfg.bounds.in_force_s, self._first_wait_s()),
             self.metrics,
             self._rng,
             self._clock,
@@ -284,7 +272,7 @@
         if self._leaving:
             return
         self._leaving = True
-        logs.change('leaving', in_flight=len(self.front.runs))
+        logs.change('leaving', in_flight=len(self.front.deps.runs))
         self.peers.leave()
         self.callers.leaving = True
         self._spawn(self._leave())
@@ -299,7 +287,7 @@
             await asyncio.sleep(0.05)
         logs.change(
             'stopping',
-            in_flight=len(self.front.runs),
+            in_flight=len(self.front.deps.runs),
             after_s=round(self._clock() - begun, 3),
         )
         # What was just answered must leave the buffers.
@@ -411,8 +399,6 @@
     def _on_quarantine(self, rumor: Rumor) -> None:
         self._crashes.heard(rumor, self._clock())
 
-    # The other addresses.
-
     def ready(self) -> bool:
         """Tell whether callers should come."""
         return (
@@ -421,54 +407,18 @@
             and len(self.targets) > 0
         )
 
-    def _answer_readiness(self, req: Request, responder: Responder) -> None:
-        if not self._adapter.queries.is_readiness(req):
-            responder.send(Answer(404))
-        else:
-            responder.send(Answer(200 if self.ready() else 503))
-
-    def _answer_directory(self, req: Request, responder: Responder) -> None:
-        queries = self._adapter.queries
-        if not queries.is_resolve(req):
-            responder.send(Answer(404))
-            return
-        found = self._directory.addresses(
+    def _status(self) -> node_status.NodeStatus:
+        return node_status.collect(
+            self._cfg.node,
+            self._leaving,
+            self.ready(),
+            self.beliefs,
+            self.targets,
+            self.choice,
+            (self.routes_mirror, self.targets_mirror),
             self.peers.members(),
-            queries.caller_zone(req),
-            self._cfg.bounds.address_ttl_s,
-        )
-        if not found.addresses:
-            self.metrics.count('resolves', 'no_node')
-            responder.send(Answer(503))
-            return
-        self.metrics.count('resolves', 'answered')
-        responder.send(queries.addresses_answer(found))
-
-    def _answer_metrics(self, req: Request, responder: Responder) -> None:
-        if req.path == '/status':
-            responder.send(self._status_answer())
-            return
-        if req.path != '/metrics':
-            responder.send(Answer(404))
-            return
-        headers = [(b'Content-Type', b'text/plain; version=0.0.4')]
-        responder.send(Answer(200, headers, self.metrics.render()))
-
-    def _status_answer(self) -> Answer:
-        body = msgspec.json.encode(
-            node_status.collect(
-                self._cfg.node,
-                self._leaving,
-                self.ready(),
-                self.beliefs,
-                self.targets,
-                self.choice,
-                (self.routes_mirror, self.targets_mirror),
-                self.peers.members(),
-                self._clock(),
-            )
+            self._clock(),
         )
-        return Answer(200, [(b'Content-Type', b'application/json')], body)
 
 
 def _boottime() -> float:
--- /dev/null
+++ b/sesameward/serving/relay_run.py
@@ -0,0 +1,77 @@
+"""Run a request to one target."""
+
+from __future__ import annotations
+
+import typing
+
+from . import relay
+from ..types import ServiceName
+from ..types import TargetId
+from .attempts import Send
+from .deps import add_retry_after
+from .deps import Deps
+from .exchange import is_final_status
+from .exchange import Result
+from .http_server import Answer
+from .http_server import Request
+from .http_server import Responder
+from .relay import Relay
+from .routes import Route
+from .run import Run
+from .target_connection import Reply
+from .wire import Asked
+
+
+class RelayRun(Run):
+    """Ask one target and pass its answer on."""
+
+    def __init__(
+        self,
+        deps: Deps,
+        req: Request,
+        asked: Asked,
+        route: Route,
+        responder: Responder,
+        service: ServiceName,
+    ):
+        super().__init__(deps, req, asked, route, responder)
+        self._reply: Reply | None = None
+        self._target_id: TargetId | None = None
+        self._plan = Relay(route, service, self._tools.view, self._deadline_at)
+
+    def _take(self, send: Send, result: Result, now: float) -> list:
+        if result.reply is None:
+            end = self._note_failure(send, result.end)
+            return self._plan.failed(send.attempt, end, now)
+        if not self._is_over:
+            self._reply = result.reply
+            self._target_id = send.target_id
+        is_final = is_final_status(result.reply.status)
+        return self._plan.replied(send.attempt, is_final, now)
+
+    def _finish(self, action: relay.Finish) -> None:
+        match action.verdict:
+            case relay.Verdict.REPLY:
+                answer = self._passed_on()
+            case relay.Verdict.REFUSED:
+                answer = Answer(503)
+                add_retry_after(self._deps, answer)
+            case relay.Verdict.TIMEOUT:
+                answer = Answer(504)
+            case _:
+                answer = Answer(502)
+                add_retry_after(self._deps, answer)
+        self._respond(
+            answer,
+            action.verdict.value,
+            service=self._plan.service,
+            target=self._target_id,
+        )
+
+    def _passed_on(self) -> Answer:
+        reply = typing.cast(Reply, self._reply)
+        if reply.status in (408, 421, 429, 503):
+            # The target did not say that it never ran the request, and these
+            # would promise it.
+            return Answer(502)
+        return self._tools.wire.reply_answer(reply)
--- /dev/null
+++ b/sesameward/serving/run.py
@@ -0,0 +1,189 @@
+"""Carry the sub-requests of one request and end it once."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from .. import logs
+from .attempts import End
+from .attempts import Send
+from .attempts import Why
+from .deps import Deps
+from .exchange import Exchange
+from .exchange import GONE_S
+from .exchange import OVERRUN_S
+from .exchange import Result
+from .exchange import SubRequest
+from .gather import Gather
+from .http_server import Answer
+from .http_server import Request
+from .http_server import Responder
+from .relay import Relay
+from .routes import Repeat
+from .routes import Route
+from .routes import Shards
+from .routes import Version
+from .wire import Asked
+
+
+class Run:
+    """Carry the sends of one request to targets and the ends back."""
+
+    _plan: Gather | Relay
+
+    def __init__(
+        self,
+        deps: Deps,
+        req: Request,
+        asked: Asked,
+        route: Route,
+        responder: Responder,
+    ):
+        self._deps = deps
+        self._tools = deps.tools
+        self._req = req
+        self._asked = asked
+        self._route = route
+        self._responder = responder
+        self._live: set[Exchange] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_over = False
+        self._repeats: list[str] = []
+        self._failures: list[str] = []
+        self.version = Version(0)
+        patience_s = asked.patience_s
+        if patience_s is None or patience_s > route.timeout_s:
+            patience_s = route.timeout_s
+        self._deadline_at = req.arrived_at + patience_s
+        self._sub = SubRequest(
+            asked.request_id,
+            route.name,
+            req.method,
+            subject_of(req),
+            asked.head,
+            req.body,
+            self._deadline_at,
+            isinstance(route.destination, Shards),
+            route.repeat is Repeat.ONCE,
+        )
+        responder.on_gone = self._on_gone
+
+    def begin(self, now: float) -> None:
+        """Send the first sub-requests."""
+        self._act(self._plan.start(now))
+        self._schedule()
+
+    # Sends and their ends.
+
+    def _act(self, actions: typing.Iterable) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                if action.why is not Why.FIRST:
+                    self._note_repeat(action)
+                self._send(action)
+            elif not self._is_over:
+                self._is_over = True
+                self._finish(action)
+
+    def _note_repeat(self, send: Send) -> None:
+        self._tools.metrics.count('sub_requests', send.why.value)
+        self._repeats.append(f'{send.why.value}:{send.target_id}')
+
+    def _note_failure(self, send: Send, end: End | None) -> End:
+        end = end or End.FAILED
+        self._failures.append(f'{end.value}:{send.target_id}')
+        return end
+
+    def _send(self, send: Send) -> None:
+        exchange = Exchange(
+            self._tools,
+            self._sub,
+            send.target_id,
+            lambda: self._wants(send),
+            lambda result: self._took(send, exchange, result),
+        )
+        self._live.add(exchange)
+        exchange.begin()
+
+    def _wants(self, send: Send) -> bool:
+        return not self._is_over
+
+    def _took(self, send: Send, exchange: Exchange, result: Result) -> None:
+        self._live.discard(exchange)
+        self._act(self._take(send, result, self._tools.clock()))
+
+    def _take(self, send: Send, result: Result, now: float) -> list:
+        raise NotImplementedError
+
+    def _finish(self, action: object) -> None:
+        raise NotImplementedError
+
+    # Time.
+
+    def _schedule(self) -> None:
+        if self._is_over:
+            return
+        at = self._plan.next_at(self._tools.clock())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(at, self._tick)
+
+    def _tick(self) -> None:
+        self._act(self._plan.tick(self._tools.clock()))
+        self._schedule()
+
+    # The end.
+
+    def _respond(self, answer: Answer, ending: str, **fields: object) -> None:
+        tools = self._tools
+        took_s = tools.clock() - self._req.arrived_at
+        tools.metrics.count('answers', f'{ending}:{answer.status}')
+        tools.metrics.observe('request_s', self._route.name, took_s)
+        logs.change(
+            'answer',
+            request=self._asked.request_id,
+            route=self._route.name,
+            version=self.version,
+            ending=ending,
+            status=answer.status,
+            took_ms=round(took_s * 1_000, 2),
+            repeats=self._repeats,
+            failures=self._failures,
+            fresh=self._req.is_first,
+            **fields,
+        )
+        self._responder.send(answer)
+        self._leave()
+
+    def _leave(self) -> None:
+        self._deps.runs.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._live:
+            at = self._deadline_at + OVERRUN_S
+            asyncio.get_running_loop().call_at(at, self._abandon)
+
+    def _on_gone(self) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        self._tools.metrics.count('callers_gone')
+        logs.change(
+            'caller_gone',
+            request=self._asked.request_id,
+            route=self._route.name,
+            running=sum(one.is_running for one in self._live),
+        )
+        self._leave()
+        if self._live and self._route.repeat is Repeat.SAFE:
+            asyncio.get_running_loop().call_later(GONE_S, self._abandon)
+
+    def _abandon(self) -> None:
+        for exchange in tuple(self._live):
+            exchange.abandon()
+        self._live.clear()
+
+
+def subject_of(req: Request) -> bytes:
+    """Return what equal requests have in common beside their body."""
+    return b'%s %s%s' % (req.method, req.host.encode(), req.target)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -12,6 +12,7 @@
 from sesameward.messages import StoredObject
 from sesameward.metrics import Metrics
 from sesameward.serving.mirror import Mirror
+from sesameward.serving.takeover import Takeover
 
 KIND = 'things'
 IN_FORCE_S = 0.9
@@ -124,8 +125,7 @@
             lambda: self.members,
             publish,
             self.seen[name].extend,
-            IN_FORCE_S,
-            0.0,
+            Takeover(IN_FORCE_S, 0.0),
             Metrics('t'),
             random.Random(name),
             loop.time,
