--- a/sesameward/serving/choice.py
+++ b/sesameward/serving/choice.py
@@ -29,8 +29,8 @@
 # before targets are compared by them.
 REFERENCE_S = 0.008
 # In scaled seconds: another zone is asked only when the own zone's replica
-# has two more requests than it has slots free for, as bytes between zones
-# are the dearest resource and two slots run side by side.
+# is expected to take about five times as long as usual, as bytes between
+# zones are the dearest resource.
 ZONE_COST_S = 0.03
 # A request is overdue beyond this quantile of its route's latencies, by
 # this factor.
