--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -21,11 +21,6 @@
 REQUEST_ID = b'sesameward-request-id'
 DEADLINE = b'sesameward-deadline-ms'
 EXPECT_TARGET = b'sesameward-expect-instance'
-# The server's signature of its answer.
-SIGNATURE = b'sesameward-server-stamp'
-NOT_RUN = b'sesameward-not-executed'
-# Running and waiting requests and slots, separated by commas.
-LOAD = b'sesameward-server-load'
 PART_SIGNATURES = b'Sesameward-Part-Stamps'
 MISSING_PARTS = b'Sesameward-Missing-Parts'
 
@@ -105,6 +100,7 @@
                 case b'sesameward-request-id':
                     told.request_id = RequestId(value.decode('latin-1'))
                 case b'sesameward-server-stamp':
+                    # The server's signature of its answer.
                     told.signature = value
                 case b'sesameward-not-executed':
                     told.not_run = True
@@ -184,6 +180,7 @@
 
 
 def _load(value: bytes) -> LoadReport | None:
+    # Running and waiting requests and slots, separated by commas.
     numbers = value.split(b',')
     if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
         return None
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -304,11 +304,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    @property
-    def busy(self) -> bool:
-        """Tell whether a request is in progress."""
-        return self._current is not None or bool(self._ready)
-
 
 def encode(answer: Answer, keep: bool) -> bytes:
     """Return an answer's bytes with its length and connection headers."""
--- a/sesameward/serving/routes.py
+++ b/sesameward/serving/routes.py
@@ -136,6 +136,3 @@
 
 def _plain_host(host: str) -> str:
     return host.partition(':')[0].lower()
-
-
-EMPTY = RouteTable(Version(0), (), (), CallerLimits())
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -80,11 +80,6 @@
         """Tell whether another request may be sent."""
         return self._usable and self._on_end is None
 
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the transport has not been closed."""
-        return self._transport is not None
-
     def send(
         self,
         data: bytes,
