Hedge a silent lead as soon as another target has answered

Cause: a lead's hedge waits until some target proves the request; the reply that proves it brings the next due time forward without a send, and the filter looked at that time again only after a send. The timer stayed at the deadline, so a query whose lead ran over its wait sent no hedge for it.

Ruled out: the fan-out's own decision, which test_fanout_trials covers. Before: the new test sees no hedge in 5 delays; after: one.

--- a/sesameward/filters/answering.py
+++ b/sesameward/filters/answering.py
@@ -169,12 +169,10 @@
                 return self._fanout.start(now)
 
     def _carry_out(self, actions: list[Action]) -> None:
-        sent = self._timer is None
         for action in actions:
             match action:
                 case Send():
                     self._send(action)
-                    sent = True
                 case Emit(rows):
                     self._exchange.caller.send(rows)
                 case Cancel(attempt):
@@ -186,9 +184,8 @@
                     self._exchange.caller.send(end)
                     if not self._done.done():
                         self._done.set_result(None)
-        # Nothing else brings the next hedge forward.
-        if sent:
-            self._schedule()
+        # A reply may bring a hedge forward without a send: that of a lead.
+        self._schedule()
 
     def _send(self, send: Send) -> None:
         exchange = self._exchange
