Let callers wait for a node that starts instead of refusing them

The node now listens as soon as its settings are read, 65 ms after its first line, reads routes and targets (20 ms), then accepts; warm connections and readiness follow at once and not with the next upkeep. It starts with -S, as nothing in site packages is used.

Ruled out: the store (answers in 4 ms), the first reading (25 ms).

With -S the first line comes after some 10 ms.

--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -7,6 +7,8 @@
 import typing
 
 if typing.TYPE_CHECKING:
+    import socket
+
     from ..serving.settings import NodeSettings
     from .boot import SettingsFile
 
@@ -20,6 +22,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from . import boot
     from ..exceptions import SettingsError
+    from ..serving.listening import listen
 
     settings = boot.SettingsFile(boot.path())
     try:
@@ -27,11 +30,14 @@
     except SettingsError as exc:
         print(f'sesameward: {exc}', file=sys.stderr)
         return EXIT_SETTINGS
-    _serve(cfg, settings)
+    # Callers who come during the rest of the start wait, and are not refused.
+    _serve(cfg, settings, listen(cfg.callers))
     return 0
 
 
-def _serve(cfg: NodeSettings, settings: SettingsFile) -> None:
+def _serve(
+    cfg: NodeSettings, settings: SettingsFile, callers: socket.socket
+) -> None:
     from . import objects
     from ..serving.node import Adapter
     from ..serving.node import serve
@@ -52,6 +58,7 @@
             read_settings=settings.read,
             settings_changed=settings.changed,
         ),
+        callers,
     )
 
 
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -11,8 +11,10 @@
 import httptools
 import msgspec
 
+from . import listening
 from .. import logs
 from ..metrics import Metrics
+from ..settings import Endpoint
 from .routes import CallerLimits
 from .target_connection import bound_silence
 from .target_connection import Headers
@@ -21,8 +23,7 @@
 MAX_PIPELINED = 8
 # Unacknowledged bytes break a caller's connection after this time.
 USER_TIMEOUT_S = 10.0
-BACKLOG = 512
-# Connections of callers; the rest of the descriptors serves targets.
+# How often connections over their limits of time are looked for.
 SWEEP_S = 0.5
 
 _REASONS = {
@@ -339,15 +340,16 @@
         self._sweeper: asyncio.Task | None = None
 
     async def start(self, host: str, port: int) -> None:
-        """Bind and listen."""
+        """Bind and listen; raise OSError."""
+        await self.accept(listening.listen(Endpoint(host, port)))
+
+    async def accept(self, sock: socket.socket) -> None:
+        """Serve the connections of a socket that listens."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(self),
-            host,
-            port,
-            family=socket.AF_INET,
-            backlog=BACKLOG,
-            reuse_address=True,
+            sock=sock,
+            backlog=listening.BACKLOG,
         )
         self._sweeper = loop.create_task(self._keep_sweeping())
         logs.watch(self._sweeper)
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import time
 import typing
@@ -69,6 +70,10 @@
 # Nodes that start at the same time read the store one after the other, so
 # that the later ones can take over what the first has read.
 FIRST_WAIT_S = 0.25
+# Callers wait at a node that starts for its first reading of routes and
+# targets, some 20 ms; without one they are refused after this time.
+FIRST_READING_S = 0.25
+FIRST_LOOK_S = 0.005
 REGISTER_BASE_S = 0.5
 REGISTER_CAP_S = 5.0
 # The list of nodes is read again this often, in case gossip lost some.
@@ -230,8 +235,8 @@
 
     # Life.
 
-    async def run(self) -> None:
-        """Serve until SIGTERM has been carried out."""
+    async def run(self, callers: socket.socket) -> None:
+        """Serve who comes to callers until SIGTERM has been carried out."""
         logs.change('started', zone=self._cfg.zone, pid=os.getpid())
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._on_fault)
@@ -241,18 +246,25 @@
         self.peers.gossip.subscribe(mirror.TOPIC, self._on_reading)
         self.peers.gossip.subscribe(silences.TOPIC, self._on_silences)
         self.peers.gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
-        callers = self._cfg.callers
-        await self.callers.start(callers.host, callers.port)
         for server, at in self._others:
             await server.start(at.host, at.port)
         await self.peers.start()
         self.routes_mirror.start()
         self.targets_mirror.start()
+        await self._wait_known()
+        await self.callers.accept(callers)
+        self._look_after(self._clock())
         for work in (self._keep_up(), self._keep_registered()):
             self._spawn(work)
         await self._done.wait()
         await self._stop()
 
+    async def _wait_known(self) -> None:
+        """Let the first reading come before the first caller."""
+        until = self._clock() + FIRST_READING_S
+        while not self.ready() and self._clock() < until:
+            await asyncio.sleep(FIRST_LOOK_S)
+
     def _on_fault(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
     ) -> None:
@@ -425,16 +437,19 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def serve(cfg: NodeSettings, adapter: Adapter) -> None:
-    """Run a node in this process."""
+def serve(cfg: NodeSettings, adapter: Adapter, callers: socket.socket) -> None:
+    """Run a node in this process; callers listens at its address."""
     writer = LineWriter(sys.stdout.fileno(), cfg.node)
     logs.send_to(writer.write)
-    uvloop.run(_run(cfg, adapter, writer))
+    uvloop.run(_run(cfg, adapter, callers, writer))
 
 
 async def _run(
-    cfg: NodeSettings, adapter: Adapter, writer: LineWriter
+    cfg: NodeSettings,
+    adapter: Adapter,
+    callers: socket.socket,
+    writer: LineWriter,
 ) -> None:
     # The node's parts bind to the loop that runs when they are made.
-    await Node(cfg, adapter, writer.flush).run()
+    await Node(cfg, adapter, writer.flush).run(callers)
     writer.flush()
--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -49,11 +49,14 @@
         env = {
             **os.environ,
             'SESAMEWARD_NODE_FILE': str(self.settings),
+            'PYTHONPATH': os.pathsep.join(sys.path),
             'PYTHONUNBUFFERED': '1',
         }
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'sesameward.platform'],
+                # As deploy/system.toml starts it: no site packages are read
+                # during the start.
+                [sys.executable, '-S', '-m', 'sesameward.platform'],
                 stdout=log,
                 stderr=log,
                 env=env,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,7 +7,9 @@
 from sesameward.metrics import Metrics
 from sesameward.serving.http_server import Answer
 from sesameward.serving.http_server import HttpServer
+from sesameward.serving.listening import listen
 from sesameward.serving.routes import CallerLimits
+from sesameward.settings import Endpoint
 
 GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -230,3 +232,23 @@
         kept[0].send(Answer(200))
 
     serve(scenario, lambda req, responder: kept.append(responder))
+
+
+def test_caller_who_comes_before_the_server_waits_for_it():
+    async def main():
+        loop = asyncio.get_running_loop()
+        sock = listen(Endpoint('127.0.0.1', 0))
+        reader, writer = await asyncio.open_connection(*sock.getsockname())
+        writer.write(GET)
+        server = HttpServer(
+            lambda req, responder: responder.send(Answer(200, [], b'ok')),
+            Metrics('t'),
+            loop.time,
+        )
+        await server.accept(sock)
+        found = await asyncio.wait_for(reader.readuntil(b'ok'), 5.0)
+        writer.close()
+        server.stop()
+        return found
+
+    assert asyncio.run(main()).startswith(b'HTTP/1.1 200 OK')
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import json
+import os
+import socket
+import subprocess
+import sys
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -421,3 +425,36 @@
     assert queries.caller_zone(req) == 'z1'
     answer = queries.addresses_answer(Addresses(('h:1',), 5.0))
     assert json.loads(answer.body) == {'addrs': ['h:1'], 'ttl_s': 5.0}
+
+
+PROBE = """
+import importlib.abc, os, runpy, socket, sys
+
+class Probe(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name == 'sesameward.serving.node':
+            socket.create_connection(('127.0.0.1', int(sys.argv[1])), 2.0)
+            print('listening', flush=True)
+            os._exit(0)
+
+sys.meta_path.insert(0, Probe())
+runpy.run_module('sesameward.platform', run_name='__main__')
+"""
+
+
+def test_node_listens_before_the_rest_of_its_program_is_read(tmp_path):
+    with socket.socket() as free:
+        free.bind(('127.0.0.1', 0))
+        port = free.getsockname()[1]
+    name = tmp_path / 'boot.json'
+    listens = BOOT['listen'] | {'front': f'127.0.0.1:{port}'}
+    name.write_text(json.dumps(BOOT | {'listen': listens}))
+    done = subprocess.run(
+        [sys.executable, '-c', PROBE, str(port)],
+        env={**os.environ, 'SESAMEWARD_NODE_FILE': str(name)},
+        capture_output=True,
+        text=True,
+        timeout=30.0,
+        check=False,
+    )
+    assert done.stdout == 'listening\n', done.stderr
