Call a silent store again at a start without waiting for an answer

Nodes started at 36.1 to 36.2 s, their first list hung for its whole 1.5 s, so they knew routes at 37.63 s, 0.9 s after the store was back, and refused 74 of 127 callers. While it knows nothing a node now calls again each 0.2 s times its rank plus one, with up to 8 calls out.

Ruled out: the pull from peers, which had nothing either.

--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -49,6 +49,8 @@
 BACKOFF_BASE_S = 0.1
 BACKOFF_CAP_S = 1.0
 PULL_TRIES = 3
+# Calls of a node that has read nothing which may wait for an answer.
+FIRST_CALLS = 8
 # At its start a node asks its peers before it lists by itself.
 START_PEERS = 2
 
@@ -372,10 +374,34 @@
         return None
 
     async def _list_at_start(self) -> None:
+        """List until something is known.
+
+        The store may never answer a call, so the next does not wait for it.
+        """
+        calls: set[asyncio.Task] = set()
+        next_at = self._clock()
+        try:
+            while not self.book.revision:
+                now = self._clock()
+                if now >= next_at and len(calls) < FIRST_CALLS:
+                    rank, _ = self._rank()
+                    next_at = now + self._takeover.first_gap_s(rank)
+                    call = asyncio.ensure_future(self._try_list())
+                    logs.watch(call)
+                    calls.add(call)
+                    call.add_done_callback(calls.discard)
+                await asyncio.sleep(FIRST_LOOK_S)
+        finally:
+            for call in calls:
+                call.cancel()
+
+    async def _try_list(self) -> None:
         try:
             await self._list(may_be_old=True)
+            self._note_store(None)
         except PlatformError as exc:
             self._metrics.count('store_retries', type(exc).__name__)
+            self._note_store(exc)
 
     async def _ask_peers(self) -> None:
         """Wait a moment for peers and take over what some of them hold."""
--- a/sesameward/serving/takeover.py
+++ b/sesameward/serving/takeover.py
@@ -20,6 +20,9 @@
 READ_S = 0.6
 # Steps between nodes that have no reading yet.
 FIRST_STEP_S = 0.2
+# A node that has read nothing calls again after this time, as an answer
+# takes 4 ms and one that is late may never come.
+FIRST_GAP_S = 0.2
 
 
 class Takeover:
@@ -44,3 +47,12 @@
     def watches_first(self, rank: int, waited_s: float) -> bool:
         """Tell whether a node that has read nothing yet asks the store."""
         return waited_s >= self._first_wait_s + rank * FIRST_STEP_S
+
+    def first_gap_s(self, rank: int) -> float:
+        """Return how long a node that has read nothing waits between calls.
+
+        Load pattern: all nodes start while the store is away. Some of them
+        must read as soon as it is back and tell the others; all of them at
+        the same rate would use up what the store answers.
+        """
+        return FIRST_GAP_S * (1 + rank)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -30,6 +30,7 @@
         self.down = set()
         self.changed = asyncio.Event()
         self.stale = None
+        self.silent = False
 
     def put(self, name, value):
         self.revision += 1
@@ -71,6 +72,9 @@
 
     async def list(self, kind, timeout_s, may_be_old=False):
         self._called('stale' if may_be_old else 'list')
+        if self.store.silent:
+            await asyncio.sleep(timeout_s)
+            raise PlatformUnavailableError('no answer; try again')
         if may_be_old and self.store.stale is not None:
             return self.store.stale
         return self.store.revision, list(self.store.objects.values())
@@ -161,6 +165,29 @@
     return run
 
 
+def test_nodes_that_start_while_the_store_is_silent_read_it_once_back():
+    async def main():
+        fleet = Fleet(('a', 'b', 'c', 'd'))
+        fleet.store.put('x', b'1')
+        fleet.store.silent = True
+        for mirror in fleet.mirrors.values():
+            mirror.start()
+        await asyncio.sleep(0.7)
+        called = sum(fleet.store.calls.values())
+        fleet.store.silent = False
+        try:
+            async with asyncio.timeout(0.6):
+                while not all(m.is_known for m in fleet.mirrors.values()):
+                    await asyncio.sleep(0.01)
+        finally:
+            for mirror in fleet.mirrors.values():
+                await mirror.stop()
+        return called
+
+    # Four nodes; those of a low rank call as often as five times a second.
+    assert asyncio.run(main()) <= 4 + 4 + 2 + 2
+
+
 async def all_have(fleet, wanted, names=None):
     names = names or fleet.mirrors
     for _ in range(200):
