Let the node that stepped in for the watcher go on watching

It now watches until it hears a reading by a node before it in the order; readings told together are numbered by rank, so that one of them is heard.

--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -32,6 +32,7 @@
 from ..types import Clock
 from ..types import NodeId
 from ..types import Revision
+from .takeover import next_reading
 from .takeover import Takeover
 
 TOPIC = 'reading'
@@ -128,6 +129,8 @@
         self._tell_timer: asyncio.TimerHandle | None = None
         self._position: Revision | None = None
         self._watching = False
+        # Stepped in for a node that no longer reads.
+        self._acting = False
         self._is_store_lost = False
         self._task: asyncio.Task | None = None
         self._call: asyncio.Task | None = None
@@ -181,6 +184,8 @@
         reading = msgspec.msgpack.decode(rumor.body, type=Reading)
         if reading.node == self._node:
             return
+        if self._acting:
+            self._yield_to(reading.node)
         if reading.revision <= self.book.revision:
             self._caught_up(reading)
         else:
@@ -206,6 +211,7 @@
                 backoff.reset()
                 await asyncio.sleep(self._takeover.gap_s)
             except PlatformError as exc:
+                self._acting = False
                 self._metrics.count('store_retries', type(exc).__name__)
                 self._note_store(exc)
                 pause_s = backoff.next_s()
@@ -238,15 +244,26 @@
     def _should_watch(self, now: float) -> bool:
         rank, count = self._rank()
         if self.is_known:
-            return self._takeover.watches(rank, count, self.age_s(now))
+            self._acting = self._takeover.watches(
+                rank, count, self.age_s(now), self._acting
+            )
+            return self._acting
         return self._takeover.watches_first(rank, now - self._started_at)
 
-    def _rank(self) -> tuple[int, int]:
+    def _ranked(self) -> list[NodeId]:
         nodes = {m.node for m in self._members() if not m.leaving}
         nodes.add(self._node)
-        ranked = pick(f'mirror:{self.kind}', nodes, len(nodes))
+        return pick(f'mirror:{self.kind}', nodes, len(nodes))
+
+    def _rank(self) -> tuple[int, int]:
+        ranked = self._ranked()
         return ranked.index(self._node), len(ranked)
 
+    def _yield_to(self, node: NodeId) -> None:
+        ranked = self._ranked()
+        if node in ranked[: ranked.index(self._node)]:
+            self._acting = False
+
     def _set_watching(self, watching: bool) -> None:
         if watching == self._watching:
             return
@@ -329,7 +346,8 @@
     def _publish_reading(self) -> None:
         self._tell_timer = None
         self._told_at = self._clock()
-        self._heard += 1
+        rank, _ = self._rank()
+        self._heard = next_reading(self._heard, rank)
         reading = Reading(
             self._node, self.book.revision, self._position or Revision(0)
         )
--- a/sesameward/serving/takeover.py
+++ b/sesameward/serving/takeover.py
@@ -18,6 +18,8 @@
 READING_S = 0.7
 # Kept of the time for the reading itself.
 READ_S = 0.6
+# Readings told at the same time are told apart by as many ranks.
+RANKS = 64
 # Steps between nodes that have no reading yet.
 FIRST_STEP_S = 0.2
 # A node that has read nothing calls again after this time, as an answer
@@ -35,12 +37,16 @@
         self._spread_s = max(0.0, in_force_s - READ_S - self.after_s)
         self._first_wait_s = first_wait_s
 
-    def watches(self, rank: int, count: int, age_s: float) -> bool:
+    def watches(
+        self, rank: int, count: int, age_s: float, acting: bool = False
+    ) -> bool:
         """Tell whether a node of this rank of so many asks the store.
 
-        age_s is how long ago the objects were known to be the newest.
+        age_s is how long ago the objects were known to be the newest. A node
+        that has stepped in is acting until one of a lower rank reads again,
+        so that the others need not fall behind once more before it asks.
         """
-        if rank == 0:
+        if rank == 0 or acting:
             return True
         return age_s >= self.after_s + self._spread_s * rank / count
 
@@ -56,3 +62,12 @@
         the same rate would use up what the store answers.
         """
         return FIRST_GAP_S * (1 + rank)
+
+
+def next_reading(heard: int, rank: int) -> int:
+    """Return the number of a reading that follows all that were heard.
+
+    Of two nodes that read at the same time the one of the lower rank is
+    heard, so that the other can yield to it.
+    """
+    return (heard // RANKS + 1) * RANKS + max(0, RANKS - 1 - rank)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -12,6 +12,7 @@
 from sesameward.messages import StoredObject
 from sesameward.metrics import Metrics
 from sesameward.serving.mirror import Mirror
+from sesameward.serving.mirror import TELL_GAP_S
 from sesameward.serving.takeover import Takeover
 
 KIND = 'things'
@@ -220,6 +221,28 @@
     run(scenario)
 
 
+def test_node_that_stepped_in_goes_on_until_its_better_reads_again(run):
+    async def scenario(fleet):
+        clock = asyncio.get_running_loop().time
+        (watcher,) = fleet.watchers()
+        fleet.store.down.add(watcher)
+        fleet.store.put('y', b'')
+        assert await all_have(fleet, {'x': b'1', 'y': b''})
+        for value in (b'2', b'3', b'4'):
+            await asyncio.sleep(0.4)
+            fleet.store.put('y', value)
+            put_at = clock()
+            assert await all_have(fleet, {'x': b'1', 'y': value})
+            # At once, and not when the nodes have fallen behind again.
+            assert clock() - put_at < 2 * TELL_GAP_S
+        fleet.store.down.clear()
+        async with asyncio.timeout(3.0):
+            while fleet.watchers() != {watcher}:
+                await asyncio.sleep(0.01)
+
+    run(scenario)
+
+
 def test_node_that_its_peers_cannot_reach_watches_by_itself(run):
     async def scenario(fleet):
         (watcher,) = fleet.watchers()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sesameward.serving.takeover import next_reading
 from sesameward.serving.takeover import READ_S
 from sesameward.serving.takeover import Takeover
 
@@ -40,3 +41,15 @@
     assert takeover.watches_first(0, 0.25)
     assert not takeover.watches_first(2, 0.5)
     assert takeover.watches_first(2, 0.7)
+
+
+def test_reading_of_the_lower_rank_wins_of_those_told_together():
+    heard = 0
+    for _ in range(3):
+        told = [next_reading(heard, rank) for rank in range(5)]
+        assert min(told) > heard
+        assert told == sorted(told, reverse=True)
+        assert len(set(told)) == len(told)
+        heard = told[3]
+        # What was told together with another does not outrun the next.
+        assert next_reading(heard, 4) > max(told)
