Pull what another node has read along a tree in each zone

Now one node of each zone asks the reader, the others ask along a tree of 8 in their zone, and the reader itself where that node is silent or stays behind. A start asks nodes of its own zone first. A reading that comes during a pull is no longer dropped. The order of the nodes is kept until a member changes, no longer hashed 20 times a second.

--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -27,11 +27,11 @@
 from ..messages import StoredObject
 from ..metrics import Metrics
 from ..objects import ObjectBook
-from ..rendezvous import pick
 from ..spread import Backoff
 from ..types import Clock
 from ..types import NodeId
 from ..types import Revision
+from .node_order import NodeOrder
 from .takeover import next_reading
 from .takeover import Takeover
 
@@ -49,7 +49,10 @@
 IDLE_LOOK_S = 0.1
 BACKOFF_BASE_S = 0.1
 BACKOFF_CAP_S = 1.0
-PULL_TRIES = 3
+# A node's source has mostly heard of a reading within this time.
+SOURCE_GAP_S = 0.04
+SOURCE_TRIES = 3
+READER_TRIES = 3
 # Calls of a node that has read nothing which may wait for an answer.
 FIRST_CALLS = 8
 # At its start a node asks its peers before it lists by itself.
@@ -116,6 +119,7 @@
         self._store = store
         self._pull = pull
         self._members = members
+        self._order = NodeOrder(kind, node)
         self._publish = publish
         self._on_change = on_change
         self._takeover = takeover
@@ -135,6 +139,7 @@
         self._task: asyncio.Task | None = None
         self._call: asyncio.Task | None = None
         self._pulls: set[asyncio.Task] = set()
+        self._lacking: Reading | None = None
 
     @property
     def is_known(self) -> bool:
@@ -184,8 +189,8 @@
         reading = msgspec.msgpack.decode(rumor.body, type=Reading)
         if reading.node == self._node:
             return
-        if self._acting:
-            self._yield_to(reading.node)
+        if self._order.is_before(reading.node, self._members()):
+            self._acting = False
         if reading.revision <= self.book.revision:
             self._caught_up(reading)
         else:
@@ -250,19 +255,8 @@
             return self._acting
         return self._takeover.watches_first(rank, now - self._started_at)
 
-    def _ranked(self) -> list[NodeId]:
-        nodes = {m.node for m in self._members() if not m.leaving}
-        nodes.add(self._node)
-        return pick(f'mirror:{self.kind}', nodes, len(nodes))
-
     def _rank(self) -> tuple[int, int]:
-        ranked = self._ranked()
-        return ranked.index(self._node), len(ranked)
-
-    def _yield_to(self, node: NodeId) -> None:
-        ranked = self._ranked()
-        if node in ranked[: ranked.index(self._node)]:
-            self._acting = False
+        return self._order.rank(self._members())
 
     def _set_watching(self, watching: bool) -> None:
         if watching == self._watching:
@@ -368,28 +362,45 @@
         self._fresh()
 
     def _begin_pull(self, reading: Reading) -> None:
+        self._lacking = reading
         if self._pulls:
             return
-        task = asyncio.ensure_future(self._catch_up(reading))
+        task = asyncio.ensure_future(self._catch_up())
         self._pulls.add(task)
         task.add_done_callback(self._pulls.discard)
         logs.watch(task)
 
-    async def _catch_up(self, reading: Reading) -> None:
-        for _ in range(PULL_TRIES):
-            member = self._member(reading.node)
-            if member is None:
+    async def _catch_up(self) -> None:
+        """Pull until nothing is lacking that others have read."""
+        while self._lacking is not None:
+            reading, self._lacking = self._lacking, None
+            await self._catch_up_with(reading)
+
+    async def _catch_up_with(self, reading: Reading) -> None:
+        """Ask the node's source some times, then the reader itself."""
+        members = self._members()
+        source = self._order.source(reading.node, members)
+        reader = self._order.member(reading.node, members)
+        for _ in range(SOURCE_TRIES):
+            if source is None or source is reader:
+                break
+            if not await self._pull_from(source):
+                break
+            if self._reached(reading):
+                return
+            # Like this node, its source may just have heard of it.
+            await asyncio.sleep(SOURCE_GAP_S)
+        for _ in range(READER_TRIES):
+            if reader is None:
+                return
+            if await self._pull_from(reader) and self._reached(reading):
                 return
-            if await self._pull_from(member):
-                if self.book.revision >= reading.revision:
-                    self._caught_up(reading)
-                    return
 
-    def _member(self, node: NodeId) -> Member | None:
-        for member in self._members():
-            if member.node == node:
-                return member
-        return None
+    def _reached(self, reading: Reading) -> bool:
+        if self.book.revision < reading.revision:
+            return False
+        self._caught_up(reading)
+        return True
 
     async def _list_at_start(self) -> None:
         """List until something is known.
@@ -426,7 +437,10 @@
         until = self._clock() + FIRST_PEERS_S
         while len(self._members()) < 2 and self._clock() < until:
             await asyncio.sleep(FIRST_LOOK_S)
-        peers = [m for m in self._members() if m.node != self._node]
+        members = self._members()
+        peers = self._order.near(members) or [
+            member for member in members if member.node != self._node
+        ]
         for member in self._rng.sample(peers, min(START_PEERS, len(peers))):
             await self._pull_from(member)
 
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -1,6 +1,7 @@
 """Keep nodes current while few of them ask the store."""
 
 import asyncio
+import collections
 import random
 
 import pytest
@@ -13,6 +14,7 @@
 from sesameward.metrics import Metrics
 from sesameward.serving.mirror import Mirror
 from sesameward.serving.mirror import TELL_GAP_S
+from sesameward.serving.node_order import NodeOrder
 from sesameward.serving.takeover import Takeover
 
 KIND = 'things'
@@ -100,10 +102,14 @@
 class Fleet:
     """Run mirrors that hear each other at once."""
 
-    def __init__(self, names):
+    def __init__(self, names, zones=1):
         self.store = FakeStore()
-        self.members = tuple(Member(name, 'z', 'h', 1, 2, 3) for name in names)
+        self.members = tuple(
+            Member(name, f'z{index % zones}', 'h', 1, 2, 3)
+            for index, name in enumerate(names)
+        )
         self.cut = set()
+        self.pulls = collections.Counter()
         self.seen = {name: [] for name in names}
         self.mirrors = {name: self._make(name) for name in names}
 
@@ -113,6 +119,7 @@
         async def pull(member, request):
             if {name, member.node} & self.cut:
                 raise PeerUnavailableError('cut')
+            self.pulls[name, member.node] += 1
             return self.mirrors[member.node].answer(request)
 
         def publish(rumor):
@@ -148,9 +155,9 @@
 def run():
     """Run a scenario with a fleet whose mirrors have started."""
 
-    def run(scenario, names=('a', 'b', 'c', 'd')):
+    def run(scenario, names=('a', 'b', 'c', 'd'), zones=1):
         async def main():
-            fleet = Fleet(names)
+            fleet = Fleet(names, zones)
             fleet.store.put('x', b'1')
             for mirror in fleet.mirrors.values():
                 mirror.start()
@@ -243,6 +250,39 @@
     run(scenario)
 
 
+def test_one_node_of_a_zone_asks_another_zone(run):
+    async def scenario(fleet):
+        zone_of = {member.node: member.zone for member in fleet.members}
+        fleet.pulls.clear()
+        fleet.store.put('y', b'2')
+        assert await all_have(fleet, {'x': b'1', 'y': b'2'})
+        asked = collections.Counter(
+            zone_of[name]
+            for name, source in fleet.pulls
+            if zone_of[name] != zone_of[source]
+        )
+        (watcher,) = fleet.watchers()
+        assert set(asked) == set(zone_of.values()) - {zone_of[watcher]}
+        assert set(asked.values()) == {1}
+
+    run(scenario, [f'n{index}' for index in range(24)], zones=3)
+
+
+def test_node_whose_source_is_cut_off_asks_the_reader(run):
+    async def scenario(fleet):
+        (watcher,) = fleet.watchers()
+        order = NodeOrder(KIND, watcher)
+        near = {m.node for m in order.near(fleet.members)} | {watcher}
+        far = next(n for n in fleet.mirrors if n not in near)
+        source = NodeOrder(KIND, far).source(watcher, fleet.members)
+        fleet.cut.add(source.node if source.node != watcher else far)
+        fleet.store.put('y', b'2')
+        names = [n for n in fleet.mirrors if n not in fleet.cut]
+        assert await all_have(fleet, {'x': b'1', 'y': b'2'}, names)
+
+    run(scenario, [f'n{index}' for index in range(24)], zones=2)
+
+
 def test_node_that_its_peers_cannot_reach_watches_by_itself(run):
     async def scenario(fleet):
         (watcher,) = fleet.watchers()
