--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -150,6 +150,11 @@
         """Return how long ago the objects were known to be the newest."""
         return now - self._read_at
 
+    def _age_to_log(self) -> float | None:
+        if not self.is_known:
+            return None
+        return round(self.age_s(self._clock()), 3)
+
     @property
     def watching(self) -> bool:
         """Tell whether this node watches the store."""
@@ -231,7 +236,7 @@
         logs.change(
             'store_lost' if self._is_store_lost else 'store_back',
             kind=self.kind,
-            read_age_s=round(self.age_s(self._clock()), 3),
+            read_age_s=self._age_to_log(),
             error=str(exc) if exc is not None else None,
         )
 
@@ -266,7 +271,7 @@
             'store_watch',
             kind=self.kind,
             watching=watching,
-            read_age_s=round(self.age_s(self._clock()), 3),
+            read_age_s=self._age_to_log(),
             revision=self.book.revision,
         )
 
