--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-# Without typing, which takes a tenth of the start.
+# Not typing's: importing that would put off the first line of main().
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     import socket
