Read a reply's headers once; pick a target in one place

Found on a last read, no behaviour changed, no test touched: - Exchange read each reply's headers twice, to tell whose it is and to judge it; the first reading is kept. - Gather and Relay held the same choice of a target, with its second look at a full replica and the budget; it is View.pick now. - TargetTable went through all targets for each change of one, so that a first listing cost their square; it keeps them by service. - listening.listen wrote out socket.create_server. - Mirror kept a set for its one pull task. targets.Change was unused.

--- a/sesameward/serving/attempts.py
+++ b/sesameward/serving/attempts.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..types import ServiceName
 from ..types import TargetId
 from .budget_window import BudgetWindow
 from .choice import Choice
@@ -26,6 +27,10 @@
     RETRY_FAILED = 'retry_failed'
 
 
+# Sent to a service for the first time, as far as its targets can tell.
+_FREE = frozenset({Why.FIRST, Why.RETRY_NOT_SENT})
+
+
 class End(enum.Enum):
     """Say how a sub-request failed.
 
@@ -57,3 +62,25 @@
     targets: TargetTable
     choice: Choice
     budget: BudgetWindow
+
+    def pick(
+        self,
+        service: ServiceName,
+        asked: typing.Collection[TargetId],
+        why: Why,
+        now: float,
+        reserve: float = 0.0,
+    ) -> TargetId | None:
+        """Return the target to send to; None where none or no budget is left.
+
+        A repeat of what may have run takes from the budget, which keeps the
+        reserve back.
+        """
+        candidates = self.targets.candidates(service)
+        target_id = self.choice.choose(candidates, now, asked)
+        if target_id is None and why is Why.RETRY_NOT_RUN:
+            # The only replica is full; it may have room by now.
+            target_id = self.choice.choose(candidates, now)
+        if target_id is None or why in _FREE:
+            return target_id
+        return target_id if self.budget.take(service, now, reserve) else None
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -91,6 +91,8 @@
         self._is_wanted = is_wanted
         self._on_result = on_result
         self._conn: TargetConnection | None = None
+        # What the reply says that was checked last: the one that is ours.
+        self._told = Told()
 
     def begin(self) -> None:
         """Send as soon as there is a connection."""
@@ -132,7 +134,8 @@
         )
 
     def _is_own(self, reply: Reply) -> bool:
-        told_id = self._tools.wire.read_reply(reply).request_id
+        self._told = self._tools.wire.read_reply(reply)
+        told_id = self._told.request_id
         return told_id is None or told_id == self._sub.request_id
 
     def _ended(self, token, what: Reply | Broken) -> None:
@@ -140,7 +143,7 @@
         tools = self._tools
         now = tools.clock()
         if isinstance(what, Reply):
-            told = tools.wire.read_reply(what)
+            told = self._told
             outcome, result = self._judge(what, told, now)
             if told.load is not None:
                 tools.view.choice.reported(self._target_id, told.load, now)
--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -241,18 +241,11 @@
         self, at: int, why: Why, now: float, reserve: float = 0.0
     ) -> list[Action]:
         shard = self._shards[at]
-        service = self._services[at]
-        view = self._view
-        candidates = view.targets.candidates(service)
-        target_id = view.choice.choose(candidates, now, shard.asked)
-        if target_id is None and why is Why.RETRY_NOT_RUN:
-            # The only replica is full; it may have room by now.
-            target_id = view.choice.choose(candidates, now)
+        target_id = self._view.pick(
+            self._services[at], shard.asked, why, now, reserve
+        )
         if target_id is None:
             return []
-        free = why in (Why.FIRST, Why.RETRY_NOT_SENT)
-        if not free and not view.budget.take(service, now, reserve):
-            return []
         self._attempts += 1
         attempt = AttemptNo(self._attempts)
         shard.asked.append(target_id)
--- a/sesameward/serving/listening.py
+++ b/sesameward/serving/listening.py
@@ -13,13 +13,6 @@
 
 def listen(at: Endpoint) -> socket.socket:
     """Let connections wait for a server; raise OSError."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((at.host, at.port))
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
+    sock = socket.create_server((at.host, at.port), backlog=BACKLOG)
+    sock.setblocking(False)
     return sock
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -138,7 +138,7 @@
         self._is_store_lost = False
         self._task: asyncio.Task | None = None
         self._call: asyncio.Task | None = None
-        self._pulls: set[asyncio.Task] = set()
+        self._catching_up: asyncio.Task | None = None
         self._lacking: Reading | None = None
 
     @property
@@ -170,13 +170,10 @@
         """End all calls."""
         if self._tell_timer is not None:
             self._tell_timer.cancel()
-        tasks = [self._task, *self._pulls]
+        tasks = [t for t in (self._task, self._catching_up) if t is not None]
         for task in tasks:
-            if task is not None:
-                task.cancel()
-        await asyncio.gather(
-            *(t for t in tasks if t is not None), return_exceptions=True
-        )
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def doubt(self) -> None:
         """Read again at once; this process stood still for a while."""
@@ -368,12 +365,9 @@
 
     def _begin_pull(self, reading: Reading) -> None:
         self._lacking = reading
-        if self._pulls:
-            return
-        task = asyncio.ensure_future(self._catch_up())
-        self._pulls.add(task)
-        task.add_done_callback(self._pulls.discard)
-        logs.watch(task)
+        if self._catching_up is None or self._catching_up.done():
+            self._catching_up = asyncio.ensure_future(self._catch_up())
+            logs.watch(self._catching_up)
 
     async def _catch_up(self) -> None:
         """Pull until nothing is lacking that others have read."""
--- a/sesameward/serving/relay.py
+++ b/sesameward/serving/relay.py
@@ -161,16 +161,11 @@
     ) -> list[Action]:
         if len(self._asked) - self._not_run >= self._route.max_attempts:
             return []
-        view = self._view
-        candidates = view.targets.candidates(self._service)
-        target_id = view.choice.choose(candidates, now, self._asked)
-        if target_id is None and why is Why.RETRY_NOT_RUN:
-            target_id = view.choice.choose(candidates, now)
+        target_id = self._view.pick(
+            self._service, self._asked, why, now, reserve
+        )
         if target_id is None:
             return []
-        free = why in (Why.FIRST, Why.RETRY_NOT_SENT)
-        if not free and not view.budget.take(self._service, now, reserve):
-            return []
         self._attempts += 1
         attempt = AttemptNo(self._attempts)
         self._asked.append(target_id)
--- a/sesameward/serving/targets.py
+++ b/sesameward/serving/targets.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from ..types import Revision
 from ..types import ServiceName
 from ..types import TargetId
 from ..types import ZoneName
@@ -47,14 +46,6 @@
         return self.state is TargetState.DRAINING
 
 
-class Change(msgspec.Struct, frozen=True):
-    """Report one target added, changed or removed (target is None)."""
-
-    target_id: TargetId
-    target: Target | None
-    revision: Revision
-
-
 class TargetTable:
     """Group targets by service; keep lapsed ones for a moment.
 
@@ -63,6 +54,7 @@
 
     def __init__(self):
         self._targets: dict[TargetId, Target] = {}
+        self._by_service: dict[ServiceName, dict[TargetId, Target]] = {}
         self._lapsed: dict[TargetId, float] = {}
         self._groups: dict[ServiceName, tuple[TargetId, ...]] = {}
 
@@ -83,6 +75,7 @@
             self._drop(target.id)
         self._lapsed.pop(target.id, None)
         self._targets[target.id] = target
+        self._by_service.setdefault(target.service, {})[target.id] = target
         self._regroup(target.service)
 
     def lapse(self, target_id: TargetId, now: float) -> None:
@@ -111,11 +104,15 @@
         self._lapsed.pop(target_id, None)
         target = self._targets.pop(target_id, None)
         if target is not None:
+            members = self._by_service[target.service]
+            del members[target_id]
+            if not members:
+                del self._by_service[target.service]
             self._regroup(target.service)
 
     def _regroup(self, service: ServiceName) -> None:
-        members = [t for t in self._targets.values() if t.service == service]
-        usable = [t.id for t in members if not t.drain]
+        members = self._by_service.get(service, {})
+        usable = [t.id for t in members.values() if not t.drain]
         sure = [one for one in usable if one not in self._lapsed]
         group = tuple(sorted(sure or usable))
         if group:
