Send nothing more of a query after a break until a target has answered

What was not needed and is gone: the first two breaks were each asked of another replica at once, and sends that still waited for a connection left. From the first break on nothing is sent until any target has answered; where all broke, and fewer than three, one target is asked alone. Ruled out: recalling what runs at other targets, since one crash among many shards would then end harmless work.

--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -100,12 +100,14 @@
         target_id: TargetId,
         is_wanted: typing.Callable[[], bool],
         on_result: OnResult,
+        is_held: typing.Callable[[], bool] = lambda: False,
     ):
         self._tools = tools
         self._sub = sub
         self._target_id = target_id
         self._is_wanted = is_wanted
         self._on_result = on_result
+        self._is_held = is_held
         self._conn: TargetConnection | None = None
         self._sent_at = 0.0
         # What the reply says that was checked last: the one that is ours.
@@ -138,8 +140,9 @@
         tools = self._tools
         sub = self._sub
         now = tools.clock()
-        if not tools.view.may_send(self._target_id, now):
-            # It asked for rest, or said that it leaves, in the meantime.
+        if self._is_held() or not tools.view.may_send(self._target_id, now):
+            # A target broke under the request, or this one asked for rest or
+            # said that it leaves, in the meantime.
             conn.release()
             self._on_result(Result(End.NOT_SENT))
             return
--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -6,6 +6,10 @@
 asked of its other replica while the repeat can still help, and just before
 the objective passes the answer goes out with what is there, if that is
 enough.
+
+Load pattern: a query crashes each target that runs it, and its first attempt
+goes to all shards at once. From the first break on nothing more is sent until
+a target has answered. Where all of them broke, one target is asked alone.
 """
 
 from __future__ import annotations
@@ -114,6 +118,8 @@
         self._was_run = False
         self._finished = False
         self._trial = trial
+        # The attempt that goes out alone after all others broke.
+        self._probe: AttemptNo | None = None
 
     @property
     def on_trial(self) -> bool:
@@ -130,6 +136,10 @@
         """Tell whether the query has ended."""
         return self._finished
 
+    def is_held(self, attempt: AttemptNo) -> bool:
+        """Tell whether an attempt must not leave while it waits to be sent."""
+        return self._suspects_crash() and attempt != self._probe
+
     def missing(self) -> list[int]:
         """Return the positions of the shards without an answer."""
         return [at for at, shard in enumerate(self._shards) if not shard.done]
@@ -179,8 +189,18 @@
         if self._trial is not None:
             self._trial = None
             return self._ask_all(now) + self._judge(now)
+        if self._answered == 1 and self._breaks:
+            return self._ask_held(now) + self._judge(now)
         return self._judge(now)
 
+    def _ask_held(self, now: float) -> list[Action]:
+        """Ask the shards that waited for the first answer."""
+        actions: list[Action] = []
+        for at, shard in enumerate(self._shards):
+            if not shard.done and not shard.open:
+                actions += self._ask_late(at, shard, now)
+        return actions
+
     def uses(self, at: int) -> bool:
         """Tell whether a part of this shard is still wanted."""
         return not self._finished and not self._shards[at].done
@@ -201,11 +221,28 @@
             return []
         if self._trial is not None:
             return self._fail_trial(self._trial, end, now)
+        if self._suspects_crash():
+            return self._ask_alone(now) or self._judge(now)
         if shard.open:
             return self._judge(now)
         sends = self._retry(at, end, now)
         return sends or self._judge(now)
 
+    def _ask_alone(self, now: float) -> list[Action]:
+        """Ask one target once all others broke, unless they were many."""
+        if self._breaks >= MAX_BREAKS:
+            return []
+        if any(shard.open for shard in self._shards):
+            return []
+        for at, shard in enumerate(self._shards):
+            if shard.not_run > MAX_NOT_RUN or not self._has_attempts(shard):
+                continue
+            self._probe = AttemptNo(self._attempts + 1)
+            sent = self._send(at, Why.RETRY_FAILED, now)
+            if sent:
+                return sent
+        return []
+
     def _fail_trial(self, trial: Trial, end: End, now: float) -> list[Action]:
         # A target that answers with a failure has not been crashed.
         if end is End.BROKEN or self._attempts >= MAX_TRIES:
@@ -259,7 +296,7 @@
 
     def _ask_late(self, at: int, shard: _Shard, now: float) -> list[Action]:
         """Ask a shard that had no replica or budget when it was its turn."""
-        if shard.not_run > MAX_NOT_RUN:
+        if shard.not_run > MAX_NOT_RUN or self._suspects_crash():
             return []
         if not shard.asked:
             return self._send(at, Why.FIRST, now)
@@ -283,9 +320,16 @@
         ended = self._answered + self._breaks
         return self._breaks >= MAX_BREAKS and self._breaks > BREAK_PART * ended
 
+    def _suspects_crash(self) -> bool:
+        """Tell whether a target broke and none has run the query yet."""
+        return self._breaks > 0 and self._answered == 0
+
     def _may_run_again(self, shard: _Shard) -> bool:
-        if self._seems_to_crash_targets():
+        if self._suspects_crash() or self._seems_to_crash_targets():
             return False
+        return self._has_attempts(shard)
+
+    def _has_attempts(self, shard: _Shard) -> bool:
         ran = len(shard.asked) - shard.not_run
         return ran < self._route.max_attempts
 
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -103,6 +103,9 @@
     def _wants(self, send: Send) -> bool:
         return self._plan.uses(send.shard)
 
+    def _is_held(self, send: Send) -> bool:
+        return self._plan.is_held(send.attempt)
+
     def _take(self, send: Send, result: Result, now: float) -> list:
         if result.end is not None or result.reply is None:
             end = self._note_failure(send, result.end)
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -114,6 +114,7 @@
             send.target_id,
             lambda: self._wants(send),
             lambda result: self._took(send, exchange, result),
+            lambda: self._is_held(send),
         )
         self._live.add(exchange)
         exchange.begin()
@@ -121,6 +122,10 @@
     def _wants(self, send: Send) -> bool:
         return not self._is_over
 
+    def _is_held(self, send: Send) -> bool:
+        """Tell whether a send that waits for a connection must not leave."""
+        return False
+
     def _took(self, send: Send, exchange: Exchange, result: Result) -> None:
         self._live.discard(exchange)
         self._act(self._take(send, result, self._tools.clock()))
