Give rumors that are acted on their own share of the gossip

Once reports filled it, a reading was hardly passed on.

Rumors carry an urgency: current values (readings, revisions), decisions (departures, quarantines, drains) and reports, a lane and a share each; a version that replaces an unsent one keeps its place.

--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -44,6 +44,7 @@
 from .messages import Member
 from .messages import NodeStatus
 from .messages import Rumor
+from .messages import Urgency
 from .messages import StoredObject
 from .messages import TargetStatus
 from .messages import Vm
@@ -268,6 +269,7 @@
                 time.time_ns(),
                 msgspec.msgpack.encode(DrainNote(drain)),
                 DRAIN_TTL_S,
+                Urgency.DECISION,
             )
         )
         self.targets.set_leaving(target_id, 'operator', drain)
--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -16,6 +16,7 @@
 from ..messages import Member
 from ..messages import Pull
 from ..messages import Rumor
+from ..messages import Urgency
 from ..messages import StoredObject
 from ..metrics import Metrics
 from ..objects import ObjectBook
@@ -182,7 +183,12 @@
 
     def _tell(self) -> None:
         rumor = Rumor(
-            TOPIC, HINT_KEY, self.revision, self._node.encode(), HINT_TTL_S
+            TOPIC,
+            HINT_KEY,
+            self.revision,
+            self._node.encode(),
+            HINT_TTL_S,
+            Urgency.CURRENT,
         )
         if rumor.version > self._hint.version:
             self._hint = rumor
--- a/sesameward/datagrams.py
+++ b/sesameward/datagrams.py
@@ -11,6 +11,7 @@
 from .messages import Address
 from .messages import Member
 from .messages import Rumor
+from .messages import Urgency
 from .types import MemberState
 from .types import NodeId
 from .types import ZoneName
@@ -96,6 +97,7 @@
     version: int
     body: bytes
     ttl_ms: Number
+    urgency: Urgency = Urgency.REPORT
 
     def to_rumor(self) -> Rumor:
         """Return the rumor."""
@@ -105,6 +107,7 @@
             self.version,
             self.body,
             self.ttl_ms / 1_000,
+            self.urgency,
         )
 
 
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -55,6 +55,7 @@
 from .latency import LatencyTracker
 from .messages import Address
 from .messages import Rumor
+from .messages import Urgency
 from .metrics import Metrics
 from .platform_client import PlatformClient
 from .quarantine import Quarantine
@@ -310,7 +311,13 @@
     def _tell_leaving(self, target_id: TargetId) -> None:
         version = time.time_ns() // 1_000_000
         self._spread(
-            Rumor(feed.LEAVING_TOPIC, target_id, version, ttl_s=LEAVING_S)
+            Rumor(
+                feed.LEAVING_TOPIC,
+                target_id,
+                version,
+                ttl_s=LEAVING_S,
+                urgency=Urgency.DECISION,
+            )
         )
 
     def _spread(self, rumor: Rumor) -> None:
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from .types import AttemptId
@@ -275,6 +277,18 @@
     leaving: bool = False
 
 
+class Urgency(enum.IntEnum):
+    """Rank rumors; each rank has its own share of the gossip's bytes.
+
+    A report is one of many. A decision is acted on and must reach all nodes
+    whatever is reported. A current value soon has another version.
+    """
+
+    REPORT = 0
+    DECISION = 1
+    CURRENT = 2
+
+
 class Rumor(msgspec.Struct, frozen=True):
     """Carry a small fact to all agents; the highest version wins."""
 
@@ -283,6 +297,7 @@
     version: int
     body: bytes = b''
     ttl_s: float = 60.0
+    urgency: Urgency = Urgency.REPORT
 
 
 class Digest(msgspec.Struct, frozen=True):
--- a/sesameward/outbox.py
+++ b/sesameward/outbox.py
@@ -5,6 +5,7 @@
 import enum
 
 from .datagrams import Update
+from .messages import Urgency
 from .piggyback import Key
 from .piggyback import Piggyback
 from .piggyback import TokenBucket
@@ -15,21 +16,37 @@
 class Lane(enum.Enum):
     """Rank updates; the first lane goes first."""
 
-    RUMOR = 'rumor'
+    CURRENT = 'current'
+    DECISION = 'decision'
+    REPORT = 'report'
     URGENT = 'urgent'
     REVIVAL = 'revival'
 
 
+LANE_OF = {
+    Urgency.CURRENT: Lane.CURRENT,
+    Urgency.DECISION: Lane.DECISION,
+    Urgency.REPORT: Lane.REPORT,
+}
+# The sum of all lanes stays below the 8 KB/s that a node may spend for
+# control (docs/CAPACITY.md). A lane does not lend its share, so that no flood
+# of reports delays a decision.
 BYTES_PER_S = {
-    Lane.RUMOR: 2_000.0,
+    Lane.CURRENT: 1_200.0,
+    Lane.DECISION: 900.0,
+    Lane.REPORT: 1_200.0,
     Lane.URGENT: 2_500.0,
     Lane.REVIVAL: 600.0,
 }
 BURST_BYTES = {
-    Lane.RUMOR: 4_000.0,
+    Lane.CURRENT: 2_400.0,
+    Lane.DECISION: 2_000.0,
+    Lane.REPORT: 2_400.0,
     Lane.URGENT: 5_000.0,
     Lane.REVIVAL: 600.0,
 }
+# What waits in these is sent at once, not with the next probe.
+HURRIED = (Lane.CURRENT, Lane.DECISION, Lane.REPORT, Lane.URGENT)
 
 
 class Outbox:
@@ -48,7 +65,9 @@
 
     def put(self, lane: Lane, key: Key, update: Update) -> None:
         """Queue an update in place of older ones of the same key."""
-        self.drop(key)
+        for other, queue in self._queues.items():
+            if other is not lane:
+                queue.drop(key)
         self._queues[lane].put(key, update)
 
     def drop(self, key: Key) -> None:
@@ -64,9 +83,7 @@
     @property
     def has_news(self) -> bool:
         """Tell whether updates wait which should not wait for a probe."""
-        return any(
-            len(self._queues[lane]) for lane in (Lane.RUMOR, Lane.URGENT)
-        )
+        return any(len(self._queues[lane]) for lane in HURRIED)
 
     def fill(self, now: float, room: int, members: int) -> list[Update]:
         """Return updates for one datagram with so many bytes left."""
--- a/sesameward/piggyback.py
+++ b/sesameward/piggyback.py
@@ -40,10 +40,13 @@
     def put(self, key: Key, update: Update) -> None:
         """Queue an update in place of an older one of the same key.
 
-        What fits no datagram is left to the anti-entropy.
+        It keeps the place of one that was never sent, so that frequent
+        versions don't go to the end of the queue again and again. What fits
+        no datagram is left to the anti-entropy.
         """
-        self.drop(key)
         size = len(datagrams.encode(update))
+        if self._level_of.get(key) != 0 or size > MAX_UPDATE_BYTES:
+            self.drop(key)
         if size > MAX_UPDATE_BYTES:
             return
         self._levels[0][key] = _Queued(update, size)
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine.py
@@ -16,6 +16,7 @@
 from .messages import BookingBody
 from .messages import QueryBody
 from .messages import Rumor
+from .messages import Urgency
 from .types import Fingerprint
 from .types import NodeId
 from .types import ServiceName
@@ -178,12 +179,14 @@
 
 def to_rumor(verdict: Verdict, version: int, ttl_s: float) -> Rumor:
     """Return the rumor which carries a verdict."""
+    is_decided = verdict.remaining_s > 0.0 or verdict.cleared
     return Rumor(
         topic=TOPIC,
         key=f'{verdict.fp}:{verdict.origin}',
         version=version,
         body=msgspec.msgpack.encode(verdict),
         ttl_s=ttl_s,
+        urgency=Urgency.DECISION if is_decided else Urgency.REPORT,
     )
 
 
--- a/sesameward/serving/departures.py
+++ b/sesameward/serving/departures.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..messages import Rumor
+from ..messages import Urgency
 from ..types import TargetId
 from .targets import Source
 from .targets import TargetTable
@@ -50,4 +51,5 @@
 def to_rumor(target_id: TargetId, started_ms: int) -> Rumor:
     """Return the rumor that a target leaves; all nodes make the same."""
     body = msgspec.msgpack.encode(started_ms)
-    return Rumor(TOPIC, target_id, max(started_ms, 1), body, TTL_S)
+    version = max(started_ms, 1)
+    return Rumor(TOPIC, target_id, version, body, TTL_S, Urgency.DECISION)
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -25,6 +25,7 @@
 from ..messages import Pull
 from ..messages import Rumor
 from ..messages import StoredObject
+from ..messages import Urgency
 from ..metrics import Metrics
 from ..objects import ObjectBook
 from ..spread import Backoff
@@ -354,6 +355,7 @@
                 self._heard,
                 msgspec.msgpack.encode(reading),
                 RUMOR_TTL_S,
+                Urgency.CURRENT,
             )
         )
 
--- a/sesameward/swim.py
+++ b/sesameward/swim.py
@@ -38,6 +38,7 @@
 from .messages import Member
 from .messages import Rumor
 from .outbox import Lane
+from .outbox import LANE_OF
 from .outbox import Outbox
 from .piggyback import TokenBucket
 from .probing import Pool
@@ -774,7 +775,7 @@
             return
         self._actions.append(RumorHeard(rumor))
         key = ('r', rumor.topic, rumor.key)
-        self._outbox.put(Lane.RUMOR, key, _wire(rumor))
+        self._outbox.put(LANE_OF[rumor.urgency], key, _wire(rumor))
 
     # Sending.
 
@@ -872,4 +873,5 @@
         rumor.version,
         rumor.body,
         int(rumor.ttl_s * 1_000),
+        rumor.urgency,
     )
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -175,7 +175,7 @@
         claim = Claim(NodeId(f'n{index}'), 1, 2, 1)
         outbox.put(Lane.URGENT, ('m', f'n{index}'), claim)
     rumor = WireRumor('drain', 't1', 1, b'', 60_000)
-    outbox.put(Lane.RUMOR, ('r', 't1'), rumor)
+    outbox.put(Lane.DECISION, ('r', 't1'), rumor)
     updates = outbox.fill(0.0, 1_000, 4_800)
     assert updates[0] == rumor
     spent = sum(
