--- a/sesameward/serving/beliefs.py
+++ b/sesameward/serving/beliefs.py
@@ -60,6 +60,7 @@
         self._metrics = metrics
         self._clock = clock
         self._used: frozenset[ServiceName] = frozenset()
+        self.on_dropped: typing.Callable[[TargetId], None] = lambda _: None
 
     def age_s(self, now: float) -> float:
         """Return how long ago the routes were known to be the newest."""
@@ -190,4 +191,5 @@
         for target_id in self._targets.expire(self._clock()):
             self._choice.forget(target_id)
             self._pools.forget(target_id)
+            self.on_dropped(target_id)
             logs.change('target', target=target_id, state='dropped')
--- a/sesameward/serving/crashes.py
+++ b/sesameward/serving/crashes.py
@@ -205,6 +205,15 @@
             self._down.add(target_id)
             self._quarantine.noticed_dead(target_id, now)
 
+    def forget(self, target_id: TargetId) -> None:
+        """Drop what is known of a target that is gone for good."""
+        self._down.discard(target_id)
+
+    @property
+    def down(self) -> int:
+        """Return how many targets are known to accept no connection."""
+        return len(self._down)
+
     def lost(self, lost: Lost) -> None:
         """Look into why a target left a request without an answer.
 
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -156,6 +156,7 @@
         self._crashes.check = self.pools.check
         self._crashes.is_leaving = self.targets.is_leaving
         self._crashes.clock = self._clock
+        self.beliefs.on_dropped = self._crashes.forget
         self.routes_mirror = self._mirror(
             adapter.routes_kind, self.beliefs.take_routes
         )
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -164,7 +164,8 @@
             on_reach(Reach.UNKNOWN)
             return
         pool.connecting += 1
-        on_reach(await self._connect(pool))
+        reach = await self._connect(pool)
+        on_reach(Reach.UNKNOWN if pool.closed else reach)
 
     def warm(self, helped: typing.Collection[ZoneName] = ()) -> None:
         """Open connections where none is kept, a few at a time.
@@ -231,7 +232,8 @@
         except (OSError, TimeoutError) as exc:
             pool.connecting -= 1
             self._metrics.count('target_connections', type(exc).__name__)
-            self._on_unreachable(target.id)
+            if not pool.closed:
+                self._on_unreachable(target.id)
             while pool.waiting:
                 pool.waiting.popleft()(None)
             is_refusal = isinstance(
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -124,6 +124,16 @@
     assert candidates(beliefs) == ()
 
 
+def test_others_learn_which_targets_are_dropped(beliefs):
+    dropped = []
+    beliefs.on_dropped = dropped.append
+    beliefs.take_targets(entry(b'5 ready'))
+    beliefs.take_targets(entry(b'', deleted=True))
+    beliefs.now[0] += 3.0
+    beliefs.expire()
+    assert dropped == ['i-1']
+
+
 def test_word_that_a_target_leaves_outlasts_its_registration(beliefs):
     beliefs.take_targets(entry(b'5 ready'))
     assert beliefs.take_leaving('i-1', Source.ANSWER, 5)
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -338,3 +338,13 @@
     # A later attempt is judged for itself.
     lose(node, 't3', service='s7')
     assert len(checked) == 2
+
+
+def test_targets_that_are_gone_for_good_take_no_memory():
+    crashes = Crashes('n', Metrics('t'), random.Random(1))
+    for n in range(100):
+        crashes.unreachable(f't{n}', 100.0)
+    assert crashes.down == 100
+    for n in range(100):
+        crashes.forget(f't{n}')
+    assert crashes.down == 0
