--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -44,9 +44,9 @@
 from .messages import Member
 from .messages import NodeStatus
 from .messages import Rumor
-from .messages import Urgency
 from .messages import StoredObject
 from .messages import TargetStatus
+from .messages import Urgency
 from .messages import Vm
 from .metrics import Metrics
 from .peers import PeerClient
--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -16,8 +16,8 @@
 from ..messages import Member
 from ..messages import Pull
 from ..messages import Rumor
-from ..messages import Urgency
 from ..messages import StoredObject
+from ..messages import Urgency
 from ..metrics import Metrics
 from ..objects import ObjectBook
 from ..platform_client import PlatformClient
