Bound bytes without end, for each message and for all of a node

Played at: header lines, one header, the reason phrase and trailers of a target, and one header of a caller, were held up to 64 MiB and more; bodies up to 16 MiB each, with no bound for a node. Cause: bounds were looked at when a head was whole, and the parser joins a value before it hands it over.

Bytes are counted as they arrive: what is beside a body against the bound of a head (32 KiB from targets and the store, the configuration's bound and a first line from callers), a body against what its route can need (a part: 32 times top_k records, 64 KiB at least) or 16 MiB, the store's replies against 8 MiB. Large messages of all connections share a quarter of the VM's memory; beyond it the largest of the newest half is cut. A target that breaks a bound counts like one that garbles; target_cut, caller_cut, messages_cut, message_bytes.

Found on the way: a caller that pipelines and reads nothing made the node keep an answer for each request (now the next is served once the last was taken, 1 KB/s or the connection ends); a stop ended with answers still unread; the reply of a target that names requests was taken as the own one when it lacked the id; pages of the store without end; a late answer on a kept connection to the store would have shifted all later ones (it is closed now).

--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -33,6 +33,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: Natural = 300
+
+
 class _Bounds(msgspec.Struct):
     retry_budget_ratio: float
     retry_budget_slack: float
@@ -60,6 +64,7 @@
     platform: _Platform
     bounds: _Bounds
     seeds: tuple[str, ...] = ()
+    limits: _Limits = _Limits()
 
 
 def path() -> str:
@@ -126,6 +131,7 @@
             grace_s=bounds.grace_s,
             address_ttl_s=bounds.ttl_max_s,
         ),
+        memory_bytes=boot.limits.memory_mb * 1_000_000,
     )
 
 
--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -11,6 +11,7 @@
 from ..exceptions import PlatformThrottledError
 from ..exceptions import PlatformUnavailableError
 from ..messages import StoredObject
+from ..serving.byte_limits import STORE_LIMITS
 from ..serving.http_caller import HttpCaller
 from ..serving.settings import NodeSettings
 from ..serving.target_connection import Reply
@@ -19,7 +20,8 @@
 
 NODES_KIND = 'sesameward-nodes'
 TIMEOUT_S = 1.0
-MAX_PAGES = 1_000
+# About 500 objects each; 30,000 servers are the size to come.
+MAX_PAGES = 200
 
 
 class _Meta(msgspec.Struct):
@@ -61,7 +63,7 @@
     def __init__(self, cfg: NodeSettings):
         address = cfg.store
         self._host = f'{address.host}:{address.port}'
-        self._caller = HttpCaller(address.host, address.port)
+        self._caller = HttpCaller(address.host, address.port, STORE_LIMITS)
 
     async def list(
         self, kind: str, timeout_s: float, may_be_old: bool = False
@@ -70,20 +72,24 @@
         objects: list[StoredObject] = []
         as_of: int | None = None
         after = ''
+        passed: set[str] = set()
         for _ in range(MAX_PAGES):
             query: dict[str, object] = {'after': after} if after else {}
             if may_be_old:
                 query['stale_ok'] = 1
             reply = await self._call('GET', kind, query, timeout_s)
-            page = _decode(reply, _Listing)
+            page = self._decode(reply, _Listing)
             # Pages may show different states; the earliest one's revision
             # is where a watch must go on so that nothing is missed.
             as_of = page.as_of if as_of is None else min(as_of, page.as_of)
             objects += [_stored(kind, item) for item in page.items]
             if not page.more or not page.items:
-                break
+                return Revision(as_of or 0), objects
             after = page.items[-1].meta.name
-        return Revision(as_of or 0), objects
+            if after in passed:
+                break
+            passed.add(after)
+        raise self._unreadable(f'pages of {kind} without end')
 
     async def watch(
         self, kind: str, since: Revision, wait_s: float, timeout_s: float
@@ -95,7 +101,7 @@
             raise CompactedError(
                 f'changes of {kind} after {since} are gone; list them'
             )
-        found = _decode(reply, _Events)
+        found = self._decode(reply, _Events)
         return Revision(found.as_of), [
             _stored(kind, event.object, event.deleted)
             for event in found.events
@@ -120,7 +126,7 @@
         """Return where nodes gossip; raise PlatformError."""
         reply = await self._call('GET', NODES_KIND, {'stale_ok': 1}, TIMEOUT_S)
         found = []
-        for item in _decode(reply, _Listing).items:
+        for item in self._decode(reply, _Listing).items:
             try:
                 spec = msgspec.json.decode(item.spec, type=_NodeSpec)
             except msgspec.DecodeError as exc:
@@ -158,6 +164,24 @@
             )
         return reply
 
+    def _decode(self, reply: Reply, kind):
+        if reply.status != 200:
+            raise PlatformError(
+                f'the store answered {reply.status}; check its address'
+            )
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except msgspec.DecodeError as exc:
+            raise self._unreadable(f'what is not readable ({exc})') from exc
+
+    def _unreadable(self, problem: str) -> PlatformUnavailableError:
+        # It may be the late answer of another call, and so would all be that
+        # come after it on this connection.
+        self._caller.close()
+        return PlatformUnavailableError(
+            f'the store sent {problem}; it is called again soon'
+        )
+
 
 def _stored(kind: str, found: _Object, deleted: bool = False) -> StoredObject:
     return StoredObject(
@@ -169,20 +193,6 @@
     )
 
 
-def _decode(reply: Reply, kind):
-    if reply.status != 200:
-        raise PlatformError(
-            f'the store answered {reply.status}; check its address'
-        )
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise PlatformUnavailableError(
-            f'the store sent what is not readable ({exc}); '
-            'it is called again soon'
-        ) from exc
-
-
 def _retry_after_s(reply: Reply) -> float:
     for name, value in reply.headers:
         if name.lower() == b'retry-after':
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -12,6 +12,7 @@
 
 from .. import logs
 from .attempts import End
+from .byte_limits import part_limits
 from .crashes import Identity
 from .delegate_client import Envelope
 from .delegate_client import METHOD
@@ -72,6 +73,7 @@
             True,
             False,
             judges_silence=False,
+            limits=part_limits(ask.top_k),
         )
         exchanges = [
             (
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .. import logs
 from ..metrics import Metrics
 from ..types import Clock
 from ..types import Outcome
@@ -15,6 +16,9 @@
 from ..types import TargetId
 from .attempts import End
 from .attempts import View
+from .byte_limits import Excess
+from .byte_limits import MessageLimits
+from .byte_limits import REPLY_LIMITS
 from .choice import SILENT_AFTER_S
 from .crashes import Crashes
 from .crashes import Identity
@@ -72,6 +76,7 @@
     runs_once: bool
     on_trial: bool = False
     judges_silence: bool = True
+    limits: MessageLimits = REPLY_LIMITS
 
 
 class Result(msgspec.Struct):
@@ -157,15 +162,21 @@
             functools.partial(self._ended, token),
             self._is_own,
             sub.method == b'HEAD',
+            sub.limits,
         )
 
     def _is_own(self, reply: Reply) -> bool:
         self._told = self._tools.wire.read_reply(reply)
         told_id = self._told.request_id
-        return told_id is None or told_id == self._sub.request_id
+        conn = typing.cast(TargetConnection, self._conn)
+        if told_id is None:
+            # It may be a copy of an earlier reply that has lost its id.
+            return not conn.names_requests
+        conn.names_requests = True
+        return told_id == self._sub.request_id
 
     def _ended(self, token, what: Reply | Broken) -> None:
-        self._conn = None
+        conn, self._conn = self._conn, None
         tools = self._tools
         now = tools.clock()
         if isinstance(what, Reply):
@@ -181,6 +192,8 @@
                 tools.on_leaving(self._target_id, Source.ANSWER)
         else:
             tools.metrics.count('target_breaks', what.value)
+            if what in _CUT and conn is not None:
+                self._note_cut(conn, what)
             outcome, end = _BREAKS[what]
             if what is Broken.ABANDONED and now >= self._sub.deadline_at:
                 outcome = Outcome.TIMEOUT
@@ -193,6 +206,18 @@
             tools.crashes.survived(self._sub.identity, self._service(), now)
         self._on_result(result)
 
+    def _note_cut(self, conn: TargetConnection, what: Broken) -> None:
+        excess = Excess.NODE if conn.excess is None else conn.excess
+        self._tools.metrics.count('messages_cut', excess.value)
+        logs.change(
+            'target_cut',
+            request=self._sub.request_id,
+            target=self._target_id,
+            how=what.value,
+            bound=excess.value,
+            received=conn.received,
+        )
+
     def _service(self) -> ServiceName:
         target = self._tools.view.targets.get(self._target_id)
         return target.service if target is not None else ServiceName('')
@@ -252,11 +277,13 @@
     return status < 500 and status not in (408, 421, 429)
 
 
+_CUT = (Broken.TOO_LARGE, Broken.NO_MEMORY)
 _BREAKS = {
     Broken.NOT_SENT: (Outcome.CONNECT_FAILED, End.NOT_SENT),
     Broken.RESET: (Outcome.BROKEN, End.BROKEN),
     Broken.CLOSED: (Outcome.BROKEN, End.BROKEN),
     Broken.NOT_HTTP: (Outcome.BROKEN, End.FAILED),
-    Broken.TOO_LARGE: (Outcome.ERROR, End.FAILED),
+    Broken.TOO_LARGE: (Outcome.BROKEN, End.FAILED),
+    Broken.NO_MEMORY: (Outcome.CANCELLED, End.FAILED),
     Broken.ABANDONED: (Outcome.CANCELLED, End.FAILED),
 }
--- a/sesameward/serving/http_caller.py
+++ b/sesameward/serving/http_caller.py
@@ -6,6 +6,9 @@
 import functools
 
 from ..exceptions import PlatformUnavailableError
+from .byte_limits import Ledger
+from .byte_limits import MessageLimits
+from .byte_limits import REPLY_LIMITS
 from .target_connection import Broken
 from .target_connection import Reply
 from .target_connection import TargetConnection
@@ -17,9 +20,17 @@
 class HttpCaller:
     """Send requests to one address, each once."""
 
-    def __init__(self, host: str, port: int):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limits: MessageLimits = REPLY_LIMITS,
+        ledger: Ledger | None = None,
+    ):
         self._host = host
         self._port = port
+        self._limits = limits
+        self._ledger = ledger or Ledger()
         self._idle: list[TargetConnection] = []
 
     async def call(self, data: bytes, timeout_s: float) -> Reply:
@@ -30,7 +41,12 @@
         try:
             async with asyncio.timeout(timeout_s):
                 conn = self._take() or await self._connect()
-                conn.send(data, functools.partial(_settle, done), _is_own)
+                conn.send(
+                    data,
+                    functools.partial(_settle, done),
+                    _is_own,
+                    limits=self._limits,
+                )
                 what = await done
         except (OSError, TimeoutError) as exc:
             raise self._unavailable(type(exc).__name__) from exc
@@ -47,7 +63,7 @@
         return what
 
     def close(self) -> None:
-        """Close the kept connections."""
+        """Close the kept connections; later calls open others."""
         for conn in self._idle:
             conn.close()
         self._idle.clear()
@@ -63,7 +79,7 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, conn = await loop.create_connection(
-                lambda: TargetConnection(lambda _: None),
+                lambda: TargetConnection(lambda _: None, self._ledger),
                 self._host,
                 self._port,
             )
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -15,6 +15,11 @@
 from . import listening
 from ..metrics import Metrics
 from ..settings import Endpoint
+from .byte_limits import Excess
+from .byte_limits import FIRST_LINE_BYTES
+from .byte_limits import Ledger
+from .byte_limits import MessageLimits
+from .byte_limits import MessageMeter
 from .routes import CallerLimits
 from .target_connection import bound_silence
 from .target_connection import Headers
@@ -25,6 +30,10 @@
 USER_TIMEOUT_S = 10.0
 # How often connections over their limits of time are looked for.
 SWEEP_S = 0.5
+# A caller takes at least this much of an answer that waits for it, or is
+# disconnected: 1 KB a second, over ten seconds.
+DRAIN_S = 10.0
+MIN_DRAIN_BYTES = 10 * 1024
 
 _REASONS = {
     100: b'Continue',
@@ -118,6 +127,13 @@
         self._closing = False
         self.last_at = server.now()
         self._begun_at: float | None = None
+        self._has_head = False
+        self._meter = MessageMeter(server.ledger, self._cut)
+        # Whole requests without an answer, and an answer not taken yet.
+        self._stored = MessageMeter(server.ledger, self._cut)
+        self._unsent = MessageMeter(server.ledger, self._cut)
+        self._unread = 0
+        self._unread_at: float | None = None
         self._reset()
 
     # Transport.
@@ -126,6 +142,8 @@
         """Register with the server."""
         self._transport = typing.cast(asyncio.Transport, transport)
         bound_silence(transport.get_extra_info('socket'), USER_TIMEOUT_S)
+        # Any byte that the caller has not taken keeps back its next answer.
+        self._transport.set_write_buffer_limits(high=0)
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -134,6 +152,9 @@
             return
         if self._begun_at is None:
             self._begun_at = self._server.now()
+        self._meter.take(len(data))
+        if self._transport is None or self._transport.is_closing():
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -141,6 +162,7 @@
             self._keep = False
         except httptools.HttpParserError:
             self._set_fault(_Fault.BAD_REQUEST)
+        self._check_bounds()
         if len(self._ready) >= MAX_PIPELINED and self._transport is not None:
             self._transport.pause_reading()
         self._serve_next()
@@ -153,11 +175,49 @@
         """Tell the request in progress that its caller has gone."""
         self._transport = None
         self._server.connections.discard(self)
+        self._meter.end()
+        self._stored.end()
+        self._unsent.end()
         self._ready.clear()
         if self._current is not None:
             current, self._current = self._current, None
             current.gone()
 
+    def pause_writing(self) -> None:
+        """Keep back further answers; the caller has not taken the last."""
+        self._unread = self._transport.get_write_buffer_size()
+        self._unread_at = self._server.now()
+        self._unsent.take(self._unread)
+
+    def resume_writing(self) -> None:
+        """Go on once all answers have been taken."""
+        self._unread_at = None
+        self._unsent.end()
+        self._serve_next()
+
+    def _check_bounds(self) -> None:
+        limits = self._server.limits
+        self._meter.limits = MessageLimits(
+            limits.max_header_bytes + FIRST_LINE_BYTES, limits.max_body_bytes
+        )
+        match self._meter.excess(self._has_head):
+            case None:
+                return
+            case Excess.HEAD:
+                self._set_fault(_Fault.HEADER_TOO_LARGE)
+            case Excess.BODY:
+                self._set_fault(_Fault.BODY_TOO_LARGE)
+            case _:
+                self._set_fault(_Fault.BAD_REQUEST)
+
+    def _cut(self) -> None:
+        """Break the connection since all messages hold too many bytes."""
+        self._server.metrics.count('messages_cut', 'caller')
+        logs.change('caller_cut', unread=self._unread)
+        self._body.clear()
+        self._ready.clear()
+        self.abort()
+
     # httptools' callbacks.
 
     def _reset(self) -> None:
@@ -165,9 +225,9 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._header_bytes = 0
-        self._body_bytes = 0
         self._host: bytes | None = None
         self._is_odd = False
+        self._has_head = False
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -191,6 +251,7 @@
 
     def on_headers_complete(self) -> None:
         """Check what the parser leaves to the application."""
+        self._has_head = True
         if not self._target.startswith(b'/') or not self._host:
             self._is_odd = True
         if self._is_odd:
@@ -198,8 +259,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body up to its limit."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits.max_body_bytes:
+        self._meter.body += len(body)
+        if self._meter.body > self._server.limits.max_body_bytes:
             self._set_fault(_Fault.BODY_TOO_LARGE)
         else:
             self._body.append(body)
@@ -207,6 +268,9 @@
     def on_message_complete(self) -> None:
         """Queue a whole request."""
         self._begun_at = None
+        self._stored.take(self._header_bytes + self._meter.body)
+        self._meter.end()
+        self._has_head = False
         if self._fault is not None:
             return
         path, _, query = self._target.partition(b'?')
@@ -244,6 +308,8 @@
     def _serve_next(self) -> None:
         if self._current is not None or self._transport is None:
             return
+        if self._unread_at is not None:
+            return
         if self._ready and not self._closing:
             req, keep = self._ready.popleft()
             self._keep = keep and self._keep
@@ -261,6 +327,8 @@
         self._current = None
         self._write(answer)
         if self._transport is not None and not self._closing:
+            if not self._ready:
+                self._stored.end()
             self._transport.resume_reading()
             self._serve_next()
 
@@ -279,8 +347,13 @@
             transport.close()
 
     def sweep(self, now: float) -> None:
-        """Close what is idle or sends its request too slowly."""
-        if self._current is not None or self._transport is None:
+        """Close what is idle, or sends or takes its bytes too slowly."""
+        if self._transport is None:
+            return
+        if self._unread_at is not None:
+            self._check_reader(self._transport, now)
+            return
+        if self._current is not None:
             return
         limits = self._server.limits
         if self._begun_at is not None:
@@ -291,10 +364,23 @@
             self._closing = True
             self._transport.close()
 
+    def _check_reader(self, transport: asyncio.Transport, now: float) -> None:
+        if now - typing.cast(float, self._unread_at) < DRAIN_S:
+            return
+        unread = transport.get_write_buffer_size()
+        if self._unread - unread < MIN_DRAIN_BYTES:
+            self._server.metrics.count('callers_disconnected', 'slow_reader')
+            logs.change('caller_reads_slowly', unread=unread)
+            transport.abort()
+            return
+        self._unread, self._unread_at = unread, now
+
     def close_if_idle(self) -> bool:
         """Close between requests; tell whether nothing is in progress."""
         if self._current is not None or self._ready:
             return False
+        if self._unread_at is not None:
+            return False
         if self._transport is not None and self._begun_at is None:
             self._closing = True
             self._transport.close()
@@ -336,10 +422,12 @@
         handle: Handle,
         metrics: Metrics,
         now: typing.Callable[[], float],
+        ledger: Ledger | None = None,
     ):
         self.metrics = metrics
         self.now = now
         self.limits = CallerLimits()
+        self.ledger = ledger or Ledger()
         self.leaving = False
         self.connections: set[CallerConnection] = set()
         self._handle = handle
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -31,6 +31,8 @@
 from .beliefs import Beliefs
 from .beliefs import Decoder
 from .budget_window import BudgetWindow
+from .byte_limits import Ledger
+from .byte_limits import MESSAGE_PART
 from .choice import Choice
 from .crashes import Crashes
 from .delegate_client import DelegateClient
@@ -130,8 +132,14 @@
             cfg.bounds.retry_window_s,
             now,
         )
+        self._ledger = Ledger(int(cfg.memory_bytes * MESSAGE_PART))
+        self.metrics.gauge('message_bytes', lambda: float(self._ledger.held))
         self.pools = Pools(
-            self.metrics, self._rng, self._clock, self._on_unreachable
+            self.metrics,
+            self._rng,
+            self._clock,
+            self._on_unreachable,
+            self._ledger,
         )
         splits = Splits()
         self.beliefs = Beliefs(
@@ -242,7 +250,7 @@
     def _server(
         self, handle: typing.Callable[[Request, Responder], None]
     ) -> HttpServer:
-        return HttpServer(handle, self.metrics, self._clock)
+        return HttpServer(handle, self.metrics, self._clock, self._ledger)
 
     # Life.
 
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -14,6 +14,7 @@
 from ..types import Clock
 from ..types import TargetId
 from ..types import ZoneName
+from .byte_limits import Ledger
 from .target_connection import TargetConnection
 from .targets import Target
 
@@ -76,7 +77,9 @@
         rng: random.Random,
         clock: Clock,
         on_unreachable: typing.Callable[[TargetId], None],
+        ledger: Ledger | None = None,
     ):
+        self._ledger = ledger or Ledger()
         self._metrics = metrics
         self._clock = clock
         self._on_unreachable = on_unreachable
@@ -224,7 +227,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, conn = await loop.create_connection(
                     lambda: TargetConnection(
-                        lambda conn: self._freed(pool, conn)
+                        lambda conn: self._freed(pool, conn), self._ledger
                     ),
                     target.host,
                     target.port,
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -11,6 +11,9 @@
 from .attempts import End
 from .attempts import Send
 from .attempts import Why
+from .byte_limits import MessageLimits
+from .byte_limits import part_limits
+from .byte_limits import REPLY_LIMITS
 from .crashes import Identity
 from .deps import Deps
 from .exchange import Exchange
@@ -78,6 +81,7 @@
             isinstance(route.destination, Shards),
             route.repeat is Repeat.ONCE,
             arrival.on_trial,
+            limits=_reply_limits(route),
         )
         self._responder.on_gone = self._on_gone
 
@@ -203,6 +207,14 @@
         self._live.clear()
 
 
+def _reply_limits(route: Route) -> MessageLimits:
+    match route.destination:
+        case Shards(top_k=top_k):
+            return part_limits(top_k)
+        case _:
+            return REPLY_LIMITS
+
+
 def identity_of(req: Request) -> Identity:
     """Return what equal requests have in common."""
     subject = b'%s %s%s' % (req.method, req.host.encode(), req.target)
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
 from ..settings import Endpoint
@@ -28,11 +30,16 @@
     address_ttl_s: Seconds = 5.0
 
 
+# A process takes some 40 MB without any message.
+MemoryBytes = typing.Annotated[int, msgspec.Meta(ge=64_000_000)]
+
+
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Hold the settings of one node.
 
     gossip is bound for UDP; at peer_port of the same host the node answers
-    the calls of other nodes.
+    the calls of other nodes. memory_bytes is what the VM allows a process;
+    messages may take a part of it.
     """
 
     node: NodeId
@@ -48,3 +55,4 @@
     seeds: tuple[Endpoint, ...] = ()
     bounds: Bounds = Bounds()
     seed: int | None = None
+    memory_bytes: MemoryBytes = 300_000_000
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -14,8 +14,15 @@
 import httptools
 import msgspec
 
-MAX_REPLY_BYTES = 16 * 1024 * 1024
+from .byte_limits import Excess
+from .byte_limits import Ledger
+from .byte_limits import MessageLimits
+from .byte_limits import MessageMeter
+from .byte_limits import REPLY_LIMITS
+
 MAX_HEADERS = 200
+# Answers to earlier requests that may come before the awaited one.
+MAX_FOREIGN_REPLIES = 3
 # Unacknowledged bytes break a connection after this time; a target answers
 # within milliseconds, and a dark one must not hold requests.
 USER_TIMEOUT_S = 2.0
@@ -32,6 +39,7 @@
     CLOSED = 'closed'
     NOT_HTTP = 'not_http'
     TOO_LARGE = 'too_large'
+    NO_MEMORY = 'no_memory'
     ABANDONED = 'abandoned'
 
 
@@ -52,11 +60,23 @@
 class TargetConnection(asyncio.Protocol):
     """Carry requests to one target, one at a time."""
 
-    def __init__(self, on_free: typing.Callable[[TargetConnection], None]):
+    def __init__(
+        self,
+        on_free: typing.Callable[[TargetConnection], None],
+        ledger: Ledger | None = None,
+    ):
         self.used_at = 0.0
+        # What the last exchange broke, where it ended as TOO_LARGE.
+        self.excess: Excess | None = None
+        # Bytes of the last exchange that failed.
+        self.received = 0
+        # Whether the target names the request in its replies.
+        self.names_requests = False
         self.idle_limit_s: float | None = None
         self.foreign_replies = 0
         self._on_free = on_free
+        self._meter = MessageMeter(ledger or Ledger(), self._cut)
+        self._foreign_now = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._on_end: OnEnd | None = None
@@ -67,7 +87,6 @@
         self._reason = b''
         self._headers: Headers = []
         self._body: list[bytes] = []
-        self._size = 0
         self._has_head = False
         self._done: Reply | None = None
         self._is_framed = False
@@ -86,6 +105,7 @@
         on_end: OnEnd,
         is_own: IsOwn,
         no_body: bool = False,
+        limits: MessageLimits = REPLY_LIMITS,
     ) -> None:
         """Send a request; on_end is called once, maybe at once."""
         transport = self._transport
@@ -95,6 +115,9 @@
         self._on_end = on_end
         self._is_own = is_own
         self._no_body = no_body
+        self._foreign_now = 0
+        self._has_head = False
+        self._meter.begin(limits)
         transport.write(data)
 
     def release(self) -> None:
@@ -127,6 +150,10 @@
             self.foreign_replies += 1
             self._fail(Broken.NOT_HTTP)
             return
+        meter = self._meter
+        meter.take(len(data))
+        if self._on_end is None:
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -137,6 +164,25 @@
         # ends only here, when all of them have been seen.
         if self._done is not None:
             self._end(self._done)
+        elif meter.received > meter.limits.head_bytes or self._foreign_now:
+            self._check_bounds()
+
+    def _check_bounds(self) -> None:
+        if self._on_end is None:
+            return
+        if self._foreign_now > MAX_FOREIGN_REPLIES:
+            self._fail(Broken.NOT_HTTP)
+            return
+        excess = self._meter.excess(self._has_head)
+        if excess is not None:
+            self.excess = excess
+            self._fail(Broken.TOO_LARGE)
+
+    def _cut(self) -> None:
+        """End the exchange since all messages hold too many bytes."""
+        self._body.clear()
+        self._headers.clear()
+        self._fail(Broken.NO_MEMORY)
 
     def eof_received(self) -> bool:
         """End an answer that only the connection's end delimits."""
@@ -162,7 +208,6 @@
             self._usable = False
         self._headers = []
         self._body = []
-        self._size = 0
         self._reason = b''
         self._has_head = False
         self._is_framed = False
@@ -197,10 +242,7 @@
     def on_body(self, body: bytes) -> None:
         """Collect the body."""
         self._body.append(body)
-        self._size += len(body)
-        if self._size > MAX_REPLY_BYTES:
-            self._usable = False
-            self._fail(Broken.TOO_LARGE)
+        self._meter.body += len(body)
 
     def on_message_complete(self) -> None:
         """End the exchange if the answer is the awaited one."""
@@ -216,7 +258,9 @@
         if not self._is_own(reply):
             # It answers an earlier request; ours is still to come.
             self.foreign_replies += 1
+            self._foreign_now += 1
             self._usable = False
+            self._meter.restart()
             return
         self._done = reply
         transport = self._transport
@@ -230,6 +274,7 @@
         on_end, self._on_end = self._on_end, None
         self._is_own = None
         self._done = None
+        self._meter.end()
         if on_end is None:
             return
         if not self._usable and self._transport is not None:
@@ -240,6 +285,8 @@
     def _fail(self, how: Broken) -> None:
         self._usable = False
         on_end, self._on_end = self._on_end, None
+        self.received = self._meter.received
+        self._meter.end()
         if self._transport is not None:
             self._transport.abort()
         if on_end is not None:
--- /dev/null
+++ b/tests/test_byte_limits.py
@@ -0,0 +1,113 @@
+"""Bound what targets and callers make a node hold, without a network.
+
+Load pattern: bytes that are no message, without end, on one connection or on
+many at once.
+"""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from sesameward.serving.byte_limits import Excess
+from sesameward.serving.byte_limits import Ledger
+from sesameward.serving.byte_limits import MAX_REPLY_BYTES
+from sesameward.serving.byte_limits import MessageLimits
+from sesameward.serving.byte_limits import MessageMeter
+from sesameward.serving.byte_limits import MIN_CUT_BYTES
+from sesameward.serving.byte_limits import part_limits
+
+LIMITS = MessageLimits(head_bytes=1_000, body_bytes=5_000)
+LARGE = 2 * MIN_CUT_BYTES
+
+
+@pytest.fixture
+def ledger():
+    return Ledger(10 * LARGE)
+
+
+@pytest.fixture
+def add(ledger):
+    """Add a message of a size; note its name when it is cut."""
+    meters, cut = {}, []
+
+    def run(name, size):
+        if name not in meters:
+            meters[name] = MessageMeter(
+                ledger, lambda: cut.append(name), LIMITS
+            )
+        meters[name].take(size)
+        return meters[name]
+
+    run.cut = cut
+    return run
+
+
+def test_head_ends_at_its_bound(add):
+    meter = add('a', 1_000)
+    assert meter.excess(False) is None
+    meter.take(1)
+    assert meter.excess(False) is Excess.HEAD
+
+
+def test_framing_ends_at_the_heads_bound(add):
+    meter = add('a', 1_000)
+    meter.take(1)
+    assert meter.excess(True) is Excess.FRAMING
+
+
+def test_chunks_of_one_byte_are_no_excess(add):
+    meter = add('a', 200)
+    for _ in range(5_000):
+        meter.take(6)
+        meter.body += 1
+        assert meter.excess(True) is None
+
+
+def test_body_ends_at_its_bound(add):
+    meter = add('a', 5_002)
+    meter.body += 5_000
+    assert meter.excess(True) is None
+    meter.body += 1
+    assert meter.excess(True) is Excess.BODY
+
+
+def test_part_is_bounded_by_the_records_that_can_matter():
+    assert part_limits(50).body_bytes == 64 * 1024
+    assert part_limits(1_000).body_bytes == 32 * 1_000 * 16
+    assert part_limits(10**9).body_bytes == MAX_REPLY_BYTES
+
+
+def test_largest_of_the_newest_half_is_cut(add, ledger):
+    for name, size in [('old', 5), ('older', 2), ('new', 2), ('newer', 1)]:
+        add(name, size * LARGE)
+    assert add.cut == []
+    add('newest', LARGE)
+    assert add.cut == ['new']
+    assert ledger.held == 9 * LARGE
+
+
+def test_small_messages_are_neither_held_nor_cut(add, ledger):
+    for number in range(100):
+        add(number, MIN_CUT_BYTES - 1)
+    assert (ledger.held, add.cut) == (0, [])
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.integers(0, 9), st.integers(0, 4 * LARGE), st.booleans()),
+        max_size=60,
+    )
+)
+def test_bound_holds_and_nothing_is_lost_from_the_count(steps):
+    ledger = Ledger(10 * LARGE)
+    meters = [MessageMeter(ledger, lambda: None, LIMITS) for _ in range(10)]
+    for index, size, ends in steps:
+        meters[index].take(size)
+        if ends:
+            meters[index].end()
+        large = [m for m in meters if m.received >= MIN_CUT_BYTES]
+        assert ledger.held == sum(meter.received for meter in large)
+        assert ledger.held <= 10 * LARGE
+    for meter in meters:
+        meter.end()
+    assert ledger.held == 0
