End the trial of an asker that the grant did not reach in time

Cause: the home of a fingerprint answered an admission after the 100 ms for it; the asker decided by itself, and the trial that the home had granted stayed out for its 5 s, since an end is told to the home that is thought to be up, another one by then. An equal request waited for it beyond its deadline of 2 s.

Ruled out: a longer time for the home (requests would wait for a dead one).

--- a/sesameward/controllers/homes.py
+++ b/sesameward/controllers/homes.py
@@ -5,6 +5,8 @@
 import asyncio
 import typing
 
+import msgspec
+
 from .. import logs
 from ..exceptions import PeerUnavailableError
 from ..messages import Address
@@ -14,6 +16,7 @@
 from ..quarantine import home
 from ..trials import AdmitRequest
 from ..trials import Event
+from ..trials import EventKind
 from ..trials import TrialClient
 from ..types import Clock
 from ..types import Fingerprint
@@ -62,11 +65,34 @@
 
     async def admit(self, req: AdmitRequest) -> Admission | None:
         """Return the home's decision; None leaves it to this entry."""
+        req = msgspec.structs.replace(req, asker=self._own)
         return await self._ask(
-            req.fp,
-            lambda address: self._client.admit(address, req, HOME_TIMEOUT_S),
+            req.fp, lambda address: self._admit(address, req)
         )
 
+    async def _admit(self, address: Address, req: AdmitRequest) -> Admission:
+        try:
+            return await self._client.admit(address, req, HOME_TIMEOUT_S)
+        except PeerUnavailableError:
+            self.run(self._withdraw(address, req))
+            raise
+
+    async def _withdraw(self, address: Address, req: AdmitRequest) -> None:
+        """End the trial that a home may have granted after the time for it.
+
+        Equal requests would wait for it, and nobody here will end it.
+        """
+        event = Event(EventKind.ENDED, req.fp, asker=req.asker)
+        try:
+            await self._client.report(address, event, TELL_TIMEOUT_S)
+            self._metrics.count('trials_withdrawn')
+        except PeerUnavailableError as exc:
+            # Such a trial ends after the time for trials.
+            self._metrics.count('trials_withdrawn', 'unreachable')
+            logs.change(
+                'trial_not_withdrawn', fingerprint=req.fp, error=str(exc)
+            )
+
     async def report(self, event: Event) -> tuple[Rumor, ...] | None:
         """Return the home's verdicts; None leaves it to this entry."""
         return await self._ask(
--- a/sesameward/controllers/suspects.py
+++ b/sesameward/controllers/suspects.py
@@ -28,6 +28,8 @@
 
 # Connections to one target that break within this time broke together.
 SAME_BREAK_S = 0.05
+# Trials end after seconds, so more are hardly out at the same time.
+MAX_GRANTED = 4_096
 
 
 class Suspects:
@@ -50,6 +52,8 @@
         self._breaks: dict[
             TargetId, tuple[float, tuple[Fingerprint, ...]]
         ] = {}
+        # Which entry has the trial of a fingerprint.
+        self._granted: dict[Fingerprint, str] = {}
         self.spread: typing.Callable[[Rumor], None] = lambda _: None
 
     async def admit(self, fp: Fingerprint, until: float) -> Admission:
@@ -117,7 +121,12 @@
 
     def decide(self, req: AdmitRequest) -> Admission:
         """Decide how a request may be sent, if need be on trial."""
-        return self._quarantine.admit(req.fp, self._clock())
+        admission = self._quarantine.admit(req.fp, self._clock())
+        if isinstance(admission, Lead | Canary) and req.asker:
+            self._granted[req.fp] = req.asker
+            while len(self._granted) > MAX_GRANTED:
+                del self._granted[next(iter(self._granted))]
+        return admission
 
     def take(self, event: Event) -> tuple[Rumor, ...]:
         """Take in what became of a request; return the verdicts."""
@@ -132,11 +141,17 @@
                 actions = self._quarantine.succeeded(
                     event.fp, event.target, now
                 )
-            case EventKind.ENDED:
+            case EventKind.ENDED if self._is_granted(event):
                 self._quarantine.ended(event.fp)
+        if self._is_granted(event):
+            self._granted.pop(event.fp, None)
         self._carry_out(actions)
         return tuple(a.rumor for a in actions if isinstance(a, Spread))
 
+    def _is_granted(self, event: Event) -> bool:
+        """Tell whether the trial is the asker's; others end it by a result."""
+        return not event.asker or (self._granted.get(event.fp) == event.asker)
+
     async def _ask(self, req: AdmitRequest) -> Admission:
         decided = self._quarantine.decided(req.fp, self._clock())
         if decided is not None:
--- a/sesameward/trials.py
+++ b/sesameward/trials.py
@@ -32,10 +32,12 @@
 class AdmitRequest(msgspec.Struct, frozen=True):
     """Ask how a request of this fingerprint may be sent.
 
-    Where only suspects matter, any other is allowed without a trial.
+    Where only suspects matter, any other is allowed without a trial. asker
+    names the entry that a trial is granted to.
     """
 
     fp: Fingerprint
+    asker: str = ''
 
 
 class AdmitReply(msgspec.Struct, frozen=True):
@@ -55,7 +57,8 @@
 class Event(msgspec.Struct, frozen=True):
     """Tell the home what became of a request at one target.
 
-    tried says that the target ran it alone, as its trial.
+    tried says that the target ran it alone, as its trial. An end by asker
+    concerns only a trial that was granted to it.
     """
 
     kind: EventKind
@@ -63,6 +66,7 @@
     target: TargetId = TargetId('')
     in_flight: tuple[Fingerprint, ...] = ()
     tried: bool = False
+    asker: str = ''
 
 
 class Verdicts(msgspec.Struct, frozen=True):
