--- a/benchmark/bookings.py
+++ b/benchmark/bookings.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from sesameward import bookings
-from sesameward import claim_gate
-from sesameward import tickets
+from sesameward.bookings import bookings
+from sesameward.bookings import claim_gate
+from sesameward.bookings import tickets
 from sesameward.types import BookingKey
 from sesameward.types import NodeId
 from sesameward.types import RequestId
--- a/benchmark/configuration.py
+++ b/benchmark/configuration.py
@@ -23,11 +23,14 @@
 import msgspec
 
 from sesameward.codec import MsgpackCodec
-from sesameward.config_peers import PULL_TIMEOUT_S
-from sesameward.config_peers import PullClient
-from sesameward.config_peers import PullHandler
+from sesameward.configuration.config_peers import PULL_TIMEOUT_S
+from sesameward.configuration.config_peers import PullClient
+from sesameward.configuration.config_peers import PullHandler
+from sesameward.configuration import declared
+from sesameward.configuration.objects import ObjectBook
+from sesameward.configuration.platform_client import PlatformClient
+from sesameward.configuration.spread import Spread
 from sesameward.controllers.configuration import Configuration
-from sesameward import declared
 from sesameward.exceptions import PeerUnavailableError
 from sesameward.exceptions import PlatformThrottledError
 from sesameward.exceptions import PlatformUnavailableError
@@ -38,11 +41,8 @@
 from sesameward.messages import Rumor
 from sesameward.messages import StoredObject
 from sesameward.metrics import Metrics
-from sesameward.objects import ObjectBook
-from sesameward.platform_client import PlatformClient
 from sesameward.rates import TokenBucket
 from sesameward.settings import PlatformSettings
-from sesameward.spread import Spread
 from sesameward.standin.platform import Platform
 from sesameward.standin.platform import Store
 
--- a/benchmark/membership.py
+++ b/benchmark/membership.py
@@ -14,11 +14,11 @@
 
 from benchmark.virtual import build_members
 from benchmark.virtual import Cluster
+from sesameward.membership.outbox import Lane
+from sesameward.membership.suspicion import Suspicion
+from sesameward.membership.swim import Swim
 from sesameward.messages import Member
-from sesameward.outbox import Lane
 from sesameward.settings import MembershipSettings
-from sesameward.suspicion import Suspicion
-from sesameward.swim import Swim
 from sesameward.types import MemberState
 
 CFG = MembershipSettings(keys=('benchmark',))
--- a/benchmark/quarantine.py
+++ b/benchmark/quarantine.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from sesameward import quarantine
+from sesameward.quarantine import quarantine
 from sesameward.types import Fingerprint
 from sesameward.types import NodeId
 from sesameward.types import TargetId
--- a/benchmark/queues.py
+++ b/benchmark/queues.py
@@ -9,15 +9,15 @@
 import math
 import random
 
-from sesameward.admission import Admission
-from sesameward.admission import Admit
-from sesameward.admission import Refuse
-from sesameward.budget import BudgetBook
-from sesameward import declared
-from sesameward.hedging import HedgePolicy
-from sesameward.latency import LatencyTracker
+from sesameward.configuration import declared
 from sesameward.messages import LoadReport
-from sesameward.replicas import ReplicaChooser
+from sesameward.routing.admission import Admission
+from sesameward.routing.admission import Admit
+from sesameward.routing.admission import Refuse
+from sesameward.routing.budget import BudgetBook
+from sesameward.routing.hedging import HedgePolicy
+from sesameward.routing.latency import LatencyTracker
+from sesameward.routing.replicas import ReplicaChooser
 from sesameward.settings import LimitSettings
 from sesameward.types import Outcome
 from sesameward.types import Priority
--- a/benchmark/virtual.py
+++ b/benchmark/virtual.py
@@ -8,20 +8,20 @@
 import random
 import typing
 
-from sesameward import antientropy
-from sesameward.antientropy import AntiEntropy
-from sesameward import datagrams
-from sesameward.events import Action
-from sesameward.events import Changed
-from sesameward.events import Received
-from sesameward.events import Send
-from sesameward.events import SyncWanted
-from sesameward.events import Tick
+from sesameward.membership import antientropy
+from sesameward.membership.antientropy import AntiEntropy
+from sesameward.membership import datagrams
+from sesameward.membership.events import Action
+from sesameward.membership.events import Changed
+from sesameward.membership.events import Received
+from sesameward.membership.events import Send
+from sesameward.membership.events import SyncWanted
+from sesameward.membership.events import Tick
+from sesameward.membership.roster import Roster
+from sesameward.membership.seals import OVERHEAD_BYTES
+from sesameward.membership.swim import Swim
 from sesameward.messages import Member
-from sesameward.roster import Roster
-from sesameward.seals import OVERHEAD_BYTES
 from sesameward.settings import MembershipSettings
-from sesameward.swim import Swim
 from sesameward.types import NodeId
 from sesameward.types import ZoneName
 
--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -17,14 +17,14 @@
 import tornado.netutil
 import tornado.web
 
-from . import feed
 from . import logs
 from . import settings
-from .admin import DrainRequest
-from .admin import make_app
 from .codec import MsgpackCodec
-from .config_peers import PullClient
-from .config_peers import PullHandler
+from .configuration.config_peers import PullClient
+from .configuration.config_peers import PullHandler
+from .configuration import feed
+from .configuration.platform_client import PlatformClient
+from .configuration.spread import Spread
 from .controllers.configuration import Configuration
 from .controllers.feed_hub import FeedHub
 from .controllers.rollup import Rollup
@@ -33,9 +33,12 @@
 from .exceptions import AdminError
 from .exceptions import RumorTooLargeError
 from .exceptions import SettingsError
-from .gossip import Gossip
-from .homes import bucket_of
-from .homes import Homes
+from .interface.admin import DrainRequest
+from .interface.admin import make_app
+from .membership.gossip import Gossip
+from .membership.peers import PeerClient
+from .membership.peers import PeerHandler
+from .membership.roster import is_live
 from .messages import Address
 from .messages import Addresses
 from .messages import DrainNote
@@ -49,15 +52,12 @@
 from .messages import Urgency
 from .messages import Vm
 from .metrics import Metrics
-from .peers import PeerClient
-from .peers import PeerHandler
-from .platform_client import PlatformClient
 from .rendezvous import pick
-from .roster import is_live
+from .routing.homes import bucket_of
+from .routing.homes import Homes
+from .routing.shares import HolderCount
 from .settings import AgentSettings
 from .settings import Endpoint
-from .shares import HolderCount
-from .spread import Spread
 from .types import MemberState
 from .types import NodeId
 from .types import TargetId
--- a/sesameward/bookings.py
+++ b/sesameward/bookings/bookings.py
@@ -9,17 +9,17 @@
 
 import msgspec
 
-from .messages import BookingBody
-from .messages import BookingResult
-from .types import AttemptId
-from .types import BookingKey
-from .types import NodeId
-from .types import RefusalKind
-from .types import RequestId
-from .types import Revision
-from .types import RunState
-from .types import ServiceName
-from .types import TargetId
+from ..messages import BookingBody
+from ..messages import BookingResult
+from ..types import AttemptId
+from ..types import BookingKey
+from ..types import NodeId
+from ..types import RefusalKind
+from ..types import RequestId
+from ..types import Revision
+from ..types import RunState
+from ..types import ServiceName
+from ..types import TargetId
 
 KIND = 'booking'
 NULL = msgspec.Raw(b'null')
--- a/sesameward/tickets.py
+++ b/sesameward/bookings/tickets.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
+from ..types import BookingKey
+from ..types import NodeId
+from ..types import RunState
 from .bookings import unclaimed_run
-from .types import BookingKey
-from .types import NodeId
-from .types import RunState
 
 PREFIX = 'ticket'
 
--- /dev/null
+++ b/sesameward/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Call targets and agents over HTTP: transfers, target_client, fleet."""
--- a/sesameward/fleet.py
+++ b/sesameward/clients/fleet.py
@@ -10,15 +10,15 @@
 import msgspec
 from tornado import httpclient
 
-from .exceptions import AgentRefusalError
-from .exceptions import PeerUnavailableError
-from .http_client import CurlClient
-from .messages import Member
-from .messages import NodeStatus
-from .types import Clock
-from .types import MemberState
-from .types import NodeId
-from .types import Revision
+from ..exceptions import AgentRefusalError
+from ..exceptions import PeerUnavailableError
+from ..http_client import CurlClient
+from ..messages import Member
+from ..messages import NodeStatus
+from ..types import Clock
+from ..types import MemberState
+from ..types import NodeId
+from ..types import Revision
 
 TIMEOUT_S = 2.0
 POLL_S = 0.2
--- a/sesameward/target_client.py
+++ b/sesameward/clients/target_client.py
@@ -8,22 +8,22 @@
 
 import msgspec
 
-from .declared import Target
-from .messages import ShardQuery
-from .messages import TargetBooking
-from .messages import TargetBookingReply
-from .messages import TargetRefusal
-from .messages import TargetReply
-from .metrics import Metrics
+from ..configuration.declared import Target
+from ..messages import ShardQuery
+from ..messages import TargetBooking
+from ..messages import TargetBookingReply
+from ..messages import TargetRefusal
+from ..messages import TargetReply
+from ..metrics import Metrics
+from ..types import AttemptId
+from ..types import Clock
+from ..types import Outcome
+from ..types import TargetId
 from .transfers import Failure
 from .transfers import Lane
 from .transfers import Response
 from .transfers import Transfer
 from .transfers import Transfers
-from .types import AttemptId
-from .types import Clock
-from .types import Outcome
-from .types import TargetId
 
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -18,9 +18,12 @@
 from returns.result import Result
 import yaml
 
-from . import declared
-from . import operations
-from . import story
+from .clients.fleet import Fleet
+from .clients.fleet import Lag
+from .clients.fleet import NodeView
+from .configuration import declared
+from .configuration import operations
+from .configuration.platform_client import PlatformClient
 from .controllers import rollup
 from .exceptions import AgentRefusalError
 from .exceptions import ConflictError
@@ -30,12 +33,9 @@
 from .exceptions import PlatformError
 from .exceptions import ReferencedError
 from .exceptions import SesamewardError
-from .fleet import Fleet
-from .fleet import Lag
-from .fleet import NodeView
+from .interface import story
 from .messages import StoredObject
 from .metrics import Metrics
-from .platform_client import PlatformClient
 from .serving.http_caller import HttpCaller
 from .settings import PlatformSettings
 from .types import TargetId
--- a/sesameward/config_peers.py
+++ b/sesameward/configuration/config_peers.py
@@ -11,13 +11,13 @@
 from grpclib import server
 import msgspec
 
-from .codec import MsgpackCodec
-from .exceptions import PeerUnavailableError
-from .messages import Delta
-from .messages import Member
-from .messages import Pull
-from .metrics import Metrics
-from .types import NodeId
+from ..codec import MsgpackCodec
+from ..exceptions import PeerUnavailableError
+from ..messages import Delta
+from ..messages import Member
+from ..messages import Pull
+from ..metrics import Metrics
+from ..types import NodeId
 
 PULL_METHOD = '/sesameward.Peer/Pull'
 PULL_TIMEOUT_S = 1.0
--- a/sesameward/declared.py
+++ b/sesameward/configuration/declared.py
@@ -6,14 +6,14 @@
 
 import msgspec
 
-from .exceptions import DeclarationError
-from .types import Generation
-from .types import Priority
-from .types import RecordVersion
-from .types import ServiceName
-from .types import ShardId
-from .types import TargetId
-from .types import ZoneName
+from ..exceptions import DeclarationError
+from ..types import Generation
+from ..types import Priority
+from ..types import RecordVersion
+from ..types import ServiceName
+from ..types import ShardId
+from ..types import TargetId
+from ..types import ZoneName
 
 MAX_OBJECT_BYTES = 900_000
 MAX_DEADLINE_MS = 600_000
--- a/sesameward/feed.py
+++ b/sesameward/configuration/feed.py
@@ -4,15 +4,15 @@
 
 import msgspec
 
-from .messages import Address
-from .messages import Addresses
-from .messages import Rumor
-from .messages import StoredObject
-from .messages import TargetStatus
-from .quarantine import TOPIC as QUARANTINE_TOPIC
-from .settings import Endpoint
-from .types import NodeId
-from .types import Revision
+from ..messages import Address
+from ..messages import Addresses
+from ..messages import Rumor
+from ..messages import StoredObject
+from ..messages import TargetStatus
+from ..quarantine.quarantine import TOPIC as QUARANTINE_TOPIC
+from ..settings import Endpoint
+from ..types import NodeId
+from ..types import Revision
 
 WATCH = '/sesameward.Feed/Watch'
 REPORT = '/sesameward.Feed/Report'
--- a/sesameward/leases.py
+++ b/sesameward/configuration/leases.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from .types import NodeId
-from .types import Revision
+from ..types import NodeId
+from ..types import Revision
 
 
 EMPTY = msgspec.Raw(b'null')
--- a/sesameward/objects.py
+++ b/sesameward/configuration/objects.py
@@ -8,14 +8,14 @@
 import msgspec
 
 from . import declared
-from .exceptions import DeclarationError
-from .messages import Delta
-from .messages import Digest
-from .messages import Rejected
-from .messages import StoredObject
-from .metrics import Metrics
-from .types import Revision
-from .types import ServiceName
+from ..exceptions import DeclarationError
+from ..messages import Delta
+from ..messages import Digest
+from ..messages import Rejected
+from ..messages import StoredObject
+from ..metrics import Metrics
+from ..types import Revision
+from ..types import ServiceName
 
 MAX_TOMBSTONES = 4_096
 CHECKSUM_BYTES = 8
--- a/sesameward/operations.py
+++ b/sesameward/configuration/operations.py
@@ -16,18 +16,18 @@
 import yaml
 
 from . import declared
-from .exceptions import ConflictError
-from .exceptions import DeclarationError
-from .exceptions import PlatformError
-from .exceptions import PlatformThrottledError
-from .exceptions import PlatformUnavailableError
-from .exceptions import ReferencedError
-from .messages import StoredObject
+from ..exceptions import ConflictError
+from ..exceptions import DeclarationError
+from ..exceptions import PlatformError
+from ..exceptions import PlatformThrottledError
+from ..exceptions import PlatformUnavailableError
+from ..exceptions import ReferencedError
+from ..messages import StoredObject
+from ..types import ChangeId
+from ..types import Revision
+from ..types import TargetId
 from .objects import declared_of
 from .platform_client import PlatformClient
-from .types import ChangeId
-from .types import Revision
-from .types import TargetId
 
 Key = tuple[str, str]
 Value = typing.TypeVar('Value')
--- a/sesameward/platform_client.py
+++ b/sesameward/configuration/platform_client.py
@@ -13,26 +13,26 @@
 import pycurl
 from tornado import httpclient
 
-from .exceptions import BudgetSpentError
-from .exceptions import CompactedError
-from .exceptions import ConflictError
-from .exceptions import DeclarationError
-from .exceptions import NotFoundError
-from .exceptions import PlatformError
-from .exceptions import PlatformThrottledError
-from .exceptions import PlatformUnavailableError
-from .exceptions import UnsureWriteError
-from .http_client import CurlClient
-from .messages import Listing
-from .messages import StoredObject
-from .messages import Vm
-from .messages import Written
-from .metrics import Metrics
-from .rates import TokenBucket
-from .settings import PlatformSettings
-from .types import ChangeId
-from .types import Clock
-from .types import Revision
+from ..exceptions import BudgetSpentError
+from ..exceptions import CompactedError
+from ..exceptions import ConflictError
+from ..exceptions import DeclarationError
+from ..exceptions import NotFoundError
+from ..exceptions import PlatformError
+from ..exceptions import PlatformThrottledError
+from ..exceptions import PlatformUnavailableError
+from ..exceptions import UnsureWriteError
+from ..http_client import CurlClient
+from ..messages import Listing
+from ..messages import StoredObject
+from ..messages import Vm
+from ..messages import Written
+from ..metrics import Metrics
+from ..rates import TokenBucket
+from ..settings import PlatformSettings
+from ..types import ChangeId
+from ..types import Clock
+from ..types import Revision
 
 MAX_CLIENTS = 64
 QUEUE_S = 0.25
--- a/sesameward/spread.py
+++ b/sesameward/configuration/spread.py
@@ -5,10 +5,10 @@
 import collections.abc
 import random
 
-from .messages import Member
-from .rendezvous import pick
-from .types import NodeId
-from .types import ZoneName
+from ..messages import Member
+from ..rendezvous import pick
+from ..types import NodeId
+from ..types import ZoneName
 
 FANOUT = 8
 
--- a/sesameward/controllers/agent_link.py
+++ b/sesameward/controllers/agent_link.py
@@ -12,9 +12,9 @@
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
-from .. import feed
 from .. import logs
 from ..codec import MsgpackCodec
+from ..configuration import feed
 from ..messages import Address
 from ..metrics import Metrics
 from ..settings import Endpoint
--- a/sesameward/controllers/catalog.py
+++ b/sesameward/controllers/catalog.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from .. import declared
 from .. import logs
-from ..feed import ConfigUpdate
-from ..objects import declared_of
+from ..configuration import declared
+from ..configuration.feed import ConfigUpdate
+from ..configuration.objects import declared_of
 from ..types import Revision
 from ..types import TargetId
 
--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -7,8 +7,12 @@
 import itertools
 import random
 
-from .. import declared
 from .. import logs
+from ..configuration import declared
+from ..configuration.objects import ObjectBook
+from ..configuration.platform_client import PlatformClient
+from ..configuration.spread import Backoff
+from ..configuration.spread import Spread
 from ..exceptions import CompactedError
 from ..exceptions import PeerUnavailableError
 from ..exceptions import PlatformError
@@ -19,10 +23,6 @@
 from ..messages import StoredObject
 from ..messages import Urgency
 from ..metrics import Metrics
-from ..objects import ObjectBook
-from ..platform_client import PlatformClient
-from ..spread import Backoff
-from ..spread import Spread
 from ..types import NodeId
 from ..types import Revision
 
--- a/sesameward/controllers/feed_hub.py
+++ b/sesameward/controllers/feed_hub.py
@@ -10,8 +10,8 @@
 from grpclib.const import Handler
 from grpclib.server import Stream
 
-from .. import feed
 from .. import logs
+from ..configuration import feed
 from ..messages import Address
 from ..types import Clock
 from ..types import NodeId
--- a/sesameward/controllers/gate.py
+++ b/sesameward/controllers/gate.py
@@ -5,15 +5,15 @@
 import asyncio
 import typing
 
-from ..admission import Action
-from ..admission import Admission
-from ..admission import Admit
-from ..admission import Queue
-from ..admission import Refuse
 from ..exceptions import CallerGoneError
 from ..exceptions import RefusalError
 from ..filters.exchange import Exchange
 from ..metrics import Metrics
+from ..routing.admission import Action
+from ..routing.admission import Admission
+from ..routing.admission import Admit
+from ..routing.admission import Queue
+from ..routing.admission import Refuse
 from ..types import Clock
 from ..types import RefusalKind
 from ..types import RequestId
--- a/sesameward/controllers/nodes.py
+++ b/sesameward/controllers/nodes.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..feed import NodesUpdate
+from ..configuration.feed import NodesUpdate
 from ..messages import Address
 from ..messages import Addresses
 from ..types import NodeId
--- a/sesameward/controllers/rollup.py
+++ b/sesameward/controllers/rollup.py
@@ -12,16 +12,16 @@
 import msgspec
 
 from .. import logs
+from ..configuration.leases import Claim
+from ..configuration.leases import Lease
+from ..configuration.leases import LeaseTimes
+from ..configuration.leases import LeaseValue
+from ..configuration.platform_client import PlatformClient
 from ..exceptions import ConflictError
 from ..exceptions import NotFoundError
 from ..exceptions import PlatformError
-from ..leases import Claim
-from ..leases import Lease
-from ..leases import LeaseTimes
-from ..leases import LeaseValue
 from ..messages import Member
 from ..metrics import Metrics
-from ..platform_client import PlatformClient
 from ..rendezvous import pick
 from ..types import ChangeId
 from ..types import Clock
--- a/sesameward/controllers/routing.py
+++ b/sesameward/controllers/routing.py
@@ -6,13 +6,13 @@
 import typing
 
 from .. import logs
-from ..declared import Service
-from ..declared import Target
+from ..configuration.declared import Service
+from ..configuration.declared import Target
 from ..messages import LoadReport
 from ..messages import TargetStatus
-from ..replicas import ReplicaChooser
-from ..snapshots import pin
-from ..snapshots import Pin
+from ..routing.replicas import ReplicaChooser
+from ..routing.snapshots import pin
+from ..routing.snapshots import Pin
 from ..types import ShardId
 from ..types import Snapshot
 from ..types import TargetId
--- a/sesameward/controllers/target_states.py
+++ b/sesameward/controllers/target_states.py
@@ -11,13 +11,13 @@
 import msgspec
 
 from .. import logs
-from ..declared import Target
+from ..clients.transfers import Lane
+from ..clients.transfers import Response
+from ..clients.transfers import Transfers
+from ..configuration.declared import Target
 from ..messages import LoadReport
 from ..messages import TargetStatus
 from ..metrics import Metrics
-from ..transfers import Lane
-from ..transfers import Response
-from ..transfers import Transfers
 from ..types import TargetId
 
 FAILURES_UNTIL_DEAD = 3
--- a/sesameward/controllers/vm_list.py
+++ b/sesameward/controllers/vm_list.py
@@ -7,10 +7,10 @@
 import typing
 
 from .. import logs
+from ..configuration.platform_client import PlatformClient
 from ..exceptions import PlatformError
 from ..messages import Vm
 from ..metrics import Metrics
-from ..platform_client import PlatformClient
 
 PERIOD_S = 1.5
 # Bounds what a large fleet asks of the platform together.
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -18,15 +18,14 @@
 import tornado.netutil
 import tornado.web
 
-from . import feed
-from . import handlers
 from . import logs
 from . import settings
-from .admission import Admission
-from .bookings import BookingSettings
-from .bookings import Claimer
-from .budget import BudgetBook
+from .bookings.bookings import BookingSettings
+from .bookings.bookings import Claimer
+from .clients.target_client import TargetClient
 from .codec import MsgpackCodec
+from .configuration import feed
+from .configuration.platform_client import PlatformClient
 from .controllers.agent_link import AgentLink
 from .controllers.catalog import Catalog
 from .controllers.freshness import Freshness
@@ -37,7 +36,6 @@
 from .controllers.routing import LEAVING_S
 from .controllers.routing import Routing
 from .controllers.suspects import Suspects
-from .entry_weight import EntryWeight
 from .exceptions import SettingsError
 from .filters.admitting import Admit
 from .filters.answering import Answer
@@ -51,19 +49,21 @@
 from .filters.pinning import PinSnapshot
 from .filters.quarantining import CheckQuarantine
 from .filters.readiness import CheckReady
-from .hedging import HedgePolicy
-from .latency import LatencyTracker
+from .interface import handlers
 from .messages import Address
 from .messages import Rumor
 from .messages import Urgency
 from .metrics import Metrics
-from .platform_client import PlatformClient
-from .quarantine import Quarantine
-from .replicas import ReplicaChooser
+from .quarantine.quarantine import Quarantine
+from .quarantine.trials import TrialClient
+from .quarantine.trials import TrialHandler
+from .routing.admission import Admission
+from .routing.budget import BudgetBook
+from .routing.entry_weight import EntryWeight
+from .routing.hedging import HedgePolicy
+from .routing.latency import LatencyTracker
+from .routing.replicas import ReplicaChooser
 from .settings import EntrySettings
-from .target_client import TargetClient
-from .trials import TrialClient
-from .trials import TrialHandler
 from .types import TargetId
 
 EXIT_USAGE = 2
--- a/sesameward/filters/booking.py
+++ b/sesameward/filters/booking.py
@@ -10,8 +10,11 @@
 
 import msgspec
 
-from .. import bookings
 from .. import logs
+from ..bookings import bookings
+from ..clients.target_client import BookingAnswer
+from ..clients.target_client import TargetClient
+from ..configuration.platform_client import PlatformClient
 from ..controllers.leaving import Leaving
 from ..controllers.nodes import Nodes
 from ..controllers.routing import Routing
@@ -25,12 +28,9 @@
 from ..messages import StoredObject
 from ..messages import TargetBooking
 from ..metrics import Metrics
-from ..platform_client import PlatformClient
-from ..quarantine import Allow
-from ..quarantine import Canary
-from ..quarantine import Lead
-from ..target_client import BookingAnswer
-from ..target_client import TargetClient
+from ..quarantine.quarantine import Allow
+from ..quarantine.quarantine import Canary
+from ..quarantine.quarantine import Lead
 from ..types import AttemptId
 from ..types import ChangeId
 from ..types import Outcome
--- a/sesameward/filters/exchange.py
+++ b/sesameward/filters/exchange.py
@@ -6,14 +6,14 @@
 import dataclasses
 import typing
 
-from ..declared import Service
+from ..configuration.declared import Service
 from ..messages import BookingBody
 from ..messages import BookingResult
 from ..messages import Frame
 from ..messages import QueryBody
-from ..quarantine import Admission
-from ..quarantine import Allow
-from ..snapshots import Pin
+from ..quarantine.quarantine import Admission
+from ..quarantine.quarantine import Allow
+from ..routing.snapshots import Pin
 from ..types import BookingKey
 from ..types import Fingerprint
 from ..types import Priority
--- a/sesameward/filters/parsing.py
+++ b/sesameward/filters/parsing.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from ..configuration.declared import Service
 from ..controllers.catalog import Catalog
-from ..declared import Service
 from ..exceptions import RefusalError
 from ..messages import BookingBody
 from ..messages import QueryBody
--- a/sesameward/filters/pinning.py
+++ b/sesameward/filters/pinning.py
@@ -4,7 +4,7 @@
 
 from ..controllers.routing import Routing
 from ..exceptions import RefusalError
-from ..snapshots import narrow
+from ..routing.snapshots import narrow
 from ..types import RefusalKind
 from .chain import Proceed
 from .exchange import Exchange
--- a/sesameward/filters/quarantining.py
+++ b/sesameward/filters/quarantining.py
@@ -4,10 +4,10 @@
 
 from ..controllers.suspects import Suspects
 from ..exceptions import RefusalError
-from ..quarantine import Canary
-from ..quarantine import fingerprint
-from ..quarantine import Lead
-from ..quarantine import Refuse
+from ..quarantine.quarantine import Canary
+from ..quarantine.quarantine import fingerprint
+from ..quarantine.quarantine import Lead
+from ..quarantine.quarantine import Refuse
 from ..types import RefusalKind
 from .chain import Proceed
 from .exchange import Exchange
--- a/sesameward/admin.py
+++ b/sesameward/interface/admin.py
@@ -7,13 +7,13 @@
 import msgspec
 import tornado.web
 
-from .exceptions import SesamewardError
-from .messages import Member
-from .messages import NodeStatus
-from .messages import TargetStatus
-from .metrics import Metrics
-from .types import NodeId
-from .types import TargetId
+from ..exceptions import SesamewardError
+from ..messages import Member
+from ..messages import NodeStatus
+from ..messages import TargetStatus
+from ..metrics import Metrics
+from ..types import NodeId
+from ..types import TargetId
 
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_REQUEST = 400
--- a/sesameward/handlers.py
+++ b/sesameward/interface/handlers.py
@@ -11,25 +11,25 @@
 import tornado.iostream
 import tornado.web
 
-from .bookings import unclaimed_run
-from .controllers.leaving import Leaving
-from .controllers.leaving import Stage
-from .controllers.nodes import Nodes
-from .exceptions import CallerGoneError
-from .exceptions import RefusalError
-from .filters.chain import Proceed
-from .filters.exchange import Exchange
-from .filters.parsing import attempt_number
-from .messages import BookingResult
-from .messages import Frame
-from .messages import Refusal
-from .messages import Rows
-from .metrics import Metrics
-from .settings import LimitSettings
-from .types import RefusalKind
-from .types import RequestId
-from .types import RunState
-from .types import ZoneName
+from ..bookings.bookings import unclaimed_run
+from ..controllers.leaving import Leaving
+from ..controllers.leaving import Stage
+from ..controllers.nodes import Nodes
+from ..exceptions import CallerGoneError
+from ..exceptions import RefusalError
+from ..filters.chain import Proceed
+from ..filters.exchange import Exchange
+from ..filters.parsing import attempt_number
+from ..messages import BookingResult
+from ..messages import Frame
+from ..messages import Refusal
+from ..messages import Rows
+from ..metrics import Metrics
+from ..settings import LimitSettings
+from ..types import RefusalKind
+from ..types import RequestId
+from ..types import RunState
+from ..types import ZoneName
 
 _STATUS = {
     RefusalKind.BAD_REQUEST: 400,
--- a/sesameward/antientropy.py
+++ b/sesameward/membership/antientropy.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from . import datagrams
+from ..messages import Rumor
+from ..types import NodeId
 from .datagrams import Claim
 from .datagrams import introduce
 from .datagrams import Introduction
 from .events import Action
-from .messages import Rumor
 from .swim import Swim
-from .types import NodeId
 
 MAX_CLAIMS = 100
 MAX_INTRODUCTIONS = 150
--- a/sesameward/datagrams.py
+++ b/sesameward/membership/datagrams.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
-from .messages import Address
-from .messages import Member
-from .messages import Rumor
-from .messages import Urgency
-from .types import MemberState
-from .types import NodeId
-from .types import ZoneName
+from ..messages import Address
+from ..messages import Member
+from ..messages import Rumor
+from ..messages import Urgency
+from ..types import MemberState
+from ..types import NodeId
+from ..types import ZoneName
 
 STATES = tuple(MemberState)
 
--- a/sesameward/events.py
+++ b/sesameward/membership/events.py
@@ -4,9 +4,9 @@
 
 import dataclasses
 
+from ..messages import Member
+from ..messages import Rumor
 from .datagrams import Datagram
-from .messages import Member
-from .messages import Rumor
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesameward/gossip.py
+++ b/sesameward/membership/gossip.py
@@ -12,9 +12,18 @@
 
 import msgspec
 
+from .. import logs
 from . import antientropy
 from . import datagrams
-from . import logs
+from ..exceptions import IntegrityError
+from ..exceptions import PeerUnavailableError
+from ..messages import Address
+from ..messages import Member
+from ..messages import Rumor
+from ..metrics import Metrics
+from ..settings import Endpoint
+from ..settings import MembershipSettings
+from ..types import Clock
 from .antientropy import AntiEntropy
 from .datagrams import Datagram
 from .events import Action
@@ -25,17 +34,8 @@
 from .events import Send
 from .events import SyncWanted
 from .events import Tick
-from .exceptions import IntegrityError
-from .exceptions import PeerUnavailableError
-from .messages import Address
-from .messages import Member
-from .messages import Rumor
-from .metrics import Metrics
 from .seals import Seals
-from .settings import Endpoint
-from .settings import MembershipSettings
 from .swim import Swim
-from .types import Clock
 
 JOIN_RETRY_S = 1.0
 REJOIN_S = 30.0
--- a/sesameward/outbox.py
+++ b/sesameward/membership/outbox.py
@@ -4,8 +4,8 @@
 
 import enum
 
+from ..messages import Urgency
 from .datagrams import Update
-from .messages import Urgency
 from .piggyback import Key
 from .piggyback import Piggyback
 from .piggyback import TokenBucket
--- a/sesameward/peers.py
+++ b/sesameward/membership/peers.py
@@ -13,11 +13,11 @@
 from grpclib.server import Stream
 import msgspec
 
-from . import grpc_errors
-from .codec import MsgpackCodec
-from .exceptions import IntegrityError
-from .exceptions import PeerUnavailableError
-from .messages import Member
+from .. import grpc_errors
+from ..codec import MsgpackCodec
+from ..exceptions import IntegrityError
+from ..exceptions import PeerUnavailableError
+from ..messages import Member
 
 SYNC = '/sesameward.Peer/Sync'
 TIMEOUT_S = 2.0
--- a/sesameward/probing.py
+++ b/sesameward/membership/probing.py
@@ -4,7 +4,7 @@
 
 import random
 
-from .types import NodeId
+from ..types import NodeId
 
 MAX_FIXED_ORDER = 4
 
--- a/sesameward/roster.py
+++ b/sesameward/membership/roster.py
@@ -7,10 +7,10 @@
 import typing
 
 from . import datagrams
+from ..messages import Member
+from ..types import MemberState
+from ..types import NodeId
 from .datagrams import rank_of
-from .messages import Member
-from .types import MemberState
-from .types import NodeId
 
 BUCKETS = 256
 BUCKET_BYTES = 8
--- a/sesameward/rumors.py
+++ b/sesameward/membership/rumors.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from .messages import Rumor
+from ..messages import Rumor
 
 MEMORY_S = 60.0
 
--- a/sesameward/seals.py
+++ b/sesameward/membership/seals.py
@@ -7,7 +7,7 @@
 import hmac
 import struct
 
-from .exceptions import IntegrityError
+from ..exceptions import IntegrityError
 
 DIGEST_BYTES = 16
 MAX_AGE_S = 30.0
--- a/sesameward/suspicion.py
+++ b/sesameward/membership/suspicion.py
@@ -5,8 +5,8 @@
 import dataclasses
 import math
 
-from .settings import MembershipSettings
-from .types import NodeId
+from ..settings import MembershipSettings
+from ..types import NodeId
 
 CONFIRMATIONS = 2
 SPREAD_PERIODS = 1.0
--- a/sesameward/swim.py
+++ b/sesameward/membership/swim.py
@@ -12,6 +12,12 @@
 import msgspec
 
 from . import datagrams
+from ..exceptions import RumorTooLargeError
+from ..messages import Member
+from ..messages import Rumor
+from ..settings import MembershipSettings
+from ..types import MemberState
+from ..types import NodeId
 from .datagrams import Ack
 from .datagrams import Body
 from .datagrams import Claim
@@ -34,9 +40,6 @@
 from .events import Send
 from .events import SyncWanted
 from .events import Tick
-from .exceptions import RumorTooLargeError
-from .messages import Member
-from .messages import Rumor
 from .outbox import Lane
 from .outbox import LANE_OF
 from .outbox import Outbox
@@ -46,12 +49,9 @@
 from .roster import Roster
 from .rumors import Rumors
 from .seals import OVERHEAD_BYTES
-from .settings import MembershipSettings
 from .suspicion import confirmations
 from .suspicion import LocalHealth
 from .suspicion import Suspicion
-from .types import MemberState
-from .types import NodeId
 
 HELPERS = 3
 GOSSIP_FANOUT = 2
--- a/sesameward/quarantine.py
+++ b/sesameward/quarantine/quarantine.py
@@ -13,14 +13,14 @@
 
 import msgspec
 
-from .messages import BookingBody
-from .messages import QueryBody
-from .messages import Rumor
-from .messages import Urgency
-from .types import Fingerprint
-from .types import NodeId
-from .types import ServiceName
-from .types import TargetId
+from ..messages import BookingBody
+from ..messages import QueryBody
+from ..messages import Rumor
+from ..messages import Urgency
+from ..types import Fingerprint
+from ..types import NodeId
+from ..types import ServiceName
+from ..types import TargetId
 
 TOPIC = 'quarantine'
 FINGERPRINT_BYTES = 12
--- a/sesameward/trials.py
+++ b/sesameward/quarantine/trials.py
@@ -13,14 +13,14 @@
 from grpclib.server import Stream
 import msgspec
 
-from . import grpc_errors
-from .codec import MsgpackCodec
-from .exceptions import PeerUnavailableError
-from .messages import Address
-from .messages import Rumor
+from .. import grpc_errors
+from ..codec import MsgpackCodec
+from ..exceptions import PeerUnavailableError
+from ..messages import Address
+from ..messages import Rumor
+from ..types import Fingerprint
+from ..types import TargetId
 from .quarantine import Admission
-from .types import Fingerprint
-from .types import TargetId
 
 ADMIT = '/sesameward.Trials/Admit'
 REPORT = '/sesameward.Trials/Report'
--- a/sesameward/admission.py
+++ b/sesameward/routing/admission.py
@@ -7,12 +7,12 @@
 import math
 import random
 
+from ..settings import LimitSettings
+from ..types import Priority
+from ..types import RefusalKind
+from ..types import RequestId
 from .concurrency import ConcurrencyLimit
 from .latency import LatencyWindow
-from .settings import LimitSettings
-from .types import Priority
-from .types import RefusalKind
-from .types import RequestId
 
 FIRST_LATENCY_S = 0.02
 SERVICE_FRACTION = 0.9
--- a/sesameward/budget.py
+++ b/sesameward/routing/budget.py
@@ -4,8 +4,8 @@
 
 import random
 
-from .types import ServiceName
-from .types import TargetId
+from ..types import ServiceName
+from ..types import TargetId
 
 DEFAULT_BURST = 100.0
 TARGET_RATIO_FACTOR = 10.0
--- a/sesameward/estimates.py
+++ b/sesameward/routing/estimates.py
@@ -5,9 +5,9 @@
 import math
 import random
 
-from . import declared
+from ..configuration import declared
+from ..messages import LoadReport
 from .budget import Backoff
-from .messages import LoadReport
 
 FIRST_LATENCY_S = 0.005
 SHORTEST_S = 1e-5
--- a/sesameward/fanout.py
+++ b/sesameward/routing/fanout.py
@@ -9,22 +9,22 @@
 
 import msgspec
 
-from .declared import Shard
+from ..configuration.declared import Shard
+from ..messages import End
+from ..messages import Missing
+from ..messages import Record
+from ..messages import Rows
+from ..messages import TargetReply
+from ..types import AttemptId
+from ..types import MissingReason
+from ..types import Outcome
+from ..types import Priority
+from ..types import RecordVersion
+from ..types import RequestId
+from ..types import ShardId
+from ..types import TargetId
 from .merging import merge
-from .messages import End
-from .messages import Missing
-from .messages import Record
-from .messages import Rows
-from .messages import TargetReply
 from .snapshots import Pin
-from .types import AttemptId
-from .types import MissingReason
-from .types import Outcome
-from .types import Priority
-from .types import RecordVersion
-from .types import RequestId
-from .types import ShardId
-from .types import TargetId
 
 MAX_ATTEMPTS_PER_SHARD = 4
 MAX_HEDGES = 2
--- a/sesameward/hedging.py
+++ b/sesameward/routing/hedging.py
@@ -4,9 +4,9 @@
 
 import math
 
+from ..types import Priority
 from .latency import Key
 from .latency import LatencyTracker
-from .types import Priority
 
 HEDGE_PART = 0.8
 LATER_FRACTION = 0.6
--- a/sesameward/homes.py
+++ b/sesameward/routing/homes.py
@@ -8,9 +8,9 @@
 import collections.abc
 import hashlib
 
-from .types import NodeId
-from .types import TargetId
-from .types import ZoneName
+from ..types import NodeId
+from ..types import TargetId
+from ..types import ZoneName
 
 BUCKETS = 1_024
 BUCKET_BYTES = 4
--- a/sesameward/merging.py
+++ b/sesameward/routing/merging.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from .declared import Shard
-from .messages import Record
-from .types import RecordVersion
+from ..configuration.declared import Shard
+from ..messages import Record
+from ..types import RecordVersion
 
 
 class Merged(msgspec.Struct, frozen=True):
--- a/sesameward/replicas.py
+++ b/sesameward/routing/replicas.py
@@ -6,13 +6,13 @@
 import math
 import random
 
-from . import declared
+from ..configuration import declared
+from ..messages import LoadReport
+from ..types import Outcome
+from ..types import TargetId
+from ..types import ZoneName
 from .estimates import TargetEstimate
 from .estimates import TypicalLatency
-from .messages import LoadReport
-from .types import Outcome
-from .types import TargetId
-from .types import ZoneName
 
 ZONE_COST_S = 0.002
 EJECT_SHARE = 0.5
--- a/sesameward/shares.py
+++ b/sesameward/routing/shares.py
@@ -5,8 +5,8 @@
 import collections.abc
 import random
 
-from .types import NodeId
-from .types import TargetId
+from ..types import NodeId
+from ..types import TargetId
 
 GONE_S = 10.0
 NEVER_LISTED_S = 14_400.0
--- a/sesameward/snapshots.py
+++ b/sesameward/routing/snapshots.py
@@ -6,12 +6,12 @@
 import dataclasses
 import typing
 
-from .declared import Service
-from .declared import Shard
-from .declared import ShardMap
-from .types import ShardId
-from .types import Snapshot
-from .types import TargetId
+from ..configuration.declared import Service
+from ..configuration.declared import Shard
+from ..configuration.declared import ShardMap
+from ..types import ShardId
+from ..types import Snapshot
+from ..types import TargetId
 
 Holdings = typing.Mapping[
     ShardId, typing.Mapping[TargetId, typing.Collection[Snapshot]]
--- a/sesameward/serving/choice.py
+++ b/sesameward/serving/choice.py
@@ -17,9 +17,9 @@
 import random
 import typing
 
-from ..latency import LatencyTracker
 from ..messages import LoadReport
-from ..replicas import ReplicaChooser
+from ..routing.latency import LatencyTracker
+from ..routing.replicas import ReplicaChooser
 from ..types import Outcome
 from ..types import TargetId
 from ..types import ZoneName
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -5,8 +5,8 @@
 import typing
 
 from .. import logs
-from ..quarantine import Canary
-from ..quarantine import Refuse
+from ..quarantine.quarantine import Canary
+from ..quarantine.quarantine import Refuse
 from .deps import add_retry_after
 from .deps import Deps
 from .gather_run import GatherRun
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -16,6 +16,8 @@
 import msgspec
 
 from .. import logs
+from ..configuration.objects import ObjectBook
+from ..configuration.spread import Backoff
 from ..exceptions import CompactedError
 from ..exceptions import PeerUnavailableError
 from ..exceptions import PlatformError
@@ -27,8 +29,6 @@
 from ..messages import StoredObject
 from ..messages import Urgency
 from ..metrics import Metrics
-from ..objects import ObjectBook
-from ..spread import Backoff
 from ..types import Clock
 from ..types import NodeId
 from ..types import Revision
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from .. import logs
+from ..configuration.spread import Backoff
 from . import departures
 from ..exceptions import PlatformError
 from ..exceptions import SettingsError
@@ -21,10 +22,9 @@
 from ..metrics import Metrics
 from . import mirror
 from . import node_status
-from ..quarantine import TOPIC as QUARANTINE_TOPIC
+from ..quarantine.quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from . import silences
-from ..spread import Backoff
 from ..types import NodeId
 from ..types import TargetId
 from .attempts import View
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -10,18 +10,18 @@
 
 from .. import logs
 from ..codec import MsgpackCodec
-from ..config_peers import PullClient
-from ..config_peers import PullHandler
+from ..configuration.config_peers import PullClient
+from ..configuration.config_peers import PullHandler
 from ..exceptions import RumorTooLargeError
-from ..gossip import Gossip
+from ..membership.gossip import Gossip
+from ..membership.peers import PeerClient
+from ..membership.peers import PeerHandler
 from ..messages import Address
 from ..messages import Delta
 from ..messages import Member
 from ..messages import Pull
 from ..messages import Rumor
 from ..metrics import Metrics
-from ..peers import PeerClient
-from ..peers import PeerHandler
 from ..settings import Endpoint
 from ..types import Clock
 from ..types import NodeId
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -10,7 +10,7 @@
 
 from .. import logs
 from ..metrics import Metrics
-from ..shares import WarmPolicy
+from ..routing.shares import WarmPolicy
 from ..types import Clock
 from ..types import TargetId
 from ..types import ZoneName
--- a/sesameward/settings.py
+++ b/sesameward/settings.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from .exceptions import SettingsError
-from .quarantine import QuarantineSettings
+from .quarantine.quarantine import QuarantineSettings
 from .types import NodeId
 from .types import ZoneName
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,9 +10,9 @@
 import hypothesis
 import pytest
 
-from sesameward import declared
+from sesameward.configuration import declared
+from sesameward.configuration.platform_client import PlatformClient
 from sesameward.metrics import Metrics
-from sesameward.platform_client import PlatformClient
 from sesameward.settings import PlatformSettings
 from sesameward.standin.platform import Platform
 from sesameward.types import Generation
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -11,8 +11,8 @@
 
 from sesameward.messages import Rumor
 from sesameward.metrics import Metrics
-from sesameward.quarantine import Canary
-from sesameward.quarantine import Refuse
+from sesameward.quarantine.quarantine import Canary
+from sesameward.quarantine.quarantine import Refuse
 from sesameward.serving.crashes import Crashes
 from sesameward.serving.crashes import Identity
 from sesameward.serving.crashes import Lost
--- a/tests/histories/__main__.py
+++ b/tests/histories/__main__.py
@@ -7,7 +7,7 @@
 
 import defopt
 
-from sesameward import bookings
+from sesameward.bookings import bookings
 
 from . import checks
 from . import records
--- a/tests/histories/mutants.py
+++ b/tests/histories/mutants.py
@@ -9,16 +9,16 @@
 import msgspec
 
 from sesameward import agent
-from sesameward import bookings
+from sesameward.bookings import bookings
+from sesameward.clients import target_client
+from sesameward.configuration import objects
 from sesameward.controllers import routing
 from sesameward import entry
-from sesameward import fanout
 from sesameward.filters import booking
-from sesameward import objects
-from sesameward import replicas
+from sesameward.routing import fanout
+from sesameward.routing import replicas
 from sesameward.standin.processes import Process
 from sesameward.standin.processes import Tier
-from sesameward import target_client
 from sesameward.types import AttemptId
 
 PROGRAMS = {'sesameward.entry': entry.main, 'sesameward.agent': agent.main}
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -12,13 +12,13 @@
 import msgspec
 from returns.result import Success
 
-from sesameward import declared
+from sesameward.configuration import declared
+from sesameward.configuration.operations import Operations
+from sesameward.configuration.operations import Outcome
+from sesameward.configuration.platform_client import PlatformClient
 from sesameward.exceptions import SesamewardError
 from sesameward.messages import Record
 from sesameward.metrics import Metrics
-from sesameward.operations import Operations
-from sesameward.operations import Outcome
-from sesameward.platform_client import PlatformClient
 from sesameward.settings import PlatformSettings
 from sesameward.standin.processes import call
 from sesameward.standin.processes import Process
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 import pytest
 
-from sesameward.admission import Admission
-from sesameward.admission import Admit
-from sesameward.admission import Queue
-from sesameward.admission import Refuse
-from sesameward.concurrency import IDLE_FACTOR
-from sesameward.concurrency import MIN_LIMIT
+from sesameward.routing.admission import Admission
+from sesameward.routing.admission import Admit
+from sesameward.routing.admission import Queue
+from sesameward.routing.admission import Refuse
+from sesameward.routing.concurrency import IDLE_FACTOR
+from sesameward.routing.concurrency import MIN_LIMIT
 from sesameward.settings import LimitSettings
 from sesameward.types import Priority
 from sesameward.types import RefusalKind
--- a/tests/test_answering.py
+++ b/tests/test_answering.py
@@ -5,16 +5,16 @@
 import asyncio
 import time
 
+from sesameward.clients.target_client import QueryResult
 from sesameward.filters import answering
 from sesameward.filters.exchange import Exchange
 from sesameward.messages import QueryBody
 from sesameward.messages import ShardReply
 from sesameward.messages import TargetReply
 from sesameward.metrics import Metrics
-from sesameward.quarantine import Lead
-from sesameward.snapshots import Group
-from sesameward.snapshots import Pin
-from sesameward.target_client import QueryResult
+from sesameward.quarantine.quarantine import Lead
+from sesameward.routing.snapshots import Group
+from sesameward.routing.snapshots import Pin
 from sesameward.types import Fingerprint
 from sesameward.types import Outcome
 from sesameward.types import RecordVersion
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from sesameward import bookings
+from sesameward.bookings import bookings
 from sesameward.messages import BookingBody
 from sesameward.types import AttemptId
 from sesameward.types import BookingKey
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -7,10 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sesameward.budget import Backoff
-from sesameward.budget import BudgetBook
-from sesameward.budget import RetryBudget
-from sesameward.budget import TARGET_BURST
+from sesameward.routing.budget import Backoff
+from sesameward.routing.budget import BudgetBook
+from sesameward.routing.budget import RetryBudget
+from sesameward.routing.budget import TARGET_BURST
 from sesameward.types import ServiceName
 from sesameward.types import TargetId
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameward.estimates import MAX_REST_S
+from sesameward.routing.estimates import MAX_REST_S
 from sesameward.serving.choice import Choice
 from sesameward.serving.choice import SILENT_AFTER_S
 from sesameward.serving.choice import SILENT_FOR_S
--- a/tests/test_claim_gate.py
+++ b/tests/test_claim_gate.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sesameward import claim_gate
+from sesameward.bookings import claim_gate
 
 CFG = claim_gate.ClaimGateSettings(max_claims=10)
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -15,7 +15,7 @@
 import yaml
 
 from sesameward import cmdline
-from sesameward import declared
+from sesameward.configuration import declared
 from sesameward.messages import EntryStatus
 from sesameward.messages import Member
 from sesameward.messages import NodeStatus
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -12,21 +12,21 @@
 import pytest
 
 from sesameward.codec import MsgpackCodec
-from sesameward.config_peers import PullClient
-from sesameward.config_peers import PullHandler
+from sesameward.configuration.config_peers import PullClient
+from sesameward.configuration.config_peers import PullHandler
+from sesameward.configuration import declared
+from sesameward.configuration import objects
+from sesameward.configuration.platform_client import PlatformClient
+from sesameward.configuration.spread import Spread
 from sesameward.controllers import configuration
 from sesameward.controllers.configuration import Configuration
-from sesameward import declared
 from sesameward.exceptions import ConflictError
 from sesameward.exceptions import PlatformThrottledError
 from sesameward.exceptions import UnsureWriteError
 from sesameward.messages import Member
 from sesameward.messages import Rumor
 from sesameward.messages import StoredObject
-from sesameward import objects
-from sesameward.platform_client import PlatformClient
 from sesameward.settings import PlatformSettings
-from sesameward.spread import Spread
 from sesameward.standin.platform import Faults
 
 PROMISE_S = 2.0
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from sesameward.bookings import KIND
-from sesameward.bookings import object_name
+from sesameward.bookings.bookings import KIND
+from sesameward.bookings.bookings import object_name
 from sesameward.standin.processes import call
 from sesameward.standin.processes import Shape
 from sesameward.standin.processes import Tier
--- a/tests/test_declared.py
+++ b/tests/test_declared.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from sesameward import declared
+from sesameward.configuration import declared
 from sesameward.exceptions import DeclarationError
 from sesameward.types import ShardId
 
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -8,19 +8,19 @@
 from hypothesis import strategies as st
 import pytest
 
-from sesameward import declared
-from sesameward.fanout import Cancel
-from sesameward.fanout import Count
-from sesameward.fanout import Emit
-from sesameward.fanout import Fanout
-from sesameward.fanout import FanoutRequest
-from sesameward.fanout import Finish
-from sesameward.fanout import Send
+from sesameward.configuration import declared
 from sesameward.messages import Record
 from sesameward.messages import ShardReply
 from sesameward.messages import TargetReply
-from sesameward.snapshots import Group
-from sesameward.snapshots import Pin
+from sesameward.routing.fanout import Cancel
+from sesameward.routing.fanout import Count
+from sesameward.routing.fanout import Emit
+from sesameward.routing.fanout import Fanout
+from sesameward.routing.fanout import FanoutRequest
+from sesameward.routing.fanout import Finish
+from sesameward.routing.fanout import Send
+from sesameward.routing.snapshots import Group
+from sesameward.routing.snapshots import Pin
 from sesameward.types import AttemptId
 from sesameward.types import MissingReason
 from sesameward.types import Outcome
--- a/tests/test_fanout_trials.py
+++ b/tests/test_fanout_trials.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from sesameward import fanout
 from sesameward.messages import ShardReply
 from sesameward.messages import TargetReply
-from sesameward.snapshots import Group
-from sesameward.snapshots import Pin
+from sesameward.routing import fanout
+from sesameward.routing.snapshots import Group
+from sesameward.routing.snapshots import Pin
 from sesameward.types import MissingReason
 from sesameward.types import Outcome
 from sesameward.types import RecordVersion
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -9,16 +9,16 @@
 
 import pytest
 
-from sesameward import datagrams
-from sesameward.datagrams import Claim
-from sesameward.datagrams import Datagram
-from sesameward.datagrams import Ping
-from sesameward.gossip import Gossip
+from sesameward.membership import datagrams
+from sesameward.membership.datagrams import Claim
+from sesameward.membership.datagrams import Datagram
+from sesameward.membership.datagrams import Ping
+from sesameward.membership.gossip import Gossip
+from sesameward.membership.seals import Seals
 from sesameward.messages import Address
 from sesameward.messages import Member
 from sesameward.messages import Rumor
 from sesameward.metrics import Metrics
-from sesameward.seals import Seals
 from sesameward.settings import AgentSettings
 from sesameward.settings import Endpoint
 from sesameward.settings import MembershipSettings
--- a/tests/test_gossip_shares.py
+++ b/tests/test_gossip_shares.py
@@ -11,9 +11,9 @@
 
 from benchmark.virtual import build_members
 from benchmark.virtual import Cluster
+from sesameward.membership.outbox import BYTES_PER_S
 from sesameward.messages import Rumor
 from sesameward.messages import Urgency
-from sesameward.outbox import BYTES_PER_S
 from sesameward.settings import MembershipSettings
 
 CFG = MembershipSettings(keys=('test',), probes_per_period=2)
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from sesameward.hedging import HedgePolicy
-from sesameward.hedging import MAX_HEDGES
-from sesameward.latency import LatencyTracker
+from sesameward.routing.hedging import HedgePolicy
+from sesameward.routing.hedging import MAX_HEDGES
+from sesameward.routing.latency import LatencyTracker
 from sesameward.types import Priority
 
 RATIO = 0.05
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 import pytest
 
-from sesameward.homes import bucket_of
-from sesameward.homes import BUCKETS
-from sesameward.homes import Homes
+from sesameward.routing.homes import bucket_of
+from sesameward.routing.homes import BUCKETS
+from sesameward.routing.homes import Homes
 
 WANTED = 4
 SAMPLE = range(0, BUCKETS, 37)
--- a/tests/test_latency.py
+++ b/tests/test_latency.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from sesameward.latency import LatencyTracker
-from sesameward.latency import MIN_SAMPLES
+from sesameward.routing.latency import LatencyTracker
+from sesameward.routing.latency import MIN_SAMPLES
 
 
 @pytest.fixture
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from sesameward.leases import Lease
-from sesameward.leases import LeaseTimes
-from sesameward.leases import LeaseValue
+from sesameward.configuration.leases import Lease
+from sesameward.configuration.leases import LeaseTimes
+from sesameward.configuration.leases import LeaseValue
 
 TIMES = LeaseTimes(renew_s=2.0, fence_s=4.0, ttl_s=6.0)
 UNFENCED = LeaseTimes(renew_s=2.0, fence_s=math.inf, ttl_s=6.0)
--- a/tests/test_merging.py
+++ b/tests/test_merging.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 import pytest
 
-from sesameward.declared import Shard
-from sesameward.merging import merge
+from sesameward.configuration.declared import Shard
 from sesameward.messages import Record
+from sesameward.routing.merging import merge
 from sesameward.types import ShardId
 
 COVERED = (1, 2)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -8,13 +8,13 @@
 import msgspec
 import pytest
 
+from sesameward.configuration.feed import NodesUpdate
 from sesameward.controllers.nodes import MAX_ADDRESSES
 from sesameward.controllers.nodes import Nodes
-from sesameward.entry_weight import EntryWeight
-from sesameward.entry_weight import RAISE_AFTER_S
-from sesameward.feed import NodesUpdate
 from sesameward.messages import Address
 from sesameward.messages import Addresses
+from sesameward.routing.entry_weight import EntryWeight
+from sesameward.routing.entry_weight import RAISE_AFTER_S
 
 CALLERS = 200
 ROUNDS = 10
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -10,10 +10,10 @@
 import msgspec
 import pytest
 
-from sesameward import declared
+from sesameward.configuration import declared
+from sesameward.configuration import objects
+from sesameward.configuration.objects import ObjectBook
 from sesameward.messages import StoredObject
-from sesameward import objects
-from sesameward.objects import ObjectBook
 
 NAMES = ('a', 'b', 'c')
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -7,12 +7,12 @@
 from returns.result import Failure
 from returns.result import Success
 
-from sesameward import declared
+from sesameward.configuration import declared
+from sesameward.configuration import operations
+from sesameward.configuration.operations import Operations
 from sesameward.exceptions import ConflictError
 from sesameward.exceptions import DeclarationError
 from sesameward.exceptions import ReferencedError
-from sesameward import operations
-from sesameward.operations import Operations
 from sesameward.standin.platform import Faults
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,15 +11,15 @@
 import pytest
 
 from sesameward.codec import MsgpackCodec
-from sesameward.events import SyncWanted
 from sesameward.exceptions import PeerUnavailableError
-from sesameward.gossip import Gossip
+from sesameward.membership.events import SyncWanted
+from sesameward.membership.gossip import Gossip
+from sesameward.membership.peers import PeerClient
+from sesameward.membership.peers import PeerHandler
+from sesameward.membership.seals import Seals
 from sesameward.messages import Member
 from sesameward.messages import Rumor
 from sesameward.metrics import Metrics
-from sesameward.peers import PeerClient
-from sesameward.peers import PeerHandler
-from sesameward.seals import Seals
 from sesameward.settings import AgentSettings
 from sesameward.settings import Endpoint
 from sesameward.settings import MembershipSettings
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,7 +10,7 @@
 
 from sesameward.messages import BookingBody
 from sesameward.messages import QueryBody
-from sesameward import quarantine
+from sesameward.quarantine import quarantine
 from sesameward.types import Fingerprint
 from sesameward.types import NodeId
 from sesameward.types import ServiceName
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -10,9 +10,9 @@
 import msgspec
 import pytest
 
-from sesameward import declared
+from sesameward.configuration import declared
 from sesameward.messages import LoadReport
-from sesameward.replicas import ReplicaChooser
+from sesameward.routing.replicas import ReplicaChooser
 from sesameward.types import Outcome
 from sesameward.types import ShardId
 from sesameward.types import TargetId
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -5,9 +5,9 @@
 import pytest
 
 from sesameward.metrics import Metrics
-from sesameward.quarantine import Allow
-from sesameward.quarantine import Canary
-from sesameward.quarantine import Refuse
+from sesameward.quarantine.quarantine import Allow
+from sesameward.quarantine.quarantine import Canary
+from sesameward.quarantine.quarantine import Refuse
 from sesameward.serving.crashes import Crashes
 from sesameward.serving.crashes import Identity
 from sesameward.serving.crashes import Lost
--- a/tests/test_rollup.py
+++ b/tests/test_rollup.py
@@ -8,12 +8,12 @@
 import msgspec
 import pytest
 
+from sesameward.configuration.leases import LeaseValue
 from sesameward.controllers.rollup import FleetSummary
 from sesameward.controllers.rollup import KIND
 from sesameward.controllers.rollup import NAME
 from sesameward.controllers.rollup import Rollup
 from sesameward.controllers.rollup import ZoneSummary
-from sesameward.leases import LeaseValue
 from sesameward.messages import Member
 from sesameward.standin.platform import Faults
 from sesameward.types import MemberState
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,17 +6,17 @@
 
 import pytest
 
+from sesameward.configuration.declared import encode
+from sesameward.configuration.declared import kind_of
+from sesameward.configuration.feed import ConfigUpdate
 from sesameward.controllers.catalog import Catalog
 from sesameward.controllers.routing import LACKING_S
 from sesameward.controllers.routing import LEAVING_S
 from sesameward.controllers.routing import Routing
-from sesameward.declared import encode
-from sesameward.declared import kind_of
-from sesameward.feed import ConfigUpdate
 from sesameward.messages import LoadReport
 from sesameward.messages import StoredObject
 from sesameward.messages import TargetStatus
-from sesameward.replicas import ReplicaChooser
+from sesameward.routing.replicas import ReplicaChooser
 from sesameward.types import Outcome
 from sesameward.types import ZoneName
 
--- a/tests/test_seals.py
+++ b/tests/test_seals.py
@@ -7,9 +7,9 @@
 import pytest
 
 from sesameward.exceptions import IntegrityError
-from sesameward.seals import MAX_AGE_S
-from sesameward.seals import Seals
-from sesameward.seals import WINDOW_COUNT
+from sesameward.membership.seals import MAX_AGE_S
+from sesameward.membership.seals import Seals
+from sesameward.membership.seals import WINDOW_COUNT
 
 NOW = 1_790_000_000.0
 HERE = '127.0.0.1:7000'
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 import pytest
 
-from sesameward.shares import connection_share
-from sesameward.shares import GONE_S
-from sesameward.shares import HolderCount
-from sesameward.shares import NEVER_LISTED_S
-from sesameward.shares import WarmPolicy
+from sesameward.routing.shares import connection_share
+from sesameward.routing.shares import GONE_S
+from sesameward.routing.shares import HolderCount
+from sesameward.routing.shares import NEVER_LISTED_S
+from sesameward.routing.shares import WarmPolicy
 from sesameward.types import NodeId
 from sesameward.types import TargetId
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sesameward import declared
-from sesameward.snapshots import narrow
-from sesameward.snapshots import pin
+from sesameward.configuration import declared
+from sesameward.routing.snapshots import narrow
+from sesameward.routing.snapshots import pin
 from sesameward.types import Generation
 from sesameward.types import ShardId
 from sesameward.types import TargetId
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameward import story
+from sesameward.interface import story
 
 
 def line(at, event, node='n1', **fields):
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from sesameward import tickets
+from sesameward.bookings import tickets
 from sesameward.types import BookingKey
 from sesameward.types import NodeId
 from sesameward.types import RunState
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from sesameward.transfers import Failure
-from sesameward.transfers import Lane
-from sesameward.transfers import Response
-from sesameward.transfers import Transfers
+from sesameward.clients.transfers import Failure
+from sesameward.clients.transfers import Lane
+from sesameward.clients.transfers import Response
+from sesameward.clients.transfers import Transfers
 
 HOST = '127.0.0.1'
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
--- a/tests/test_trial_grants.py
+++ b/tests/test_trial_grants.py
@@ -15,13 +15,13 @@
 from sesameward.exceptions import PeerUnavailableError
 from sesameward.messages import Address
 from sesameward.metrics import Metrics
-from sesameward.quarantine import Lead
-from sesameward.quarantine import Quarantine
-from sesameward.quarantine import QuarantineSettings
-from sesameward.quarantine import Refuse
-from sesameward.trials import AdmitRequest
-from sesameward.trials import Event
-from sesameward.trials import EventKind
+from sesameward.quarantine.quarantine import Lead
+from sesameward.quarantine.quarantine import Quarantine
+from sesameward.quarantine.quarantine import QuarantineSettings
+from sesameward.quarantine.quarantine import Refuse
+from sesameward.quarantine.trials import AdmitRequest
+from sesameward.quarantine.trials import Event
+from sesameward.quarantine.trials import EventKind
 from sesameward.types import Fingerprint
 
 FP = Fingerprint('f' * 32)
