--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -237,6 +237,25 @@
     asyncio.run(main())
 
 
+def test_stop_waits_for_a_caller_that_is_still_reading():
+    answer = Answer(200, body=b'x' * 16 * 1024 * 1024)
+
+    async def main():
+        async with Served(answer=answer) as served:
+            reader, writer = await served.connect()
+            writer.write(GET + b'\r\n')
+            await until(lambda: served.requests)
+            served.server.leaving = True
+            assert served.server.close_idle() == 1
+            read = 0
+            while read < len(answer.body):
+                read += len(await reader.read(1 << 20))
+            await until(lambda: served.server.close_idle() == 0)
+            writer.close()
+
+    asyncio.run(main())
+
+
 def test_caller_that_stops_reading_is_disconnected(monkeypatch):
     monkeypatch.setattr('sesameward.serving.http_server.DRAIN_S', 0.2)
     answer = Answer(200, body=b'x' * 16 * 1024 * 1024)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -302,6 +302,52 @@
     asyncio.run(main())
 
 
+# A late answer to an earlier call would shift all later ones.
+def test_connection_with_an_unreadable_answer_is_not_used_again():
+    async def main():
+        conns = []
+        bodies = [b'{"late": 1}', b'{"items": [], "more": false, "as_of": 7}']
+
+        def handle(req, responder):
+            conns.append(responder._conn)
+            responder.send(Answer(200, body=bodies.pop(0)))
+
+        http = HttpServer(
+            handle, Metrics('t'), asyncio.get_running_loop().time
+        )
+        await http.start('127.0.0.1', 0)
+        calls = StoreCalls(settings_for(http.port))
+        with pytest.raises(PlatformUnavailableError):
+            await calls.list('servers', 1.0)
+        assert await calls.list('servers', 1.0) == (7, [])
+        assert conns[0] is not conns[1]
+        http.stop()
+
+    asyncio.run(main())
+
+
+def test_pages_without_end_are_no_list():
+    async def main():
+        asked = []
+
+        def handle(req, responder):
+            asked.append(req.target)
+            item = b'{"meta": {"name": "i-1", "revision": 1}}'
+            body = b'{"items": [%s], "more": true, "as_of": 7}' % item
+            responder.send(Answer(200, body=body))
+
+        http = HttpServer(
+            handle, Metrics('t'), asyncio.get_running_loop().time
+        )
+        await http.start('127.0.0.1', 0)
+        with pytest.raises(PlatformUnavailableError):
+            await StoreCalls(settings_for(http.port)).list('servers', 1.0)
+        assert len(asked) == 2
+        http.stop()
+
+    asyncio.run(main())
+
+
 # Headers.
 
 
