--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -77,6 +77,16 @@
         (mask,) = re.findall(r'^SigIgn:\s*([0-9a-f]+)$', status, re.MULTILINE)
         return bool(int(mask, 16) >> (number - 1) & 1)
 
+    def outlives(self, number: signal.Signals) -> bool:
+        """Tell whether the process runs and ignores or handles a signal."""
+        if not self.is_running:
+            return False
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        masks = re.findall(
+            r'^Sig(?:Ign|Cgt):\s*([0-9a-f]+)$', status, re.MULTILINE
+        )
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
     @property
     def is_running(self) -> bool:
         """Tell whether the process runs."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,6 +42,8 @@
     'caller_floods',
 )
 
+# A signal that ends a process has done so by then.
+ENDED_S = 0.5
 # Seconds that a target wants nothing after it has turned a request away.
 REST_AFTER = '1.5'
 
@@ -143,7 +145,21 @@
         self._world.disturbed(node.name)
 
     async def _node_hup(self, fault: Fault) -> None:
-        self._node(fault).send(signal.SIGHUP)
+        node = self._node(fault)
+        process = node.process
+        # Before its first line a program can't keep the signal from ending
+        # it; the platform starts what ended again. Later it must outlive it.
+        must_outlive = node.outlives(signal.SIGHUP)
+        node.send(signal.SIGHUP)
+        if must_outlive:
+            return
+        until = time.monotonic() + ENDED_S
+        while process.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        if process.poll() is not None and node.process is process:
+            if not self._world.over:
+                self._world.disturbed(node.name)
+                node.start()
 
     # The store.
 
