--- a/sesameward/serving/byte_limits.py
+++ b/sesameward/serving/byte_limits.py
@@ -24,9 +24,9 @@
 FIRST_LINE_BYTES = 4_096
 # Chunks of one byte take five more each; 8 leaves room for longer sizes.
 FRAMING_PER_BODY_BYTE = 8
-# A reply's head; the users' servers send a few hundred bytes.
+# A target's head has a few hundred bytes.
 MAX_REPLY_HEAD_BYTES = 32 * 1_024
-# A reply that is passed on. The pages state no bound for it.
+# A reply that is passed on; the configuration has no bound for it.
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 # A page of the store's objects: about 1 MB, or one object of 1 MiB, as JSON.
 MAX_STORE_REPLY_BYTES = 8 * 1024 * 1024
@@ -36,9 +36,9 @@
 # Part of the VM's memory that messages may take. A process takes some 60 MB
 # without them, and joining a body holds it twice for a moment.
 MESSAGE_PART = 0.25
-# Without a stated memory, that of the smallest VM (300 MB).
+# A quarter of the smallest VM's memory (300 MB).
 DEFAULT_MESSAGE_BYTES = 75_000_000
-# Smaller messages are counted, but cutting them would free too little.
+# Smaller messages are bounded by the number of connections alone.
 MIN_CUT_BYTES = 16 * 1024
 
 
