Let a query that no connection took be answered 503 beside resets

Reproduced once in nine runs beside eight busy processes: the first query, eight sub-requests not_sent, none broken, 1,001 ms: the starved stand-ins accepted no connection in 0.4 s, so the 503 is true. The test means refusals of suspects: it now asks that no node refused any request, and that a 503 goes with nothing but not_sent.

--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -504,10 +504,15 @@
         await asyncio.sleep(0.02)
         for target in fleet.targets.values():
             target.reset_connections()
-        answers = await asyncio.gather(*pending)
-        assert 503 not in answers
+        await asyncio.gather(*pending)
     for node in fleet.nodes:
         assert not node.lines('request_quarantined')
+        assert not node.lines('refused')
+        # A busy machine opens no connection in time: then nothing was sent.
+        for line in node.lines('answer'):
+            if line['status'] == 503:
+                ends = {one.partition(':')[0] for one in line['failures']}
+                assert ends == {'not_sent'}
         findings = {line['finding'] for line in node.lines('target_lost')}
         assert findings == {'alive'}
 
