--- a/sesameward/serving/byte_limits.py
+++ b/sesameward/serving/byte_limits.py
@@ -100,10 +100,6 @@
         self.received = 0
         self.body = 0
 
-    def restart(self) -> None:
-        """Count anew under the same bounds."""
-        self.begin(self.limits)
-
     def take(self, size: int) -> None:
         """Take in that bytes have arrived; body counts its part of them."""
         self.received += size
@@ -111,7 +107,7 @@
             self._ledger.hold(self)
 
     def end(self) -> None:
-        """Stop holding the message."""
+        """Stop holding the message; count anew under the same bounds."""
         self.begin(self.limits)
 
     def excess(self, has_head: bool) -> Excess | None:
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -206,9 +206,11 @@
 
     def _check_bounds(self) -> None:
         limits = self._server.limits
-        self._meter.limits = MessageLimits(
-            limits.max_header_bytes + FIRST_LINE_BYTES, limits.max_body_bytes
-        )
+        head_bytes = limits.max_header_bytes + FIRST_LINE_BYTES
+        if self._meter.received <= head_bytes:
+            # on_body() looks at the body's bound by itself.
+            return
+        self._meter.limits = MessageLimits(head_bytes, limits.max_body_bytes)
         match self._meter.excess(self._has_head):
             case None:
                 return
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -260,7 +260,7 @@
             self.foreign_replies += 1
             self._foreign_now += 1
             self._usable = False
-            self._meter.restart()
+            self._meter.end()
             return
         self._done = reply
         transport = self._transport
