Read the limits that targets name, and log them

A target may name in its replies the requests per second that it takes from all nodes together. The adapter reads it; a node logs target_limit when a limit begins, changes or ends, and counts values that are no number. explain shows these lines for requests that met the target. Nothing decides by a limit yet: the lines tell apart whether a node knows a limit and breaks it, or does not know it.

The stand-in target names a limit, in all or part of its replies.

--- a/sesameward/interface/request_log.py
+++ b/sesameward/interface/request_log.py
@@ -40,7 +40,13 @@
 )
 # Events that may affect requests to the target or service that they name.
 _TARGET_EVENTS = frozenset(
-    {'target', 'target_ejected', 'target_left_out', 'target_refused'}
+    {
+        'target',
+        'target_ejected',
+        'target_left_out',
+        'target_limit',
+        'target_refused',
+    }
 )
 
 LogLine = dict[str, typing.Any]
--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 import urllib.parse
 
 import msgspec
@@ -48,6 +49,9 @@
 _REPLACED_HEADERS = frozenset({DEADLINE_HEADER, EXPECT_TARGET_HEADER})
 
 
+_DECIMAL_NUMBER = re.compile(rb'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
+
+
 class PlatformWire:
     """Convert HTTP headers between callers, this node and targets.
 
@@ -122,16 +126,19 @@
                     info.load = _parse_load(value)
                 case b'server-leaving' | b'sesameward-server-leaving':
                     info.leaving = value.strip() not in (b'', b'0')
+                case b'server-limit' | b'sesameward-server-limit':
+                    _add_limits(info, value)
                 case b'content-encoding':
                     info.is_encoded = value.lower() != b'identity'
                 case b'retry-after':
                     info.retry_after_s = _parse_positive(value)
         if reply.status == 421:
             # The reply comes from another target than the intended one, and
-            # the request did not run. A leaving header is ignored, because it
-            # is about that other target.
+            # the request did not run. A leaving header and a limit are
+            # ignored, because they are about that other target.
             info.not_run = True
             info.leaving = False
+            info.limit_per_s = None
         if reply.status not in (429, 503):
             info.retry_after_s = 0.0
         return info
@@ -216,6 +223,17 @@
     return number if 0.0 < number < math.inf else 0.0
 
 
+def _add_limits(info: ReplyHeaders, value: bytes) -> None:
+    """Add the limits of a header; of several limits, the smallest holds."""
+    for text in value.split(b','):
+        is_number = _DECIMAL_NUMBER.fullmatch(text.strip()) is not None
+        number = float(text) if is_number else math.inf
+        if number == math.inf:
+            info.invalid_limits += 1
+        elif info.limit_per_s is None or number < info.limit_per_s:
+            info.limit_per_s = number
+
+
 def _parse_load(value: bytes) -> LoadReport | None:
     # The format is "in-flight requests,queued requests,slots".
     numbers = value.split(b',')
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -51,7 +51,9 @@
     """Hold what all sub-requests of a node share, such as connection pools.
 
     on_leaving is called when a target's reply, or a helper node that sent the
-    request to the target, says that the target is about to stop.
+    request to the target, says that the target is about to stop. on_limit is
+    called with each reply's limit on the requests per second of all nodes,
+    None if the reply names none.
     """
 
     wire: Wire
@@ -63,6 +65,9 @@
     on_leaving: typing.Callable[[TargetId, DepartureSource], None] = (
         lambda target_id, source: None
     )
+    on_limit: typing.Callable[[TargetId, float | None], None] = (
+        lambda target_id, limit_per_s: None
+    )
 
 
 class SubRequest(msgspec.Struct):
@@ -217,6 +222,12 @@
             result.rest_s = retry_after_s
             if reply_info.leaving:
                 tools.on_leaving(self._target_id, DepartureSource.ANSWER)
+            if reply_info.invalid_limits:
+                tools.metrics.count(
+                    'target_limits_invalid', amount=reply_info.invalid_limits
+                )
+            if reply_or_broken.status != 421:
+                tools.on_limit(self._target_id, reply_info.limit_per_s)
         else:
             tools.metrics.count('target_breaks', reply_or_broken.value)
             if reply_or_broken in _SIZE_LIMIT_BREAKS and conn is not None:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -52,6 +52,7 @@
 from .lines import LineWriter
 from .mirror import Mirror
 from .mirror import Store
+from .named_limits import NamedLimits
 from .peers import Peers
 from .pools import Pools
 from .pools import WARM_PERIOD_S
@@ -199,6 +200,10 @@
             self.targets, self.routing_state.mark_leaving, self.peers.publish
         )
         self.selector.on_backoff = self._on_target_rest
+        self.limits = NamedLimits()
+        self.limits.on_change = self._on_limit_change
+        self.routing_state.on_target_added = self.limits.on_target_added
+        self.metrics.gauge('limits_in_force', lambda: float(len(self.limits)))
         tools = ExchangeDeps(
             adapter.wire,
             AttemptPolicy(self.targets, self.selector, self.budget),
@@ -207,6 +212,7 @@
             self.metrics,
             self._clock,
             self._departures.on_leaving_reply,
+            self._on_limit_reply,
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
         self.delegation.on_helper_quiet = self._on_helper_quiet
@@ -418,6 +424,7 @@
 
     def _upkeep(self, now: float) -> None:
         self.routing_state.drop_expired()
+        self.limits.drop_absent(self.targets, now)
         self._silences.publish_reported()
         self._crashes.publish_suspicions(now)
         self.delegation.set_members(self.peers.members())
@@ -476,6 +483,32 @@
             for_s=round(for_s, 3),
         )
 
+    def _on_limit_reply(
+        self, target_id: TargetId, limit_per_s: float | None
+    ) -> None:
+        target = self.targets.get(target_id)
+        if target is not None:
+            self.limits.record_reply(
+                target_id, target.started_ms, limit_per_s, self._clock()
+            )
+
+    def _on_limit_change(
+        self, target_id: TargetId, limit: float | None, before: float | None
+    ) -> None:
+        self.metrics.count(
+            'target_limits', 'ended' if limit is None else 'named'
+        )
+        target = self.targets.get(target_id)
+        age_s = self.limits.named_age_s(target_id, self._clock())
+        logs.log_event(
+            'target_limit',
+            target=target_id,
+            service=target.service if target is not None else None,
+            limit_per_s=limit,
+            before=before,
+            age_s=None if age_s is None else round(age_s, 3),
+        )
+
     def _on_helper_quiet(self, node: NodeId, no_message_s: float) -> None:
         # A helper node sends sub-requests for this node. One that has sent no
         # message for too long gets no sub-requests for a time.
--- a/sesameward/serving/routing_state.py
+++ b/sesameward/serving/routing_state.py
@@ -45,7 +45,7 @@
     A configuration does not replace one of a higher version, and a target's
     registration does not replace that of a process of the target that started
     later. on_target_dropped is called with each target that is removed because
-    its registration is gone.
+    its registration is gone, on_target_added with each added or updated one.
     """
 
     def __init__(
@@ -73,6 +73,7 @@
         self.on_target_dropped: typing.Callable[[TargetId], None] = lambda _: (
             None
         )
+        self.on_target_added: typing.Callable[[Target], None] = lambda _: None
 
     def age_s(self, now: float) -> float:
         """Return the time since the routes were last known to be current."""
@@ -177,6 +178,7 @@
             self._pools.forget(target.id)
         self._targets.put(target)
         self._declare_target(target.id)
+        self.on_target_added(target)
 
     def _declare_target(self, target_id: TargetId) -> None:
         # Read the target from the table, where its state is DRAINING if it has
--- a/sesameward/serving/wire.py
+++ b/sesameward/serving/wire.py
@@ -35,7 +35,9 @@
     the body has a content coding. retry_after_s is the time for which the
     target wants to be sent nothing. The signature proves the content to the
     caller; a successful reply without a signature or with a content coding is
-    treated as a failure.
+    treated as a failure. limit_per_s is the number of requests per second that
+    the target accepts from all nodes together, None if the reply names no
+    limit; invalid_limits counts the values that are no such number.
     """
 
     request_id: RequestId | None = None
@@ -45,6 +47,8 @@
     is_encoded: bool = False
     retry_after_s: float = 0.0
     load: LoadReport | None = None
+    limit_per_s: float | None = None
+    invalid_limits: int = 0
 
 
 class Wire(typing.Protocol):
--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -6,6 +6,7 @@
 import enum
 import hashlib
 import itertools
+import random
 import time
 import typing
 
@@ -77,6 +78,8 @@
     sheds: requests are answered with 503 and not run. If rest_after is not
     empty, these answers have a Retry-After header.
     leaving: each answer says that the target is about to stop.
+    limit: if not empty, answers name it as the requests per second that the
+    target accepts; named_by is the part of the answers that do so.
     loses_answers: requests are run but not answered.
     encodes: answers claim a content encoding, so that nodes can't merge them.
     crashes_on: the paths whose requests crash the target; crash_mode says how
@@ -90,6 +93,8 @@
     sheds: bool = False
     rest_after: str = ''
     leaving: bool = False
+    limit: str = ''
+    named_by: float = 1.0
     loses_answers: bool = False
     encodes: bool = False
     crashes_on: frozenset[str] = frozenset()
@@ -146,6 +151,7 @@
         self._queued_count = 0
         self._running_count = 0
         self._reply_numbers = itertools.count(1)
+        self._rng = random.Random(target_id)
         self._http = HttpServer(
             self._handle, Metrics('target'), time.monotonic
         )
@@ -285,7 +291,7 @@
         ]
         if self.faults.encodes:
             headers.append((b'Content-Encoding', b'gzip'))
-        headers += self._leaving_headers()
+        headers += self._notice_headers()
         status = 500 if self.faults.fails else 200
         return Answer(status, headers, records(self.service, req.path))
 
@@ -296,10 +302,15 @@
         ]
         if status == 503 and self.faults.rest_after:
             headers.append((b'Retry-After', self.faults.rest_after.encode()))
-        return Answer(status, headers + self._leaving_headers())
-
-    def _leaving_headers(self) -> Headers:
-        return [(b'Server-Leaving', b'1')] if self.faults.leaving else []
+        return Answer(status, headers + self._notice_headers())
+
+    def _notice_headers(self) -> Headers:
+        headers = []
+        if self.faults.leaving:
+            headers.append((b'Server-Leaving', b'1'))
+        if self.faults.limit and self._rng.random() < self.faults.named_by:
+            headers.append((b'Server-Limit', self.faults.limit.encode()))
+        return headers
 
 
 def records(service: str, path: str) -> bytes:
--- a/tests/promises.py
+++ b/tests/promises.py
@@ -29,6 +29,14 @@
 REST_DELAY_S = 0.5
 MAX_REQUESTS_IN_REST = 2
 
+# From this time after a target first names a limit on, it gets in any
+# LIMIT_WINDOW_S at most LIMIT_FACTOR times what the limit allows, and
+# LIMIT_SLACK requests more, from all nodes together.
+LIMIT_KNOWN_AFTER_S = 4.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+
 
 def header(reply: Reply, name: str) -> str:
     """Return a header's value, or an empty string if it is missing."""
@@ -152,6 +160,26 @@
     assert not late, f'{late[:3]} reached a target that had said it leaves'
 
 
+def check_limit(times, limit: float, named_at: float) -> int:
+    """Check that a target gets no more than the limit that it names allows.
+
+    times holds the arrivals of all its requests. Return the largest number of
+    requests within LIMIT_WINDOW_S.
+    """
+    times = sorted(at for at in times if at >= named_at + LIMIT_KNOWN_AFTER_S)
+    most = 0
+    first = 0
+    for index, at in enumerate(times):
+        while at - times[first] >= LIMIT_WINDOW_S:
+            first += 1
+        most = max(most, index - first + 1)
+    allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_SLACK
+    assert most <= allowed, (
+        f'{most} requests within {LIMIT_WINDOW_S} s, {allowed} allowed'
+    )
+    return most
+
+
 def check_rests(arrivals, rest_s: float, is_excused=None) -> None:
     """Check that one node honours a target's 503 answers with Retry-After.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -554,3 +554,33 @@
 ):
     reply = Reply(status, b'', [(b'Retry-After', value)], b'')
     assert PlatformWire().read_reply(reply).retry_after_s == retry_after_s
+
+
+@pytest.mark.parametrize(
+    ('values', 'limit', 'invalid'),
+    [
+        (('8.5',), 8.5, 0),
+        (('0',), 0.0, 0),
+        (('1e3',), 1000.0, 0),
+        ((' 8 ',), 8.0, 0),
+        (('9', '8.5'), 8.5, 0),
+        (('9, x',), 9.0, 1),
+        (('-1',), None, 1),
+        (('nan',), None, 1),
+        (('inf',), None, 1),
+        (('1_0',), None, 1),
+        (('',), None, 1),
+        (('9' * 400,), None, 1),
+        ((), None, 0),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 503])
+def test_limit_of_a_target_is_read(values, limit, invalid, status):
+    headers = [(b'Server-Limit', value.encode()) for value in values]
+    info = PlatformWire().read_reply(Reply(status, b'', headers, b''))
+    assert (info.limit_per_s, info.invalid_limits) == (limit, invalid)
+
+
+def test_limit_of_another_target_is_ignored():
+    reply = Reply(421, b'', [(b'Server-Limit', b'8.5')], b'')
+    assert PlatformWire().read_reply(reply).limit_per_s is None
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -1,7 +1,6 @@
 """Test nodes as real processes against a simulated store and targets."""
 
 import asyncio
-import functools
 import itertools
 import json
 import signal
@@ -17,51 +16,16 @@
 from tests.floods import flood_front
 from tests.floods import peak_bytes
 from tests import promises
+from tests.scenarios import query_coverage
+from tests.scenarios import SHARDS
+from tests.scenarios import wait_until
+from tests.scenarios import with_fleet
 
-SHARDS = 4
 # How many targets a request that one target answers may crash; see
 # docs/PROMISES.md.
 MAX_CRASHED_TARGETS = 3
 
 
-def with_fleet(**kwargs):
-    """Make a test of a coroutine function that takes a ready fleet."""
-
-    def wrap(scenario):
-        @functools.wraps(scenario)
-        def run():
-            async def main():
-                async with Fleet(shards=SHARDS, **kwargs) as fleet:
-                    await scenario(fleet)
-
-            asyncio.run(main())
-
-        # Otherwise pytest takes the scenario's parameter for a fixture.
-        del run.__wrapped__
-        return run
-
-    return wrap
-
-
-async def query_coverage(fleet, node, path='/q/1'):
-    """Return how many shards a reply covers, or its status if not 200."""
-    request_id = fleet.request_id()
-    reply = await fleet.ask(node, path, request_id)
-    if reply.status != 200:
-        return reply.status
-    return promises.check_query(fleet, reply, path, request_id, SHARDS)
-
-
-async def wait_until(condition, timeout_s):
-    started_at = time.monotonic()
-    while not await condition():
-        assert time.monotonic() - started_at < timeout_s, (
-            'the awaited condition did not hold in time'
-        )
-        await asyncio.sleep(0.03)
-    return time.monotonic() - started_at
-
-
 @with_fleet()
 async def test_each_node_serves_whole_answers(fleet):
     for node in fleet.nodes:
