Keep to the limits that targets name, together with all nodes

What callers and targets saw: a target that named a limit for all nodes together got 119 to 204 requests in 4 s where 8 to 56 are allowed; the limit changed nothing.

The class of fault is a bound for all nodes together that each node would have to keep on its own; dividing it by the number of nodes leaves it unused, as most requests for a target are sent by the one or two nodes of its zone, and makes a small one less than one request a node.

Nodes entrust their shares of all limits for one second at a time to one coordinator, which grants permits to whoever has requests; what replies show of limits goes there as well. A share is never in two places: a node uses its own only after the time for which it entrusted it. So the limit holds whichever node each takes for the coordinator, and one that is cut off uses its own part alone. A request without a permit goes to another replica; a query that can't reach its least coverage is refused at once, with the time after which a permit is expected; higher priorities keep half of the unused permits.

The pulls between nodes and these calls share one cache of gRPC channels.

--- /dev/null
+++ b/sesameward/channels.py
@@ -0,0 +1,43 @@
+"""Keep gRPC channels to other agents or nodes open."""
+
+from __future__ import annotations
+
+from grpclib import client
+
+from .codec import MsgpackCodec
+from .messages import Member
+from .types import NodeId
+
+MAX_CHANNELS = 16
+
+
+class Channels:
+    """Cache channels by node; close the least recently used ones."""
+
+    def __init__(self):
+        self._channels: dict[NodeId, tuple[tuple, client.Channel]] = {}
+
+    def get(self, member: Member) -> client.Channel:
+        """Return a channel to a member at its current address."""
+        address = member.host, member.grpc_port
+        cached = self._channels.pop(member.node, None)
+        if cached is not None and cached[0] != address:
+            cached[1].close()
+            cached = None
+        if cached is None:
+            cached = address, client.Channel(*address, codec=MsgpackCodec())
+        self._channels[member.node] = cached
+        while len(self._channels) > MAX_CHANNELS:
+            self.drop(next(iter(self._channels)))
+        return cached[1]
+
+    def drop(self, node: NodeId) -> None:
+        """Close the channel to a node, so that the next one is a new one."""
+        cached = self._channels.pop(node, None)
+        if cached is not None:
+            cached[1].close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for node in tuple(self._channels):
+            self.drop(node)
--- a/sesameward/configuration/config_peers.py
+++ b/sesameward/configuration/config_peers.py
@@ -11,17 +11,15 @@
 from grpclib import server
 import msgspec
 
-from ..codec import MsgpackCodec
+from ..channels import Channels
 from ..exceptions import PeerUnavailableError
 from ..messages import Delta
 from ..messages import Member
 from ..messages import Pull
 from ..metrics import Metrics
-from ..types import NodeId
 
 PULL_METHOD = '/sesameward.Peer/Pull'
 PULL_TIMEOUT_S = 1.0
-MAX_CHANNELS = 16
 MAX_PAGES = 1_000
 
 AnswerPull = collections.abc.Callable[[Pull], collections.abc.Awaitable[Delta]]
@@ -52,13 +50,11 @@
     def __init__(self, metrics: Metrics, timeout_s: float = PULL_TIMEOUT_S):
         self._metrics = metrics
         self._timeout_s = timeout_s
-        self._channels: dict[NodeId, tuple[tuple, client.Channel]] = {}
+        self._channels = Channels()
 
     def close(self) -> None:
         """Close all channels."""
-        for _, channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        self._channels.close()
 
     async def pull(self, member: Member, request: Pull) -> Delta:
         """Pull all pages from a member and return them as one delta.
@@ -88,7 +84,7 @@
 
     async def _pull_page(self, member: Member, request: Pull) -> Delta:
         method = client.UnaryUnaryMethod(
-            self._channel(member), PULL_METHOD, Pull, Delta
+            self._channels.get(member), PULL_METHOD, Pull, Delta
         )
         timeout_s = request.wait_s + self._timeout_s
         try:
@@ -106,17 +102,3 @@
                 f'agent {member.node} did not answer a pull of objects; '
                 'pull from another agent'
             ) from exc
-
-    def _channel(self, member: Member) -> client.Channel:
-        address = member.host, member.grpc_port
-        cached = self._channels.pop(member.node, None)
-        if cached is not None and cached[0] != address:
-            cached[1].close()
-            cached = None
-        if cached is None:
-            cached = address, client.Channel(*address, codec=MsgpackCodec())
-        self._channels[member.node] = cached
-        while len(self._channels) > MAX_CHANNELS:
-            least_recent = next(iter(self._channels))
-            self._channels.pop(least_recent)[1].close()
-        return cached[1]
--- a/sesameward/serving/attempts.py
+++ b/sesameward/serving/attempts.py
@@ -14,6 +14,7 @@
 from ..types import TargetId
 from .budget_window import BudgetWindow
 from .replica_choice import ReplicaSelector
+from .target_limits import TargetLimits
 from .targets import TargetTable
 
 AttemptNo = typing.NewType('AttemptNo', int)
@@ -25,8 +26,9 @@
     A hedge repeats a sub-request that has no result yet: HEDGE_SLOW because it
     takes long, HEDGE_PAUSED because a request sent to its target is overdue. A
     retry repeats one that failed: RETRY_NOT_SENT after
-    SubRequestFailure.NOT_SENT, RETRY_NOT_RUN after SubRequestFailure.NOT_RUN
-    or SubRequestFailure.MISDIRECTED, RETRY_FAILED after any other failure.
+    SubRequestFailure.NOT_SENT or SubRequestFailure.NO_PERMIT, RETRY_NOT_RUN
+    after SubRequestFailure.NOT_RUN or SubRequestFailure.MISDIRECTED,
+    RETRY_FAILED after any other failure.
     """
 
     FIRST = 'first'
@@ -37,6 +39,13 @@
     RETRY_FAILED = 'retry_failed'
 
 
+_RETRIES = frozenset(
+    {
+        SendReason.RETRY_NOT_SENT,
+        SendReason.RETRY_NOT_RUN,
+        SendReason.RETRY_FAILED,
+    }
+)
 # Sub-requests sent for these reasons are not charged to the retry budget. A
 # first sub-request repeats nothing. A RETRY_NOT_SENT replaces a sub-request
 # that no target has received, so it adds no load to the targets.
@@ -46,13 +55,15 @@
 class SubRequestFailure(enum.Enum):
     """Way in which a sub-request failed.
 
-    NOT_SENT: nothing was sent. NOT_RUN: the target replied that it did not
-    run the request. MISDIRECTED: the process at the target's address is not
-    this target, and did not run it either. BROKEN: the connection ended
-    before a complete reply. FAILED: any other failure.
+    NOT_SENT: nothing was sent. NO_PERMIT: nothing was sent, because the target
+    limits its request rate and no permit was left. NOT_RUN: the target replied
+    that it did not run the request. MISDIRECTED: the process at the target's
+    address is not this target, and did not run it either. BROKEN: the
+    connection ended before a complete reply. FAILED: any other failure.
     """
 
     NOT_SENT = 'not_sent'
+    NO_PERMIT = 'no_permit'
     NOT_RUN = 'not_run'
     MISDIRECTED = 'misdirected'
     FAILED = 'failed'
@@ -62,6 +73,7 @@
 SURELY_NOT_RUN = frozenset(
     {
         SubRequestFailure.NOT_SENT,
+        SubRequestFailure.NO_PERMIT,
         SubRequestFailure.NOT_RUN,
         SubRequestFailure.MISDIRECTED,
     }
@@ -84,13 +96,15 @@
 class AttemptPolicy(typing.NamedTuple):
     """Choose the target of a sub-request, within the retry budget.
 
-    targets holds the registered targets, selector their load and failures, and
-    budget limits the repeats of sub-requests to each service.
+    targets holds the registered targets, selector their load and failures,
+    budget limits the repeats of sub-requests to each service, and limits knows
+    which targets limit their request rate.
     """
 
     targets: TargetTable
     selector: ReplicaSelector
     budget: BudgetWindow
+    limits: TargetLimits
 
     def may_send(self, target_id: TargetId, now: float) -> bool:
         """Return True if a target may be sent requests now.
@@ -102,19 +116,32 @@
         leaves = target is not None and target.drain
         return not leaves and not self.selector.resting(target_id, now)
 
-    def available_in_s(self, service: ServiceName, now: float) -> float | None:
+    def available_in_s(
+        self,
+        service: ServiceName,
+        priority: int,
+        now: float,
+        asked: typing.Collection[TargetId] = (),
+    ) -> float | None:
         """Return the seconds until any target of a service accepts requests.
 
         The result is 0 unless all targets have asked, with Retry-After, to be
-        sent nothing, and None if the service has no usable target.
+        sent nothing, or have used up the rate to which they limit requests. It
+        is None if the service has no usable target besides those in asked.
         """
         candidates = self.targets.candidates(service)
+        if asked:
+            candidates = tuple(one for one in candidates if one not in asked)
         if not candidates:
             return None
-        if not self.selector.any_resting(now):
+        if not self.selector.any_resting(now) and not self.limits.named:
             return 0.0
         return min(
-            self.selector.backoff_left_s(one, now) for one in candidates
+            max(
+                self.selector.backoff_left_s(one, now),
+                self.limits.wait_s(one, priority, now),
+            )
+            for one in candidates
         )
 
     def pick(
@@ -124,19 +151,31 @@
         reason: SendReason,
         now: float,
         reserve: float = 0.0,
+        priority: int = 0,
     ) -> TargetId | None:
         """Return the target to send to; None if no target or budget is left.
 
         The parameter asked holds the targets of earlier attempts, which are
         avoided. A repeat is charged to the retry budget, unless the earlier
         attempt was not sent. The parameter reserve is the number of repeats
-        that must be left in the budget after it.
+        that must be left in the budget after it, priority is that of the
+        route.
         """
-        candidates = self.targets.candidates(service)
+        registered = candidates = self.targets.candidates(service)
+        if self.limits.named:
+            candidates = tuple(
+                one
+                for one in registered
+                if self.limits.wait_s(one, priority, now) == 0.0
+            )
         target_id = self.selector.choose(candidates, now, asked)
-        if target_id is None and reason is SendReason.RETRY_NOT_RUN:
+        if target_id is None and (
+            reason is SendReason.RETRY_NOT_RUN
+            or (reason in _RETRIES and candidates != registered)
+        ):
             # All usable replicas had an attempt already. One that refused it
-            # because of overload is possibly less loaded by now.
+            # because of overload is possibly less loaded by now. Where the
+            # other replicas have no permit left, one that failed has to do.
             target_id = self.selector.choose(candidates, now)
         if target_id is None or reason in _WITHOUT_BUDGET:
             return target_id
--- a/sesameward/serving/budget_window.py
+++ b/sesameward/serving/budget_window.py
@@ -13,7 +13,7 @@
 GRANTED_SHARE = 0.8
 
 
-class _SlidingCounter:
+class SlidingCounter:
     """Count the events of the last window_s seconds, in slices of time."""
 
     __slots__ = ('_counts', '_slice_s', 'total')
@@ -56,8 +56,8 @@
         self._window_s = window_s
         self._started_at = now
         self._nodes = 1
-        self._requests: dict[ServiceName, _SlidingCounter] = {}
-        self._repeats: dict[ServiceName, _SlidingCounter] = {}
+        self._requests: dict[ServiceName, SlidingCounter] = {}
+        self._repeats: dict[ServiceName, SlidingCounter] = {}
 
     def set_nodes(self, nodes: int) -> None:
         """Set the number of nodes among which the slack is divided."""
@@ -67,7 +67,7 @@
         """Count a request to a service; each one allows further repeats."""
         window = self._requests.get(service)
         if window is None:
-            window = self._requests[service] = _SlidingCounter(self._window_s)
+            window = self._requests[service] = SlidingCounter(self._window_s)
         window.add(now)
 
     def repeats_left(self, service: ServiceName, now: float) -> float:
@@ -90,7 +90,7 @@
             return False
         window = self._repeats.get(service)
         if window is None:
-            window = self._repeats[service] = _SlidingCounter(self._window_s)
+            window = self._repeats[service] = SlidingCounter(self._window_s)
         window.add(now)
         return True
 
@@ -102,7 +102,7 @@
 
     @staticmethod
     def _count(
-        windows: dict[ServiceName, _SlidingCounter],
+        windows: dict[ServiceName, SlidingCounter],
         service: ServiceName,
         now: float,
     ) -> int:
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -76,6 +76,7 @@
             identity,
             batch.head,
             self._tools.clock() + remaining_s,
+            batch.priority,
             True,
             False,
             sees_whole_request=False,
@@ -149,12 +150,17 @@
         if self._running.pop(item.no, None) is None or not self.is_wanted:
             return
         if result.end is not None or result.reply is None:
+            end = result.end or SubRequestFailure.FAILED
+            if end is SubRequestFailure.NO_PERMIT:
+                # Nodes of an earlier release don't know NO_PERMIT.
+                end = SubRequestFailure.NOT_SENT
             self._item_results.append(
                 ItemResult(
                     item.no,
-                    result.end or SubRequestFailure.FAILED,
+                    end,
                     leaving=result.leaving,
                     rest_s=result.rest_s,
+                    no_permit_s=result.no_permit_s,
                 )
             )
         else:
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -51,7 +51,7 @@
     the record in floor, so the helper node returns only greater ones. If
     may_filter is True, it also drops records that can't be among the top_k
     greatest of the batch. remaining_ms is the time until the deadline of the
-    request.
+    request, priority that of its route.
     """
 
     batch_no: BatchNo
@@ -66,6 +66,7 @@
     items: tuple[BatchItem, ...]
     may_filter: bool
     floor: bytes = b''
+    priority: int = 0
 
 
 class MarkSentElsewhere(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -97,7 +98,9 @@
     the helper node also dropped records that can't be among the greatest of
     the batch; those kept are then in BatchResults.records. The fields leaving
     and rest_s repeat what the reply said: that the target is shutting down,
-    and for how long it wants no requests.
+    and for how long it wants no requests. no_permit_s is positive if nothing
+    was sent because the target limits its request rate; it is the time for
+    which the helper node expects no permit.
     """
 
     no: int
@@ -106,6 +109,7 @@
     whole: bytes | None = None
     leaving: bool = False
     rest_s: float = 0.0
+    no_permit_s: float = 0.0
 
 
 class BatchResults(msgspec.Struct, frozen=True, array_like=True):
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -22,6 +22,7 @@
 from .crashes import Crashes
 from .crashes import RequestIdentity
 from .crashes import TargetLoss
+from .limit_exchange import LimitExchange
 from .pools import DEFAULT_MAX_IDLE_S
 from .pools import Pools
 from .replica_choice import SILENT_AFTER_S
@@ -29,6 +30,7 @@
 from .target_connection import ExchangeFailure
 from .target_connection import Reply
 from .target_connection import TargetConnection
+from .target_limits import Permit
 from .targets import DepartureSource
 from .wire import ReplyHeaders
 from .wire import Wire
@@ -51,23 +53,19 @@
     """Hold what all sub-requests of a node share, such as connection pools.
 
     on_leaving is called when a target's reply, or a helper node that sent the
-    request to the target, says that the target is about to stop. on_limit is
-    called with each reply's limit on the requests per second of all nodes,
-    None if the reply names none.
+    request to the target, says that the target is about to stop.
     """
 
     wire: Wire
     policy: AttemptPolicy
     pools: Pools
     crashes: Crashes
+    limits: LimitExchange
     metrics: Metrics
     clock: Clock
     on_leaving: typing.Callable[[TargetId, DepartureSource], None] = (
         lambda target_id, source: None
     )
-    on_limit: typing.Callable[[TargetId, float | None], None] = (
-        lambda target_id, limit_per_s: None
-    )
 
 
 class SubRequest(msgspec.Struct):
@@ -88,6 +86,7 @@
     identity: RequestIdentity
     head: bytes
     deadline_at: float
+    priority: int
     is_shard: bool
     runs_once: bool
     on_trial: bool = False
@@ -100,7 +99,8 @@
 
     The reason why there is no reply is in the field end. leaving is True if
     the target replied that it is about to stop. rest_s is the time for which
-    the target asked, in its reply, to be sent nothing.
+    the target asked, in its reply, to be sent nothing. no_permit_s is the time
+    for which no permit for the target is expected, after NO_PERMIT.
     """
 
     end: SubRequestFailure | None
@@ -108,6 +108,7 @@
     signature: bytes | None = None
     leaving: bool = False
     rest_s: float = 0.0
+    no_permit_s: float = 0.0
 
 
 OnResult = typing.Callable[[Result], None]
@@ -136,6 +137,7 @@
         self._is_wanted = is_wanted
         self._on_result = on_result
         self._is_held = is_held
+        self._permit = Permit(target_id)
         self._conn: TargetConnection | None = None
         self._sent_at = 0.0
         # Headers of the reply read last, which may belong to an earlier
@@ -144,7 +146,20 @@
         self._reply_info = ReplyHeaders()
 
     def start(self) -> None:
-        """Send the sub-request as soon as there is a connection."""
+        """Send the sub-request as soon as it has a permit and a connection.
+
+        Only targets that limit their request rate require a permit.
+        """
+        self._tools.limits.acquire(
+            self._target_id, self._sub.priority, self._permit_taken
+        )
+
+    def _permit_taken(self, permit: Permit | None) -> None:
+        if permit is None:
+            if self._is_wanted():
+                self._report_no_permit()
+            return
+        self._permit = permit
         self._tools.pools.acquire(
             self._target_id,
             self._connected,
@@ -164,20 +179,42 @@
         """Return True if the request was sent and has no result yet."""
         return self._conn is not None
 
+    def _report_no_permit(self) -> None:
+        policy = self._tools.policy
+        wait_s = policy.limits.wait_s(
+            self._target_id, self._sub.priority, self._tools.clock()
+        )
+        self._on_result(
+            Result(SubRequestFailure.NO_PERMIT, no_permit_s=wait_s)
+        )
+
+    def _give_permit_back(self) -> None:
+        limits = self._tools.policy.limits
+        limits.give_back(self._permit, self._tools.clock())
+
     def _connected(self, conn: TargetConnection | None) -> None:
         if not self._is_wanted():
+            self._give_permit_back()
             return
         if conn is None:
+            self._give_permit_back()
             self._on_result(Result(SubRequestFailure.NOT_SENT))
             return
         tools = self._tools
         sub = self._sub
         now = tools.clock()
+        if not tools.policy.limits.is_valid(self._permit, now):
+            # It expired, or the target named a limit, while this sub-request
+            # waited for its connection.
+            conn.release()
+            self._report_no_permit()
+            return
         if self._is_held() or not tools.policy.may_send(self._target_id, now):
             # While this sub-request waited for its connection, another one of
             # the same request may have crashed its target, or this target
             # asked to be sent nothing or said that it is about to stop.
             conn.release()
+            self._give_permit_back()
             self._on_result(Result(SubRequestFailure.NOT_SENT))
             return
         left_s = max(sub.deadline_at - now, 0.001)
@@ -226,8 +263,9 @@
                 tools.metrics.count(
                     'target_limits_invalid', amount=reply_info.invalid_limits
                 )
-            if reply_or_broken.status != 421:
-                tools.on_limit(self._target_id, reply_info.limit_per_s)
+            target = tools.policy.targets.get(self._target_id)
+            if target is not None and reply_or_broken.status != 421:
+                tools.limits.record_reply(target, reply_info.limit_per_s)
         else:
             tools.metrics.count('target_breaks', reply_or_broken.value)
             if reply_or_broken in _SIZE_LIMIT_BREAKS and conn is not None:
--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -114,18 +114,36 @@
     The field asked lists the target of each attempt; open maps each attempt
     without a result to its target and the time when it was sent. not_run
     counts the attempts that surely did not run, broken_count those whose
-    connection broke. done is True once the shard has replied.
+    connection broke. An attempt without a permit is not in asked; unpermitted
+    counts these. done is True once the shard has replied.
     """
 
-    __slots__ = ('asked', 'broken_count', 'done', 'not_run', 'open')
+    __slots__ = (
+        'asked',
+        'broken_count',
+        'done',
+        'not_run',
+        'open',
+        'unpermitted',
+    )
 
     def __init__(self):
         self.asked: list[TargetId] = []
         self.open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self.done = False
         self.not_run = 0
+        self.unpermitted = 0
         self.broken_count = 0
 
+    def may_retry(self) -> bool:
+        """Return False after too many attempts that surely did not run."""
+        return self.not_run + self.unpermitted <= MAX_NOT_RUN_ATTEMPTS
+
+    def record_unpermitted(self, target_id: TargetId) -> None:
+        """Record that an attempt was not sent for lack of a permit."""
+        self.asked.remove(target_id)
+        self.unpermitted += 1
+
 
 class Gather:
     """Choose the sub-requests of one query and decide when it ends.
@@ -204,7 +222,8 @@
         on trial is sent to one shard only.
         """
         waits_s = [
-            self._policy.available_in_s(one, now) for one in self._services
+            self._policy.available_in_s(one, self._route.priority, now)
+            for one in self._services
         ]
         if waits_s.count(0.0) < self._required_answers:
             return self._finish(
@@ -299,8 +318,10 @@
         all attempts have ended, and only one at a time.
         """
         shard = self._shards[index]
-        shard.open.pop(attempt, None)
-        if end in SURELY_NOT_RUN:
+        opened = shard.open.pop(attempt, None)
+        if end is SubRequestFailure.NO_PERMIT and opened is not None:
+            shard.record_unpermitted(opened[0])
+        elif end in SURELY_NOT_RUN:
             shard.not_run += 1
         else:
             self._may_have_run = True
@@ -328,10 +349,7 @@
         if any(shard.open for shard in self._shards):
             return []
         for index, shard in enumerate(self._shards):
-            if (
-                shard.not_run > MAX_NOT_RUN_ATTEMPTS
-                or not self._has_attempts_left(shard)
-            ):
+            if not shard.may_retry() or not self._has_attempts_left(shard):
                 continue
             self._probe_attempt = AttemptNo(self._attempts + 1)
             sent = self._send(index, SendReason.RETRY_FAILED, now)
@@ -412,7 +430,7 @@
         Until now the shard had no usable replica, its retry budget was used
         up, or nothing was sent because a connection had broken.
         """
-        if shard.not_run > MAX_NOT_RUN_ATTEMPTS or self._suspects_crash():
+        if not shard.may_retry() or self._suspects_crash():
             return []
         if not shard.asked:
             return self._send(index, SendReason.FIRST, now)
@@ -424,10 +442,10 @@
         self, index: int, end: SubRequestFailure, now: float
     ) -> list[Action]:
         shard = self._shards[index]
-        if shard.not_run > MAX_NOT_RUN_ATTEMPTS or not self._may_repeat(shard):
+        if not shard.may_retry() or not self._may_repeat(shard):
             return []
         match end:
-            case SubRequestFailure.NOT_SENT:
+            case SubRequestFailure.NOT_SENT | SubRequestFailure.NO_PERMIT:
                 return self._send(index, SendReason.RETRY_NOT_SENT, now)
             case SubRequestFailure.NOT_RUN | SubRequestFailure.MISDIRECTED:
                 return self._send(index, SendReason.RETRY_NOT_RUN, now)
@@ -463,7 +481,12 @@
     ) -> list[Action]:
         shard = self._shards[index]
         target_id = self._policy.pick(
-            self._services[index], shard.asked, reason, now, reserve
+            self._services[index],
+            shard.asked,
+            reason,
+            now,
+            reserve,
+            self._route.priority,
         )
         if target_id is None:
             return []
@@ -488,23 +511,29 @@
                 self._has_pending_attempt(shard) for shard in self._shards
             ):
                 return self._finish(self._ending_by_coverage())
-        elif not any(
-            self._has_pending_attempt(shard) or self._may_get_attempt(shard)
-            for shard in self._shards
-        ):
-            return self._finish(self._ending_by_coverage())
+        elif not any(self._has_pending_attempt(s) for s in self._shards):
+            reachable = self._answered + sum(
+                not shard.done and self._may_get_attempt(index, now)
+                for index, shard in enumerate(self._shards)
+            )
+            if reachable < self._required_answers:
+                return self._finish(self._ending_by_coverage())
         return []
 
     def _has_pending_attempt(self, shard: _ShardState) -> bool:
         return not shard.done and bool(shard.open)
 
-    def _may_get_attempt(self, shard: _ShardState) -> bool:
+    def _may_get_attempt(self, index: int, now: float) -> bool:
         """Return True if another sub-request to a shard is still possible."""
-        return (
-            not shard.done
-            and shard.not_run <= MAX_NOT_RUN_ATTEMPTS
-            and self._may_repeat(shard)
+        shard = self._shards[index]
+        if not shard.may_retry() or not self._may_repeat(shard):
+            return False
+        wait_s = self._policy.available_in_s(
+            self._services[index], self._route.priority, now, shard.asked
         )
+        # A target may still be registered, so that one is known then. Waiting
+        # for one that accepts no more at present pays until the cutoff only.
+        return not wait_s or now + wait_s < self._cutoff_at
 
     def _ending_by_coverage(self) -> Ending:
         if self._answered >= self._required_answers:
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -171,6 +171,7 @@
             ),
             is_first,
             self._greatest.floor,
+            self._route.priority,
         )
         self._deps.delegates.send_batch(
             helper,
@@ -267,11 +268,19 @@
             self._tools.policy.selector.back_off(
                 send.target_id, end.rest_s, now
             )
+        if end.no_permit_s > 0.0:
+            self._tools.policy.limits.record_none_left(
+                send.target_id, self._route.priority, end.no_permit_s, now
+            )
         if end.end is not None:
-            self._record_failure(send, end.end)
-            return self._plan.failed(send.shard, send.attempt, end.end, now)
+            failure = end.end
+            if end.no_permit_s > 0.0:
+                failure = SubRequestFailure.NO_PERMIT
+            self._record_failure(send, failure)
+            return self._plan.failed(send.shard, send.attempt, failure, now)
         if end.whole is None and batch.filtered_unusable:
             self._tools.metrics.count('parts_unusable')
+            self._record_failure(send, SubRequestFailure.FAILED)
             return self._plan.failed(
                 send.shard, send.attempt, SubRequestFailure.FAILED, now
             )
--- /dev/null
+++ b/sesameward/serving/limit_exchange.py
@@ -0,0 +1,222 @@
+"""Exchange limits and permits with the coordinator, over gRPC.
+
+The decisions are in target_limits; this module makes the calls that it orders.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import typing
+
+from grpclib import client
+from grpclib import const
+from grpclib import server
+
+from .. import grpc_errors
+from .. import logs
+from ..channels import Channels
+from ..messages import Member
+from ..messages import Rumor
+from ..messages import Urgency
+from ..metrics import Metrics
+from ..types import Clock
+from ..types import NodeId
+from ..types import TargetId
+from .limit_messages import LimitAnswer
+from .limit_messages import LimitRequest
+from .target_limits import ANNOUNCEMENT_TTL_S
+from .target_limits import Call
+from .target_limits import CALL_TIMEOUT_S
+from .target_limits import Denial
+from .target_limits import ENTRUST_INTERVAL_S
+from .target_limits import Permit
+from .target_limits import TargetLimits
+from .targets import Target
+
+METHOD = '/sesameward.Peer/Limits'
+TOPIC = 'limits'
+
+OnPermit = typing.Callable[[Permit | None], None]
+
+
+class _Waiting(typing.NamedTuple):
+    """One request that waits for a permit."""
+
+    target_id: TargetId
+    priority: int
+    on_permit: OnPermit
+
+
+class LimitHandler:
+    """Answer the calls of nodes for which this node is the coordinator."""
+
+    def __init__(self, limits: TargetLimits, clock: Clock):
+        self._limits = limits
+        self._clock = clock
+
+    def __mapping__(self) -> dict[str, const.Handler]:
+        """Return the methods for grpclib's Server."""
+        return {
+            METHOD: const.Handler(
+                self._serve,
+                const.Cardinality.UNARY_UNARY,
+                LimitRequest,
+                LimitAnswer,
+            )
+        }
+
+    async def _serve(self, stream: server.Stream) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            answer = self._limits.answer(request, self._clock())
+            await stream.send_message(answer)
+
+
+class LimitExchange:
+    """Get permits for requests, and call the coordinator of the limits."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        limits: TargetLimits,
+        members: typing.Callable[[], typing.Sequence[Member]],
+        publish: typing.Callable[[Rumor], None],
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        self.limits = limits
+        self._node = node
+        self._members = members
+        self._publish = publish
+        self._metrics = metrics
+        self._clock = clock
+        self._channels = Channels()
+        self._waiting: list[_Waiting] = []
+        self._announcement_no = 0
+        self._call_now = asyncio.Event()
+
+    def acquire(
+        self, target_id: TargetId, priority: int, on_permit: OnPermit
+    ) -> None:
+        """Pass a permit for one request to a target, or None, to on_permit.
+
+        If the coordinator has to be asked, on_permit is called later.
+        """
+        match self.limits.take(target_id, priority, self._clock()):
+            case Permit() as permit:
+                on_permit(permit)
+            case Denial.NONE_LEFT:
+                self._metrics.count('permits', 'denied')
+                on_permit(None)
+            case Denial.ASK:
+                if not self._waiting:
+                    asyncio.get_running_loop().call_soon(self._ask)
+                self._waiting.append(_Waiting(target_id, priority, on_permit))
+
+    def record_reply(self, target: Target, limit: float | None) -> None:
+        """Record whether a target's reply named a limit."""
+        now = self._clock()
+        if self.limits.record_reply(target.id, target.started_ms, limit, now):
+            self._call_now.set()
+
+    async def run(self) -> None:
+        """Call the coordinator periodically while targets name limits."""
+        while True:
+            now = self._clock()
+            if self.limits.is_active(now):
+                coordinator = self.limits.coordinator
+                call = self.limits.next_call(self._members(), now)
+                if self.limits.coordinator != coordinator:
+                    logs.log_event(
+                        'limit_coordinator',
+                        coordinator=self.limits.coordinator,
+                        before=coordinator,
+                    )
+                if self.limits.announcement_due(now):
+                    self._announce()
+                if call is not None:
+                    await self._call(call)
+            try:
+                async with asyncio.timeout(ENTRUST_INTERVAL_S):
+                    await self._call_now.wait()
+            except TimeoutError:
+                continue
+            finally:
+                self._call_now.clear()
+
+    def on_rumor(self, rumor: Rumor) -> None:
+        """Start to call the coordinator, as another node announced."""
+        self.limits.on_announcement(rumor.ttl_s, self._clock())
+        self._call_now.set()
+
+    def close(self) -> None:
+        """Close the connections to coordinators."""
+        self._channels.close()
+
+    def _announce(self) -> None:
+        # Versions come from the wall clock, so that rumors of a restarted node
+        # override those of its former process.
+        self._announcement_no = max(
+            self._announcement_no + 1, int(time.time() * 1_000)
+        )
+        self._publish(
+            Rumor(
+                TOPIC,
+                self._node,
+                self._announcement_no,
+                ttl_s=ANNOUNCEMENT_TTL_S,
+                urgency=Urgency.DECISION,
+            )
+        )
+
+    def _ask(self) -> None:
+        """Ask the coordinator for permits for all requests that wait."""
+        waiting, self._waiting = self._waiting, []
+        waiting.sort(key=lambda one: one.priority)
+        counts: dict[tuple[TargetId, int], int] = {}
+        for one in waiting:
+            key = one.target_id, one.priority
+            counts[key] = counts.get(key, 0) + 1
+        call = self.limits.ask_call(
+            [(*key, count) for key, count in counts.items()], self._clock()
+        )
+        task = asyncio.ensure_future(self._ask_and_pass_on(call, waiting))
+        logs.log_failure(task)
+
+    async def _ask_and_pass_on(
+        self, call: Call | None, waiting: list[_Waiting]
+    ) -> None:
+        if call is not None:
+            await self._call(call)
+        for one in waiting:
+            permit = self.limits.take_granted(one.target_id, self._clock())
+            self._metrics.count('permits', 'granted' if permit else 'denied')
+            one.on_permit(permit)
+
+    async def _call(self, call: Call) -> None:
+        member = next(
+            (m for m in self._members() if m.node == call.coordinator), None
+        )
+        if member is None:
+            self.limits.on_failure(call, self._clock())
+            return
+        method = client.UnaryUnaryMethod(
+            self._channels.get(member), METHOD, LimitRequest, LimitAnswer
+        )
+        try:
+            answer = await method(call.request, timeout=CALL_TIMEOUT_S)
+        except grpc_errors.LOST as exc:
+            # The connection may be silent for good while a new one works.
+            self._channels.drop(call.coordinator)
+            self._metrics.count('limit_call_errors', type(exc).__name__)
+            logs.log_event(
+                'limit_call_failed',
+                coordinator=call.coordinator,
+                error=repr(exc),
+            )
+            self.limits.on_failure(call, self._clock())
+            return
+        self.limits.on_answer(call, answer, self._clock())
+        if not answer.is_held:
+            self._call_now.set()
--- a/sesameward/serving/named_limits.py
+++ b/sesameward/serving/named_limits.py
@@ -1,9 +1,8 @@
 """Track which targets limit their request rate.
 
 A target in need names in its replies how many requests per second it accepts
-from all nodes together. Only nodes that get replies of the target see that,
-so nodes exchange this evidence with one coordinator, which decides when a
-limit has ended.
+from all nodes together. Only the nodes that get its replies see that, so nodes
+send this evidence to one coordinator, which decides when a limit has ended.
 """
 
 from __future__ import annotations
@@ -11,9 +10,9 @@
 import collections
 import typing
 
-import msgspec
-
 from ..types import TargetId
+from .limit_messages import LimitChange
+from .limit_messages import LimitEvidence
 from .targets import Target
 from .targets import TargetTable
 
@@ -32,33 +31,13 @@
 # Largest number of ended limits that are remembered, so that other nodes can
 # be told that they have ended.
 MAX_ENDED = 1_000
+# Evidence seems more recent than it is by the time that it was on its way. So
+# it renews an ended limit only if it is more recent by more than this.
+MAX_TRANSIT_S = 1.0
 # Largest number of limits that are accepted from other nodes.
 MAX_LIMITS = 10_000
 
 
-class LimitEvidence(msgspec.Struct, frozen=True, array_like=True):
-    """What replies of a target showed about its limit.
-
-    limit is in requests per second; age_s is the time since a reply last named
-    it. unnamed_replies counts later replies without it, as far as they are not
-    yet reported. started_ms is the Unix time of the target's start, or 0.
-    """
-
-    target_id: TargetId
-    started_ms: int
-    limit: float
-    age_s: float
-    unnamed_replies: int
-
-
-class LimitChange(msgspec.Struct, frozen=True, array_like=True):
-    """Tell the limit of a target; None if the limit has ended."""
-
-    target_id: TargetId
-    started_ms: int
-    limit: float | None
-
-
 class _NamedLimit:
     """Limit of one target; times are of this node's clock."""
 
@@ -84,6 +63,14 @@
         self.unreported_count = 0
 
 
+class _EndedLimit(typing.NamedTuple):
+    """End of a limit that a reply had last named at named_at."""
+
+    change_no: int
+    started_ms: int
+    named_at: float
+
+
 # Called with the target, its limit and the limit before; None means no limit.
 OnLimitChange = typing.Callable[[TargetId, float | None, float | None], None]
 
@@ -98,7 +85,7 @@
         self.on_change: OnLimitChange = lambda target_id, limit, before: None
         self.change_no = 0
         self._limits: dict[TargetId, _NamedLimit] = {}
-        self._ended: collections.OrderedDict[TargetId, tuple[int, int]] = (
+        self._ended: collections.OrderedDict[TargetId, _EndedLimit] = (
             collections.OrderedDict()
         )
 
@@ -212,7 +199,11 @@
             named_at = now - one.age_s
             entry = self._limits.get(one.target_id)
             if entry is None:
-                if len(self._limits) >= MAX_LIMITS:
+                ended = self._ended.get(one.target_id)
+                if len(self._limits) >= MAX_LIMITS or (
+                    ended is not None
+                    and named_at < ended.named_at + MAX_TRANSIT_S
+                ):
                     continue
                 entry = self._set(
                     one.target_id, one.started_ms, one.limit, named_at
@@ -234,9 +225,9 @@
             if entry.change_no > change_no
         ]
         changes += [
-            LimitChange(target_id, started_ms, None)
-            for target_id, (number, started_ms) in self._ended.items()
-            if number > change_no
+            LimitChange(target_id, ended.started_ms, None)
+            for target_id, ended in self._ended.items()
+            if ended.change_no > change_no
         ]
         return tuple(changes)
 
@@ -292,7 +283,9 @@
     def _end(self, target_id: TargetId, entry: _NamedLimit) -> None:
         del self._limits[target_id]
         self.change_no += 1
-        self._ended[target_id] = self.change_no, entry.started_ms
+        self._ended[target_id] = _EndedLimit(
+            self.change_no, entry.started_ms, entry.named_at
+        )
         self._ended.move_to_end(target_id)
         if len(self._ended) > MAX_ENDED:
             self._ended.popitem(last=False)
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -22,6 +22,7 @@
 from ..exceptions import PlatformError
 from ..exceptions import SettingsError
 from . import leaving_targets
+from . import limit_exchange
 from ..messages import Rumor
 from ..metrics import Metrics
 from . import mirror
@@ -49,10 +50,11 @@
 from .http_server import Request
 from .http_server import Responder
 from .leaving_targets import Departures
+from .limit_exchange import LimitExchange
+from .limit_exchange import LimitHandler
 from .lines import LineWriter
 from .mirror import Mirror
 from .mirror import Store
-from .named_limits import NamedLimits
 from .peers import Peers
 from .pools import Pools
 from .pools import WARM_PERIOD_S
@@ -62,6 +64,7 @@
 from .settings import NodeSettings
 from .splits import Splits
 from .takeover import Takeover
+from .target_limits import TargetLimits
 from .targets import TargetTable
 from .wire import Wire
 
@@ -200,19 +203,31 @@
             self.targets, self.routing_state.mark_leaving, self.peers.publish
         )
         self.selector.on_backoff = self._on_target_rest
-        self.limits = NamedLimits()
+        self.limits = TargetLimits(cfg.node, origin, now)
         self.limits.on_change = self._on_limit_change
-        self.routing_state.on_target_added = self.limits.on_target_added
-        self.metrics.gauge('limits_in_force', lambda: float(len(self.limits)))
+        self.routing_state.on_target_added = self.limits.named.on_target_added
+        self.metrics.gauge(
+            'limits_in_force', lambda: float(len(self.limits.named))
+        )
+        self._limit_exchange = LimitExchange(
+            cfg.node,
+            self.limits,
+            self.peers.members,
+            self.peers.publish,
+            self.metrics,
+            self._clock,
+        )
         tools = ExchangeDeps(
             adapter.wire,
-            AttemptPolicy(self.targets, self.selector, self.budget),
+            AttemptPolicy(
+                self.targets, self.selector, self.budget, self.limits
+            ),
             self.pools,
             self._crashes,
+            self._limit_exchange,
             self.metrics,
             self._clock,
             self._departures.on_leaving_reply,
-            self._on_limit_reply,
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
         self.delegation.on_helper_quiet = self._on_helper_quiet
@@ -221,6 +236,7 @@
             self.delegation, self.metrics, self._clock
         )
         self.peers.add_handler(DelegateHandler(tools))
+        self.peers.add_handler(LimitHandler(self.limits, self._clock))
         self.front = Front(
             Deps(
                 tools,
@@ -307,6 +323,9 @@
             leaving_targets.TOPIC, self._departures.on_rumor
         )
         self.peers.gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
+        self.peers.gossip.subscribe(
+            limit_exchange.TOPIC, self._limit_exchange.on_rumor
+        )
         for server, at in self._internal_servers:
             await server.start(at.host, at.port)
         await self.peers.start()
@@ -315,7 +334,11 @@
         await self._wait_first_reading()
         await self.callers.accept(callers)
         self._upkeep(self._clock())
-        for work in (self._run_upkeep(), self._keep_registered()):
+        for work in (
+            self._run_upkeep(),
+            self._keep_registered(),
+            self._limit_exchange.run(),
+        ):
             self._spawn(work)
         await self._leave_finished.wait()
         await self._stop()
@@ -348,6 +371,7 @@
         logs.log_event('leaving', in_flight=len(self.front.deps.runs))
         self.peers.announce_leaving()
         self.callers.leaving = True
+        self.limits.stop()
         self._spawn(self._leave())
 
     async def _leave(self) -> None:
@@ -378,6 +402,7 @@
         await self.routes_mirror.stop()
         await self.targets_mirror.stop()
         self._delegates.close()
+        self._limit_exchange.close()
         await self.peers.stop()
         self.callers.stop()
         for server, _ in self._internal_servers:
@@ -413,6 +438,7 @@
             last_round_at, since_boot_s = now, _since_boot_s()
             if suspended_s > SUSPENDED_AFTER_S:
                 logs.log_event('stood_still', for_s=round(suspended_s, 3))
+                self.limits.reset(now)
                 self.routes_mirror.refresh()
                 self.targets_mirror.refresh()
             self._upkeep(now)
@@ -424,12 +450,13 @@
 
     def _upkeep(self, now: float) -> None:
         self.routing_state.drop_expired()
-        self.limits.drop_absent(self.targets, now)
+        self.limits.named.drop_absent(self.targets, now)
         self._silences.publish_reported()
         self._crashes.publish_suspicions(now)
         self.delegation.set_members(self.peers.members())
         sharing_nodes = self.peers.sharing_nodes(now)
         self.budget.set_nodes(sharing_nodes)
+        self.limits.set_nodes(sharing_nodes, now)
         self.pools.set_limits(
             self.routing_state.max_connections, sharing_nodes
         )
@@ -483,15 +510,6 @@
             for_s=round(for_s, 3),
         )
 
-    def _on_limit_reply(
-        self, target_id: TargetId, limit_per_s: float | None
-    ) -> None:
-        target = self.targets.get(target_id)
-        if target is not None:
-            self.limits.record_reply(
-                target_id, target.started_ms, limit_per_s, self._clock()
-            )
-
     def _on_limit_change(
         self, target_id: TargetId, limit: float | None, before: float | None
     ) -> None:
@@ -499,7 +517,8 @@
             'target_limits', 'ended' if limit is None else 'named'
         )
         target = self.targets.get(target_id)
-        age_s = self.limits.named_age_s(target_id, self._clock())
+        now = self._clock()
+        age_s = self.limits.named.named_age_s(target_id, now)
         logs.log_event(
             'target_limit',
             target=target_id,
@@ -507,6 +526,8 @@
             limit_per_s=limit,
             before=before,
             age_s=None if age_s is None else round(age_s, 3),
+            coordinator=self.limits.coordinator,
+            own_part=round(self.limits.part(now), 3),
         )
 
     def _on_helper_quiet(self, node: NodeId, no_message_s: float) -> None:
--- a/sesameward/serving/relay.py
+++ b/sesameward/serving/relay.py
@@ -92,6 +92,7 @@
         self._open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self._attempts = 0
         self._not_run_count = 0
+        self._unpermitted_count = 0
         self._may_have_run = False
         self._has_reply = False
         self._finished = False
@@ -135,8 +136,12 @@
         A retry is safe if the target surely did not run the attempt, or if the
         route allows its requests to run more than once.
         """
-        self._open.pop(attempt, None)
-        if end in SURELY_NOT_RUN:
+        opened = self._open.pop(attempt, None)
+        if end is SubRequestFailure.NO_PERMIT and opened is not None:
+            # The target got nothing, so it may be chosen again.
+            self._asked.remove(opened[0])
+            self._unpermitted_count += 1
+        elif end in SURELY_NOT_RUN:
             self._not_run_count += 1
         else:
             self._may_have_run = True
@@ -144,7 +149,7 @@
         if self._finished:
             return []
         match end:
-            case SubRequestFailure.NOT_SENT:
+            case SubRequestFailure.NOT_SENT | SubRequestFailure.NO_PERMIT:
                 return self._retry_or_finish(SendReason.RETRY_NOT_SENT, now)
             case SubRequestFailure.NOT_RUN | SubRequestFailure.MISDIRECTED:
                 return self._retry_or_finish(SendReason.RETRY_NOT_RUN, now)
@@ -193,7 +198,8 @@
         if self._open:
             return []
         sends: list[Action] = []
-        if self._not_run_count <= MAX_NOT_RUN_ATTEMPTS:
+        retries = self._not_run_count + self._unpermitted_count
+        if retries <= MAX_NOT_RUN_ATTEMPTS:
             sends = self._send(reason, now)
         if sends:
             return sends
@@ -203,7 +209,9 @@
         return self._finish(verdict)
 
     def _refuse(self, now: float) -> list[Action]:
-        rest_s = self._policy.available_in_s(self._service, now)
+        rest_s = self._policy.available_in_s(
+            self._service, self._route.priority, now
+        )
         return self._finish(Verdict.REFUSED, rest_s or None)
 
     def _verdict_without_success(self, otherwise: Verdict) -> Verdict:
@@ -219,7 +227,12 @@
         if len(self._asked) - self._not_run_count >= self._route.max_attempts:
             return []
         target_id = self._policy.pick(
-            self._service, self._asked, reason, now, reserve
+            self._service,
+            self._asked,
+            reason,
+            now,
+            reserve,
+            self._route.priority,
         )
         if target_id is None:
             return []
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -85,6 +85,7 @@
             arrival.identity,
             asked.head,
             self._deadline_at,
+            route.priority,
             isinstance(route.destination, Shards),
             route.repeat is Repeat.ONCE,
             arrival.on_trial,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import functools
+import math
 import random
 import time
 
@@ -101,6 +102,11 @@
         self._leaving_since: dict[str, float] = {}
         self._notice_passed_on_at: dict[str, float] = {}
         self._recovery_since = 0.0
+        # For each target: its limits, each with the times when they began and
+        # ended.
+        self._limits: dict[str, list[tuple[float, float, float]]] = (
+            collections.defaultdict(list)
+        )
         self._crash_attempts: dict[str, list[Attempt]] = {}
         self._crash_tasks: list[asyncio.Task] = []
 
@@ -201,6 +207,19 @@
         target.faults.leaving = True
         self._leaving_since[target.id] = time.monotonic()
 
+    def limit_target(self, target: ShardTarget, limit: float) -> None:
+        """Let a target name a limit in its answers, if it names none."""
+        if not target.faults.limit:
+            target.faults.limit = str(limit)
+            self._limits[target.id].append((limit, time.monotonic(), math.inf))
+
+    def end_limit(self, target: ShardTarget) -> None:
+        """Let a target name no limit any more."""
+        if target.faults.limit:
+            target.faults.limit = ''
+            limit, since, _ = self._limits[target.id].pop()
+            self._limits[target.id].append((limit, since, time.monotonic()))
+
     def _record_leave_notices(self, target_ids: list[str]) -> None:
         """Record when a target's leave notice first reached a caller.
 
@@ -375,6 +394,7 @@
             self._check_quarantined(node)
         for target in self.fleet.targets.values():
             self._check_leave_and_rest(target)
+            self._check_limits(target)
 
     def _check_crashing(self, path: str, attempts: list[Attempt]) -> None:
         """Check how often a crashing request reached targets.
@@ -418,6 +438,26 @@
         except AssertionError as exc:
             self._add_violation(f'{target.id}: {exc}')
 
+    def _check_limits(self, target: ShardTarget) -> None:
+        """Check that a target gets no more than its limit allows.
+
+        Requests are not counted after a node was disturbed.
+        """
+        names = tuple(node.name for node in self.fleet.nodes)
+        for limit, since, until in self._limits[target.id]:
+            times = [
+                arrival.at
+                for arrival in target.arrivals
+                if arrival.at <= until
+                and not self._any_disturbed(
+                    names, arrival.at - EXCUSED_S, arrival.at
+                )
+            ]
+            try:
+                promises.check_limit(times, limit, since)
+            except AssertionError as exc:
+                self._add_violation(f'{target.id}: {exc}')
+
     def _sent_while_disturbed(self) -> set[str]:
         names = tuple(node.name for node in self.fleet.nodes)
         return {
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -109,6 +109,21 @@
         assert node.get('t') is None
 
 
+def test_late_evidence_does_not_renew_an_ended_limit(coordinator, limits):
+    limits.record_reply('t', 5, 8.5, NOW)
+    coordinator.merge(limits.unreported(NOW), NOW)
+    later = NOW + GIVE_UP_AFTER_S
+    add_unnamed(coordinator, GIVE_UP_REPLIES, later)
+    coordinator.end_unnamed(later)
+    add_unnamed(limits, 1, later)
+    coordinator.merge(limits.unreported(later), later + 0.2)
+    assert coordinator.get('t') is None
+    limits.record_reply('t', 5, 8.5, later)
+    limits.report_again()
+    coordinator.merge(limits.unreported(later), later + 0.2)
+    assert coordinator.get('t') == 8.5
+
+
 def test_one_node_that_sees_the_limit_keeps_it_for_all(coordinator, limits):
     other = NamedLimits()
     for node in (limits, other):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -155,3 +155,12 @@
     with pytest.raises(AssertionError):
         promises.check_rests(late, 2.5)
     promises.check_rests(late, 2.5, lambda begun, ended: begun < 11 < ended)
+
+
+def test_requests_to_a_target_that_names_a_limit_are_judged():
+    # A limit of 2 allows 17 requests in any 4 s, from 4 s after it was named.
+    early = [0.1 * n for n in range(30)]
+    allowed = [4.0 + 0.2 * n for n in range(17)]
+    assert promises.check_limit([*early, *allowed], 2.0, 0.0) == 17
+    with pytest.raises(AssertionError):
+        promises.check_limit([*early, *allowed, 7.9], 2.0, 0.0)
