Tell the asking node what a target said after its query had ended

Now replies to cancelled batches still pass on that the target leaves or wants a rest. The test fails without the call (QueueEmpty).

--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -27,6 +27,7 @@
 from .delegation import DelegatedBatch
 from .delegation import Delegation
 from .delegation import HelperMessage
+from .delegation import TargetNotice
 
 METHOD = '/sesameward.Peer/Delegate'
 CONNECT_TIMEOUT_S = 0.3
@@ -57,7 +58,8 @@
 
     A helper node sends the sub-requests to targets of its own zone. The stream
     to it is opened when the first batch is sent. The results of a batch go to
-    the callback that was given with the batch.
+    the callback that was given with the batch. on_notice is called with what
+    replies to cancelled batches said about their targets.
     """
 
     def __init__(self, delegation: Delegation, metrics: Metrics, clock: Clock):
@@ -66,6 +68,7 @@
         self._clock = clock
         self._batch_numbers = itertools.count(1)
         self._streams: dict[NodeId, _Stream] = {}
+        self.on_notice: typing.Callable[[TargetNotice], None] = lambda _: None
 
     def next_batch_no(self) -> BatchNo:
         """Return the number for a new batch, unique in this process."""
@@ -155,6 +158,8 @@
         self, node: NodeId, stream: _Stream, parts: BatchResults
     ) -> None:
         self._delegation.message_received(node, self._clock())
+        for notice in parts.notices:
+            self.on_notice(notice)
         on_results = stream.handlers.get(parts.batch_no)
         if on_results is not None:
             on_results(parts)
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -23,6 +23,7 @@
 from .delegation import DelegatedBatch
 from .delegation import ItemResult
 from .delegation import MarkSentElsewhere
+from .delegation import TargetNotice
 from .exchange import CANCEL_GRACE_S
 from .exchange import DEADLINE_GRACE_S
 from .exchange import ExchangeDeps
@@ -147,7 +148,10 @@
             exchange.abandon()
 
     def _on_result(self, item: BatchItem, result: Result) -> None:
-        if self._running.pop(item.no, None) is None or not self.is_wanted:
+        if self._running.pop(item.no, None) is None:
+            return
+        if not self.is_wanted:
+            self._pass_on_notice(item, result)
             return
         if result.end is not None or result.reply is None:
             end = result.end or SubRequestFailure.FAILED
@@ -183,6 +187,17 @@
             loop = asyncio.get_running_loop()
             self._flush_timer = loop.call_later(FLUSH_S, self._flush)
 
+    def _pass_on_notice(self, item: BatchItem, result: Result) -> None:
+        # The other node has no more use for the reply, but must know that the
+        # target leaves or wants no requests: it may send to it by itself.
+        if result.leaving or result.rest_s > 0.0:
+            notice = TargetNotice(
+                item.target_id, result.leaving, result.rest_s
+            )
+            self._outbox.put_nowait(
+                BatchResults(self._batch.batch_no, (), notices=(notice,))
+            )
+
     def _flush(self) -> None:
         if self._flush_timer is not None:
             self._flush_timer.cancel()
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -112,17 +112,30 @@
     no_permit_s: float = 0.0
 
 
+class TargetNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What a target's reply said, although its result is no longer needed.
+
+    The fields have the same meaning as those of ItemResult.
+    """
+
+    target_id: TargetId
+    leaving: bool
+    rest_s: float
+
+
 class BatchResults(msgspec.Struct, frozen=True, array_like=True):
     """Message from a helper node: results of some sub-requests of a batch.
 
     The field ends holds one result for each of them. The field records holds
     the joined records of those sub-requests whose ItemResult has None in both
-    end and whole.
+    end and whole. The field notices is about targets whose replies came after
+    the batch was cancelled.
     """
 
     batch_no: BatchNo
     item_results: tuple[ItemResult, ...]
     records: bytes = b''
+    notices: tuple[TargetNotice, ...] = ()
 
 
 HelperMessage = DelegatedBatch | MarkSentElsewhere | CancelBatch
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -40,6 +40,7 @@
 from .delegate_client import DelegateClient
 from .delegate_server import DelegateHandler
 from .delegation import Delegation
+from .delegation import TargetNotice
 from .deps import Deps
 from .directory import Directory
 from .endpoints import EndpointAdapter
@@ -65,6 +66,7 @@
 from .splits import Splits
 from .takeover import Takeover
 from .target_limits import TargetLimits
+from .targets import DepartureSource
 from .targets import TargetTable
 from .wire import Wire
 
@@ -235,6 +237,7 @@
         self._delegates = DelegateClient(
             self.delegation, self.metrics, self._clock
         )
+        self._delegates.on_notice = self._on_helper_notice
         self.peers.add_handler(DelegateHandler(tools))
         self.peers.add_handler(LimitHandler(self.limits, self._clock))
         self.front = Front(
@@ -538,6 +541,16 @@
             'helper_quiet', helper=node, no_message_s=round(no_message_s, 3)
         )
 
+    def _on_helper_notice(self, notice: TargetNotice) -> None:
+        if notice.leaving:
+            self._departures.on_leaving_reply(
+                notice.target_id, DepartureSource.HELPER
+            )
+        if notice.rest_s > 0.0:
+            self.selector.back_off(
+                notice.target_id, notice.rest_s, self._clock()
+            )
+
     def _on_reading(self, rumor: Rumor) -> None:
         for store_mirror in (self.routes_mirror, self.targets_mirror):
             if store_mirror.kind == rumor.key:
--- /dev/null
+++ b/tests/test_delegate_server.py
@@ -0,0 +1,132 @@
+"""Test what a helper node passes on about the targets that it sends to."""
+
+import asyncio
+import random
+
+import pytest
+
+from sesameward.metrics import Metrics
+from sesameward.platform.wire import PlatformWire
+from sesameward.serving.attempts import AttemptPolicy
+from sesameward.serving.budget_window import BudgetWindow
+from sesameward.serving.crashes import Crashes
+from sesameward.serving.delegate_server import _Batch
+from sesameward.serving.delegation import BatchItem
+from sesameward.serving.delegation import DelegatedBatch
+from sesameward.serving.delegation import TargetNotice
+from sesameward.serving.exchange import ExchangeDeps
+from sesameward.serving.limit_exchange import LimitExchange
+from sesameward.serving.replica_choice import ReplicaSelector
+from sesameward.serving.target_connection import Reply
+from sesameward.serving.target_limits import TargetLimits
+from sesameward.serving.targets import Target
+from sesameward.serving.targets import TargetState
+from sesameward.serving.targets import TargetTable
+
+
+class Connection:
+    """Keep what is sent until the test answers it."""
+
+    echoes_request_ids = False
+
+    def send(self, data, on_end, is_own_reply, *args):
+        self._on_end = on_end
+        self._is_own_reply = is_own_reply
+
+    def abandon(self):
+        pass
+
+    def answer(self, reply):
+        assert self._is_own_reply(reply)
+        self._on_end(reply)
+
+
+class Pools:
+    """Give out one connection."""
+
+    def __init__(self):
+        self.conn = Connection()
+
+    def acquire(self, target_id, on_connection, max_idle_s):
+        on_connection(self.conn)
+
+
+@pytest.fixture
+def run_batch():
+    """Return a function that plays a scenario on a batch of one item.
+
+    The scenario gets the batch, the connection to the target and the outbox.
+    """
+
+    def run(scenario):
+        async def main():
+            clock = asyncio.get_running_loop().time
+            metrics = Metrics('t')
+            targets = TargetTable()
+            selector = ReplicaSelector('z', random.Random(1))
+            target = Target('t0', 's0', 'h', 1, 'z', 2, TargetState.READY)
+            targets.put(target)
+            selector.declare(target)
+            limits = TargetLimits('me', 'me:1', clock())
+            budget = BudgetWindow(0.0, 0.0, 10.0, clock())
+            pools = Pools()
+            tools = ExchangeDeps(
+                PlatformWire(),
+                AttemptPolicy(targets, selector, budget, limits),
+                pools,
+                Crashes('me', metrics, random.Random(1)),
+                LimitExchange('me', limits, tuple, print, metrics, clock),
+                metrics,
+                clock,
+            )
+            message = DelegatedBatch(
+                1,
+                'r1',
+                'route',
+                b'GET',
+                b'GET h/',
+                b'',
+                b'',
+                500,
+                10,
+                (BatchItem(0, 't0'),),
+                True,
+            )
+            outbox = asyncio.Queue()
+            batch = _Batch(tools, message, outbox)
+            batch.start()
+            scenario(batch, pools.conn, outbox)
+
+        asyncio.run(main())
+
+    return run
+
+
+REST = Reply(
+    503,
+    b'',
+    [(b'Sesameward-Not-Executed', b'1'), (b'Retry-After', b'1.5')],
+    b'',
+)
+
+
+# A node went on sending to a target that wanted a rest: the target had said so
+# in a reply to a helper node, after the query had ended.
+def test_notice_in_a_reply_to_a_cancelled_batch_is_passed_on(run_batch):
+    def scenario(batch, conn, outbox):
+        batch.cancel()
+        conn.answer(REST)
+        message = outbox.get_nowait()
+        assert message.item_results == ()
+        assert message.notices == (TargetNotice('t0', False, 1.5),)
+
+    run_batch(scenario)
+
+
+def test_result_of_a_batch_carries_its_notice(run_batch):
+    def scenario(batch, conn, outbox):
+        conn.answer(REST)
+        (item,) = outbox.get_nowait().item_results
+        assert item.rest_s == 1.5
+
+    run_batch(scenario)
