--- a/sesameward/interface/request_log.py
+++ b/sesameward/interface/request_log.py
@@ -96,9 +96,10 @@
     ended_at = max(line['at'] for line in request_lines)
     took_s = max(line.get('took_ms', 0.0) for line in request_lines) / 1_000
     started_at = min(line['at'] for line in request_lines) - took_s
+    limit_lines = _limits_in_force(lines, started_at, nodes, targets, services)
     selected = []
     for line in lines:
-        if line in request_lines:
+        if line in request_lines or line in limit_lines:
             selected.append(line)
             continue
         if line.get('fingerprint') in fingerprints and line['at'] <= ended_at:
@@ -122,6 +123,31 @@
     return selected
 
 
+def _limits_in_force(
+    lines: list[LogLine],
+    at: float,
+    nodes: set[str],
+    targets: set[str],
+    services: set[str],
+) -> list[LogLine]:
+    """Return the last limit that each node knew of each target, if any."""
+    latest: dict[tuple[str, str], LogLine] = {}
+    for line in lines:
+        if (
+            line['event'] == 'target_limit'
+            and line['at'] <= at
+            and line.get('node') in nodes
+            and (
+                line.get('target') in targets
+                or line.get('service') in services
+            )
+        ):
+            latest[line['node'], line['target']] = line
+    return [
+        line for line in latest.values() if line['limit_per_s'] is not None
+    ]
+
+
 def _target_ids(line: LogLine) -> set[str]:
     target_ids = {
         item.partition(':')[2]
--- a/sesameward/serving/__init__.py
+++ b/sesameward/serving/__init__.py
@@ -3,8 +3,9 @@
 The main modules by purpose; node creates and connects their objects:
 
 Decisions about one request, without I/O: routes, targets, replica_choice (of a
-replica), budget_window (limit on repeats), relay (one target), gather (all
-shards), topk (merging of replies), delegation (choice of helper nodes, in
+replica), budget_window (limit on repeats), target_limits with named_limits and
+permit_ledger (request rates that targets name), relay (one target), gather
+(all shards), topk (merging of replies), delegation (choice of helper nodes, in
 other zones, that send sub-requests to the targets of their zone).
 HTTP connections: http_server for callers, pools and target_connection for
 targets.
@@ -15,6 +16,6 @@
 holds the objects, routing_state applies them to routes and targets.
 Rumors between nodes: peers runs the gossip; silent_targets, leaving_targets
 and crashes publish which targets are silent or leaving and which requests
-crash targets.
+crash targets. limit_exchange calls the coordinator of the limits.
 Operation: endpoints, directory, node_status, lines (log output).
 """
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -585,6 +585,7 @@
             self.routing_state,
             self.targets,
             self.selector,
+            self.limits.named,
             (self.routes_mirror, self.targets_mirror),
             self.peers.members(),
             self._clock(),
--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -13,6 +13,7 @@
 from ..types import TargetId
 from ..types import ZoneName
 from .mirror import Mirror
+from .named_limits import NamedLimits
 from .replica_choice import ReplicaSelector
 from .routes import OneService
 from .routes import Route
@@ -56,7 +57,9 @@
     paused is True while the reply to any request sent to the target is
     overdue. ejected_s is the time for which this node will still avoid the
     target after failures. rest_s is the time for which the target still wants
-    to get no requests. Either time is 0 if it has passed.
+    to get no requests. Either time is 0 if it has passed. limit_per_s is the
+    number of requests per second to which the target limits all nodes
+    together, or None.
     """
 
     target: TargetId
@@ -66,6 +69,7 @@
     paused: bool
     ejected_s: float
     rest_s: float
+    limit_per_s: float | None
 
 
 class RouteStatus(msgspec.Struct, frozen=True):
@@ -108,6 +112,7 @@
     routing_state: RoutingState,
     targets: TargetTable,
     selector: ReplicaSelector,
+    limits: NamedLimits,
     mirrors: typing.Iterable[Mirror],
     members: typing.Iterable[Member],
     now: float,
@@ -135,6 +140,7 @@
                 selector.paused(t.id, now),
                 selector.ejected_s(t.id, now),
                 selector.backoff_left_s(t.id, now),
+                limits.get(t.id),
             )
             for t in targets
         ),
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -80,3 +80,25 @@
     )
     explained = request_log.explain('r1', lines)
     assert [line['at'] for line in explained] == [10.0, 12.0, 9_000.0]
+
+
+def test_limit_in_force_explains_however_long_ago_it_began():
+    lines = request_log.parse_lines(
+        [
+            log_line(1.0, 'target_limit', target='i-1', limit_per_s=9.0),
+            log_line(2.0, 'target_limit', target='i-1', limit_per_s=5.0),
+            log_line(2.0, 'target_limit', target='i-2', limit_per_s=5.0),
+            log_line(2.0, 'target_limit', target='i-3', limit_per_s=5.0),
+            log_line(3.0, 'target_limit', target='i-3', limit_per_s=None),
+            log_line(
+                900.0,
+                'answer',
+                request='r1',
+                took_ms=1.0,
+                failures=['no_permit:i-1', 'no_permit:i-3'],
+            ),
+        ]
+    )
+    explained = request_log.explain('r1', lines)
+    limits = [(one.get('target'), one.get('limit_per_s')) for one in explained]
+    assert limits == [('i-1', 5.0), (None, None)]
