Move the choice of the coordinator to a module of its own

TargetLimits had two jobs: permits, and which node holds the share. The second is CoordinatorChoice now. Asks for permits while the share is being taken back no longer entrust it again; nothing is stored for targets without a limit.

--- a/sesameward/serving/__init__.py
+++ b/sesameward/serving/__init__.py
@@ -3,10 +3,11 @@
 The main modules by purpose; node creates and connects their objects:
 
 Decisions about one request, without I/O: routes, targets, replica_choice (of a
-replica), budget_window (limit on repeats), target_limits with named_limits and
-permit_ledger (request rates that targets name), relay (one target), gather
-(all shards), topk (merging of replies), delegation (choice of helper nodes, in
-other zones, that send sub-requests to the targets of their zone).
+replica), budget_window (limit on repeats), target_limits with named_limits,
+permit_ledger and coordinator_choice (request rates that targets name), relay
+(one target), gather (all shards), topk (merging of replies), delegation
+(choice of helper nodes, in other zones, that send sub-requests to the targets
+of their zone).
 HTTP connections: http_server for callers, pools and target_connection for
 targets.
 One request from arrival to answer: front, then run with relay_run or
--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -23,11 +23,11 @@
 from ..types import Clock
 from ..types import NodeId
 from ..types import TargetId
+from .coordinator_choice import CALL_TIMEOUT_S
 from .limit_messages import LimitAnswer
 from .limit_messages import LimitRequest
 from .target_limits import ANNOUNCEMENT_TTL_S
 from .target_limits import Call
-from .target_limits import CALL_TIMEOUT_S
 from .target_limits import Denial
 from .target_limits import ENTRUST_INTERVAL_S
 from .target_limits import Permit
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -16,11 +16,11 @@
 import msgspec
 
 from ..messages import Member
-from ..rendezvous import pick
-from ..types import MemberState
 from ..types import NodeId
 from ..types import TargetId
 from .budget_window import SlidingCounter
+from .coordinator_choice import CoordinatorChoice
+from .coordinator_choice import Step
 from .limit_messages import LimitAnswer
 from .limit_messages import LimitRequest
 from .limit_messages import PermitAsk
@@ -34,16 +34,8 @@
 # Interval at which a node entrusts its share again while any target names a
 # limit. Two attempts fit into SHARE_TTL_S.
 ENTRUST_INTERVAL_S = 0.4
-# Time after which a call to the coordinator has failed. A request waits for
-# its permit no longer than this.
-CALL_TIMEOUT_S = 0.25
 # A permit that is not used within this time has expired.
 PERMIT_TTL_S = 0.5
-# After this many failed calls in a row, another coordinator is taken for
-# RETRY_BASE_S; the time doubles each time, up to RETRY_CAP_S.
-MAX_FAILED_CALLS = 2
-RETRY_BASE_S = 2.0
-RETRY_CAP_S = 30.0
 # A target gets no requests for this time if the coordinator does not answer.
 NO_ANSWER_WAIT_S = 0.1
 # A node gets its whole share only this long after its start. Before that it
@@ -142,16 +134,9 @@
         self._is_stopping = False
         self._announced_until = -math.inf
         self._announce_at = -math.inf
-        # Which node has this node's share, and until when at the latest.
-        self._holder = node
-        self._entrusted_until = -math.inf
+        self._choice = CoordinatorChoice(node)
+        # Process of the coordinator, and the last change that it sent.
         self._seen: tuple[str, int] = ('', 0)
-        self._failed_calls = 0
-        self._retry_s: dict[NodeId, float] = {}
-        self._unusable_until: dict[NodeId, float] = {}
-        self._members: typing.Sequence[Member] | None = None
-        self._known: set[NodeId] = set()
-        self._order: list[NodeId] = [node]
 
     # Permits for this node's requests.
 
@@ -185,8 +170,8 @@
             return Permit(target_id, state.stock.popleft())
         if self.wait_s(target_id, priority, now) > 0.0:
             return Denial.NONE_LEFT
-        if self._holder != self._node:
-            if self._is_usable(self._holder, now):
+        if not self._choice.is_own:
+            if self._choice.is_usable(now):
                 return Denial.ASK
             self.record_none_left(target_id, priority, NO_ANSWER_WAIT_S, now)
             return Denial.NONE_LEFT
@@ -215,7 +200,11 @@
 
     def give_back(self, permit: Permit, now: float) -> None:
         """Keep a permit whose request was not sent for another request."""
-        if permit.expires_at is not None and now < permit.expires_at:
+        if (
+            permit.expires_at is not None
+            and now < permit.expires_at
+            and self.named.get(permit.target_id) is not None
+        ):
             # It is older than the permits that are left.
             stock = self._state(permit.target_id).stock
             stock.appendleft(permit.expires_at)
@@ -224,7 +213,8 @@
         self, target_id: TargetId, priority: int, wait_s: float, now: float
     ) -> None:
         """Record that permits of this and lower priorities are used up."""
-        self._state(target_id).none_until[priority] = now + wait_s
+        if self.named.get(target_id) is not None:
+            self._state(target_id).none_until[priority] = now + wait_s
 
     def _state(self, target_id: TargetId) -> _TargetPermits:
         state = self._targets.get(target_id)
@@ -259,7 +249,7 @@
     @property
     def coordinator(self) -> NodeId:
         """Return the node that has this node's share of all limits."""
-        return self._holder
+        return self._choice.holder
 
     def part(self, now: float) -> float:
         """Return the part of each limit that this node grants itself."""
@@ -285,34 +275,24 @@
         """Drop all permits and shares, after this process was suspended."""
         self._targets.clear()
         self._ledger.clear()
-        if self._holder != self._node:
-            self._entrusted_until = now + CALL_TIMEOUT_S + SHARE_TTL_S
+        self._choice.reset(now)
 
     def next_call(
         self, members: typing.Sequence[Member], now: float
     ) -> Call | None:
-        """Return the periodic call to the coordinator, if one is due.
-
-        The node with the highest rendezvous weight is the coordinator. A
-        share that another node may still use is not entrusted to a second
-        one, nor used by this node.
-        """
-        preferred = self._preferred(members, now)
-        if self._holder != preferred:
-            if self._holder == self._node:
-                self._ledger.take_back(self._node)
-            elif self._is_usable(self._holder, now):
-                return self._call((), now, is_last=True)
-            elif now < self._entrusted_until:
-                return None
-            self._holder = preferred
-            self._failed_calls = 0
+        """Return the periodic call to the coordinator, if one is due."""
+        holder = self._choice.holder
+        step = self._choice.next_step(members, now)
+        if self._choice.holder != holder:
+            self._ledger.take_back(self._node)
             self.named.report_again()
-        if self._holder == self._node:
-            self._ledger.entrust(self._node, self._weight(now), now)
-            self.named.end_unnamed(now)
+        if step is Step.WAIT:
             return None
-        return self._call((), now)
+        if not self._choice.is_own:
+            return self._call((), now)
+        self._ledger.entrust(self._node, self._weight(now), now)
+        self.named.end_unnamed(now)
+        return None
 
     def ask_call(
         self, asks: typing.Iterable[tuple[TargetId, int, int]], now: float
@@ -322,9 +302,7 @@
         Each item of asks is a target, a priority and a number of requests.
         None means that there is no coordinator to ask at the moment.
         """
-        if self._holder == self._node or not self._is_usable(
-            self._holder, now
-        ):
+        if not self._choice.is_usable(now):
             return None
         items = []
         for target_id, priority, needed in asks:
@@ -341,34 +319,26 @@
             )
         return self._call(tuple(items), now)
 
-    def _call(
-        self, asks: tuple[PermitAsk, ...], now: float, is_last: bool = False
-    ) -> Call:
-        if not is_last:
-            self._entrusted_until = now + CALL_TIMEOUT_S + SHARE_TTL_S
+    def _call(self, asks: tuple[PermitAsk, ...], now: float) -> Call:
+        self._choice.record_call(now)
         request = LimitRequest(
             self._node,
             self._weight(now),
-            is_last,
+            self._choice.is_withdrawing,
             self._nodes,
             *self._seen,
             self.named.unreported(now),
             asks,
         )
-        return Call(self._holder, request, now)
+        return Call(self._choice.holder, request, now)
 
     def _weight(self, now: float) -> float:
         return min(1.0, (now - self._started_at) / FULL_SHARE_AFTER_S)
 
     def on_answer(self, call: Call, answer: LimitAnswer, now: float) -> None:
         """Apply a coordinator's answer to a call of this node."""
-        if call.coordinator == self._holder:
-            self._failed_calls = 0
-            if answer.is_held:
-                self._retry_s.pop(self._holder, None)
-            else:
-                self._entrusted_until = now
-                self._unusable_until[self._holder] = now + RETRY_BASE_S
+        if call.coordinator == self._choice.holder:
+            self._choice.record_answer(answer.is_held, now)
             if answer.origin != self._seen[0]:
                 # Another process than before, which knows nothing yet.
                 self.named.report_again()
@@ -393,39 +363,8 @@
             self.record_none_left(
                 ask.target_id, ask.priority, NO_ANSWER_WAIT_S, now
             )
-        if call.coordinator != self._holder:
-            return
-        self._failed_calls += 1
-        if self._failed_calls >= MAX_FAILED_CALLS:
-            retry_s = self._retry_s.get(self._holder, RETRY_BASE_S)
-            self._retry_s[self._holder] = min(2 * retry_s, RETRY_CAP_S)
-            self._unusable_until[self._holder] = now + retry_s
-
-    def _preferred(
-        self, members: typing.Sequence[Member], now: float
-    ) -> NodeId:
-        if members is not self._members:
-            self._members = members
-            alive = {
-                member.node
-                for member in members
-                if member.state is MemberState.ALIVE and not member.leaving
-            }
-            known = alive | {self._node}
-            self._order = pick('limits', known, len(known))
-            self._known = {member.node for member in members}
-            for node in self._unusable_until.keys() - self._known:
-                del self._unusable_until[node]
-                self._retry_s.pop(node, None)
-        for node in self._order:
-            if node == self._node or self._is_usable(node, now):
-                return node
-        return self._node
-
-    def _is_usable(self, node: NodeId, now: float) -> bool:
-        return node in self._known and now >= self._unusable_until.get(
-            node, -math.inf
-        )
+        if call.coordinator == self._choice.holder:
+            self._choice.record_failure(now)
 
     # As coordinator.
 
@@ -469,7 +408,7 @@
     def announcement_due(self, now: float) -> bool:
         """Return True if this node must tell all others that limits exist."""
         if (
-            self._holder != self._node
+            not self._choice.is_own
             or not len(self.named)
             or now < self._announce_at
         ):
--- a/tests/test_permit_ledger.py
+++ b/tests/test_permit_ledger.py
@@ -3,10 +3,10 @@
 import pytest
 
 from sesameward.messages import Member
+from sesameward.serving.coordinator_choice import CALL_TIMEOUT_S
 from sesameward.serving.limit_messages import LimitRequest
 from sesameward.serving.permit_ledger import PermitLedger
 from sesameward.serving.permit_ledger import SHARE_TTL_S
-from sesameward.serving.target_limits import CALL_TIMEOUT_S
 from sesameward.serving.target_limits import Denial
 from sesameward.serving.target_limits import FULL_SHARE_AFTER_S
 from sesameward.serving.target_limits import Permit
@@ -143,6 +143,8 @@
     last = node.next_call(grown, NOW + 0.4)
     assert last.coordinator == coordinator
     assert last.request.is_last
+    # A request for permits does not entrust the share again meanwhile.
+    assert node.ask_call([('t', 0, 1)], NOW + 0.4).request.is_last
     answer_call(node, last, NOW + 0.41)
     moved = node.next_call(grown, NOW + 0.42)
     assert moved.coordinator != coordinator
