--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -319,7 +319,11 @@
         """
         shard = self._shards[index]
         opened = shard.open.pop(attempt, None)
-        if end is SubRequestFailure.NO_PERMIT and opened is not None:
+        if (
+            end is SubRequestFailure.NO_PERMIT
+            and opened is not None
+            and self._wait_s(opened[0], now) > 0.0
+        ):
             shard.record_unpermitted(opened[0])
         elif end in SURELY_NOT_RUN:
             shard.not_run += 1
@@ -338,6 +342,10 @@
         sends = self._retry(index, end, now)
         return sends or self._finish_if_decided(now)
 
+    def _wait_s(self, target_id: TargetId, now: float) -> float:
+        priority = self._route.priority
+        return self._policy.limits.wait_s(target_id, priority, now)
+
     def _send_probe(self, now: float) -> list[Action]:
         """Send one attempt alone to see whether the query crashes targets.
 
--- a/sesameward/serving/relay.py
+++ b/sesameward/serving/relay.py
@@ -137,8 +137,12 @@
         route allows its requests to run more than once.
         """
         opened = self._open.pop(attempt, None)
-        if end is SubRequestFailure.NO_PERMIT and opened is not None:
-            # The target got nothing, so it may be chosen again.
+        if (
+            end is SubRequestFailure.NO_PERMIT
+            and opened is not None
+            and self._wait_s(opened[0], now) > 0.0
+        ):
+            # The target got nothing, so it may be chosen again after the wait.
             self._asked.remove(opened[0])
             self._unpermitted_count += 1
         elif end in SURELY_NOT_RUN:
@@ -191,6 +195,10 @@
             return self._deadline_at
         return min(now + CHECK_INTERVAL_S, self._deadline_at)
 
+    def _wait_s(self, target_id: TargetId, now: float) -> float:
+        priority = self._route.priority
+        return self._policy.limits.wait_s(target_id, priority, now)
+
     def _max_broken(self) -> int:
         return 1 if self._on_trial else MAX_BROKEN_ATTEMPTS
 
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -502,3 +502,18 @@
         query.failed(0, send.attempt, SubRequestFailure.FAILED, NOW)
     )
     assert retry.target_id == send.target_id
+
+
+# A helper knew a limit that this node did not know yet. The same target was
+# chosen again and again, and the shard was left out.
+def test_target_denied_for_an_unknown_limit_is_not_chosen_again(query):
+    first = only_sends(query.start(NOW))[0]
+    denied = query.failed(0, first.attempt, SubRequestFailure.NO_PERMIT, NOW)
+    (second,) = only_sends(denied)
+    assert second.target_id != first.target_id
+    assert (
+        only_sends(
+            query.failed(0, second.attempt, SubRequestFailure.NO_PERMIT, NOW)
+        )
+        == []
+    )
