Count all permits; send changes of limits in one call

A target that names another limit in each reply made its nodes call the coordinator without a pause. Permits taken from stock were not counted.

--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -34,6 +34,9 @@
 from .target_limits import TargetLimits
 from .targets import Target
 
+# What changes within this time is sent to the coordinator in one call.
+CALL_DELAY_S = 0.02
+
 METHOD = '/sesameward.Peer/Limits'
 TOPIC = 'limits'
 
@@ -105,6 +108,8 @@
         """
         match self.limits.take(target_id, priority, self._clock()):
             case Permit() as permit:
+                if permit.expires_at is not None:
+                    self._metrics.count('permits', 'granted')
                 on_permit(permit)
             case Denial.NONE_LEFT:
                 self._metrics.count('permits', 'denied')
@@ -140,6 +145,7 @@
             try:
                 async with asyncio.timeout(ENTRUST_INTERVAL_S):
                     await self._call_now.wait()
+                    await asyncio.sleep(CALL_DELAY_S)
             except TimeoutError:
                 continue
             finally:
