--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -106,7 +106,7 @@
 
         If the coordinator has to be asked, on_permit is called later.
         """
-        match self.limits.take(target_id, priority, self._clock()):
+        match self.limits.acquire(target_id, priority, self._clock()):
             case Permit() as permit:
                 if permit.expires_at is not None:
                     self._metrics.count('permits', 'granted')
@@ -114,9 +114,10 @@
             case Denial.NONE_LEFT:
                 self._metrics.count('permits', 'denied')
                 on_permit(None)
-            case Denial.ASK:
+            case Denial.REMOTE:
                 if not self._waiting:
-                    asyncio.get_running_loop().call_soon(self._ask)
+                    loop = asyncio.get_running_loop()
+                    loop.call_soon(self._send_waiting)
                 self._waiting.append(_Waiting(target_id, priority, on_permit))
 
     def record_reply(self, target: Target, limit: float | None) -> None:
@@ -176,7 +177,7 @@
             )
         )
 
-    def _ask(self) -> None:
+    def _send_waiting(self) -> None:
         """Ask the coordinator for permits for all requests that wait."""
         waiting, self._waiting = self._waiting, []
         waiting.sort(key=lambda one: one.priority)
@@ -184,19 +185,19 @@
         for one in waiting:
             key = one.target_id, one.priority
             counts[key] = counts.get(key, 0) + 1
-        call = self.limits.ask_call(
+        call = self.limits.permit_call(
             [(*key, count) for key, count in counts.items()], self._clock()
         )
-        task = asyncio.ensure_future(self._ask_and_pass_on(call, waiting))
+        task = asyncio.ensure_future(self._request_permits(call, waiting))
         logs.log_failure(task)
 
-    async def _ask_and_pass_on(
+    async def _request_permits(
         self, call: Call | None, waiting: list[_Waiting]
     ) -> None:
         if call is not None:
             await self._call(call)
         for one in waiting:
-            permit = self.limits.take_granted(one.target_id, self._clock())
+            permit = self.limits.acquire_granted(one.target_id, self._clock())
             self._metrics.count('permits', 'granted' if permit else 'denied')
             one.on_permit(permit)
 
--- a/sesameward/serving/limit_messages.py
+++ b/sesameward/serving/limit_messages.py
@@ -31,7 +31,7 @@
     limit: float | None
 
 
-class PermitAsk(msgspec.Struct, frozen=True, array_like=True):
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
     """Ask for permits to send requests to a target.
 
     needed is the number of requests that wait for a permit, extra the number
@@ -71,7 +71,7 @@
     origin: str
     change_no: int
     evidence: tuple[LimitEvidence, ...] = ()
-    asks: tuple[PermitAsk, ...] = ()
+    permit_requests: tuple[PermitRequest, ...] = ()
 
 
 class LimitAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/sesameward/serving/named_limits.py
+++ b/sesameward/serving/named_limits.py
@@ -234,17 +234,17 @@
     def apply(
         self,
         changes: typing.Iterable[LimitChange],
-        asked_at: float,
+        requested_at: float,
     ) -> None:
         """Apply changes that the coordinator decided.
 
-        A limit that a reply named to this node after asked_at, when it asked
-        the coordinator, is newer and is kept.
+        A limit that a reply named to this node after requested_at, when it
+        called the coordinator, is newer and is kept.
         """
         for change in changes:
             entry = self._limits.get(change.target_id)
             if entry is not None and (
-                entry.named_at > asked_at
+                entry.named_at > requested_at
                 or 0 < change.started_ms < entry.started_ms
             ):
                 continue
@@ -253,7 +253,7 @@
                     change.target_id,
                     change.started_ms,
                     change.limit,
-                    entry.named_at if entry is not None else asked_at,
+                    entry.named_at if entry is not None else requested_at,
                 ).is_reported = True
             elif entry is not None:
                 self._end(change.target_id, entry)
--- a/sesameward/serving/permit_ledger.py
+++ b/sesameward/serving/permit_ledger.py
@@ -31,7 +31,7 @@
 BURST_PERMITS = 2.0
 BURST_S = 0.5
 # A node counts as wanting permits for a target for this time after it asked.
-ASKER_TTL_S = 1.0
+REQUESTER_TTL_S = 1.0
 # Limits of the time after which a node without a permit asks again.
 MIN_WAIT_S = 0.02
 MAX_WAIT_S = 2.0
@@ -50,13 +50,13 @@
 class _Bucket:
     """Unused permits for one target, and who has asked for permits."""
 
-    __slots__ = ('asked_at', 'level', 'part', 'priority_at', 'updated_at')
+    __slots__ = ('requested_at', 'level', 'part', 'priority_at', 'updated_at')
 
     def __init__(self, part: float, now: float):
         self.level = 0.0
         self.part = part
         self.updated_at = now
-        self.asked_at: dict[NodeId, float] = {}
+        self.requested_at: dict[NodeId, float] = {}
         self.priority_at: dict[int, float] = {}
 
 
@@ -81,13 +81,13 @@
 
     def entrust(self, node: NodeId, weight: float, now: float) -> None:
         """Hold a node's share for SHARE_TTL_S; weight is from 0 to 1."""
-        self.take_back(node)
+        self.withdraw(node)
         until = now + SHARE_TTL_S
         self._shares[node] = weight, until
         self._total_weight += weight
         self._next_expiry_at = min(self._next_expiry_at, until)
 
-    def take_back(self, node: NodeId) -> None:
+    def withdraw(self, node: NodeId) -> None:
         """Stop using a node's share."""
         weight, _ = self._shares.pop(node, (0.0, 0.0))
         self._total_weight -= weight
@@ -132,20 +132,20 @@
         rate_per_s = max(limit * USED_PART, MIN_RATE_PER_S) * part
         capacity = self._capacity(limit, rate_per_s, part)
         bucket = self._refilled(target_id, rate_per_s, capacity, part, now)
-        bucket.asked_at[node] = now
+        bucket.requested_at[node] = now
         bucket.priority_at[priority] = now
         reserved = 0.0
         if min(bucket.priority_at) < priority:
             reserved = max(0.0, min(capacity / 2, capacity - 1.0))
         available = max(0, int(bucket.level - reserved))
         permits = min(needed, available)
-        askers = len(bucket.asked_at)
-        permits += min(extra, (available - permits) // askers)
+        requesters = len(bucket.requested_at)
+        permits += min(extra, (available - permits) // requesters)
         bucket.level -= permits
         if not rate_per_s:
             return Grant(permits, NO_SHARE_WAIT_S)
         # While others wait as well, this node's turn comes later.
-        missing = 1.0 + reserved - bucket.level + (askers - 1) / 2
+        missing = 1.0 + reserved - bucket.level + (requesters - 1) / 2
         wait_s = max(0.0, missing) / rate_per_s
         return Grant(permits, min(max(wait_s, MIN_WAIT_S), MAX_WAIT_S))
 
@@ -179,9 +179,9 @@
         bucket.level = min(capacity, bucket.level + elapsed_s * rate_per_s)
         bucket.part = part
         bucket.updated_at = now
-        for times in (bucket.asked_at, bucket.priority_at):
+        for times in (bucket.requested_at, bucket.priority_at):
             for key in [
-                k for k, at in times.items() if now - at > ASKER_TTL_S
+                k for k, at in times.items() if now - at > REQUESTER_TTL_S
             ]:
                 del times[key]
         return bucket
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -23,8 +23,8 @@
 from .coordinator_choice import Step
 from .limit_messages import LimitAnswer
 from .limit_messages import LimitRequest
-from .limit_messages import PermitAsk
 from .limit_messages import PermitGrant
+from .limit_messages import PermitRequest
 from .named_limits import NamedLimits
 from .named_limits import OnLimitChange
 from .permit_ledger import Grant
@@ -53,13 +53,13 @@
 
 
 class Denial(enum.Enum):
-    """Result of an attempt to take a permit without one.
+    """Reason why this node has no permit for a request.
 
-    ASK: the coordinator has to be asked. NONE_LEFT: no permit is to be had
+    REMOTE: the coordinator has to be asked for one. NONE_LEFT: none is left
     at the moment.
     """
 
-    ASK = 'ask'
+    REMOTE = 'remote'
     NONE_LEFT = 'none_left'
 
 
@@ -157,10 +157,10 @@
         )
         return max(0.0, max(waits_s, default=0.0))
 
-    def take(
+    def acquire(
         self, target_id: TargetId, priority: int, now: float
     ) -> Permit | Denial:
-        """Take a permit for one request, before the request is sent."""
+        """Acquire a permit for one request, before the request is sent."""
         limit = self.named.get(target_id)
         if limit is None:
             return Permit(target_id)
@@ -172,7 +172,7 @@
             return Denial.NONE_LEFT
         if not self._choice.is_own:
             if self._choice.is_usable(now):
-                return Denial.ASK
+                return Denial.REMOTE
             self.record_none_left(target_id, priority, NO_ANSWER_WAIT_S, now)
             return Denial.NONE_LEFT
         grant = self._ledger.grant(
@@ -183,8 +183,10 @@
         self.record_none_left(target_id, priority, grant.wait_s, now)
         return Denial.NONE_LEFT
 
-    def take_granted(self, target_id: TargetId, now: float) -> Permit | None:
-        """Take a permit after the coordinator has been asked for it."""
+    def acquire_granted(
+        self, target_id: TargetId, now: float
+    ) -> Permit | None:
+        """Acquire a permit after the coordinator has been asked for it."""
         if self.named.get(target_id) is None:
             return Permit(target_id)
         stock = self._state(target_id).stock
@@ -284,7 +286,7 @@
         holder = self._choice.holder
         step = self._choice.next_step(members, now)
         if self._choice.holder != holder:
-            self._ledger.take_back(self._node)
+            self._ledger.withdraw(self._node)
             self.named.report_again()
         if step is Step.WAIT:
             return None
@@ -294,18 +296,18 @@
         self.named.end_unnamed(now)
         return None
 
-    def ask_call(
-        self, asks: typing.Iterable[tuple[TargetId, int, int]], now: float
+    def permit_call(
+        self, needs: typing.Iterable[tuple[TargetId, int, int]], now: float
     ) -> Call | None:
-        """Return a call that asks for permits.
+        """Return a call that requests permits.
 
-        Each item of asks is a target, a priority and a number of requests.
+        Each item of needs is a target, a priority and a number of requests.
         None means that there is no coordinator to ask at the moment.
         """
         if not self._choice.is_usable(now):
             return None
         items = []
-        for target_id, priority, needed in asks:
+        for target_id, priority, needed in needs:
             limit = self.named.get(target_id)
             if limit is None:
                 continue
@@ -315,11 +317,15 @@
             demand.trim(now)
             expected = demand.total * PERMIT_TTL_S / DEMAND_WINDOW_S / 2
             items.append(
-                PermitAsk(target_id, priority, limit, needed, int(expected))
+                PermitRequest(
+                    target_id, priority, limit, needed, int(expected)
+                )
             )
         return self._call(tuple(items), now)
 
-    def _call(self, asks: tuple[PermitAsk, ...], now: float) -> Call:
+    def _call(
+        self, permit_requests: tuple[PermitRequest, ...], now: float
+    ) -> Call:
         self._choice.record_call(now)
         request = LimitRequest(
             self._node,
@@ -328,7 +334,7 @@
             self._nodes,
             *self._seen,
             self.named.unreported(now),
-            asks,
+            permit_requests,
         )
         return Call(self._choice.holder, request, now)
 
@@ -346,8 +352,8 @@
         self._count_nodes(answer.nodes, now)
         self.named.apply(answer.changes, call.at)
         needed = {
-            (ask.target_id, ask.priority): ask.needed
-            for ask in call.request.asks
+            (item.target_id, item.priority): item.needed
+            for item in call.request.permit_requests
         }
         for grant in answer.grants:
             stock = self._state(grant.target_id).stock
@@ -359,9 +365,9 @@
     def on_failure(self, call: Call, now: float) -> None:
         """Record that a coordinator did not answer a call."""
         self.named.report_again()
-        for ask in call.request.asks:
+        for item in call.request.permit_requests:
             self.record_none_left(
-                ask.target_id, ask.priority, NO_ANSWER_WAIT_S, now
+                item.target_id, item.priority, NO_ANSWER_WAIT_S, now
             )
         if call.coordinator == self._choice.holder:
             self._choice.record_failure(now)
@@ -377,7 +383,7 @@
         if is_held:
             self._ledger.entrust(request.node, request.weight, now)
         else:
-            self._ledger.take_back(request.node)
+            self._ledger.withdraw(request.node)
         since = request.change_no if request.origin == self._origin else 0
         return LimitAnswer(
             is_held,
@@ -385,22 +391,27 @@
             self._origin,
             self.named.change_no,
             self.named.changes_since(since),
-            tuple(self._grant(request.node, ask, now) for ask in request.asks),
+            tuple(
+                self._grant(request.node, item, now)
+                for item in request.permit_requests
+            ),
         )
 
-    def _grant(self, node: NodeId, ask: PermitAsk, now: float) -> PermitGrant:
-        limit = self.named.get(ask.target_id)
+    def _grant(
+        self, node: NodeId, item: PermitRequest, now: float
+    ) -> PermitGrant:
+        limit = self.named.get(item.target_id)
         grant: Grant = self._ledger.grant(
-            ask.target_id,
-            ask.limit if limit is None else limit,
+            item.target_id,
+            item.limit if limit is None else limit,
             node,
-            ask.needed,
-            ask.extra,
-            ask.priority,
+            item.needed,
+            item.extra,
+            item.priority,
             now,
         )
         return PermitGrant(
-            ask.target_id, ask.priority, grant.permits, grant.wait_s
+            item.target_id, item.priority, grant.permits, grant.wait_s
         )
 
     # Announcement to all nodes.
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -236,7 +236,7 @@
 
     def _pass_on(self, node, waiting):
         for priority in waiting:
-            permit = node.limits.take_granted(TARGET, self.now)
+            permit = node.limits.acquire_granted(TARGET, self.now)
             if permit is None:
                 self.denied += 1
             else:
@@ -265,23 +265,23 @@
         if node.limits.wait_s(TARGET, priority, self.now) > 0.0:
             self.denied += 1
             return
-        match node.limits.take(TARGET, priority, self.now):
+        match node.limits.acquire(TARGET, priority, self.now):
             case Permit() as permit:
                 self._send_request(node, permit, priority)
             case Denial.NONE_LEFT:
                 self.denied += 1
-            case Denial.ASK:
+            case Denial.REMOTE:
                 if not node.waiting:
-                    self.at(0.0, self._ask, node, node=node.name)
+                    self.at(0.0, self._send_waiting, node, node=node.name)
                 node.waiting.append(priority)
 
-    def _ask(self, node):
+    def _send_waiting(self, node):
         waiting, node.waiting = sorted(node.waiting), []
         asks = [
             (TARGET, priority, waiting.count(priority))
             for priority in sorted(set(waiting))
         ]
-        call = node.limits.ask_call(asks, self.now)
+        call = node.limits.permit_call(asks, self.now)
         if call is None:
             self._pass_on(node, waiting)
         else:
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -150,7 +150,7 @@
 def test_decision_older_than_a_reply_is_not_applied(coordinator, limits):
     coordinator.record_reply('t', 5, 2.0, NOW)
     limits.record_reply('t', 5, 8.5, NOW + 1.0)
-    limits.apply(coordinator.changes_since(0), asked_at=NOW + 0.5)
+    limits.apply(coordinator.changes_since(0), requested_at=NOW + 0.5)
     assert limits.get('t') == 8.5
-    limits.apply(coordinator.changes_since(0), asked_at=NOW + 1.5)
+    limits.apply(coordinator.changes_since(0), requested_at=NOW + 1.5)
     assert limits.get('t') == 2.0
--- a/tests/test_permit_ledger.py
+++ b/tests/test_permit_ledger.py
@@ -50,7 +50,7 @@
     ledger = make_ledger(5, 5)
     ledger.entrust('n0', 1.0, NOW + 0.5)
     assert ledger.part(NOW + SHARE_TTL_S) == pytest.approx(0.2)
-    ledger.take_back('n0')
+    ledger.withdraw('n0')
     assert ledger.part(NOW + SHARE_TTL_S) == 0.0
 
 
@@ -120,7 +120,7 @@
     until = NOW + CALL_TIMEOUT_S + SHARE_TTL_S
     assert node.next_call(left, until - 0.01) is None
     assert node.part(until - 0.01) == 0.0
-    assert node.take('t', 0, until - 0.01) is Denial.NONE_LEFT
+    assert node.acquire('t', 0, until - 0.01) is Denial.NONE_LEFT
     assert node.coordinator == coordinator
     node.next_call(left, until)
     assert node.coordinator != coordinator
@@ -144,7 +144,7 @@
     assert last.coordinator == coordinator
     assert last.request.is_last
     # A request for permits does not entrust the share again meanwhile.
-    assert node.ask_call([('t', 0, 1)], NOW + 0.4).request.is_last
+    assert node.permit_call([('t', 0, 1)], NOW + 0.4).request.is_last
     answer_call(node, last, NOW + 0.41)
     moved = node.next_call(grown, NOW + 0.42)
     assert moved.coordinator != coordinator
@@ -193,7 +193,7 @@
 
 def test_limit_named_while_a_request_waits_requires_a_permit():
     limits = TargetLimits('n0', 'n0:1', 0.0)
-    permit = limits.take('t', 0, NOW)
+    permit = limits.acquire('t', 0, NOW)
     assert limits.is_valid(permit, NOW)
     limits.record_reply('t', 1, LIMIT, NOW)
     assert not limits.is_valid(permit, NOW)
@@ -203,15 +203,15 @@
     answer_call(node, node.next_call(members, NOW), NOW)
     node.give_back(Permit('t', NOW + PERMIT_TTL_S), NOW)
     assert node.wait_s('t', 0, NOW) == 0.0
-    assert isinstance(node.take('t', 0, NOW), Permit)
-    assert node.take('t', 0, NOW) is Denial.ASK
+    assert isinstance(node.acquire('t', 0, NOW), Permit)
+    assert node.acquire('t', 0, NOW) is Denial.REMOTE
 
 
 def test_suspended_node_uses_no_old_permit_or_share(node, members):
     answer_call(node, node.next_call(members, NOW), NOW)
     node.give_back(Permit('t', NOW + PERMIT_TTL_S), NOW)
     node.reset(NOW)
-    assert node.take('t', 0, NOW) is Denial.ASK
+    assert node.acquire('t', 0, NOW) is Denial.REMOTE
     asked = LimitRequest('n4', 1.0, False, 5, '', 0)
     node.answer(asked, NOW)
     assert node.part(NOW) > 0.0
