Echo the request id in refusals of the stand-in target

The refusal had no Sesameward-Request-Id. On a connection whose replies carry ids, a node drops a reply without one, as a copy of an earlier reply.

--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -215,12 +215,12 @@
             expected_instance is not None
             and expected_instance.decode() != self.id
         ):
-            responder.send(self._not_executed(421))
+            responder.send(self._not_executed(421, request_id))
         elif not request_id:
-            responder.send(self._not_executed(400))
+            responder.send(self._not_executed(400, request_id))
         elif self.faults.sheds or self._queued_count >= MAX_QUEUED:
             self._record_arrival(headers, bool(self.faults.rest_after))
-            responder.send(self._not_executed(503))
+            responder.send(self._not_executed(503, request_id))
         else:
             self._record_arrival(headers, False)
             work = self._execute(req, request_id, responder)
@@ -295,8 +295,9 @@
         status = 500 if self.faults.fails else 200
         return Answer(status, headers, records(self.service, req.path))
 
-    def _not_executed(self, status: int) -> Answer:
+    def _not_executed(self, status: int, request_id: bytes) -> Answer:
         headers = [
+            (b'Sesameward-Request-Id', request_id),
             (b'Sesameward-Not-Executed', b'1'),
             (b'Sesameward-Instance-Id', self.id.encode()),
         ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,11 @@
 REGRESSIONS = {
     # SIGHUP ended a node that was still starting.
     118: (10.0, KINDS[:21]),
+    # Refusals of targets lacked the id of their request, so nodes took them
+    # for replies to other requests, and did not see their Retry-After.
+    324: (10.0, KINDS[:29]),
+    358: (10.0, KINDS[:29]),
+    360: (10.0, KINDS[:29]),
 }
 
 
