Hold exactly no share after all were given back

Rounding errors left a part of 1e-17, for which a node waits 2 s for a permit and not 0.1 s. Found by reading; the test fails without the change in sums such as three times 0.1.

--- a/sesameward/serving/permit_ledger.py
+++ b/sesameward/serving/permit_ledger.py
@@ -90,7 +90,8 @@
     def withdraw(self, node: NodeId) -> None:
         """Stop using a node's share."""
         weight, _ = self._shares.pop(node, (0.0, 0.0))
-        self._total_weight -= weight
+        # Without shares it is exactly 0, whatever the rounding errors.
+        self._total_weight -= weight if self._shares else self._total_weight
 
     def clear(self) -> None:
         """Drop all shares and permits, after this process was suspended."""
--- a/tests/test_permit_ledger.py
+++ b/tests/test_permit_ledger.py
@@ -54,6 +54,15 @@
     assert ledger.part(NOW + SHARE_TTL_S) == 0.0
 
 
+def test_ledger_that_gave_all_shares_back_grants_nothing(make_ledger):
+    ledger = make_ledger(5, 0)
+    for n in range(3):
+        ledger.entrust(f'n{n}', 0.1, NOW)
+    for n in range(3):
+        ledger.withdraw(f'n{n}')
+    assert ledger.part(NOW) == 0.0
+
+
 def test_shares_entrusted_later_do_not_count_for_the_past(make_ledger):
     ledger = make_ledger(5, 1)
     granted(ledger, 100.0, NOW)
