--- a/tests/test_permit_ledger.py
+++ b/tests/test_permit_ledger.py
@@ -4,6 +4,9 @@
 
 from sesameward.messages import Member
 from sesameward.serving.coordinator_choice import CALL_TIMEOUT_S
+from sesameward.serving.coordinator_choice import CoordinatorChoice
+from sesameward.serving.coordinator_choice import MAX_FAILED_CALLS
+from sesameward.serving.coordinator_choice import RETRY_BASE_S
 from sesameward.serving.limit_messages import LimitRequest
 from sesameward.serving.permit_ledger import PermitLedger
 from sesameward.serving.permit_ledger import SHARE_TTL_S
@@ -237,3 +240,18 @@
     assert node.next_call(members, NOW + 0.5) is None
     moved = node.next_call(members, NOW + 2.0 - 0.01)
     assert moved is None or moved.coordinator != coordinator
+
+
+def test_coordinator_that_goes_on_failing_is_avoided_for_longer(
+    members, coordinator
+):
+    choice = CoordinatorChoice('n1' if coordinator == 'n0' else 'n0')
+    choice.next_step(members, NOW)
+    for _ in range(MAX_FAILED_CALLS):
+        choice.record_failure(NOW)
+    assert choice.holder == coordinator
+    assert not choice.is_usable(NOW + RETRY_BASE_S - 0.1)
+    assert choice.is_usable(NOW + RETRY_BASE_S)
+    choice.record_failure(NOW + RETRY_BASE_S)
+    assert not choice.is_usable(NOW + 3 * RETRY_BASE_S - 0.1)
+    assert choice.is_usable(NOW + 3 * RETRY_BASE_S)
