--- a/sesameward/interface/request_log.py
+++ b/sesameward/interface/request_log.py
@@ -149,8 +149,13 @@
 
 
 def _target_ids(line: LogLine) -> set[str]:
+    """Return the targets that a line names.
+
+    A failure is logged as REASON:TARGET, or as REASON:TARGET@HELPER if the
+    sub-request was sent through another node.
+    """
     target_ids = {
-        item.partition(':')[2]
+        item.partition(':')[2].partition('@')[0]
         for field in ('repeats', 'failures')
         for item in line.get(field, ())
     }
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -276,11 +276,11 @@
             failure = end.end
             if end.no_permit_s > 0.0:
                 failure = SubRequestFailure.NO_PERMIT
-            self._record_failure(send, failure)
+            self._record_failure(send, failure, batch.node)
             return self._plan.failed(send.shard, send.attempt, failure, now)
         if end.whole is None and batch.filtered_unusable:
             self._tools.metrics.count('parts_unusable')
-            self._record_failure(send, SubRequestFailure.FAILED)
+            self._record_failure(send, SubRequestFailure.FAILED, batch.node)
             return self._plan.failed(
                 send.shard, send.attempt, SubRequestFailure.FAILED, now
             )
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -560,8 +560,16 @@
         if rumor.key == self._cfg.node:
             return
         now = self._clock()
-        for target_id in silent_targets.targets_of_rumor(rumor):
-            self.selector.mark_silent(target_id, now)
+        reported = silent_targets.targets_of_rumor(rumor)
+        believed = sum(
+            self.selector.mark_silent(target_id, now) for target_id in reported
+        )
+        logs.log_event(
+            'targets_reported_silent',
+            by=rumor.key,
+            reported=len(reported),
+            believed=believed,
+        )
 
     def _on_quarantine(self, rumor: Rumor) -> None:
         self._crashes.on_rumor(rumor, self._clock())
--- a/sesameward/serving/replica_choice.py
+++ b/sesameward/serving/replica_choice.py
@@ -120,15 +120,17 @@
         self._record_end(target_id, Outcome.CONNECT_FAILED, 0.0, now)
         self._mark_silent(target_id, now)
 
-    def mark_silent(self, target_id: TargetId, now: float) -> None:
+    def mark_silent(self, target_id: TargetId, now: float) -> bool:
         """Avoid a target that another node reports as not answering.
 
-        The report is ignored if the target answered this node within the last
-        SILENT_AFTER_S.
+        The report is ignored, and the result False, if the target answered
+        this node within the last SILENT_AFTER_S.
         """
         last_answer_at = self._last_answer_at.get(target_id, -SILENT_RETRY_S)
-        if now - last_answer_at > SILENT_AFTER_S:
+        is_believed = now - last_answer_at > SILENT_AFTER_S
+        if is_believed:
             self._silent_until[target_id] = now + SILENT_RETRY_S
+        return is_believed
 
     def answered_since(self, target_id: TargetId, sent_at: float) -> bool:
         """Return True if a target answered any request after a given time."""
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .. import logs
+from ..types import NodeId
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
@@ -115,10 +116,14 @@
         self._repeats.append(f'{send.reason.value}:{send.target_id}')
 
     def _record_failure(
-        self, send: Send, end: SubRequestFailure | None
+        self,
+        send: Send,
+        end: SubRequestFailure | None,
+        helper: NodeId | None = None,
     ) -> SubRequestFailure:
         end = end or SubRequestFailure.FAILED
-        self._failures.append(f'{end.value}:{send.target_id}')
+        through = '' if helper is None else f'@{helper}'
+        self._failures.append(f'{end.value}:{send.target_id}{through}')
         return end
 
     def _send(self, send: Send) -> None:
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -50,6 +50,18 @@
     assert explained[1]['node'] == 'n1'
 
 
+def test_targets_of_failures_through_helpers_are_found():
+    lines = request_log.parse_lines(
+        [
+            log_line(9.0, 'target_ejected', target='i-1'),
+            log_line(
+                9.5, 'answer', request='r1', failures=['not_sent:i-1@n2']
+            ),
+        ]
+    )
+    assert request_log.explain('r1', lines) == lines
+
+
 def test_unknown_request_has_no_story(lines):
     assert request_log.explain('r9', lines) == []
 
