Show by a test that callers of nodes without links to targets are not served

Fleet(linked=True) gives each node links of its own to all targets, which can hang, be reset and refused, or live on while new connections are refused.

--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -18,6 +18,8 @@
 
 from ..serving.http_caller import HttpCaller
 from ..serving.target_connection import Reply
+from .linked_node import LINK_HOST_VARIABLE
+from .links import NodeLinks
 from .object_store import ObjectStore
 from .shard_target import CrashHow
 from .shard_target import ShardTarget
@@ -34,6 +36,9 @@
 MAX_CONFIG_DELAY_MS = 3_000
 # A crashed target is replaced by a new one after this time.
 RESTART_DELAY_S = 1.5
+# Last number of the loopback address at which the first node of a fleet with
+# links reaches the targets.
+FIRST_LINK_HOST = 101
 
 # The nodes of all fleets listen on the same ports, so each fleet needs its own
 # loopback addresses. The second number of an address, after 127, depends on
@@ -45,10 +50,18 @@
 class FleetNode:
     """Run one node as a child process with its own settings and log."""
 
-    def __init__(self, name: str, host: str, zone: str, folder: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        zone: str,
+        folder: pathlib.Path,
+        links: NodeLinks | None = None,
+    ):
         self.name = name
         self.host = host
         self.zone = zone
+        self.links = links
         self.settings = folder / f'{name}.json'
         self.log = folder / f'{name}.log'
         self.process: subprocess.Popen | None = None
@@ -61,11 +74,15 @@
             'PYTHONPATH': os.pathsep.join(sys.path),
             'PYTHONUNBUFFERED': '1',
         }
+        module = 'sesameward.platform'
+        if self.links is not None:
+            env[LINK_HOST_VARIABLE] = self.links.host
+            module = 'sesameward.standin.linked_node'
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
                 # The same command as in deploy/system.toml; -S keeps the start
                 # from reading site packages.
-                [sys.executable, '-S', '-m', 'sesameward.platform'],
+                [sys.executable, '-S', '-m', module],
                 stdout=log,
                 stderr=log,
                 env=env,
@@ -114,12 +131,22 @@
     """Run a simulated store, simulated targets and nodes.
 
     Use it as an asynchronous context manager, which stops exactly the
-    processes and listeners that it started.
+    processes and listeners that it started. If linked is True, each node
+    reaches the targets through links of its own, which can be cut. The
+    parameter zones holds the zones of the nodes, which are repeated.
     """
 
     def __init__(
-        self, nodes: int = 3, shards: int = 4, replicas: int = 2, seed: int = 1
+        self,
+        nodes: int = 3,
+        shards: int = 4,
+        replicas: int = 2,
+        seed: int = 1,
+        linked: bool = False,
+        zones: tuple[str, ...] = ZONES,
     ):
+        self._linked = linked
+        self._zones = zones
         self.store = ObjectStore()
         self.rng = random.Random(seed)
         self.targets: dict[str, ShardTarget] = {}
@@ -146,9 +173,10 @@
         self.put_config()
         folder = pathlib.Path(self._temp_dir.name)
         for index in range(self._node_count):
-            zone = ZONES[index % len(ZONES)]
+            zone = self._zones[index % len(self._zones)]
             host = f'{self._network_prefix}.{index + 1}'
-            node = FleetNode(f'node-{index}', host, zone, folder)
+            links = await self._make_links(index) if self._linked else None
+            node = FleetNode(f'node-{index}', host, zone, folder, links)
             await self._write_settings(node)
             self.nodes.append(node)
             node.start()
@@ -164,12 +192,21 @@
                 node.process.wait()
         for task in self._restart_tasks:
             task.cancel()
+        for node in self.nodes:
+            if node.links is not None:
+                await node.links.stop()
         for target in self.targets.values():
             target.stop()
         self.store.stop()
         await asyncio.sleep(0.01)
         self._temp_dir.cleanup()
 
+    async def _make_links(self, index: int) -> NodeLinks:
+        links = NodeLinks(f'{self._network_prefix}.{FIRST_LINK_HOST + index}')
+        for target in self.targets.values():
+            await links.add(target.port)
+        return links
+
     async def _write_settings(self, node: FleetNode) -> None:
         port = await self.open_store(node.name)
         hosts = [
@@ -227,6 +264,9 @@
         target.faults.crashes_on = self.crashing_paths
         target.faults.crash_mode = self.crash_mode
         await self.begin_target(target)
+        for node in self.nodes:
+            if node.links is not None:
+                await node.links.add(target.port)
         self.targets[target.id] = target
         self.services.setdefault(service, []).append(target.id)
         self.store.put('servers', target.id, target.registration(zone))
--- /dev/null
+++ b/sesameward/standin/links.py
@@ -0,0 +1,162 @@
+"""Simulate the network between one node and all targets, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import socket
+
+# A listener with a backlog of 0 holds this many connections that nobody has
+# accepted. The kernel then drops the packets that open further ones.
+FILLING_CONNECTIONS = 2
+TARGET_HOST = '127.0.0.1'
+
+
+class Cut(enum.Enum):
+    """Say what happens to a node's connections while it is cut off.
+
+    HANG: open and new ones hang. RESET: open ones are reset, new ones
+    refused. REFUSE_NEW: open ones live on, new ones are refused.
+    """
+
+    HANG = 'hang'
+    RESET = 'reset'
+    REFUSE_NEW = 'refuse_new'
+
+
+class _Link:
+    """Forward connections of one node to one target."""
+
+    def __init__(self, host: str, port: int):
+        self._address = host, port
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._flowing = asyncio.Event()
+        self._flowing.set()
+        self._blockers: list[socket.socket] = []
+
+    async def listen(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, *self._address, reuse_address=True
+        )
+
+    async def cut(self, how: Cut) -> None:
+        await self._stop_listening()
+        match how:
+            case Cut.HANG:
+                self._flowing.clear()
+                self._block()
+            case Cut.RESET:
+                self.reset_connections()
+            case Cut.REFUSE_NEW:
+                pass
+
+    async def heal(self) -> None:
+        for sock in self._blockers:
+            sock.close()
+        self._blockers.clear()
+        self._flowing.set()
+        if self._server is None:
+            await self.listen()
+
+    async def stop(self) -> None:
+        await self._stop_listening()
+        for sock in self._blockers:
+            sock.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def _block(self) -> None:
+        """Listen without accepting, so that new connections hang."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._address)
+        listener.listen(0)
+        self._blockers.append(listener)
+        for _ in range(FILLING_CONNECTIONS):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self._address)
+            self._blockers.append(sock)
+
+    async def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+            # The listening socket is closed in the next turn of the loop.
+            await asyncio.sleep(0)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                TARGET_HOST, self._address[1]
+            )
+        except OSError:
+            writer.transport.abort()
+            self._writers.discard(writer)
+            return
+        self._writers.add(target_writer)
+        try:
+            await asyncio.gather(
+                self._forward(reader, target_writer),
+                self._forward(target_reader, writer),
+            )
+        finally:
+            for side_writer in (writer, target_writer):
+                side_writer.transport.abort()
+                self._writers.discard(side_writer)
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(65_536):
+                await self._flowing.wait()
+                writer.write(data)
+            await self._flowing.wait()
+            writer.close()
+        except OSError:
+            writer.transport.abort()
+
+
+class NodeLinks:
+    """Hold the links of one node to all targets; cut and heal them."""
+
+    def __init__(self, host: str):
+        self.host = host
+        self.cut_how: Cut | None = None
+        self._links: dict[int, _Link] = {}
+
+    async def add(self, port: int) -> None:
+        """Add a link to the target that listens at a port, unless known."""
+        if port in self._links:
+            return
+        link = self._links[port] = _Link(self.host, port)
+        await link.listen()
+        if self.cut_how is not None:
+            await link.cut(self.cut_how)
+
+    async def cut(self, how: Cut) -> None:
+        """Cut the node off from all targets."""
+        if self.cut_how is not None:
+            await self.heal()
+        self.cut_how = how
+        for link in tuple(self._links.values()):
+            await link.cut(how)
+
+    async def heal(self) -> None:
+        """End the cut; what was held up in open connections goes on."""
+        self.cut_how = None
+        for link in tuple(self._links.values()):
+            await link.heal()
+
+    async def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        for link in self._links.values():
+            await link.stop()
--- /dev/null
+++ b/tests/test_stranded_nodes.py
@@ -0,0 +1,159 @@
+"""Test that callers of nodes that have lost all targets are served.
+
+A node is stranded while it is cut off from all targets, but not from callers,
+the store and the other nodes.
+"""
+
+import asyncio
+import collections
+import itertools
+import time
+
+import pytest
+
+from sesameward.standin.links import Cut
+from tests import promises
+from tests.scenarios import SHARDS
+from tests.scenarios import with_fleet
+
+# From this time after the cut on, requests at stranded nodes must be served
+# as often as at the others, within SERVED_GAP.
+SETTLED_S = 4.0
+SERVED_GAP = 0.05
+CUT_S = 9.0
+REQUESTS_PER_S = 40.0
+# After the end of a cut all nodes must serve everything again within this.
+RECOVERED_S = 1.5
+# A request that nobody can serve must be refused at once, nine of ten within
+# this time, and none after half of its deadline of 1 s.
+REFUSED_WITHIN_S = 0.1
+LATEST_REFUSAL_S = 0.5
+PATHS = ('/q/1', '/q/2', '/safe/1', '/once/1')
+
+
+class Load:
+    """Send requests of all kinds to all nodes; keep how each one ended."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.results = []
+        self._tasks = set()
+
+    async def run(self, length_s):
+        asked = itertools.cycle(itertools.product(PATHS, self.fleet.nodes))
+        until = time.monotonic() + length_s
+        while time.monotonic() < until:
+            path, node = next(asked)
+            if node.is_running:
+                task = asyncio.create_task(self._send(node, path))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        await asyncio.gather(*self._tasks)
+
+    async def _send(self, node, path):
+        request_id = self.fleet.request_id()
+        is_once = path.startswith('/once')
+        sent_at = time.monotonic()
+        try:
+            reply = await self.fleet.ask(
+                node,
+                path,
+                request_id,
+                *(('POST', b'x') if is_once else ()),
+            )
+        except Exception:
+            reply = None
+        took_s = time.monotonic() - sent_at
+        self.results.append((node.name, path, sent_at, reply, took_s))
+        if reply is not None and reply.status == 200:
+            if path.startswith('/q'):
+                promises.check_query(
+                    self.fleet, reply, path, request_id, SHARDS
+                )
+            else:
+                promises.check_single(self.fleet, reply, path, request_id)
+        if is_once:
+            promises.check_once(self.fleet, reply, request_id)
+
+    def served(self, names, since, until):
+        """Return the served share of the requests, by kind."""
+        ends = collections.defaultdict(list)
+        for name, path, sent_at, reply, _ in self.results:
+            if name in names and since <= sent_at < until:
+                kind = path.split('/')[1]
+                ends[kind].append(reply is not None and reply.status == 200)
+        return {kind: sum(oks) / len(oks) for kind, oks in ends.items()}
+
+
+def check_served(load, stranded, cut_at, until):
+    since = cut_at + SETTLED_S
+    names = {node.name for node in load.fleet.nodes}
+    others = load.served(names - stranded, since, until)
+    for kind, share in load.served(stranded, since, until).items():
+        assert share >= others.get(kind, 1.0) - SERVED_GAP, (kind, share)
+        assert share >= 1.0 - SERVED_GAP, (kind, share)
+
+
+async def play_cut(fleet, load, stranded, how):
+    """Cut nodes off for CUT_S; return when the cut began and ended."""
+    cut_at = time.monotonic()
+    for node in stranded:
+        await node.links.cut(how)
+    await asyncio.sleep(CUT_S)
+    until = time.monotonic()
+    for node in stranded:
+        await node.links.heal()
+    return cut_at, until
+
+
+# Callers of nodes without connections to any target got no answers: requests
+# for one target had no other way, and helpers without connections were
+# preferred because they refused everything at once.
+@pytest.mark.parametrize('how', list(Cut))
+@pytest.mark.parametrize(
+    ('count', 'stranded_numbers'),
+    [(5, (0, 1, 2)), (5, (0, 2, 4)), (2, (1,))],
+    ids=['most', 'zone', 'one_of_two'],
+)
+def test_requests_at_stranded_nodes_are_served(count, stranded_numbers, how):
+    @with_fleet(nodes=count, linked=True)
+    async def scenario(fleet):
+        load = Load(fleet)
+        running = asyncio.create_task(load.run(CUT_S + 2 * RECOVERED_S + 1.0))
+        await asyncio.sleep(1.0)
+        stranded = [fleet.nodes[n] for n in stranded_numbers]
+        cut_at, until = await play_cut(fleet, load, stranded, how)
+        await running
+        names = {node.name for node in stranded}
+        check_served(load, names, cut_at, until)
+        everyone = {node.name for node in fleet.nodes}
+        after = load.served(everyone, until + RECOVERED_S, until + 99.0)
+        assert min(after.values()) >= 1.0 - SERVED_GAP, after
+
+    scenario()
+
+
+# Requests that no node could pass on waited for their deadline.
+@pytest.mark.parametrize('how', [Cut.HANG, Cut.RESET])
+def test_requests_are_refused_at_once_if_all_nodes_are_stranded(how):
+    @with_fleet(nodes=3, linked=True)
+    async def scenario(fleet):
+        load = Load(fleet)
+        running = asyncio.create_task(load.run(CUT_S + 2 * RECOVERED_S + 1.0))
+        await asyncio.sleep(1.0)
+        cut_at, until = await play_cut(fleet, load, fleet.nodes, how)
+        await running
+        times_s = []
+        for _, _, sent_at, reply, took_s in load.results:
+            if cut_at + SETTLED_S <= sent_at < until - 1.0:
+                assert reply.status == 503
+                assert float(promises.header(reply, 'Retry-After')) > 0.0
+                times_s.append(took_s)
+        assert max(times_s) < LATEST_REFUSAL_S
+        assert sum(s < REFUSED_WITHIN_S for s in times_s) >= 0.9 * len(times_s)
+        everyone = {node.name for node in fleet.nodes}
+        after = load.served(everyone, until + RECOVERED_S, until + 99.0)
+        assert min(after.values()) >= 1.0 - SERVED_GAP, after
+
+    scenario()
