Know when all connections to targets are lost, and tell the other nodes

After a failure without an answer since, a node checks two targets, then four more, of different services and zones; if none accepts a connection, its links are lost. It logs links_lost and links_back, says so in its member record, opens no connections but two checks each quarter of a second, and ends the belief with the first answer.

Earlier releases hash member records without the new field, so it enters the hash only while it is False.

--- a/sesameward/membership/datagrams.py
+++ b/sesameward/membership/datagrams.py
@@ -66,6 +66,7 @@
     rank: StateRank
     leaving: bool
     entries: tuple[_WireAddress, ...] = ()
+    reaches_targets: bool = True
 
     def to_member(self) -> Member:
         """Convert to a Member; intern strings, as many records repeat them."""
@@ -91,6 +92,7 @@
                 for e in self.entries
             ),
             leaving=self.leaving,
+            reaches_targets=self.reaches_targets,
         )
 
 
@@ -204,6 +206,7 @@
             )
             for e in member.entries
         ),
+        reaches_targets=member.reaches_targets,
     )
 
 
@@ -228,5 +231,12 @@
     record = msgspec.structs.replace(
         introduction_of(member), incarnation=0, rank=0
     )
-    digest = hashlib.blake2b(encode(record), digest_size=4).digest()
+    content = (
+        record.__struct_config__.tag,
+        *msgspec.structs.astuple(record),
+    )
+    if record.reaches_targets:
+        # Agents of earlier releases hash records without this field.
+        content = content[:-1]
+    digest = hashlib.blake2b(encode(content), digest_size=4).digest()
     return int.from_bytes(digest, 'big')
--- a/sesameward/membership/gossip.py
+++ b/sesameward/membership/gossip.py
@@ -187,8 +187,9 @@
         self,
         entries: tuple[Address, ...] | None = None,
         leaving: bool | None = None,
+        reaches_targets: bool | None = None,
     ) -> None:
-        """Change the entries or the leaving flag of this agent's record.
+        """Change the entries or the flags of this agent's record.
 
         The new record is spread to all members. None keeps the current value.
         """
@@ -197,6 +198,8 @@
             me = msgspec.structs.replace(me, entries=entries)
         if leaving is not None:
             me = msgspec.structs.replace(me, leaving=leaving)
+        if reaches_targets is not None:
+            me = msgspec.structs.replace(me, reaches_targets=reaches_targets)
         if me != self._swim.me:
             self._run_actions(self._swim.update(self._loop.time(), me))
 
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -277,7 +277,11 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """Describe one agent, its VM and the entries that run there."""
+    """Describe one agent, its VM and the entries that run there.
+
+    reaches_targets is False while the agent has no connections to targets and
+    can't open any.
+    """
 
     node: NodeId
     zone: ZoneName
@@ -289,6 +293,7 @@
     state: MemberState = MemberState.ALIVE
     entries: tuple[Address, ...] = ()
     leaving: bool = False
+    reaches_targets: bool = True
 
 
 class Urgency(enum.IntEnum):
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -31,6 +31,7 @@
 from .target_connection import Reply
 from .target_connection import TargetConnection
 from .target_limits import Permit
+from .target_links import TargetLinks
 from .targets import DepartureSource
 from .wire import ReplyHeaders
 from .wire import Wire
@@ -66,6 +67,7 @@
     on_leaving: typing.Callable[[TargetId, DepartureSource], None] = (
         lambda target_id, source: None
     )
+    links: TargetLinks = msgspec.field(default_factory=TargetLinks)
 
 
 class SubRequest(msgspec.Struct):
@@ -248,6 +250,7 @@
         now = tools.clock()
         if isinstance(reply_or_broken, Reply):
             reply_info = self._reply_info
+            tools.links.record_contact(now)
             tools.crashes.target_answered(self._target_id, now)
             outcome, result = self._classify(reply_or_broken, reply_info, now)
             if reply_info.load is not None:
--- /dev/null
+++ b/sesameward/serving/link_watch.py
@@ -0,0 +1,82 @@
+"""Check this node's connections to targets, and tell the other nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from .. import logs
+from ..metrics import Metrics
+from ..types import Clock
+from .pools import ConnectCheck
+from .pools import Pools
+from .replica_choice import ReplicaSelector
+from .replica_choice import SILENT_AFTER_S
+from .target_links import CHECK_DELAY_S
+from .target_links import TargetLinks
+from .targets import TargetTable
+
+
+class LinkWatch:
+    """Open the connections that TargetLinks wants to see checked.
+
+    publish is called with False when all connections are lost, and with True
+    when they are back.
+    """
+
+    def __init__(
+        self,
+        links: TargetLinks,
+        pools: Pools,
+        targets: TargetTable,
+        selector: ReplicaSelector,
+        publish: typing.Callable[[bool], None],
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        self._links = links
+        self._pools = pools
+        self._targets = targets
+        self._selector = selector
+        self._publish = publish
+        self._metrics = metrics
+        self._clock = clock
+        links.on_change = self._on_change
+
+    def on_failure(self, silent_since: float) -> None:
+        """Have targets checked, unless one answers in the meantime."""
+        if self._links.record_failure(silent_since, self._clock()):
+            asyncio.get_running_loop().call_later(CHECK_DELAY_S, self._check)
+
+    def on_contact(self) -> None:
+        """Record that a target replied or accepted a connection."""
+        self._links.record_contact(self._clock())
+
+    def check_periodically(self, now: float) -> None:
+        """Look for unanswered requests; check targets while links are lost."""
+        open_since = self._selector.oldest_open_at()
+        if open_since is not None and now - open_since >= SILENT_AFTER_S:
+            self.on_failure(open_since)
+        if self._links.is_lost:
+            self._check()
+
+    def _check(self) -> None:
+        now = self._clock()
+        for target_id in self._links.targets_to_check(self._targets, now):
+            self._pools.probe(target_id, self._on_checked)
+
+    def _on_checked(self, reach: ConnectCheck) -> None:
+        # A target that accepts was reported through on_contact().
+        if reach is not ConnectCheck.ACCEPTS and self._links.check_failed():
+            self._check()
+
+    def _on_change(self, is_lost: bool, for_s: float) -> None:
+        self._metrics.count('links', 'lost' if is_lost else 'back')
+        logs.log_event(
+            'links_lost' if is_lost else 'links_back',
+            targets=len(self._targets),
+            for_s=round(for_s, 3),
+        )
+        if is_lost:
+            self._selector.forget_silences()
+        self._publish(not is_lost)
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -54,6 +54,7 @@
 from .limit_exchange import LimitExchange
 from .limit_exchange import LimitHandler
 from .lines import LineWriter
+from .link_watch import LinkWatch
 from .mirror import Mirror
 from .mirror import Store
 from .peers import Peers
@@ -66,6 +67,7 @@
 from .splits import Splits
 from .takeover import Takeover
 from .target_limits import TargetLimits
+from .target_links import TargetLinks
 from .targets import DepartureSource
 from .targets import TargetTable
 from .wire import Wire
@@ -169,6 +171,8 @@
             self._on_target_unreachable,
             self._message_memory,
         )
+        self.links = TargetLinks(self._rng)
+        self.pools.may_connect = lambda: not self.links.is_lost
         splits = Splits()
         self.routing_state = RoutingState(
             adapter.decoder,
@@ -181,6 +185,17 @@
             self._clock,
         )
         self.peers = Peers(cfg, self.metrics, self._rng, self._clock)
+        self._link_watch = LinkWatch(
+            self.links,
+            self.pools,
+            self.targets,
+            self.selector,
+            self.peers.announce_links,
+            self.metrics,
+            self._clock,
+        )
+        self.pools.on_failure = self._link_watch.on_failure
+        self.pools.on_contact = self._link_watch.on_contact
         # Rumor versions come from the wall clock (time.time), so that the
         # rumors of a restarted node override those of its former process.
         self._silences = silent_targets.Silences(
@@ -230,6 +245,7 @@
             self.metrics,
             self._clock,
             self._departures.on_leaving_reply,
+            self.links,
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
         self.delegation.on_helper_quiet = self._on_helper_quiet
@@ -442,6 +458,7 @@
             if suspended_s > SUSPENDED_AFTER_S:
                 logs.log_event('stood_still', for_s=round(suspended_s, 3))
                 self.limits.reset(now)
+                self.links.reset()
                 self.routes_mirror.refresh()
                 self.targets_mirror.refresh()
             self._upkeep(now)
@@ -453,6 +470,7 @@
 
     def _upkeep(self, now: float) -> None:
         self.routing_state.drop_expired()
+        self._link_watch.check_periodically(now)
         self.limits.named.drop_absent(self.targets, now)
         self._silences.publish_reported()
         self._crashes.publish_suspicions(now)
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -134,6 +134,10 @@
         )
         self.gossip.update(entries=(entry,) if is_ready else ())
 
+    def announce_links(self, reaches_targets: bool) -> None:
+        """Publish whether this node has connections to targets."""
+        self.gossip.update(reaches_targets=reaches_targets)
+
     def announce_leaving(self) -> None:
         """Withdraw the address for callers and mark this node as leaving."""
         self.gossip.update(entries=(), leaving=True)
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -20,12 +20,15 @@
 from ..types import ZoneName
 from .byte_limits import MessageMemory
 from .target_connection import TargetConnection
+from .target_connection import TCP_USER_TIMEOUT_S
 from .targets import Target
 
 # Time allowed for opening a connection. A reachable target accepts within two
 # round trips. Packets to an unreachable one can be dropped without any reply,
 # so that only this timeout ends the attempt.
 CONNECT_TIMEOUT_S = 0.4
+# Time allowed for a connection that only checks whether targets are reachable.
+PROBE_TIMEOUT_S = 0.25
 # An idle connection is used for this fraction of the idle timeout that the
 # target announces; after that the target has possibly closed it.
 IDLE_TIMEOUT_FRACTION = 0.7
@@ -92,6 +95,10 @@
     """Connection pools of all targets, which open and reuse connections.
 
     on_unreachable is called when a connection to a target can't be opened.
+    on_failure is called when a connection can't be opened or ends with a
+    network error, with the time since when the target has sent nothing.
+    on_contact is called when a target has accepted a connection. While
+    may_connect returns False, connections are opened only by probe().
     """
 
     def __init__(
@@ -102,6 +109,9 @@
         on_unreachable: typing.Callable[[TargetId], None],
         message_memory: MessageMemory | None = None,
     ):
+        self.on_failure: typing.Callable[[float], None] = lambda since: None
+        self.on_contact: typing.Callable[[], None] = lambda: None
+        self.may_connect: typing.Callable[[], bool] = lambda: True
         self._message_memory = message_memory or MessageMemory()
         self._metrics = metrics
         self._clock = clock
@@ -187,10 +197,42 @@
         if conn is not None:
             on_connection(conn)
             return
+        if not self.may_connect():
+            on_connection(None)
+            return
         pool.waiting.append(on_connection)
         if pool.connecting < len(pool.waiting):
             self._open_connection(pool)
 
+    @property
+    def has_open(self) -> bool:
+        """Return True if there is a connection to any target."""
+        return any(pool.open for pool in self._pools.values())
+
+    def probe(
+        self,
+        target_id: TargetId,
+        on_reach: typing.Callable[[ConnectCheck], None],
+    ) -> None:
+        """Try at once to open a connection; pass the result to on_reach.
+
+        A failure is not reported to on_unreachable.
+        """
+        pool = self._pools.get(target_id)
+        if pool is None:
+            on_reach(ConnectCheck.UNKNOWN)
+            return
+        pool.connecting += 1
+        task = asyncio.ensure_future(self._probe(pool, on_reach))
+        logs.log_failure(task)
+
+    async def _probe(
+        self,
+        pool: TargetPool,
+        on_reach: typing.Callable[[ConnectCheck], None],
+    ) -> None:
+        on_reach(await self._connect(pool, is_probe=True))
+
     def check(
         self,
         target_id: TargetId,
@@ -225,7 +267,7 @@
         through another node.
         """
         now = self._clock()
-        remaining = MAX_WARM_CONNECTS
+        remaining = MAX_WARM_CONNECTS if self.may_connect() else 0
         for pool in self._pools.values():
             self._close_expired(pool, now)
             if pool.connection_count >= WARM_CONNECTIONS or pool.target.drain:
@@ -272,12 +314,17 @@
         task = asyncio.ensure_future(self._connect(pool))
         logs.log_failure(task)
 
-    async def _connect(self, pool: TargetPool) -> ConnectCheck:
+    async def _connect(
+        self, pool: TargetPool, is_probe: bool = False
+    ) -> ConnectCheck:
         target = pool.target
+        started_at = self._clock()
         loop = asyncio.get_running_loop()
         self._metrics.count('target_connections', 'opened')
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(
+                PROBE_TIMEOUT_S if is_probe else CONNECT_TIMEOUT_S
+            ):
                 _, conn = await loop.create_connection(
                     lambda: TargetConnection(
                         lambda conn: self._connection_freed(pool, conn),
@@ -289,7 +336,8 @@
         except (OSError, TimeoutError) as exc:
             pool.connecting -= 1
             self._metrics.count('target_connections', type(exc).__name__)
-            if not pool.closed:
+            self.on_failure(started_at)
+            if not pool.closed and not is_probe:
                 self._on_unreachable(target.id)
             while pool.waiting:
                 pool.waiting.popleft()(None)
@@ -298,6 +346,7 @@
             )
             return ConnectCheck.REFUSES if is_refusal else ConnectCheck.SILENT
         pool.connecting -= 1
+        self.on_contact()
         pool.open.add(conn)
         self._connection_freed(pool, conn)
         return ConnectCheck.ACCEPTS
@@ -306,6 +355,8 @@
         self, pool: TargetPool, conn: TargetConnection
     ) -> None:
         if not conn.usable:
+            if conn in pool.open and conn.network_error is not None:
+                self.on_failure(self._clock() - _silence_s(conn.network_error))
             pool.open.discard(conn)
             if conn in pool.idle:
                 pool.idle.remove(conn)
@@ -324,6 +375,11 @@
             pool.idle.append(conn)
 
 
+def _silence_s(exc: Exception) -> float:
+    """Return how long the target had sent nothing before a network error."""
+    return TCP_USER_TIMEOUT_S if isinstance(exc, TimeoutError) else 0.0
+
+
 def _max_idle_s(conn: TargetConnection) -> float:
     if conn.keep_alive_timeout_s is None:
         return DEFAULT_MAX_IDLE_S
--- a/sesameward/serving/replica_choice.py
+++ b/sesameward/serving/replica_choice.py
@@ -59,13 +59,15 @@
     """Hold the target and the times of a sub-request without a result.
 
     The field at holds the clock time when it was sent, overdue_at the time
-    when it starts to count as overdue.
+    when it starts to count as overdue. If through_helper is True, a helper
+    node sends it to the target.
     """
 
     target_id: TargetId
     route: RouteName
     at: float
     overdue_at: float
+    through_helper: bool = False
 
 
 class ReplicaSelector:
@@ -207,11 +209,33 @@
         """Return for how many seconds failures still make a target avoided."""
         return max(0.0, self._chooser.ejected_until(target_id) - now)
 
-    def sent(self, target_id: TargetId, route: RouteName, now: float) -> Token:
+    def oldest_open_at(self) -> float | None:
+        """Return when the oldest sub-request without a result was sent.
+
+        Those sent through helper nodes do not count.
+        """
+        for sent in self._open.values():
+            if not sent.through_helper:
+                return sent.at
+        return None
+
+    def forget_silences(self) -> None:
+        """Forget which targets do not answer, as the network was the cause."""
+        self._silent_until.clear()
+
+    def sent(
+        self,
+        target_id: TargetId,
+        route: RouteName,
+        now: float,
+        through_helper: bool = False,
+    ) -> Token:
         """Record that a sub-request was sent; return a token for ended()."""
         token = Token(next(self._tokens))
         overdue_s = self.overdue_s(route, now)
-        sent = OpenSubRequest(target_id, route, now, now + overdue_s)
+        sent = OpenSubRequest(
+            target_id, route, now, now + overdue_s, through_helper
+        )
         self._open[token] = sent
         waiting = self._overdue_at.setdefault(target_id, {})
         waiting[token] = sent.overdue_at
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -98,6 +98,8 @@
         self.keep_alive_timeout_s: float | None = None
         # Number of replies that did not belong to the request in progress.
         self.foreign_replies = 0
+        # The network error that broke the connection, if any.
+        self.network_error: Exception | None = None
         self._on_free = on_free
         self._meter = MessageMeter(
             message_memory or MessageMemory(), self._fail_without_memory
@@ -239,6 +241,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress, if any."""
         self._transport = None
+        self.network_error = exc
         self._fail(
             ExchangeFailure.CLOSED if exc is None else ExchangeFailure.RESET
         )
