--- a/sesameward/serving/attempts.py
+++ b/sesameward/serving/attempts.py
@@ -25,10 +25,9 @@
 
     A hedge repeats a sub-request that has no result yet: HEDGE_SLOW because it
     takes long, HEDGE_PAUSED because a request sent to its target is overdue. A
-    retry repeats one that failed: RETRY_NOT_SENT after
-    SubRequestFailure.NOT_SENT or SubRequestFailure.NO_PERMIT, RETRY_NOT_RUN
-    after SubRequestFailure.NOT_RUN or SubRequestFailure.MISDIRECTED,
-    RETRY_FAILED after any other failure.
+    retry repeats one that failed: RETRY_NOT_SENT after one in NOTHING_SENT,
+    RETRY_NOT_RUN after SubRequestFailure.NOT_RUN or
+    SubRequestFailure.MISDIRECTED, RETRY_FAILED after any other failure.
     """
 
     FIRST = 'first'
@@ -56,7 +55,8 @@
     """Way in which a sub-request failed.
 
     NOT_SENT: nothing was sent. NO_PERMIT: nothing was sent, because the target
-    limits its request rate and no permit was left. NOT_RUN: the target replied
+    limits its request rate and no permit was left. NO_LINKS: nothing was sent,
+    because the helper node has no connections. NOT_RUN: the target replied
     that it did not run the request. MISDIRECTED: the process at the target's
     address is not this target, and did not run it either. BROKEN: the
     connection ended before a complete reply. FAILED: any other failure.
@@ -64,20 +64,39 @@
 
     NOT_SENT = 'not_sent'
     NO_PERMIT = 'no_permit'
+    NO_LINKS = 'no_links'
     NOT_RUN = 'not_run'
     MISDIRECTED = 'misdirected'
     FAILED = 'failed'
     BROKEN = 'broken'
 
 
-SURELY_NOT_RUN = frozenset(
+NOTHING_SENT = frozenset(
     {
         SubRequestFailure.NOT_SENT,
         SubRequestFailure.NO_PERMIT,
-        SubRequestFailure.NOT_RUN,
-        SubRequestFailure.MISDIRECTED,
+        SubRequestFailure.NO_LINKS,
     }
 )
+SURELY_NOT_RUN = NOTHING_SENT | {
+    SubRequestFailure.NOT_RUN,
+    SubRequestFailure.MISDIRECTED,
+}
+
+
+def may_ask_again(end: SubRequestFailure, permit_wait_s: float) -> bool:
+    """Return True if the cause of a failed attempt was not its target.
+
+    The target got nothing then, and may be chosen again. permit_wait_s is the
+    time until a permit for the target is expected.
+    """
+    match end:
+        case SubRequestFailure.NO_LINKS:
+            return True
+        case SubRequestFailure.NO_PERMIT:
+            return permit_wait_s > 0.0
+        case _:
+            return False
 
 
 class Send(msgspec.Struct, frozen=True):
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from .. import logs
+from .attempts import NOTHING_SENT
 from .attempts import SubRequestFailure
 from .byte_limits import part_limits
 from .crashes import RequestIdentity
@@ -99,7 +100,9 @@
         self._running = {item.no: exchange for item, exchange in exchanges}
         for item, exchange in exchanges:
             target = self._tools.policy.targets.get(item.target_id)
-            if (
+            if tools.links.is_lost:
+                self._on_result(item, Result(SubRequestFailure.NO_LINKS))
+            elif (
                 is_refused
                 or target is None
                 or not tools.policy.may_send(item.target_id, tools.clock())
@@ -155,8 +158,12 @@
             return
         if result.end is not None or result.reply is None:
             end = result.end or SubRequestFailure.FAILED
-            if end is SubRequestFailure.NO_PERMIT:
-                # Nodes of an earlier release don't know NO_PERMIT.
+            no_links = end is SubRequestFailure.NO_LINKS or (
+                end is SubRequestFailure.NOT_SENT
+                and self._tools.links.is_doubtful
+            )
+            if end in NOTHING_SENT:
+                # Nodes of an earlier release don't know the other reasons.
                 end = SubRequestFailure.NOT_SENT
             self._item_results.append(
                 ItemResult(
@@ -165,6 +172,7 @@
                     leaving=result.leaving,
                     rest_s=result.rest_s,
                     no_permit_s=result.no_permit_s,
+                    no_links=no_links,
                 )
             )
         else:
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -29,8 +29,8 @@
 # is assumed to be frozen or cut off. Slow targets are not the cause: single
 # ones pause for up to 120 ms, but not all targets of a zone at once.
 HELPER_QUIET_AFTER_S = 0.06
-# A helper node that was disconnected or sent nothing gets no batch of
-# sub-requests for this time.
+# A helper node that was disconnected, sent nothing or can't reach targets gets
+# no batch of sub-requests for this time.
 HELPER_RETRY_S = 1.0
 
 
@@ -100,7 +100,9 @@
     and rest_s repeat what the reply said: that the target is shutting down,
     and for how long it wants no requests. no_permit_s is positive if nothing
     was sent because the target limits its request rate; it is the time for
-    which the helper node expects no permit.
+    which the helper node expects no permit. no_links is True if nothing
+    was sent because the helper node has probably lost its connections to all
+    targets.
     """
 
     no: int
@@ -110,6 +112,7 @@
     leaving: bool = False
     rest_s: float = 0.0
     no_permit_s: float = 0.0
+    no_links: bool = False
 
 
 class TargetNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -188,6 +191,7 @@
                 and member.zone != self._zone
                 and member.entries
                 and not member.leaving
+                and member.reaches_targets
                 and member.state is MemberState.ALIVE
             ):
                 self._by_zone.setdefault(member.zone, []).append(member)
@@ -237,6 +241,14 @@
         helper.open.clear()
         helper.unusable_until = now + HELPER_RETRY_S
 
+    def record_no_links(self, node: NodeId, now: float) -> None:
+        """Avoid a helper node for HELPER_RETRY_S: it can't reach targets.
+
+        Without this it would be preferred, because it refuses its batches at
+        once and so has fewer unfinished ones than all others.
+        """
+        self._helper_state(node).unusable_until = now + HELPER_RETRY_S
+
     def _helper_state(self, node: NodeId) -> _Helper:
         helper = self._helpers.get(node)
         if helper is None:
--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -29,6 +29,8 @@
 from ..types import TargetId
 from .attempts import AttemptNo
 from .attempts import AttemptPolicy
+from .attempts import may_ask_again
+from .attempts import NOTHING_SENT
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
@@ -114,8 +116,9 @@
     The field asked lists the target of each attempt; open maps each attempt
     without a result to its target and the time when it was sent. not_run
     counts the attempts that surely did not run, broken_count those whose
-    connection broke. An attempt without a permit is not in asked; unpermitted
-    counts these. done is True once the shard has replied.
+    connection broke. An attempt that was not sent for a reason other than its
+    target is not in asked; unsent counts these. done is True once the shard
+    has replied.
     """
 
     __slots__ = (
@@ -124,7 +127,7 @@
         'done',
         'not_run',
         'open',
-        'unpermitted',
+        'unsent',
     )
 
     def __init__(self):
@@ -132,17 +135,20 @@
         self.open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self.done = False
         self.not_run = 0
-        self.unpermitted = 0
+        self.unsent = 0
         self.broken_count = 0
 
     def may_retry(self) -> bool:
         """Return False after too many attempts that surely did not run."""
-        return self.not_run + self.unpermitted <= MAX_NOT_RUN_ATTEMPTS
+        return self.not_run + self.unsent <= MAX_NOT_RUN_ATTEMPTS
 
-    def record_unpermitted(self, target_id: TargetId) -> None:
-        """Record that an attempt was not sent for lack of a permit."""
+    def record_unsent(self, target_id: TargetId) -> None:
+        """Record that an attempt was not sent, but not because of its target.
+
+        It lacked a permit, or its helper node had no connections.
+        """
         self.asked.remove(target_id)
-        self.unpermitted += 1
+        self.unsent += 1
 
 
 class Gather:
@@ -319,12 +325,10 @@
         """
         shard = self._shards[index]
         opened = shard.open.pop(attempt, None)
-        if (
-            end is SubRequestFailure.NO_PERMIT
-            and opened is not None
-            and self._wait_s(opened[0], now) > 0.0
+        if opened is not None and may_ask_again(
+            end, self._wait_s(opened[0], now)
         ):
-            shard.record_unpermitted(opened[0])
+            shard.record_unsent(opened[0])
         elif end in SURELY_NOT_RUN:
             shard.not_run += 1
         else:
@@ -453,7 +457,7 @@
         if not shard.may_retry() or not self._may_repeat(shard):
             return []
         match end:
-            case SubRequestFailure.NOT_SENT | SubRequestFailure.NO_PERMIT:
+            case _ if end in NOTHING_SENT:
                 return self._send(index, SendReason.RETRY_NOT_SENT, now)
             case SubRequestFailure.NOT_RUN | SubRequestFailure.MISDIRECTED:
                 return self._send(index, SendReason.RETRY_NOT_RUN, now)
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -233,6 +233,10 @@
         failure: Outcome,
     ) -> None:
         now = self._tools.clock()
+        if any(end.no_links for end in ends):
+            # Retries of these sub-requests must go through other nodes.
+            self._deps.delegation.record_no_links(batch.node, now)
+            self._tools.metrics.count('helpers_without_links')
         # The records in a helper node's message are merged from all its
         # results. So each result that was needed when the message arrived is
         # counted in the answer, even if an earlier one in the message ends the
@@ -245,6 +249,8 @@
                 continue
             send, token = opened
             outcome = Outcome.OK if end.end is None else failure
+            if end.no_links:
+                outcome = Outcome.CANCELLED
             self._tools.policy.selector.ended(token, outcome, now)
             actions += self._apply_item_result(
                 batch, send, end, end.no in wanted, now
@@ -274,7 +280,9 @@
             )
         if end.end is not None:
             failure = end.end
-            if end.no_permit_s > 0.0:
+            if end.no_links:
+                failure = SubRequestFailure.NO_LINKS
+            elif end.no_permit_s > 0.0:
                 failure = SubRequestFailure.NO_PERMIT
             self._record_failure(send, failure, batch.node)
             return self._plan.failed(send.shard, send.attempt, failure, now)
--- a/sesameward/serving/relay.py
+++ b/sesameward/serving/relay.py
@@ -15,6 +15,8 @@
 from ..types import TargetId
 from .attempts import AttemptNo
 from .attempts import AttemptPolicy
+from .attempts import may_ask_again
+from .attempts import NOTHING_SENT
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
@@ -92,7 +94,7 @@
         self._open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self._attempts = 0
         self._not_run_count = 0
-        self._unpermitted_count = 0
+        self._unsent_count = 0
         self._may_have_run = False
         self._has_reply = False
         self._finished = False
@@ -137,14 +139,11 @@
         route allows its requests to run more than once.
         """
         opened = self._open.pop(attempt, None)
-        if (
-            end is SubRequestFailure.NO_PERMIT
-            and opened is not None
-            and self._wait_s(opened[0], now) > 0.0
+        if opened is not None and may_ask_again(
+            end, self._wait_s(opened[0], now)
         ):
-            # The target got nothing, so it may be chosen again after the wait.
             self._asked.remove(opened[0])
-            self._unpermitted_count += 1
+            self._unsent_count += 1
         elif end in SURELY_NOT_RUN:
             self._not_run_count += 1
         else:
@@ -153,7 +152,7 @@
         if self._finished:
             return []
         match end:
-            case SubRequestFailure.NOT_SENT | SubRequestFailure.NO_PERMIT:
+            case _ if end in NOTHING_SENT:
                 return self._retry_or_finish(SendReason.RETRY_NOT_SENT, now)
             case SubRequestFailure.NOT_RUN | SubRequestFailure.MISDIRECTED:
                 return self._retry_or_finish(SendReason.RETRY_NOT_RUN, now)
@@ -206,7 +205,7 @@
         if self._open:
             return []
         sends: list[Action] = []
-        retries = self._not_run_count + self._unpermitted_count
+        retries = self._not_run_count + self._unsent_count
         if retries <= MAX_NOT_RUN_ATTEMPTS:
             sends = self._send(reason, now)
         if sends:
--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -8,6 +8,7 @@
 from sesameward.metrics import Metrics
 from sesameward.platform.wire import PlatformWire
 from sesameward.serving.attempts import AttemptPolicy
+from sesameward.serving.attempts import SubRequestFailure
 from sesameward.serving.budget_window import BudgetWindow
 from sesameward.serving.crashes import Crashes
 from sesameward.serving.delegate_server import _Batch
@@ -51,6 +52,14 @@
         on_connection(self.conn)
 
 
+def lose_links(links, targets):
+    """Make a node believe that it reaches none of its targets."""
+    assert links.record_failure(1.0, 1.0)
+    while not links.is_lost:
+        for _ in links.targets_to_check(targets, 1.0):
+            links.check_failed()
+
+
 @pytest.fixture
 def run_batch():
     """Return a function that plays a scenario on a batch of one item.
@@ -58,7 +67,7 @@
     The scenario gets the batch, the connection to the target and the outbox.
     """
 
-    def run(scenario):
+    def run(scenario, cut_off=False):
         async def main():
             clock = asyncio.get_running_loop().time
             metrics = Metrics('t')
@@ -79,6 +88,8 @@
                 metrics,
                 clock,
             )
+            if cut_off:
+                lose_links(tools.links, targets)
             message = DelegatedBatch(
                 1,
                 'r1',
@@ -130,3 +141,12 @@
         assert item.rest_s == 1.5
 
     run_batch(scenario)
+
+
+def test_node_without_connections_says_so_for_each_item(run_batch):
+    def scenario(batch, conn, outbox):
+        (item,) = outbox.get_nowait().item_results
+        assert item.end is SubRequestFailure.NOT_SENT
+        assert item.no_links
+
+    run_batch(scenario, cut_off=True)
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -49,9 +49,10 @@
         {'leaving': True},
         {'entries': ()},
         {'state': MemberState.SUSPECT},
+        {'reaches_targets': False},
     ],
 )
-def test_leaving_unready_or_suspected_nodes_do_not_help(delegation, change):
+def test_nodes_that_can_not_serve_do_not_help(delegation, change):
     delegation.set_members((member('c1', 'c', **change),))
     assert delegation.choose_helper('c', 0.0) is None
 
@@ -78,3 +79,12 @@
     delegation.connection_lost('c1', 0.0)
     assert delegation.choose_helper('c', HELPER_RETRY_S / 2) is None
     assert delegation.choose_helper('c', HELPER_RETRY_S) is not None
+
+
+# A helper without connections refuses at once, so it has the fewest batches.
+def test_helper_without_connections_is_not_preferred(delegation):
+    delegation.batch_sent('b2', 1, 0.0)
+    delegation.message_received('b2', 0.0)
+    delegation.record_no_links('b1', 0.0)
+    assert delegation.choose_helper('b', HELPER_QUIET_AFTER_S).node == 'b2'
+    assert delegation.choose_helper('b', HELPER_RETRY_S).node == 'b1'
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -14,6 +14,7 @@
 from sesameward.messages import Member
 from sesameward.metrics import Metrics
 from sesameward.serving.attempts import AttemptPolicy
+from sesameward.serving.attempts import SubRequestFailure
 from sesameward.serving.budget_window import BudgetWindow
 from sesameward.serving.crashes import Crashes
 from sesameward.serving.delegation import BatchResults
@@ -83,9 +84,10 @@
 
     The sub-requests to all three shards go to one helper in a single batch.
     late_s is the time from the query's arrival to the start of the scenario.
+    The messages to helpers are in the attribute delegates.asks.
     """
 
-    def run(scenario, late_s):
+    def run(scenario, late_s, helpers=('helper',)):
         async def main():
             loop = asyncio.get_running_loop()
             targets = TargetTable()
@@ -108,11 +110,21 @@
                 loop.time,
             )
             delegation = Delegation('me', 'z')
-            entry = Address('helper', 'h', 1, 'far', 1.0)
             delegation.set_members(
-                (Member('helper', 'far', 'h', 1, 2, 3, entries=(entry,)),)
+                tuple(
+                    Member(
+                        name,
+                        'far',
+                        'h',
+                        1,
+                        2,
+                        3,
+                        entries=(Address(name, 'h', 1, 'far', 1.0),),
+                    )
+                    for name in helpers
+                )
             )
-            delegates = Delegates()
+            delegates = run.delegates = Delegates()
             deps = Deps(tools, delegation, delegates, Splits(), random.random)
             route = Route(
                 'r',
@@ -181,3 +193,25 @@
         assert responder.answer is None
 
     query(scenario, late_s=0.0)
+
+
+# At nodes that reached all targets, queries failed too: a helper without any
+# connection refused its sub-requests at once, so it was the least busy one and
+# got all of them, and the targets were blamed.
+def test_helper_without_connections_is_left_for_another(query):
+    def scenario(batch, on_results, responder):
+        ends = [
+            ItemResult(n, SubRequestFailure.NOT_SENT, no_links=True)
+            for n in range(3)
+        ]
+        on_results(BatchResults(batch.batch_no, tuple(ends)))
+        _, (retry, on_retry_results) = query.delegates.asks
+        assert [item.target_id for item in retry.items] == ['t0', 't1', 't2']
+        results = [
+            ItemResult(n, None, b's%d' % n, RECORDS[n * 16 :][:16])
+            for n in range(3)
+        ]
+        on_retry_results(BatchResults(retry.batch_no, tuple(results)))
+        assert responder.answer.body == RECORDS
+
+    query(scenario, late_s=0.0, helpers=('helper', 'other'))
