Do not take a cut-off node's failures for the state of targets

Each judged a target by its own link alone. While it is not settled whether all connections are lost, such findings wait; if they are lost, they are dropped.

The tests fail before: the findings were recorded and published.

--- a/sesameward/serving/crashes.py
+++ b/sesameward/serving/crashes.py
@@ -138,9 +138,10 @@
 
     CRASHED: the target refuses a new connection. UNRESPONSIVE: it does not
     answer one, while other targets still answer this node. NODE_CUT_OFF: no
-    other target answers this node either. LEFT: the target was shutting down
-    on purpose, or its registration is gone. ALIVE: it accepts a new
-    connection, or its address has changed during the check.
+    other target answers this node either, or none accepts its connections.
+    LEFT: the target was shutting down on purpose, or its registration is gone.
+    ALIVE: it accepts a new connection, or its address has changed during the
+    check.
     """
 
     CRASHED = 'crashed'
@@ -156,9 +157,10 @@
     When a sub-request gets no reply, its target is checked; if it has crashed,
     the Quarantine counts that against the request. The owner sets the
     callbacks: publish sends a rumor to all nodes, check_reachable tries to
-    connect to a target, is_leaving returns True if a target is shutting down
-    on purpose or no longer registered, and clock returns the monotonic time
-    in seconds.
+    connect to a target, is_cut_off returns True if this node has lost its
+    connections to all targets, is_leaving returns True if a target is shutting
+    down on purpose or no longer registered, and clock returns the monotonic
+    time in seconds.
     """
 
     def __init__(self, origin: str, metrics: Metrics, rng: random.Random):
@@ -167,6 +169,7 @@
             [TargetId, typing.Callable[[ConnectCheck], None]], None
         ] = lambda target_id, on_reach: on_reach(ConnectCheck.UNKNOWN)
         self.is_leaving: typing.Callable[[TargetId], bool] = lambda _: False
+        self.is_cut_off: typing.Callable[[], bool] = lambda: False
         self.clock: typing.Callable[[], float] = lambda: 0.0
         self._quarantine = Quarantine(origin, SETTINGS, rng)
         self._metrics = metrics
@@ -322,6 +325,8 @@
     def _classify(self, lost: TargetLoss, reach: ConnectCheck) -> Finding:
         if self.is_leaving(lost.target_id):
             return Finding.LEFT
+        if reach is not ConnectCheck.ACCEPTS and self.is_cut_off():
+            return Finding.NODE_CUT_OFF
         match reach:
             case ConnectCheck.REFUSES:
                 return Finding.CRASHED
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -281,7 +281,9 @@
                 outcome = Outcome.TIMEOUT
             result = Result(end)
             retry_after_s = 0.0
-        tools.policy.selector.ended(token, outcome, now, retry_after_s)
+        tools.policy.selector.ended(
+            token, outcome, now, retry_after_s, tools.links.is_doubtful
+        )
         if isinstance(reply_or_broken, ExchangeFailure):
             self._report_possible_crash(reply_or_broken, now)
         elif 200 <= reply_or_broken.status < 300 and outcome is Outcome.OK:
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -152,7 +152,9 @@
         batch = self._open_batches[no] = _HelperBatch(helper.node, no)
         selector = tools.policy.selector
         for index, send in enumerate(sends):
-            token = selector.sent(send.target_id, self._route.name, now)
+            token = selector.sent(
+                send.target_id, self._route.name, now, through_helper=True
+            )
             batch.open[index] = send, token
         sub = self._sub
         message = DelegatedBatch(
--- a/sesameward/serving/link_watch.py
+++ b/sesameward/serving/link_watch.py
@@ -13,6 +13,7 @@
 from .replica_choice import ReplicaSelector
 from .replica_choice import SILENT_AFTER_S
 from .target_links import CHECK_DELAY_S
+from .target_links import LinkState
 from .target_links import TargetLinks
 from .targets import TargetTable
 
@@ -41,7 +42,9 @@
         self._publish = publish
         self._metrics = metrics
         self._clock = clock
+        self._waiting: list[typing.Callable[[], None]] = []
         links.on_change = self._on_change
+        links.on_settled = self._on_settled
 
     def on_failure(self, silent_since: float) -> None:
         """Have targets checked, unless one answers in the meantime."""
@@ -52,6 +55,16 @@
         """Record that a target replied or accepted a connection."""
         self._links.record_contact(self._clock())
 
+    def when_settled(self, act: typing.Callable[[], None]) -> None:
+        """Call act once it is known whether all connections are lost.
+
+        Until then, the failure of a target is perhaps this node's own.
+        """
+        if self._links.state is LinkState.SUSPECTED:
+            self._waiting.append(act)
+        else:
+            act()
+
     def check_periodically(self, now: float) -> None:
         """Look for unanswered requests; check targets while links are lost."""
         open_since = self._selector.oldest_open_at()
@@ -70,6 +83,11 @@
         if reach is not ConnectCheck.ACCEPTS and self._links.check_failed():
             self._check()
 
+    def _on_settled(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for act in waiting:
+            act()
+
     def _on_change(self, is_lost: bool, for_s: float) -> None:
         self._metrics.count('links', 'lost' if is_lost else 'back')
         logs.log_event(
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -58,6 +58,7 @@
 from .mirror import Mirror
 from .mirror import Store
 from .peers import Peers
+from .pools import ConnectCheck
 from .pools import Pools
 from .pools import WARM_PERIOD_S
 from .replica_choice import ReplicaSelector
@@ -205,7 +206,8 @@
         origin = f'{cfg.node}:{time.time_ns()}'
         self._crashes = Crashes(origin, self.metrics, self._rng)
         self._crashes.publish = self.peers.publish
-        self._crashes.check_reachable = self.pools.check
+        self._crashes.check_reachable = self._check_reachable
+        self._crashes.is_cut_off = lambda: self.links.is_lost
         self._crashes.is_leaving = self.targets.is_leaving_or_gone
         self._crashes.clock = self._clock
         self.routing_state.on_target_dropped = self._crashes.forget_target
@@ -472,7 +474,10 @@
         self.routing_state.drop_expired()
         self._link_watch.check_periodically(now)
         self.limits.named.drop_absent(self.targets, now)
-        self._silences.publish_reported()
+        if self.links.is_lost:
+            self._silences.drop_reported()
+        elif not self.links.is_doubtful:
+            self._silences.publish_reported()
         self._crashes.publish_suspicions(now)
         self.delegation.set_members(self.peers.members())
         sharing_nodes = self.peers.sharing_nodes(now)
@@ -512,10 +517,29 @@
             await asyncio.sleep(pause_s)
 
     def _on_target_unreachable(self, target_id: TargetId) -> None:
+        self._link_watch.when_settled(
+            lambda: self._record_unreachable(target_id)
+        )
+
+    def _record_unreachable(self, target_id: TargetId) -> None:
+        if self.links.is_lost:
+            return
         now = self._clock()
         self.selector.record_unreachable(target_id, now)
         self._crashes.mark_unreachable(target_id, now)
 
+    def _check_reachable(
+        self,
+        target_id: TargetId,
+        on_reach: typing.Callable[[ConnectCheck], None],
+    ) -> None:
+        self.pools.check(
+            target_id,
+            lambda reach: self._link_watch.when_settled(
+                lambda: on_reach(reach)
+            ),
+        )
+
     def _on_target_ejected(self, target_id: TargetId, for_s: float) -> None:
         self.metrics.count('targets_ejected')
         logs.log_event(
@@ -575,7 +599,7 @@
                 store_mirror.on_rumor(rumor)
 
     def _on_silences(self, rumor: Rumor) -> None:
-        if rumor.key == self._cfg.node:
+        if rumor.key in self._unheard_nodes():
             return
         now = self._clock()
         reported = silent_targets.targets_of_rumor(rumor)
@@ -589,6 +613,15 @@
             believed=believed,
         )
 
+    def _unheard_nodes(self) -> set[str]:
+        """Return this node and those that reach no targets themselves."""
+        cut_off = {
+            member.node
+            for member in self.peers.members()
+            if not member.reaches_targets
+        }
+        return cut_off | {self._cfg.node}
+
     def _on_quarantine(self, rumor: Rumor) -> None:
         self._crashes.on_rumor(rumor, self._clock())
 
--- a/sesameward/serving/replica_choice.py
+++ b/sesameward/serving/replica_choice.py
@@ -52,6 +52,16 @@
 # Only latencies observed within this time count for a route's quantiles.
 LATENCY_WINDOW_S = 8.0
 
+# Outcomes that a node without connections sees at every target.
+_NETWORK_FAILURES = frozenset(
+    {
+        Outcome.TIMEOUT,
+        Outcome.CANCELLED,
+        Outcome.BROKEN,
+        Outcome.CONNECT_FAILED,
+    }
+)
+
 Token = typing.NewType('Token', int)
 
 
@@ -248,11 +258,13 @@
         outcome: Outcome,
         now: float,
         retry_after_s: float = 0.0,
+        is_network_doubtful: bool = False,
     ) -> None:
         """Record the outcome of the sub-request with this token.
 
-        The target is then sent nothing for retry_after_s. Further calls with
-        the same token are ignored.
+        The target is then sent nothing for retry_after_s. If the failure is
+        perhaps one of this node's network, the target is not blamed. Further
+        calls with the same token are ignored.
         """
         sent = self._open.pop(token, None)
         if sent is None:
@@ -268,12 +280,18 @@
         scaled_s = (
             latency_s * REFERENCE_MEDIAN_S / self.median_s(sent.route, now)
         )
+        if is_network_doubtful and outcome in _NETWORK_FAILURES:
+            self._chooser.finished(sent.target_id, Outcome.CANCELLED, 0.0, now)
+            return
         if outcome is Outcome.OK:
             self._latencies.observe(sent.route, latency_s, now)
             self._last_answer_at[sent.target_id] = now
             self._silent_until.pop(sent.target_id, None)
         elif (
             outcome in (Outcome.TIMEOUT, Outcome.CANCELLED)
+            # A helper node reports silent targets itself. If it sends nothing,
+            # the targets are perhaps not the cause.
+            and not sent.through_helper
             and latency_s >= SILENT_AFTER_S
             and self._last_answer_at.get(sent.target_id, -1.0) < sent.at
         ):
--- a/sesameward/serving/silent_targets.py
+++ b/sesameward/serving/silent_targets.py
@@ -42,6 +42,10 @@
         if len(self._reported) < MAX_TARGETS_PER_RUMOR:
             self._reported.append(target_id)
 
+    def drop_reported(self) -> None:
+        """Forget reported targets: the cause was this node's own network."""
+        self._reported = []
+
     def publish_reported(self) -> None:
         """Publish reported targets, at most once per PUBLISH_INTERVAL_S."""
         now = self._clock()
--- a/sesameward/serving/target_links.py
+++ b/sesameward/serving/target_links.py
@@ -55,13 +55,15 @@
 
     on_change is called when the connections are lost, with True, and when they
     are back, with False. The number is that of the seconds for which nothing
-    had been received from any target, or for which they were lost.
+    had been received from any target, or for which they were lost. on_settled
+    is called when a suspicion has ended, in either way.
     """
 
     def __init__(self, rng: random.Random | None = None):
         self.on_change: typing.Callable[[bool, float], None] = (
             lambda is_lost, for_s: None
         )
+        self.on_settled: typing.Callable[[], None] = lambda: None
         self._rng = rng or random.Random(0)
         self._state = LinkState.UP
         self._last_contact_at = -math.inf
@@ -96,6 +98,8 @@
         self._state = LinkState.UP
         if was_lost:
             self.on_change(False, now - self._lost_at)
+        else:
+            self.on_settled()
 
     def record_failure(self, silent_since: float, now: float) -> bool:
         """Record a failure of a connection or a missing reply.
@@ -148,9 +152,11 @@
             self._state = LinkState.LOST
             self._lost_at = now
             self.on_change(True, now - self._silent_since)
+            self.on_settled()
         elif not chosen:
             # No target is known, so that there are no connections to lose.
             self._state = LinkState.UP
+            self.on_settled()
         self._checked.update(chosen)
         return chosen
 
@@ -169,6 +175,7 @@
         """Forget a suspicion; the process was suspended meanwhile."""
         if self._state is LinkState.SUSPECTED:
             self._state = LinkState.UP
+            self.on_settled()
 
 
 def _spread(
--- a/tests/test_replica_choice.py
+++ b/tests/test_replica_choice.py
@@ -183,3 +183,28 @@
     for name in 'ab':
         end_with_retry_after(selector, name, 0.0, 1.0)
     assert selector.choose(('a', 'b'), 1.001) is not None
+
+
+# A node that had lost its connections blamed the targets for its own failures.
+@pytest.mark.parametrize(
+    'outcome', [Outcome.BROKEN, Outcome.CONNECT_FAILED, Outcome.TIMEOUT]
+)
+def test_failures_of_the_own_network_are_not_the_targets(selector, outcome):
+    told = []
+    selector.on_silent = told.append
+    selector.on_ejected = lambda target_id, for_s: told.append(target_id)
+    for n in range(20):
+        token = selector.sent('a', 'r', float(n))
+        selector.ended(token, outcome, n + 0.5, is_network_doubtful=True)
+    assert told == []
+    assert selector.ejected_s('a', 20.0) == 0.0
+
+
+# A helper without connections sent nothing, and its targets counted as silent.
+def test_target_behind_a_quiet_helper_is_not_silent(selector):
+    told = []
+    selector.on_silent = told.append
+    token = selector.sent('a', 'r', 0.0, through_helper=True)
+    selector.ended(token, Outcome.CANCELLED, 0.5)
+    assert told == []
+    assert not selector.silent('a', 0.6)
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -300,6 +300,20 @@
     assert isinstance(fleet.nodes[1].crashes.admit(POISON, fleet.now), Allow)
 
 
+# A node whose connections were all reset and refused took this for crashes of
+# its targets, and blamed the requests that it had sent to them.
+def test_node_whose_connections_are_all_refused_blames_no_request(fleet):
+    cut = fleet.nodes[0]
+    cut.reach = ConnectCheck.REFUSES
+    cut.crashes.is_cut_off = lambda: True
+    for _ in range(10):
+        assert fleet.attempt(b'GET h/p/1', 20, cut)
+        fleet.wait(1.0)
+    assert cut.crashes.unreachable_count == 0
+    assert isinstance(cut.crashes.admit(POISON, fleet.now), Allow)
+    assert isinstance(fleet.nodes[1].crashes.admit(POISON, fleet.now), Allow)
+
+
 def test_target_that_leaves_is_not_lost_to_a_request(node):
     node.is_leaving = lambda target_id: True
     for number in range(5):
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -39,3 +39,13 @@
         reporter.report('a')
         reporter.publish_reported()
     assert published[1].version > published[0].version
+
+
+# Cut-off nodes reported all targets as silent, so the others avoided them.
+def test_dropped_reports_are_not_published():
+    published = []
+    reporter = silent_targets.Silences('n1', published.append, lambda: 100.0)
+    reporter.report('a')
+    reporter.drop_reported()
+    reporter.publish_reported()
+    assert published == []
