Serve requests of nodes without links through other nodes, or refuse at once

A node sent the sub-requests for its own zone and all requests to a single target itself, and had no other way.

Where only new connections are refused, open ones are used on; a target without one is asked through another node for a while.

--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -1,4 +1,7 @@
-"""Send sub-requests to targets of this zone for nodes of other zones."""
+"""Send sub-requests to targets for other nodes.
+
+These are nodes of other zones, or nodes that have lost their connections.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +17,7 @@
 from .attempts import NOTHING_SENT
 from .attempts import SubRequestFailure
 from .byte_limits import part_limits
+from .byte_limits import REPLY_LIMITS
 from .crashes import RequestIdentity
 from .delegate_client import Envelope
 from .delegate_client import METHOD
@@ -25,6 +29,7 @@
 from .delegation import ItemResult
 from .delegation import MarkSentElsewhere
 from .delegation import TargetNotice
+from .delegation import WholeReply
 from .exchange import CANCEL_GRACE_S
 from .exchange import DEADLINE_GRACE_S
 from .exchange import ExchangeDeps
@@ -79,10 +84,13 @@
             batch.head,
             self._tools.clock() + remaining_s,
             batch.priority,
-            True,
-            False,
+            is_shard=not batch.is_single,
+            runs_once=batch.runs_once,
+            on_trial=batch.on_trial,
             sees_whole_request=False,
-            limits=part_limits(batch.top_k),
+            limits=(
+                REPLY_LIMITS if batch.is_single else part_limits(batch.top_k)
+            ),
         )
         exchanges = [
             (
@@ -138,10 +146,13 @@
 
         To end a sub-request, its connection to the target is closed. During
         the delay, replies that are nearly complete can still arrive, so that
-        their connections need not be closed.
+        their connections need not be closed. A request that must not run twice
+        is not ended, because nobody else may send it again.
         """
         self.is_wanted = False
-        asyncio.get_running_loop().call_later(CANCEL_GRACE_S, self._abandon)
+        if not self._batch.runs_once:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CANCEL_GRACE_S, self._abandon)
 
     def _abandon(self) -> None:
         self.is_wanted = False
@@ -153,6 +164,8 @@
     def _on_result(self, item: BatchItem, result: Result) -> None:
         if self._running.pop(item.no, None) is None:
             return
+        if self._batch.is_single:
+            self._log_single(item, result)
         if not self.is_wanted:
             self._pass_on_notice(item, result)
             return
@@ -175,6 +188,19 @@
                     no_links=no_links,
                 )
             )
+        elif self._batch.is_single:
+            reply = result.reply
+            self._item_results.append(
+                ItemResult(
+                    item.no,
+                    None,
+                    leaving=result.leaving,
+                    rest_s=result.rest_s,
+                    reply=WholeReply(
+                        reply.status, reply.reason, reply.headers, reply.body
+                    ),
+                )
+            )
         else:
             signature = result.signature or b''
             body = result.reply.body
@@ -195,6 +221,17 @@
             loop = asyncio.get_running_loop()
             self._flush_timer = loop.call_later(FLUSH_S, self._flush)
 
+    def _log_single(self, item: BatchItem, result: Result) -> None:
+        reply = result.reply
+        logs.log_event(
+            'helped',
+            request=self._batch.request_id,
+            target=item.target_id,
+            end=None if result.end is None else result.end.value,
+            status=None if reply is None else reply.status,
+            needed=self.is_wanted,
+        )
+
     def _pass_on_notice(self, item: BatchItem, result: Result) -> None:
         # The other node has no more use for the reply, but must know that the
         # target leaves or wants no requests: it may send to it by itself.
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -1,4 +1,4 @@
-"""Decide which sub-requests go through a node in the target's zone.
+"""Decide which sub-requests go through another node, a helper.
 
 Load pattern: half of a query's shards have no replica in the zone of the node
 that received the query, and each reply that crosses zones costs bytes and
@@ -6,6 +6,13 @@
 sends them to the targets of its zone over connections that are open already. A
 query returns only the greatest records of all shards, so the helper node drops
 records that can't be among these, and returns the rest in a few messages.
+
+Load pattern: a node has lost its connections to all targets, while callers go
+on sending it requests. All its sub-requests go through helper nodes then, also
+to targets of its own zone and those of requests to a single target. Most nodes
+may be cut off at the same time, or all of a zone. Its targets are then asked
+by helper nodes of other zones. A helper node never passes a sub-request on to
+another one.
 """
 
 from __future__ import annotations
@@ -51,7 +58,10 @@
     the record in floor, so the helper node returns only greater ones. If
     may_filter is True, it also drops records that can't be among the top_k
     greatest of the batch. remaining_ms is the time until the deadline of the
-    request, priority that of its route.
+    request, priority that of its route. If is_single is True, the request is
+    not a query over shards, and the target's whole reply is returned; if
+    runs_once is True, it must not run twice. If on_trial is True, the request
+    is suspected of crashing targets.
     """
 
     batch_no: BatchNo
@@ -67,6 +77,9 @@
     may_filter: bool
     floor: bytes = b''
     priority: int = 0
+    is_single: bool = False
+    runs_once: bool = False
+    on_trial: bool = False
 
 
 class MarkSentElsewhere(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -89,6 +102,15 @@
     batch_no: BatchNo
 
 
+class WholeReply(msgspec.Struct, frozen=True, array_like=True):
+    """Complete reply of a target to a request that is not a query."""
+
+    status: int
+    reason: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
 class ItemResult(msgspec.Struct, frozen=True, array_like=True):
     """Result of one item, that is, of one sub-request of a batch.
 
@@ -102,7 +124,7 @@
     was sent because the target limits its request rate; it is the time for
     which the helper node expects no permit. no_links is True if nothing
     was sent because the helper node has probably lost its connections to all
-    targets.
+    targets. reply is the target's reply if the batch is_single.
     """
 
     no: int
@@ -113,6 +135,7 @@
     rest_s: float = 0.0
     no_permit_s: float = 0.0
     no_links: bool = False
+    reply: WholeReply | None = None
 
 
 class TargetNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -188,7 +211,6 @@
         for member in members:
             if (
                 member.node != self._node
-                and member.zone != self._zone
                 and member.entries
                 and not member.leaving
                 and member.reaches_targets
@@ -201,18 +223,34 @@
 
     def zones(self) -> set[ZoneName]:
         """Return the other zones with a node that can be a helper node."""
-        return set(self._by_zone)
+        return self._by_zone.keys() - {self._zone}
+
+    def has_helper(self, now: float) -> bool:
+        """Return True if any zone has a usable helper node."""
+        return any(self._least_busy((zone,), now) for zone in self._by_zone)
 
-    def choose_helper(self, zone: ZoneName, now: float) -> Member | None:
+    def choose_helper(
+        self, zone: ZoneName, now: float, must_help: bool = False
+    ) -> Member | None:
         """Return the helper node in a zone with the fewest unfinished batches.
 
         None means that this node must send to the targets of the zone itself,
-        because the zone is its own or has no usable helper node.
+        because the zone is its own or has no usable helper node. If must_help
+        is True, this node can't do so: a helper node of its own zone is then
+        returned too, or one of another zone.
         """
-        if zone == self._zone:
-            return None
+        if must_help:
+            return self._least_busy((zone,), now) or self._least_busy(
+                self._by_zone, now
+            )
+        return None if zone == self._zone else self._least_busy((zone,), now)
+
+    def _least_busy(
+        self, zones: typing.Iterable[ZoneName], now: float
+    ) -> Member | None:
         usable_members = [
             member
+            for zone in zones
             for member in self._by_zone.get(zone, ())
             if self._is_usable(member.node, now)
         ]
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -27,6 +27,9 @@
 # known to be the newest at most this long ago. Otherwise it is answered 503,
 # because a newer route possibly matches.
 MAX_ROUTES_AGE_S = 2.5
+# Retry-After of a node that can't reach targets, nor through any other node.
+# It notices within half a second when it can, and so do the others.
+LINKS_RETRY_AFTER_S = 1.0
 
 
 class KnownConfiguration(typing.Protocol):
@@ -68,6 +71,11 @@
             status = 404 if is_fresh else 503
             self._refuse(req, responder, status, 'no_route', asked)
             return
+        if deps.tools.links.is_lost and not deps.delegation.has_helper(now):
+            self._refuse(
+                req, responder, 503, 'no_links', asked, LINKS_RETRY_AFTER_S
+            )
+            return
         identity = identity_of(req)
         match deps.tools.crashes.admit(identity, now):
             case Refuse(retry_after_s):
--- a/sesameward/serving/link_watch.py
+++ b/sesameward/serving/link_watch.py
@@ -45,10 +45,15 @@
         self._waiting: list[typing.Callable[[], None]] = []
         links.on_change = self._on_change
         links.on_settled = self._on_settled
+        links.has_open = lambda: pools.has_open
 
-    def on_failure(self, silent_since: float) -> None:
-        """Have targets checked, unless one answers in the meantime."""
-        if self._links.record_failure(silent_since, self._clock()):
+    def on_failure(self, silent_since: float, was_open: bool) -> None:
+        """Have targets checked, unless one answers in the meantime.
+
+        was_open is False if the connection could not be opened.
+        """
+        now = self._clock()
+        if self._links.record_failure(silent_since, now, was_open):
             asyncio.get_running_loop().call_later(CHECK_DELAY_S, self._check)
 
     def on_contact(self) -> None:
@@ -69,7 +74,7 @@
         """Look for unanswered requests; check targets while links are lost."""
         open_since = self._selector.oldest_open_at()
         if open_since is not None and now - open_since >= SILENT_AFTER_S:
-            self.on_failure(open_since)
+            self.on_failure(open_since, was_open=True)
         if self._links.is_lost:
             self._check()
 
@@ -80,7 +85,10 @@
 
     def _on_checked(self, reach: ConnectCheck) -> None:
         # A target that accepts was reported through on_contact().
-        if reach is not ConnectCheck.ACCEPTS and self._links.check_failed():
+        if reach is ConnectCheck.ACCEPTS:
+            return
+        is_refusal = reach is ConnectCheck.REFUSES
+        if self._links.check_failed(is_refusal):
             self._check()
 
     def _on_settled(self) -> None:
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -29,6 +29,10 @@
 CONNECT_TIMEOUT_S = 0.4
 # Time allowed for a connection that only checks whether targets are reachable.
 PROBE_TIMEOUT_S = 0.25
+# Time for which other nodes are asked to send to a target that has accepted no
+# connection. With a longer time, a restarted target would be asked through
+# them for longer.
+UNREACHABLE_S = 1.5
 # An idle connection is used for this fraction of the idle timeout that the
 # target announces; after that the target has possibly closed it.
 IDLE_TIMEOUT_FRACTION = 0.7
@@ -75,10 +79,19 @@
 class TargetPool:
     """Connections to one target, and requests waiting for a connection."""
 
-    __slots__ = ('closed', 'connecting', 'idle', 'open', 'target', 'waiting')
+    __slots__ = (
+        'closed',
+        'connecting',
+        'idle',
+        'open',
+        'target',
+        'unreachable_until',
+        'waiting',
+    )
 
     def __init__(self, target: Target):
         self.target = target
+        self.unreachable_until = 0.0
         self.idle: list[TargetConnection] = []
         self.open: set[TargetConnection] = set()
         self.connecting = 0
@@ -96,9 +109,10 @@
 
     on_unreachable is called when a connection to a target can't be opened.
     on_failure is called when a connection can't be opened or ends with a
-    network error, with the time since when the target has sent nothing.
-    on_contact is called when a target has accepted a connection. While
-    may_connect returns False, connections are opened only by probe().
+    network error, with the time since when the target has sent nothing, and
+    with True if the connection was open. on_contact is called when a target
+    has accepted a connection. While may_connect returns False, connections are
+    opened only by probe(), and acquire() passes none.
     """
 
     def __init__(
@@ -109,7 +123,9 @@
         on_unreachable: typing.Callable[[TargetId], None],
         message_memory: MessageMemory | None = None,
     ):
-        self.on_failure: typing.Callable[[float], None] = lambda since: None
+        self.on_failure: typing.Callable[[float, bool], None] = (
+            lambda silent_since, was_open: None
+        )
         self.on_contact: typing.Callable[[], None] = lambda: None
         self.may_connect: typing.Callable[[], bool] = lambda: True
         self._message_memory = message_memory or MessageMemory()
@@ -193,17 +209,29 @@
         if pool is None:
             on_connection(None)
             return
+        if not self.may_connect():
+            on_connection(None)
+            return
         conn = self._take_idle(pool, max_idle_s)
         if conn is not None:
             on_connection(conn)
             return
-        if not self.may_connect():
-            on_connection(None)
-            return
         pool.waiting.append(on_connection)
         if pool.connecting < len(pool.waiting):
             self._open_connection(pool)
 
+    def is_unreachable(self, target_id: TargetId) -> bool:
+        """Return True if a target has just accepted no connection.
+
+        It is False if there is another connection to the target.
+        """
+        pool = self._pools.get(target_id)
+        return (
+            pool is not None
+            and not pool.open
+            and self._clock() < pool.unreachable_until
+        )
+
     @property
     def has_open(self) -> bool:
         """Return True if there is a connection to any target."""
@@ -336,7 +364,8 @@
         except (OSError, TimeoutError) as exc:
             pool.connecting -= 1
             self._metrics.count('target_connections', type(exc).__name__)
-            self.on_failure(started_at)
+            pool.unreachable_until = self._clock() + UNREACHABLE_S
+            self.on_failure(started_at, False)
             if not pool.closed and not is_probe:
                 self._on_unreachable(target.id)
             while pool.waiting:
@@ -347,6 +376,7 @@
             return ConnectCheck.REFUSES if is_refusal else ConnectCheck.SILENT
         pool.connecting -= 1
         self.on_contact()
+        pool.unreachable_until = 0.0
         pool.open.add(conn)
         self._connection_freed(pool, conn)
         return ConnectCheck.ACCEPTS
@@ -356,7 +386,8 @@
     ) -> None:
         if not conn.usable:
             if conn in pool.open and conn.network_error is not None:
-                self.on_failure(self._clock() - _silence_s(conn.network_error))
+                silent_s = _silence_s(conn.network_error)
+                self.on_failure(self._clock() - silent_s, True)
             pool.open.discard(conn)
             if conn in pool.idle:
                 pool.idle.remove(conn)
--- a/sesameward/serving/relay_run.py
+++ b/sesameward/serving/relay_run.py
@@ -5,9 +5,17 @@
 import typing
 
 from . import relay
+from ..types import NodeId
 from ..types import ServiceName
 from ..types import TargetId
 from .attempts import Send
+from .attempts import SubRequestFailure
+from .delegating_run import batch_items
+from .delegating_run import DelegatingRun
+from .delegating_run import HelperBatch
+from .delegation import BatchNo
+from .delegation import DelegatedBatch
+from .delegation import ItemResult
 from .deps import add_retry_after
 from .deps import Deps
 from .exchange import is_final_status
@@ -15,17 +23,18 @@
 from .http_server import Answer
 from .relay import Relay
 from .run import Arrival
-from .run import Run
 from .target_connection import Reply
 
 
-class RelayRun(Run):
+class RelayRun(DelegatingRun):
     """Send a request to a target of a service and pass on its reply."""
 
     def __init__(self, deps: Deps, arrival: Arrival, service: ServiceName):
         super().__init__(deps, arrival)
         self._reply: Reply | None = None
         self._target_id: TargetId | None = None
+        # The helper node that sent the request to the target, if any.
+        self._helper: NodeId | None = None
         self._plan = Relay(
             arrival.route,
             service,
@@ -37,13 +46,68 @@
     def _apply_result(self, send: Send, result: Result, now: float) -> list:
         if result.reply is None:
             end = self._record_failure(send, result.end)
-            return self._plan.failed(send.attempt, end, now)
+            return self._plan_failed(send, end, now)
+        return self._apply_reply(send, result.reply, None, now)
+
+    def _apply_reply(
+        self, send: Send, reply: Reply, helper: NodeId | None, now: float
+    ) -> list:
         if not self._is_over:
-            self._reply = result.reply
+            self._reply = reply
             self._target_id = send.target_id
-        is_final = is_final_status(result.reply.status)
+            self._helper = helper
+        is_final = is_final_status(reply.status)
         return self._plan.replied(send.attempt, is_final, now)
 
+    def _plan_failed(
+        self, send: Send, failure: SubRequestFailure, now: float
+    ) -> list:
+        return self._plan.failed(send.attempt, failure, now)
+
+    def _make_batch(
+        self, no: BatchNo, is_first: bool, sends: list[Send], now: float
+    ) -> DelegatedBatch:
+        sub = self._sub
+        return DelegatedBatch(
+            no,
+            sub.request_id,
+            sub.route,
+            sub.method,
+            sub.identity.subject,
+            sub.head,
+            sub.identity.body,
+            self._remaining_ms(now),
+            0,
+            batch_items(sends),
+            is_first,
+            priority=self._route.priority,
+            is_single=True,
+            runs_once=sub.runs_once,
+            on_trial=sub.on_trial,
+        )
+
+    def _apply_helper_reply(
+        self,
+        batch: HelperBatch,
+        send: Send,
+        end: ItemResult,
+        is_wanted: bool,
+        now: float,
+    ) -> list:
+        if end.reply is None:
+            # The helper node runs an earlier release, which does not return
+            # whole replies.
+            return self._apply_helper_failure(
+                batch, send, SubRequestFailure.FAILED, now
+            )
+        whole = end.reply
+        reply = Reply(whole.status, whole.reason, whole.headers, whole.body)
+        if is_final_status(reply.status):
+            self._tools.crashes.target_survived(
+                self._sub.identity, self._plan.service, now
+            )
+        return self._apply_reply(send, reply, batch.node, now)
+
     def _finish(self, action: relay.Finish) -> None:
         match action.verdict:
             case relay.Verdict.REPLY:
@@ -62,6 +126,7 @@
             action.verdict.value,
             service=self._plan.service,
             target=self._target_id,
+            helper=self._helper,
         )
 
     def _report_success(self) -> None:
--- a/sesameward/serving/target_links.py
+++ b/sesameward/serving/target_links.py
@@ -7,6 +7,8 @@
 all targets for seconds, while callers and other nodes still reach them. Open
 connections hang or are reset, and new ones hang or are refused. A node gets
 only few requests a second, so it can't wait until many of them have failed.
+Where only new connections are refused, open ones may live on. The node then
+keeps to these, and asks other nodes to send to targets without one.
 
 Load pattern: a target, a service or the targets of a zone crash, or packets
 are lost. Other targets still accept connections then. So after a failure the
@@ -56,7 +58,8 @@
     on_change is called when the connections are lost, with True, and when they
     are back, with False. The number is that of the seconds for which nothing
     had been received from any target, or for which they were lost. on_settled
-    is called when a suspicion has ended, in either way.
+    is called when a suspicion has ended, in either way. The owner sets
+    has_open, which returns True if any connection is open.
     """
 
     def __init__(self, rng: random.Random | None = None):
@@ -64,6 +67,7 @@
             lambda is_lost, for_s: None
         )
         self.on_settled: typing.Callable[[], None] = lambda: None
+        self.has_open: typing.Callable[[], bool] = lambda: False
         self._rng = rng or random.Random(0)
         self._state = LinkState.UP
         self._last_contact_at = -math.inf
@@ -73,6 +77,10 @@
         self._round = 0
         self._open_checks = 0
         self._checked: set[TargetId] = set()
+        # Whether an open connection has failed since the suspicion began, and
+        # whether each checked target refused its connection.
+        self._open_failed = False
+        self._all_refused = True
 
     @property
     def state(self) -> LinkState:
@@ -101,12 +109,16 @@
         else:
             self.on_settled()
 
-    def record_failure(self, silent_since: float, now: float) -> bool:
+    def record_failure(
+        self, silent_since: float, now: float, was_open: bool = True
+    ) -> bool:
         """Record a failure of a connection or a missing reply.
 
-        silent_since is the time since when the target has sent nothing. Return
-        True if targets are to be checked after CHECK_DELAY_S.
+        silent_since is the time since when the target has sent nothing;
+        was_open is False if the connection could not be opened. Return True if
+        targets are to be checked after CHECK_DELAY_S.
         """
+        self._open_failed |= was_open
         if (
             self._state is not LinkState.UP
             or self._last_contact_at > silent_since
@@ -119,6 +131,8 @@
         self._round = 0
         self._open_checks = 0
         self._checked.clear()
+        self._open_failed = was_open
+        self._all_refused = True
         return True
 
     def targets_to_check(
@@ -148,26 +162,29 @@
             )
         self._round += 1
         self._open_checks = len(chosen)
-        if not chosen and self._checked:
+        open_may_live = self._all_refused and not self._open_failed
+        if chosen:
+            self._checked.update(chosen)
+        elif self._checked and not (open_may_live and self.has_open()):
             self._state = LinkState.LOST
             self._lost_at = now
             self.on_change(True, now - self._silent_since)
             self.on_settled()
-        elif not chosen:
-            # No target is known, so that there are no connections to lose.
+        else:
+            # Open connections are perhaps not affected, or no target is known.
             self._state = LinkState.UP
             self.on_settled()
-        self._checked.update(chosen)
         return chosen
 
-    def check_failed(self) -> bool:
+    def check_failed(self, is_refusal: bool) -> bool:
         """Record that a checked target accepts no connection.
 
-        Return True if all targets of the list were checked, and the next list
-        shall be asked for at once.
+        is_refusal is False if it did not respond. Return True if all targets
+        of the list were checked, and the next list shall be asked for at once.
         """
         if self._state is not LinkState.SUSPECTED or not self._open_checks:
             return False
+        self._all_refused &= is_refusal
         self._open_checks -= 1
         return not self._open_checks
 
--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -29,13 +29,14 @@
     """Keep what is sent until the test answers it."""
 
     echoes_request_ids = False
+    is_abandoned = False
 
     def send(self, data, on_end, is_own_reply, *args):
         self._on_end = on_end
         self._is_own_reply = is_own_reply
 
     def abandon(self):
-        pass
+        self.is_abandoned = True
 
     def answer(self, reply):
         assert self._is_own_reply(reply)
@@ -57,7 +58,7 @@
     assert links.record_failure(1.0, 1.0)
     while not links.is_lost:
         for _ in links.targets_to_check(targets, 1.0):
-            links.check_failed()
+            links.check_failed(False)
 
 
 @pytest.fixture
@@ -67,7 +68,7 @@
     The scenario gets the batch, the connection to the target and the outbox.
     """
 
-    def run(scenario, cut_off=False):
+    def run(scenario, cut_off=False, **fields):
         async def main():
             clock = asyncio.get_running_loop().time
             metrics = Metrics('t')
@@ -102,6 +103,7 @@
                 10,
                 (BatchItem(0, 't0'),),
                 True,
+                **fields,
             )
             outbox = asyncio.Queue()
             batch = _Batch(tools, message, outbox)
@@ -150,3 +152,34 @@
         assert item.no_links
 
     run_batch(scenario, cut_off=True)
+
+
+OK = Reply(200, b'OK', [(b'Sesameward-Server-Stamp', b's')], b'b' * 100)
+
+
+def test_reply_to_a_single_request_is_returned_whole(run_batch):
+    def scenario(batch, conn, outbox):
+        conn.answer(OK)
+        (item,) = outbox.get_nowait().item_results
+        assert item.end is None
+        assert (item.reply.status, item.reply.body) == (200, OK.body)
+        assert item.reply.headers == OK.headers
+
+    run_batch(scenario, is_single=True)
+
+
+# The node that asked has ended, so nobody else sends the request again.
+@pytest.mark.parametrize('runs_once', [True, False])
+def test_request_that_runs_once_goes_on_without_the_node(
+    run_batch, runs_once, monkeypatch
+):
+    def scenario(batch, conn, outbox):
+        monkeypatch.setattr(
+            asyncio.BaseEventLoop,
+            'call_later',
+            lambda loop, delay_s, act, *args: act(*args),
+        )
+        batch.cancel()
+        assert conn.is_abandoned is not runs_once
+
+    run_batch(scenario, is_single=True, runs_once=runs_once)
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -88,3 +88,27 @@
     delegation.record_no_links('b1', 0.0)
     assert delegation.choose_helper('b', HELPER_QUIET_AFTER_S).node == 'b2'
     assert delegation.choose_helper('b', HELPER_RETRY_S).node == 'b1'
+
+
+def test_node_without_connections_is_helped_in_its_own_zone(delegation):
+    assert delegation.choose_helper('z', 0.0, must_help=True).node == 'near'
+
+
+# All nodes of the zone are cut off, but other zones reach its targets.
+def test_targets_of_a_zone_without_helpers_are_asked_from_another(delegation):
+    delegation.connection_lost('c1', 0.0)
+    assert delegation.choose_helper('c', 0.1, must_help=True).zone != 'c'
+
+
+def test_node_that_is_alone_has_no_helper(delegation):
+    assert delegation.has_helper(0.0)
+    delegation.set_members((member('me', 'z'),))
+    assert not delegation.has_helper(0.0)
+    assert delegation.choose_helper('z', 0.0, must_help=True) is None
+
+
+def test_cut_off_nodes_do_not_help_each_other(delegation):
+    delegation.set_members(
+        tuple(member(f'n{n}', 'z', reaches_targets=False) for n in range(300))
+    )
+    assert not delegation.has_helper(0.0)
--- a/tests/test_target_links.py
+++ b/tests/test_target_links.py
@@ -71,7 +71,7 @@
         elif chosen:
             self.now += self.refuse_s
             for _ in chosen:
-                self.links.check_failed()
+                self.links.check_failed(self.refuse_s < TIMEOUT_S)
 
     def recheck_until_back(self, interval_s=0.25):
         started_at = self.now
@@ -128,7 +128,7 @@
     chosen = node.links.targets_to_check(node.targets, node.now)
     node.links.record_contact(node.now + 0.01)
     for _ in chosen:
-        assert not node.links.check_failed()
+        assert not node.links.check_failed(False)
     assert node.links.state is LinkState.UP
     assert node.changes == []
 
@@ -178,3 +178,17 @@
         if node.links.is_lost:
             lost_s += node.recheck_until_back()
     assert lost_s / 200 < 0.05
+
+
+# New connections are refused, but the open ones answer.
+def test_refused_connections_are_not_lost_while_others_are_open():
+    node = Node(make_targets(20, 2, 4), refuse_s=0.001)
+    node.reachable = lambda target: False
+    node.links.has_open = lambda: True
+    assert node.links.record_failure(node.now, node.now, was_open=False)
+    while node.links.state is LinkState.SUSPECTED:
+        node.check()
+    assert node.changes == []
+    node.now += CHECK_INTERVAL_S
+    node.fail()
+    assert node.links.is_lost
