Leave nodes without links out of the directory while others have room

It lists the nodes with links alone while they are a third of all or more, and all nodes otherwise, so it is never empty.

The tests fail before: all nodes are listed.

--- a/sesameward/serving/directory.py
+++ b/sesameward/serving/directory.py
@@ -19,6 +19,10 @@
 # callers of a small deployment had to do so before a request, and the lookup
 # took a fifth of the latency objective.
 ADDRESS_TTL_S = 5.0
+# Nodes without connections to targets serve callers through other nodes, which
+# takes longer. They are left out if at least this part of the nodes has
+# connections. If these were fewer, they would get too many callers.
+MIN_LINKED_SHARE = 1 / 3
 
 
 class Addresses(msgspec.Struct, frozen=True):
@@ -39,6 +43,9 @@
     another zone, the handshake and then the request and its answer cross
     between the zones four times in all. Nodes of other zones are therefore
     listed only as a spare or if the caller's zone has no node.
+
+    Load pattern: some nodes, also most or all of a zone, are cut off from all
+    targets for seconds. They are left out while enough others are listed.
     """
 
     def __init__(self, rng: random.Random):
@@ -78,4 +85,8 @@
 def _usable(members: typing.Sequence[Member]) -> list[Member]:
     ready = [m for m in members if m.entries and not m.leaving]
     alive = [m for m in ready if m.state is MemberState.ALIVE]
-    return alive or ready
+    usable = alive or ready
+    linked = [m for m in usable if m.reaches_targets]
+    if len(linked) >= MIN_LINKED_SHARE * len(usable):
+        return linked
+    return usable
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -8,6 +8,7 @@
 from sesameward.messages import Member
 from sesameward.serving.directory import ADDRESS_TTL_S
 from sesameward.serving.directory import Directory
+from sesameward.serving.directory import MAX_ADDRESSES
 from sesameward.types import MemberState
 
 
@@ -71,3 +72,39 @@
     members = (make_member('a1', 'a'),)
     assert directory.addresses(members, 'a', 1.5).ttl_s == 1.5
     assert directory.addresses(members, 'a', 60.0).ttl_s == ADDRESS_TTL_S
+
+
+def make_members(linked, cut_off):
+    return [make_member(f'l{n}', 'a') for n in range(linked)] + [
+        make_member(f'c{n}', 'a', reaches_targets=False)
+        for n in range(cut_off)
+    ]
+
+
+# The directory went on naming nodes that had lost all their targets.
+@pytest.mark.parametrize(('linked', 'cut_off'), [(3, 1), (9, 15), (32, 46)])
+def test_nodes_without_targets_are_left_out(directory, linked, cut_off):
+    members = make_members(linked, cut_off)
+    result = directory.addresses(members, 'a', 5.0)
+    assert len(result.addresses) == min(linked, MAX_ADDRESSES)
+    assert all(address.startswith('l') for address in result.addresses)
+
+
+# The nodes with connections would get too many callers, or there are none.
+@pytest.mark.parametrize(('linked', 'cut_off'), [(1, 11), (0, 5), (4, 20)])
+def test_all_nodes_are_listed_where_few_have_targets(
+    directory, linked, cut_off
+):
+    members = make_members(linked, cut_off)
+    result = directory.addresses(members, 'a', 5.0)
+    assert len(result.addresses) == linked + cut_off
+
+
+def test_zone_whose_nodes_are_cut_off_is_served_by_others(directory):
+    members = [
+        make_member('a1', 'a', reaches_targets=False),
+        make_member('b1', 'b'),
+        make_member('c1', 'c'),
+    ]
+    result = directory.addresses(members, 'a', 5.0)
+    assert sorted(result.addresses) == ['b1:80', 'c1:80']
