Let the other nodes use the connection shares of nodes without links

A node that says it reaches no targets counts with the one connection that the target may still hold open for it; the rest is divided among the others.

The test fails before (4 of 8 and 1 of 9 connections). The comment on set_dead_peer_timeout names what TCP_USER_TIMEOUT does to keep-alive probes.

--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -484,7 +484,9 @@
         self.budget.set_nodes(sharing_nodes)
         self.limits.set_nodes(sharing_nodes, now)
         self.pools.set_limits(
-            self.routing_state.max_connections, sharing_nodes
+            self.routing_state.max_connections,
+            sharing_nodes,
+            self.peers.cut_off_count(),
         )
         self.pools.warm(self.delegation.zones())
         table = self.routing_state.route_table
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -118,6 +118,12 @@
                 del self._last_seen[node]
         return max(len(self._last_seen), len(self._cfg.seeds), 1)
 
+    def cut_off_count(self) -> int:
+        """Return how many nodes have no connections to targets."""
+        return sum(
+            not member.reaches_targets for member in self.gossip.members()
+        )
+
     def publish(self, rumor: Rumor) -> None:
         """Publish a rumor; if it is too large, count and drop it."""
         try:
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -136,17 +136,24 @@
         self._pools: dict[TargetId, TargetPool] = {}
         self._limits: typing.Callable[[Target], int] = lambda _: 1
         self._nodes = 1
+        self._cut_off_nodes = 0
 
     def set_limits(
-        self, limits: typing.Callable[[Target], int], nodes: int
+        self,
+        limits: typing.Callable[[Target], int],
+        nodes: int,
+        cut_off_nodes: int = 0,
     ) -> None:
         """Set the connection limits of targets and how many nodes share them.
 
         The function limits is called with a target and returns the number of
-        connections that all nodes together may open to it.
+        connections that all nodes together may open to it. Nodes that are cut
+        off from the targets can't use their shares, but the targets may still
+        count the connection that each of them keeps open.
         """
         self._limits = limits
-        self._nodes = max(nodes, 1)
+        self._cut_off_nodes = min(cut_off_nodes, max(nodes - 1, 0))
+        self._nodes = max(nodes, 1) - self._cut_off_nodes
 
     def declare(self, target: Target) -> None:
         """Add a target or update its registration.
@@ -309,9 +316,9 @@
                 self._open_connection(pool)
 
     def _connection_share(self, target: Target) -> int:
-        return max(
-            1, int(self._limits(target) * SHARED_FRACTION) // self._nodes
-        )
+        shared = int(self._limits(target) * SHARED_FRACTION)
+        held = self._cut_off_nodes * WARM_CONNECTIONS
+        return max(1, (shared - held) // self._nodes)
 
     def _take_idle(
         self, pool: TargetPool, max_idle_s: float
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -359,8 +359,9 @@
     """Make the kernel break a TCP connection whose peer is unreachable.
 
     TCP_USER_TIMEOUT limits how long sent bytes can stay unacknowledged;
-    keep-alive probes detect a lost peer of an idle connection. Sockets that
-    are not TCP are not changed.
+    keep-alive probes detect a lost peer of an idle connection. They give up
+    with the first probe after timeout_s, because TCP_USER_TIMEOUT overrides
+    their count. Sockets that are not TCP are not changed.
     """
     if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -173,3 +173,54 @@
         assert await check('i-1') is ConnectCheck.REFUSES
 
     run_with_pools(scenario)
+
+
+# Nodes with connections kept to their shares, although the others could use
+# none, and their requests waited for a connection.
+@pytest.mark.parametrize(
+    ('nodes', 'cut_off', 'limit', 'expected'),
+    [(5, 0, 26, 4), (5, 3, 26, 8), (12, 11, 26, 9), (24, 15, 52, 2)],
+)
+def test_shares_of_cut_off_nodes_are_used(
+    run_with_pools, nodes, cut_off, limit, expected
+):
+    async def scenario(pools, standin, unreachable):
+        pools.set_limits(lambda target: limit, nodes, cut_off)
+        standin.faults.paused = True
+        waiting = [
+            asyncio.ensure_future(send_request(pools)) for _ in range(20)
+        ]
+        await asyncio.sleep(0.1)
+        assert len(standin._http.connections) == expected
+        standin.faults.paused = False
+        await asyncio.gather(*waiting)
+
+    run_with_pools(scenario)
+
+
+def test_pools_open_nothing_while_connections_are_lost(run_with_pools):
+    async def scenario(pools, standin, unreachable):
+        pools.may_connect = lambda: False
+        assert await send_request(pools) is None
+        pools.warm()
+        await asyncio.sleep(0.05)
+        assert len(standin._http.connections) == 0
+        results = []
+        pools.probe('i-1', results.append)
+        await asyncio.sleep(0.05)
+        assert results == [ConnectCheck.ACCEPTS]
+
+    run_with_pools(scenario)
+
+
+def test_target_without_connections_is_unreachable_for_a_while(run_with_pools):
+    async def scenario(pools, standin, unreachable):
+        failures = []
+        pools.on_failure = lambda since, was_open: failures.append(was_open)
+        assert not pools.is_unreachable('i-1')
+        standin.stop()
+        await send_request(pools)
+        assert pools.is_unreachable('i-1')
+        assert failures == [False]
+
+    run_with_pools(scenario)
