--- a/sesameward/interface/request_log.py
+++ b/sesameward/interface/request_log.py
@@ -32,6 +32,8 @@
         'pull_failed',
         'helper_lost',
         'helper_quiet',
+        'links_lost',
+        'links_back',
         'member',
         'reloaded',
         'reload_refused',
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -649,6 +649,7 @@
             self.limits.named,
             (self.routes_mirror, self.targets_mirror),
             self.peers.members(),
+            self.links,
             self._clock(),
         )
 
--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -21,6 +21,8 @@
 from .routes import Shards
 from .routes import Version
 from .routing_state import RoutingState
+from .target_links import LinkState
+from .target_links import TargetLinks
 from .targets import TargetTable
 
 
@@ -41,7 +43,8 @@
 class MemberStatus(msgspec.Struct, frozen=True):
     """Status of one node according to membership gossip.
 
-    offered is True if the node announces an address for callers.
+    offered is True if the node announces an address for callers, and
+    reaches_targets is False if it says that it has no connections to targets.
     """
 
     node: NodeId
@@ -49,6 +52,7 @@
     state: str
     leaving: bool
     offered: bool
+    reaches_targets: bool = True
 
 
 class TargetStatus(msgspec.Struct, frozen=True):
@@ -93,6 +97,7 @@
 
     version is the version of the routes in force, or None if there are none.
     beliefs holds the status of the node's copies of objects in the store.
+    links is "up", "suspected" or "lost": the node's connections to targets.
     """
 
     node: NodeId
@@ -103,6 +108,7 @@
     members: tuple[MemberStatus, ...]
     targets: tuple[TargetStatus, ...]
     routes: tuple[RouteStatus, ...]
+    links: str = LinkState.UP.value
 
 
 def collect_status(
@@ -115,6 +121,7 @@
     limits: NamedLimits,
     mirrors: typing.Iterable[Mirror],
     members: typing.Iterable[Member],
+    links: TargetLinks,
     now: float,
 ) -> NodeStatus:
     """Return the status of the node at the given time."""
@@ -127,7 +134,12 @@
         beliefs=tuple(_mirror_status(mirror, now) for mirror in mirrors),
         members=tuple(
             MemberStatus(
-                m.node, m.zone, m.state.value, m.leaving, bool(m.entries)
+                m.node,
+                m.zone,
+                m.state.value,
+                m.leaving,
+                bool(m.entries),
+                m.reaches_targets,
             )
             for m in members
         ),
@@ -147,6 +159,7 @@
         routes=tuple(_route_status(route) for route in table.routes)
         if table
         else (),
+        links=links.state.value,
     )
 
 
