Strand nodes in the soak, and check that their callers are served

Each node reaches the targets through links of its own in the soak; the new disturbance cuts some of them off. The check is that of the rule: from 4 s after a cut, while another node has its links.

--- a/sesameward/standin/links.py
+++ b/sesameward/standin/links.py
@@ -34,6 +34,7 @@
         self._flowing = asyncio.Event()
         self._flowing.set()
         self._blockers: list[socket.socket] = []
+        self._target_is_gone = False
 
     async def listen(self) -> None:
         self._server = await asyncio.start_server(
@@ -45,25 +46,36 @@
         match how:
             case Cut.HANG:
                 self._flowing.clear()
-                self._block()
+                if not self._target_is_gone:
+                    self._block()
             case Cut.RESET:
                 self.reset_connections()
             case Cut.REFUSE_NEW:
                 pass
 
     async def heal(self) -> None:
-        for sock in self._blockers:
-            sock.close()
-        self._blockers.clear()
+        self._unblock()
         self._flowing.set()
-        if self._server is None:
+        if self._server is None and not self._target_is_gone:
             await self.listen()
 
     async def stop(self) -> None:
         await self._stop_listening()
+        self._unblock()
+        self.reset_connections()
+
+    def refuse_for_good(self) -> None:
+        """Refuse new connections from now on, also after a cut."""
+        self._target_is_gone = True
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self._unblock()
+
+    def _unblock(self) -> None:
         for sock in self._blockers:
             sock.close()
-        self.reset_connections()
+        self._blockers.clear()
 
     def reset_connections(self) -> None:
         for writer in tuple(self._writers):
@@ -142,6 +154,11 @@
         if self.cut_how is not None:
             await link.cut(self.cut_how)
 
+    def remove(self, port: int) -> None:
+        """Refuse new connections to a target that has crashed."""
+        if port in self._links:
+            self._links[port].refuse_for_good()
+
     async def cut(self, how: Cut) -> None:
         """Cut the node off from all targets."""
         if self.cut_how is not None:
--- a/tests/promises.py
+++ b/tests/promises.py
@@ -37,6 +37,14 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 
+# From this time after a node was cut off from all targets on, first tries
+# there must be served at least SERVED_RATIO times as often as at the other
+# nodes, unless no more than FAILED_SLACK and FAILED_RATIO of all fail there.
+SETTLED_S = 4.0
+SERVED_RATIO = 2 / 3
+FAILED_SLACK = 10
+FAILED_RATIO = 1 / 50
+
 
 def header(reply: Reply, name: str) -> str:
     """Return a header's value, or an empty string if it is missing."""
@@ -180,6 +188,26 @@
     return most
 
 
+def check_stranded(
+    stranded: Collection[bool], others: Collection[bool]
+) -> None:
+    """Check that callers of nodes without targets are served like others.
+
+    Both collections tell of each first try, at stranded and at other nodes,
+    whether it was served.
+    """
+    if not stranded or not others:
+        return
+    failed = len(stranded) - sum(stranded)
+    allowed = FAILED_SLACK + FAILED_RATIO * (len(stranded) + len(others))
+    share = sum(stranded) / len(stranded)
+    other_share = sum(others) / len(others)
+    assert failed <= allowed or share >= SERVED_RATIO * other_share, (
+        f'{sum(stranded)} of {len(stranded)} requests served at stranded '
+        f'nodes, {sum(others)} of {len(others)} at the others'
+    )
+
+
 def check_rests(arrivals, rest_s: float, is_excused=None) -> None:
     """Check that one node honours a target's 503 answers with Retry-After.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+from sesameward.standin.links import Cut
 from sesameward.standin.shard_target import CrashHow
 from sesameward.standin.shard_target import FloodHow
 from tests.floods import flood_front
@@ -44,6 +45,7 @@
     'caller_floods',
     'target_limits',
     'service_limits',
+    'nodes_stranded',
 )
 
 # Time within which a signal that ends a process takes effect.
@@ -54,6 +56,9 @@
 # checked in the second half of this time only.
 TARGET_LIMIT_PER_S = 4.0
 TARGET_LIMIT_S = 8.0
+# Time for which nodes are cut off from all targets. From SETTLED_S of the
+# promises on, their callers must be served.
+STRANDED_S = 7.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,6 +185,22 @@
                 self._world.record_disturbance(node.name)
                 node.start()
 
+    async def _nodes_stranded(self, fault: Fault) -> None:
+        """Cut nodes off from all targets, but from nobody else."""
+        nodes = self._world.fleet.nodes
+        count = 1 + int(fault.fraction * (len(nodes) - 1))
+        first = int(fault.fraction * 1_000) % len(nodes)
+        how = list(Cut)[int(fault.fraction * 100) % len(Cut)]
+        stranded = [nodes[(first + n) % len(nodes)] for n in range(count)]
+        for node in stranded:
+            self._world.begin_stranding(node.name)
+            await node.links.cut(how)
+        await asyncio.sleep(STRANDED_S)
+        for node in stranded:
+            # A later cut of the same node goes on.
+            if self._world.end_stranding(node.name):
+                await node.links.heal()
+
     # Faults of the store.
 
     def _node_names(self, fault: Fault) -> set[str]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -37,6 +37,8 @@
 EXCUSED_S = 4.0
 # Time within which every node must serve everything again after the faults.
 RECOVERY_BOUND_S = 6.0
+# Time after the end of a cut within which a node uses its links again.
+LINKS_BACK_S = 1.0
 # An answer that reaches a caller this long after its target began to leave
 # must carry the target's notice that it leaves.
 LEAVE_NOTICE_DELAY_S = 0.05
@@ -81,7 +83,7 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.fleet = SoakFleet(
-            self, nodes=nodes, shards=SHARD_COUNT, seed=seed
+            self, nodes=nodes, shards=SHARD_COUNT, seed=seed, linked=True
         )
         self.store_proxies: list[FaultProxy] = []
         self.target_proxies: dict[str, FaultProxy] = {}
@@ -107,6 +109,13 @@
         self._limits: dict[str, list[tuple[float, float, float]]] = (
             collections.defaultdict(list)
         )
+        # For each node: when its cuts from all targets began and ended.
+        self._stranded: dict[str, list[tuple[float, float]]] = (
+            collections.defaultdict(list)
+        )
+        self._cut_counts: collections.Counter[str] = collections.Counter()
+        # First tries: when each was sent, to which node, and if served.
+        self._tries: list[tuple[float, str, bool]] = []
         self._crash_attempts: dict[str, list[Attempt]] = {}
         self._crash_tasks: list[asyncio.Task] = []
 
@@ -165,6 +174,8 @@
         self.withdrawn_target_ids.add(target.id)
         self._recovery_since = time.monotonic()
         self.target_proxies[target.id].stop_listening()
+        for node in self.fleet.nodes:
+            node.links.remove(target.port)
 
     def start_crashing_request(self, kind: str, how: CrashHow) -> None:
         """Repeat a request that crashes targets until the run ends.
@@ -207,6 +218,21 @@
         target.faults.leaving = True
         self._leaving_since[target.id] = time.monotonic()
 
+    def begin_stranding(self, node: str) -> None:
+        """Record that a node is cut off from all targets."""
+        self._cut_counts[node] += 1
+        if self._cut_counts[node] == 1:
+            self._stranded[node].append((time.monotonic(), math.inf))
+
+    def end_stranding(self, node: str) -> bool:
+        """Record that a cut ends; return False while another one goes on."""
+        self._cut_counts[node] -= 1
+        if self._cut_counts[node]:
+            return False
+        since, _ = self._stranded[node].pop()
+        self._stranded[node].append((since, time.monotonic()))
+        return True
+
     def limit_target(self, target: ShardTarget, limit: float) -> None:
         """Let a target name a limit in its answers, if it names none."""
         if not target.faults.limit:
@@ -295,6 +321,8 @@
             self._check_interrupted(node, request_id)
         status = reply.status if reply is not None else 'none'
         self._sent_at[request_id] = sent_at
+        is_served = reply is not None and reply.status == 200
+        self._tries.append((sent_at, node, is_served))
         self.outcomes[f'{kind} {status}'] += 1
         if kind == 'once':
             self._run_once_replies.append((reply, request_id))
@@ -392,6 +420,7 @@
             self._check_crashing(path, attempts)
         for node in self.fleet.nodes:
             self._check_quarantined(node)
+        self._check_stranded()
         for target in self.fleet.targets.values():
             self._check_leave_and_rest(target)
             self._check_limits(target)
@@ -419,6 +448,44 @@
         except AssertionError as exc:
             self._add_violation(f'{path}: {exc}')
 
+    def _check_stranded(self) -> None:
+        """Check that callers of nodes cut off from all targets are served.
+
+        Compared are the times in which any node has been cut off for a while
+        and any other one has its links. Requests at nodes that were disturbed
+        in another way are not counted.
+        """
+        cuts = [cut for spans in self._stranded.values() for cut in spans]
+        stranded, others = [], []
+        for at, node, is_served in self._tries:
+            if not any(_is_settled(cut, at) for cut in cuts):
+                continue
+            if self._is_disturbed_at(node, at):
+                continue
+            if not any(
+                self._has_links(one.name, at)
+                and not self._is_disturbed_at(one.name, at)
+                for one in self.fleet.nodes
+            ):
+                continue
+            if any(_is_settled(cut, at) for cut in self._stranded[node]):
+                stranded.append(is_served)
+            elif self._has_links(node, at):
+                others.append(is_served)
+        try:
+            promises.check_stranded(stranded, others)
+        except AssertionError as exc:
+            self._add_violation(str(exc))
+
+    def _is_disturbed_at(self, node: str, at: float) -> bool:
+        return self._any_disturbed((node,), at - EXCUSED_S, at + 1.0)
+
+    def _has_links(self, node: str, at: float) -> bool:
+        return not any(
+            since <= at <= until + LINKS_BACK_S
+            for since, until in self._stranded[node]
+        )
+
     def _check_leave_and_rest(self, target: ShardTarget) -> None:
         """Check that nodes heed a target's leave notice and Retry-After."""
         try:
@@ -516,3 +583,9 @@
             name = f'/tmp/soak-{self.seed}-{node.name}.log'
             with open(name, 'wb') as file:
                 file.write(node.log.read_bytes())
+
+
+def _is_settled(cut: tuple[float, float], at: float) -> bool:
+    """Return True if a cut began long enough ago, and goes on."""
+    since, until = cut
+    return since + promises.SETTLED_S <= at < until
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -169,3 +169,26 @@
     assert promises.check_limit([*early, *allowed], 2.0, 0.0) == 17
     with pytest.raises(AssertionError):
         promises.check_limit([*early, *allowed, 7.9], 2.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ('stranded', 'others', 'is_broken'),
+    [
+        ((90, 10), (100, 0), False),
+        ((60, 40), (100, 0), True),
+        ((60, 40), (80, 20), False),
+        ((0, 12), (100, 0), False),
+        ((0, 13), (100, 0), True),
+        ((0, 50), (0, 50), False),
+    ],
+)
+def test_requests_at_stranded_nodes_are_judged(stranded, others, is_broken):
+    tries = [
+        [True] * served + [False] * failed
+        for served, failed in (stranded, others)
+    ]
+    if not is_broken:
+        promises.check_stranded(*tries)
+        return
+    with pytest.raises(AssertionError):
+        promises.check_stranded(*tries)
