--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -54,7 +54,8 @@
     """Hold what all sub-requests of a node share, such as connection pools.
 
     on_leaving is called when a target's reply, or a helper node that sent the
-    request to the target, says that the target is about to stop.
+    request to the target, says that the target is about to stop. on_sent is
+    called when a sub-request is sent to a target.
     """
 
     wire: Wire
@@ -68,6 +69,7 @@
         lambda target_id, source: None
     )
     links: TargetLinks = msgspec.field(default_factory=TargetLinks)
+    on_sent: typing.Callable[[], None] = lambda: None
 
 
 class SubRequest(msgspec.Struct):
@@ -223,6 +225,7 @@
         token = tools.policy.selector.sent(self._target_id, sub.route, now)
         self._conn = conn
         self._sent_at = now
+        tools.on_sent()
         conn.send(
             tools.wire.sub_request(
                 sub.head, sub.identity.body, self._target_id, left_s
--- a/sesameward/serving/link_watch.py
+++ b/sesameward/serving/link_watch.py
@@ -11,12 +11,15 @@
 from .pools import ConnectCheck
 from .pools import Pools
 from .replica_choice import ReplicaSelector
-from .replica_choice import SILENT_AFTER_S
 from .target_links import CHECK_DELAY_S
 from .target_links import LinkState
 from .target_links import TargetLinks
 from .targets import TargetTable
 
+# If no target has sent anything for this time, although a sub-request waits
+# for its reply, targets are checked. Single targets pause for up to 0.12 s.
+SILENT_AFTER_S = 0.15
+
 
 class LinkWatch:
     """Open the connections that TargetLinks wants to see checked.
@@ -42,6 +45,7 @@
         self._publish = publish
         self._metrics = metrics
         self._clock = clock
+        self._silence_timer: asyncio.TimerHandle | None = None
         self._waiting: list[typing.Callable[[], None]] = []
         links.on_change = self._on_change
         links.on_settled = self._on_settled
@@ -60,6 +64,28 @@
         """Record that a target replied or accepted a connection."""
         self._links.record_contact(self._clock())
 
+    def on_sent(self) -> None:
+        """Look in a while whether any target has replied since.
+
+        Called for each sub-request that this node sends to a target.
+        """
+        if self._silence_timer is None:
+            self._arm_silence_timer(SILENT_AFTER_S)
+
+    def _arm_silence_timer(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._silence_timer = loop.call_later(delay_s, self._check_silence)
+
+    def _check_silence(self) -> None:
+        self._silence_timer = None
+        open_since = self._selector.oldest_open_at()
+        if open_since is None:
+            return
+        left_s = open_since + SILENT_AFTER_S - self._clock()
+        if left_s <= 0.0:
+            self.on_failure(open_since, was_open=True)
+        self._arm_silence_timer(left_s if left_s > 0.0 else SILENT_AFTER_S)
+
     def when_settled(self, act: typing.Callable[[], None]) -> None:
         """Call act once it is known whether all connections are lost.
 
@@ -70,11 +96,8 @@
         else:
             act()
 
-    def check_periodically(self, now: float) -> None:
-        """Look for unanswered requests; check targets while links are lost."""
-        open_since = self._selector.oldest_open_at()
-        if open_since is not None and now - open_since >= SILENT_AFTER_S:
-            self.on_failure(open_since, was_open=True)
+    def check_periodically(self) -> None:
+        """Check a few targets while all connections are lost."""
         if self._links.is_lost:
             self._check()
 
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -248,6 +248,7 @@
             self._clock,
             self._departures.on_leaving_reply,
             self.links,
+            self._link_watch.on_sent,
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
         self.delegation.on_helper_quiet = self._on_helper_quiet
@@ -472,7 +473,7 @@
 
     def _upkeep(self, now: float) -> None:
         self.routing_state.drop_expired()
-        self._link_watch.check_periodically(now)
+        self._link_watch.check_periodically()
         self.limits.named.drop_absent(self.targets, now)
         if self.links.is_lost:
             self._silences.drop_reported()
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -28,7 +28,7 @@
 # so that only this timeout ends the attempt.
 CONNECT_TIMEOUT_S = 0.4
 # Time allowed for a connection that only checks whether targets are reachable.
-PROBE_TIMEOUT_S = 0.25
+PROBE_TIMEOUT_S = 0.15
 # Time for which other nodes are asked to send to a target that has accepted no
 # connection. With a longer time, a restarted target would be asked through
 # them for longer.
@@ -251,7 +251,8 @@
     ) -> None:
         """Try at once to open a connection; pass the result to on_reach.
 
-        A failure is not reported to on_unreachable.
+        A connection that exceeds this node's share is closed again. A failure
+        is not reported to on_unreachable.
         """
         pool = self._pools.get(target_id)
         if pool is None:
@@ -385,7 +386,10 @@
         self.on_contact()
         pool.unreachable_until = 0.0
         pool.open.add(conn)
-        self._connection_freed(pool, conn)
+        if is_probe and pool.connection_count > self._connection_share(target):
+            conn.close()
+        else:
+            self._connection_freed(pool, conn)
         return ConnectCheck.ACCEPTS
 
     def _connection_freed(
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -224,3 +224,17 @@
         assert failures == [False]
 
     run_with_pools(scenario)
+
+
+def test_probes_leave_no_connections_beyond_the_share(run_with_pools):
+    async def scenario(pools, standin, unreachable):
+        pools.set_limits(lambda target: 5, 2)
+        results = []
+        for _ in range(10):
+            pools.probe('i-1', results.append)
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        assert results == [ConnectCheck.ACCEPTS] * 10
+        assert len(standin._http.connections) == 2
+
+    run_with_pools(scenario)
