--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from .. import rendezvous
 from ..messages import Member
 from ..types import MemberState
 from ..types import NodeId
@@ -199,6 +200,7 @@
         self._node = node
         self._zone = zone
         self._helpers: dict[NodeId, _Helper] = {}
+        self._weights: dict[NodeId, int] = {}
         self._by_zone: dict[ZoneName, list[Member]] = {}
         self._members: typing.Sequence[Member] = ()
 
@@ -217,9 +219,22 @@
                 and member.state is MemberState.ALIVE
             ):
                 self._by_zone.setdefault(member.zone, []).append(member)
+        # Of helper nodes with equally many batches the first one is chosen. So
+        # each node has an order of its own, which spreads the batches.
+        for helpers in self._by_zone.values():
+            helpers.sort(key=lambda member: self._weight(member.node))
         known = {member.node for member in members}
         for node in self._helpers.keys() - known:
             del self._helpers[node]
+        for node in self._weights.keys() - known:
+            del self._weights[node]
+
+    def _weight(self, node: NodeId) -> int:
+        found = self._weights.get(node)
+        if found is None:
+            found = rendezvous.weight(self._node, node)
+            self._weights[node] = found
+        return found
 
     def zones(self) -> set[ZoneName]:
         """Return the other zones with a node that can be a helper node."""
@@ -241,10 +256,15 @@
         """
         if must_help:
             return self._least_busy((zone,), now) or self._least_busy(
-                self._by_zone, now
+                self._zones_in_own_order(), now
             )
         return None if zone == self._zone else self._least_busy((zone,), now)
 
+    def _zones_in_own_order(self) -> list[ZoneName]:
+        return sorted(
+            self._by_zone, key=lambda zone: rendezvous.weight(self._node, zone)
+        )
+
     def _least_busy(
         self, zones: typing.Iterable[ZoneName], now: float
     ) -> Member | None:
