--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -160,6 +160,9 @@
         self._delegation.message_received(node, self._clock())
         for notice in parts.notices:
             self.on_notice(notice)
+        if not parts.item_results and not parts.notices:
+            self._delegation.batch_acknowledged(node, parts.batch_no)
+            return
         on_results = stream.handlers.get(parts.batch_no)
         if on_results is not None:
             on_results(parts)
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -76,6 +76,9 @@
         identity = RequestIdentity(batch.subject, batch.body)
         tools = self._tools
         is_refused = tools.crashes.is_refused(identity, tools.clock())
+        if batch.is_single:
+            # Its target may need longer than this node may be silent.
+            self._outbox.put_nowait(BatchResults(batch.batch_no, ()))
         sub = SubRequest(
             batch.request_id,
             batch.route,
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -35,7 +35,8 @@
 
 # A helper node that has unfinished batches and has sent nothing for this long
 # is assumed to be frozen or cut off. Slow targets are not the cause: single
-# ones pause for up to 120 ms, but not all targets of a zone at once.
+# ones pause for up to 120 ms, but not all targets of a zone at once. A request
+# to a single target may take longer, so the helper node acknowledges it.
 HELPER_QUIET_AFTER_S = 0.06
 # A helper node that was disconnected, sent nothing or can't reach targets gets
 # no batch of sub-requests for this time.
@@ -156,7 +157,7 @@
     The field ends holds one result for each of them. The field records holds
     the joined records of those sub-requests whose ItemResult has None in both
     end and whole. The field notices is about targets whose replies came after
-    the batch was cancelled.
+    the batch was cancelled. A message with neither acknowledges the batch.
     """
 
     batch_no: BatchNo
@@ -172,14 +173,15 @@
     """State of one helper node, which sends sub-requests for this node.
 
     The field open maps each unfinished batch of sub-requests to the time at
-    which it was sent. Until the time in unusable_until, the helper node gets
-    no new batch.
+    which it was sent, awaited holds those that were not acknowledged. Until
+    the time in unusable_until, the helper node gets no new batch.
     """
 
-    __slots__ = ('last_message_at', 'open', 'unusable_until')
+    __slots__ = ('awaited', 'last_message_at', 'open', 'unusable_until')
 
     def __init__(self):
         self.open: dict[BatchNo, float] = {}
+        self.awaited: dict[BatchNo, float] = {}
         self.last_message_at = 0.0
         self.unusable_until = 0.0
 
@@ -283,7 +285,12 @@
 
     def batch_sent(self, node: NodeId, batch_no: BatchNo, now: float) -> None:
         """Record that a batch of sub-requests was sent to a helper node."""
-        self._helper_state(node).open[batch_no] = now
+        helper = self._helper_state(node)
+        helper.open[batch_no] = helper.awaited[batch_no] = now
+
+    def batch_acknowledged(self, node: NodeId, batch_no: BatchNo) -> None:
+        """Record that a helper node has begun a batch that may take long."""
+        self._helper_state(node).awaited.pop(batch_no, None)
 
     def message_received(self, node: NodeId, now: float) -> None:
         """Record that a helper node sent a message, so it is not frozen."""
@@ -291,12 +298,15 @@
 
     def batch_ended(self, node: NodeId, batch_no: BatchNo) -> None:
         """Record that a helper node's batch will get no more results."""
-        self._helper_state(node).open.pop(batch_no, None)
+        helper = self._helper_state(node)
+        helper.open.pop(batch_no, None)
+        helper.awaited.pop(batch_no, None)
 
     def connection_lost(self, node: NodeId, now: float) -> None:
         """Forget a helper node's open batches; avoid it for HELPER_RETRY_S."""
         helper = self._helper_state(node)
         helper.open.clear()
+        helper.awaited.clear()
         helper.unusable_until = now + HELPER_RETRY_S
 
     def record_no_links(self, node: NodeId, now: float) -> None:
@@ -317,9 +327,9 @@
         helper = self._helper_state(node)
         if now < helper.unusable_until:
             return False
-        if not helper.open:
+        if not helper.awaited:
             return True
-        oldest_sent_at = next(iter(helper.open.values()))
+        oldest_sent_at = next(iter(helper.awaited.values()))
         no_message_s = now - max(oldest_sent_at, helper.last_message_at)
         if no_message_s > HELPER_QUIET_AFTER_S:
             helper.unusable_until = now + HELPER_RETRY_S
--- a/sesameward/standin/links.py
+++ b/sesameward/standin/links.py
@@ -16,12 +16,15 @@
     """Say what happens to a node's connections while it is cut off.
 
     HANG: open and new ones hang. RESET: open ones are reset, new ones
-    refused. REFUSE_NEW: open ones live on, new ones are refused.
+    refused. REFUSE_NEW: open ones live on, new ones are refused. ONE_WAY:
+    targets get what is sent on open ones, but their replies hang; new ones
+    hang.
     """
 
     HANG = 'hang'
     RESET = 'reset'
     REFUSE_NEW = 'refuse_new'
+    ONE_WAY = 'one_way'
 
 
 class _Link:
@@ -31,8 +34,11 @@
         self._address = host, port
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self._flowing = asyncio.Event()
-        self._flowing.set()
+        # Events that are set while bytes pass in the direction.
+        self._to_target = asyncio.Event()
+        self._to_node = asyncio.Event()
+        self._to_target.set()
+        self._to_node.set()
         self._blockers: list[socket.socket] = []
         self._target_is_gone = False
 
@@ -44,8 +50,10 @@
     async def cut(self, how: Cut) -> None:
         await self._stop_listening()
         match how:
-            case Cut.HANG:
-                self._flowing.clear()
+            case Cut.HANG | Cut.ONE_WAY:
+                self._to_node.clear()
+                if how is Cut.HANG:
+                    self._to_target.clear()
                 if not self._target_is_gone:
                     self._block()
             case Cut.RESET:
@@ -55,7 +63,8 @@
 
     async def heal(self) -> None:
         self._unblock()
-        self._flowing.set()
+        self._to_target.set()
+        self._to_node.set()
         if self._server is None and not self._target_is_gone:
             await self.listen()
 
@@ -116,8 +125,8 @@
         self._writers.add(target_writer)
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer),
-                self._forward(target_reader, writer),
+                self._forward(reader, target_writer, self._to_target),
+                self._forward(target_reader, writer, self._to_node),
             )
         finally:
             for side_writer in (writer, target_writer):
@@ -125,13 +134,16 @@
                 self._writers.discard(side_writer)
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        flowing: asyncio.Event,
     ) -> None:
         try:
             while data := await reader.read(65_536):
-                await self._flowing.wait()
+                await flowing.wait()
                 writer.write(data)
-            await self._flowing.wait()
+            await flowing.wait()
             writer.close()
         except OSError:
             writer.transport.abort()
@@ -159,13 +171,19 @@
         if port in self._links:
             self._links[port].refuse_for_good()
 
-    async def cut(self, how: Cut) -> None:
-        """Cut the node off from all targets."""
-        if self.cut_how is not None:
-            await self.heal()
-        self.cut_how = how
+    async def cut(self, how: Cut, without_healing: bool = False) -> None:
+        """Cut the node off from all targets.
+
+        An earlier cut ends first; if without_healing is True, what it held up
+        is lost.
+        """
         for link in tuple(self._links.values()):
+            if self.cut_how is not None:
+                if without_healing and how is not Cut.REFUSE_NEW:
+                    link.reset_connections()
+                await link.heal()
             await link.cut(how)
+        self.cut_how = how
 
     async def heal(self) -> None:
         """End the cut; what was held up in open connections goes on."""
--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -159,6 +159,7 @@
 
 def test_reply_to_a_single_request_is_returned_whole(run_batch):
     def scenario(batch, conn, outbox):
+        assert outbox.get_nowait().item_results == ()
         conn.answer(OK)
         (item,) = outbox.get_nowait().item_results
         assert item.end is None
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -112,3 +112,14 @@
         tuple(member(f'n{n}', 'z', reaches_targets=False) for n in range(300))
     )
     assert not delegation.has_helper(0.0)
+
+
+# A helper that waited for a slow reply was taken for frozen.
+def test_helper_that_acknowledged_a_batch_is_not_silent(delegation):
+    delegation.batch_sent('c1', 1, 0.0)
+    delegation.batch_acknowledged('c1', 1)
+    late = 10 * HELPER_QUIET_AFTER_S
+    assert delegation.choose_helper('c', late) is not None
+    delegation.batch_sent('c1', 2, late)
+    later = late + 2 * HELPER_QUIET_AFTER_S
+    assert delegation.choose_helper('c', later) is None
--- a/tests/test_stranded_nodes.py
+++ b/tests/test_stranded_nodes.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import itertools
+import signal
 import time
 
 import pytest
@@ -22,6 +23,9 @@
 SERVED_GAP = 0.05
 CUT_S = 9.0
 REQUESTS_PER_S = 40.0
+# Requests to a service that take longer than replies to queries.
+SLOW_WORK_S = 0.2
+SLOW_REQUESTS_PER_S = 12.0
 # After the end of a cut all nodes must serve everything again within this.
 RECOVERED_S = 1.5
 # A request that nobody can serve must be refused at once, nine of ten within
@@ -34,13 +38,15 @@
 class Load:
     """Send requests of all kinds to all nodes; keep how each one ended."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, requests_per_s=REQUESTS_PER_S):
         self.fleet = fleet
+        self.nodes = fleet.nodes
+        self.requests_per_s = requests_per_s
         self.results = []
         self._tasks = set()
 
     async def run(self, length_s):
-        asked = itertools.cycle(itertools.product(PATHS, self.fleet.nodes))
+        asked = itertools.cycle(itertools.product(PATHS, self.nodes))
         until = time.monotonic() + length_s
         while time.monotonic() < until:
             path, node = next(asked)
@@ -48,7 +54,7 @@
                 task = asyncio.create_task(self._send(node, path))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(1 / REQUESTS_PER_S)
+            await asyncio.sleep(1 / self.requests_per_s)
         await asyncio.gather(*self._tasks)
 
     async def _send(self, node, path):
@@ -95,6 +101,17 @@
         assert share >= 1.0 - SERVED_GAP, (kind, share)
 
 
+def check_refused(load, cut_at, until):
+    times_s = []
+    for _, _, sent_at, reply, took_s in load.results:
+        if cut_at + SETTLED_S <= sent_at < until - 1.0:
+            assert reply.status == 503
+            assert float(promises.header(reply, 'Retry-After')) > 0.0
+            times_s.append(took_s)
+    assert max(times_s) < LATEST_REFUSAL_S
+    assert sum(s < REFUSED_WITHIN_S for s in times_s) >= 0.9 * len(times_s)
+
+
 async def play_cut(fleet, load, stranded, how):
     """Cut nodes off for CUT_S; return when the cut began and ended."""
     cut_at = time.monotonic()
@@ -134,6 +151,96 @@
     scenario()
 
 
+# A helper that waits for a slow reply was taken for frozen, so that a node
+# without any other helper refused what it could have served.
+def test_slow_requests_at_a_stranded_node_are_served():
+    @with_fleet(nodes=2, linked=True)
+    async def scenario(fleet):
+        for target_id in fleet.services['desk']:
+            fleet.targets[target_id].faults.work_s = SLOW_WORK_S
+        load = Load(fleet, SLOW_REQUESTS_PER_S)
+        running = asyncio.create_task(load.run(CUT_S + 1.0))
+        await asyncio.sleep(1.0)
+        cut = await play_cut(fleet, load, [fleet.nodes[0]], Cut.HANG)
+        await running
+        check_served(load, {'node-0'}, *cut)
+
+    scenario()
+
+
+# Each kind of cut leaves open connections in another state for the next one.
+@pytest.mark.parametrize(
+    'kinds',
+    [
+        (Cut.REFUSE_NEW, Cut.HANG, Cut.RESET, Cut.REFUSE_NEW),
+        (Cut.RESET, Cut.ONE_WAY, Cut.REFUSE_NEW, Cut.HANG),
+    ],
+)
+def test_requests_are_served_through_changing_cuts(kinds):
+    @with_fleet(nodes=5, linked=True)
+    async def scenario(fleet):
+        load = Load(fleet)
+        running = asyncio.create_task(load.run(CUT_S + 3.0))
+        await asyncio.sleep(1.0)
+        stranded = fleet.nodes[:3]
+        cut_at = time.monotonic()
+        for how in kinds:
+            for node in stranded:
+                await node.links.cut(how, without_healing=True)
+            await asyncio.sleep(CUT_S / len(kinds))
+        until = time.monotonic()
+        for node in stranded:
+            await node.links.heal()
+        await running
+        check_served(load, {node.name for node in stranded}, cut_at, until)
+
+    scenario()
+
+
+# A node that starts while it is cut off has no connection that could break.
+def test_node_that_starts_while_it_is_stranded_serves():
+    @with_fleet(nodes=3, linked=True)
+    async def scenario(fleet):
+        load = Load(fleet)
+        node = fleet.nodes[0]
+        running = asyncio.create_task(load.run(CUT_S + 2.0))
+        await asyncio.sleep(1.0)
+        cut_at = time.monotonic()
+        await node.links.cut(Cut.HANG)
+        node.send(signal.SIGKILL)
+        node.process.wait()
+        node.start()
+        await asyncio.sleep(CUT_S)
+        until = time.monotonic()
+        await node.links.heal()
+        await running
+        check_served(load, {node.name}, cut_at, until)
+
+    scenario()
+
+
+# Nodes that could help fall silent one after the other.
+def test_stranded_node_without_helpers_refuses_at_once():
+    @with_fleet(nodes=3, linked=True)
+    async def scenario(fleet):
+        load = Load(fleet)
+        load.nodes = fleet.nodes[:1]
+        running = asyncio.create_task(load.run(CUT_S + 1.0))
+        await asyncio.sleep(1.0)
+        cut_at = time.monotonic()
+        await fleet.nodes[0].links.cut(Cut.HANG)
+        for node in fleet.nodes[1:]:
+            node.send(signal.SIGSTOP)
+        await asyncio.sleep(CUT_S)
+        until = time.monotonic()
+        for node in fleet.nodes[1:]:
+            node.send(signal.SIGCONT)
+        await running
+        check_refused(load, cut_at, until)
+
+    scenario()
+
+
 # Requests that no node could pass on waited for their deadline.
 @pytest.mark.parametrize('how', [Cut.HANG, Cut.RESET])
 def test_requests_are_refused_at_once_if_all_nodes_are_stranded(how):
@@ -144,14 +251,7 @@
         await asyncio.sleep(1.0)
         cut_at, until = await play_cut(fleet, load, fleet.nodes, how)
         await running
-        times_s = []
-        for _, _, sent_at, reply, took_s in load.results:
-            if cut_at + SETTLED_S <= sent_at < until - 1.0:
-                assert reply.status == 503
-                assert float(promises.header(reply, 'Retry-After')) > 0.0
-                times_s.append(took_s)
-        assert max(times_s) < LATEST_REFUSAL_S
-        assert sum(s < REFUSED_WITHIN_S for s in times_s) >= 0.9 * len(times_s)
+        check_refused(load, cut_at, until)
         everyone = {node.name for node in fleet.nodes}
         after = load.served(everyone, until + RECOVERED_S, until + 99.0)
         assert min(after.values()) >= 1.0 - SERVED_GAP, after
