--- a/sesameward/serving/attempts.py
+++ b/sesameward/serving/attempts.py
@@ -17,6 +17,10 @@
 from .target_limits import TargetLimits
 from .targets import TargetTable
 
+# Limit of retries, per request and service, after helper nodes that had no
+# connections. They refuse at once, and most nodes may be cut off at a time.
+MAX_NO_LINKS_ATTEMPTS = 8
+
 AttemptNo = typing.NewType('AttemptNo', int)
 
 
--- a/sesameward/serving/delegating_run.py
+++ b/sesameward/serving/delegating_run.py
@@ -19,6 +19,8 @@
 from .delegation import DelegatedBatch
 from .delegation import ItemResult
 from .deps import Deps
+from .exchange import Result
+from .exchange import SubRequestExchange
 from .replica_choice import Token
 from .routes import Repeat
 from .run import Arrival
@@ -56,18 +58,23 @@
         self._unsent_batches: dict[tuple[NodeId, bool], list[Send]] = {}
         self._helpers: dict[NodeId, Member] = {}
         self._open_batches: dict[BatchNo, HelperBatch] = {}
+        self._lacks_connection = False
 
     def _choose_helper(self, send: Send) -> Member | None:
         """Return the helper node for a sub-request; None to send it directly.
 
         This node can't send it itself if its connections to all targets are
-        lost, or if this target has just refused one.
+        lost, or if this target has just refused one. Where new connections are
+        refused by all targets, the next one would refuse too, so a request
+        that lacked one connection goes through helpers from then on.
         """
         target = self._tools.policy.targets.get(send.target_id)
         if target is None:
             return None
-        if not self._tools.links.is_lost and not (
-            self._tools.pools.is_unreachable(send.target_id)
+        if not (
+            self._tools.links.is_lost
+            or self._lacks_connection
+            or self._tools.pools.is_unreachable(send.target_id)
         ):
             return None
         return self._deps.delegation.choose_helper(
@@ -125,6 +132,12 @@
             lambda parts: self._on_helper_message(batch, parts),
         )
 
+    def _on_exchange_end(
+        self, send: Send, exchange: SubRequestExchange, result: Result
+    ) -> None:
+        self._lacks_connection |= result.no_connection
+        super()._on_exchange_end(send, exchange, result)
+
     def _remaining_ms(self, now: float) -> int:
         return max(1, int((self._deadline_at - now) * 1_000))
 
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -105,6 +105,7 @@
     the target replied that it is about to stop. rest_s is the time for which
     the target asked, in its reply, to be sent nothing. no_permit_s is the time
     for which no permit for the target is expected, after NO_PERMIT.
+    no_connection is True if there was no connection to the target.
     """
 
     end: SubRequestFailure | None
@@ -113,6 +114,7 @@
     leaving: bool = False
     rest_s: float = 0.0
     no_permit_s: float = 0.0
+    no_connection: bool = False
 
 
 OnResult = typing.Callable[[Result], None]
@@ -202,7 +204,9 @@
             return
         if conn is None:
             self._give_permit_back()
-            self._on_result(Result(SubRequestFailure.NOT_SENT))
+            self._on_result(
+                Result(SubRequestFailure.NOT_SENT, no_connection=True)
+            )
             return
         tools = self._tools
         sub = self._sub
--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -29,6 +29,7 @@
 from ..types import TargetId
 from .attempts import AttemptNo
 from .attempts import AttemptPolicy
+from .attempts import MAX_NO_LINKS_ATTEMPTS
 from .attempts import may_ask_again
 from .attempts import NOTHING_SENT
 from .attempts import Send
@@ -117,17 +118,19 @@
     without a result to its target and the time when it was sent. not_run
     counts the attempts that surely did not run, broken_count those whose
     connection broke. An attempt that was not sent for a reason other than its
-    target is not in asked; unsent counts these. done is True once the shard
-    has replied.
+    target is not in asked; unpermitted counts those without a permit, no_links
+    those whose helper node had no connections. done is True once the shard has
+    replied.
     """
 
     __slots__ = (
         'asked',
         'broken_count',
         'done',
+        'no_links',
         'not_run',
         'open',
-        'unsent',
+        'unpermitted',
     )
 
     def __init__(self):
@@ -135,20 +138,27 @@
         self.open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self.done = False
         self.not_run = 0
-        self.unsent = 0
+        self.unpermitted = 0
+        self.no_links = 0
         self.broken_count = 0
 
     def may_retry(self) -> bool:
         """Return False after too many attempts that surely did not run."""
-        return self.not_run + self.unsent <= MAX_NOT_RUN_ATTEMPTS
+        return (
+            self.not_run + self.unpermitted <= MAX_NOT_RUN_ATTEMPTS
+            and self.no_links <= MAX_NO_LINKS_ATTEMPTS
+        )
 
-    def record_unsent(self, target_id: TargetId) -> None:
+    def record_unsent(
+        self, target_id: TargetId, end: SubRequestFailure
+    ) -> None:
         """Record that an attempt was not sent, but not because of its target.
 
         It lacked a permit, or its helper node had no connections.
         """
         self.asked.remove(target_id)
-        self.unsent += 1
+        self.no_links += end is SubRequestFailure.NO_LINKS
+        self.unpermitted += end is SubRequestFailure.NO_PERMIT
 
 
 class Gather:
@@ -328,7 +338,7 @@
         if opened is not None and may_ask_again(
             end, self._wait_s(opened[0], now)
         ):
-            shard.record_unsent(opened[0])
+            shard.record_unsent(opened[0], end)
         elif end in SURELY_NOT_RUN:
             shard.not_run += 1
         else:
--- a/sesameward/serving/relay.py
+++ b/sesameward/serving/relay.py
@@ -15,6 +15,7 @@
 from ..types import TargetId
 from .attempts import AttemptNo
 from .attempts import AttemptPolicy
+from .attempts import MAX_NO_LINKS_ATTEMPTS
 from .attempts import may_ask_again
 from .attempts import NOTHING_SENT
 from .attempts import Send
@@ -94,7 +95,8 @@
         self._open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self._attempts = 0
         self._not_run_count = 0
-        self._unsent_count = 0
+        self._unpermitted_count = 0
+        self._no_links_count = 0
         self._may_have_run = False
         self._has_reply = False
         self._finished = False
@@ -143,7 +145,8 @@
             end, self._wait_s(opened[0], now)
         ):
             self._asked.remove(opened[0])
-            self._unsent_count += 1
+            self._no_links_count += end is SubRequestFailure.NO_LINKS
+            self._unpermitted_count += end is SubRequestFailure.NO_PERMIT
         elif end in SURELY_NOT_RUN:
             self._not_run_count += 1
         else:
@@ -205,8 +208,11 @@
         if self._open:
             return []
         sends: list[Action] = []
-        retries = self._not_run_count + self._unsent_count
-        if retries <= MAX_NOT_RUN_ATTEMPTS:
+        retries = self._not_run_count + self._unpermitted_count
+        if (
+            retries <= MAX_NOT_RUN_ATTEMPTS
+            and self._no_links_count <= MAX_NO_LINKS_ATTEMPTS
+        ):
             sends = self._send(reason, now)
         if sends:
             return sends
