--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -261,6 +261,7 @@
                         'version': status['version'],
                         'ready': status['ready'],
                         'leaving': status['leaving'],
+                        'links': status['links'],
                         **belief,
                     }
                     for belief in status['beliefs']
--- a/sesameward/serving/__init__.py
+++ b/sesameward/serving/__init__.py
@@ -5,14 +5,14 @@
 Decisions about one request, without I/O: routes, targets, replica_choice (of a
 replica), budget_window (limit on repeats), target_limits with named_limits,
 permit_ledger and coordinator_choice (request rates that targets name), relay
-(one target), gather (all shards), topk (merging of replies), delegation
-(choice of helper nodes, in other zones, that send sub-requests to the targets
-of their zone).
+(one target), gather (all shards), topk (merging of replies), target_links
+(whether this node has lost its connections to all targets), delegation (choice
+of helper nodes that send sub-requests to targets for this node).
 HTTP connections: http_server for callers, pools and target_connection for
-targets.
-One request from arrival to answer: front, then run with relay_run or
-gather_run; exchange sends a sub-request to a target, and delegate_client and
-delegate_server send sub-requests through helper nodes.
+targets; link_watch checks those to targets.
+One request from arrival to answer: front, then run and delegating_run with
+relay_run or gather_run; exchange sends a sub-request to a target, and
+delegate_client and delegate_server send sub-requests through helper nodes.
 Copies of store objects: takeover decides which node reads the store, mirror
 holds the objects, routing_state applies them to routes and targets.
 Rumors between nodes: peers runs the gossip; silent_targets, leaving_targets
--- a/sesameward/serving/link_watch.py
+++ b/sesameward/serving/link_watch.py
@@ -121,11 +121,14 @@
 
     def _on_change(self, is_lost: bool, for_s: float) -> None:
         self._metrics.count('links', 'lost' if is_lost else 'back')
-        logs.log_event(
-            'links_lost' if is_lost else 'links_back',
-            targets=len(self._targets),
-            for_s=round(for_s, 3),
-        )
         if is_lost:
+            logs.log_event(
+                'links_lost',
+                no_reply_s=round(for_s, 3),
+                checked=self._links.checked,
+                targets=len(self._targets),
+            )
             self._selector.forget_silences()
+        else:
+            logs.log_event('links_back', after_s=round(for_s, 3))
         self._publish(not is_lost)
--- a/sesameward/serving/target_links.py
+++ b/sesameward/serving/target_links.py
@@ -92,6 +92,11 @@
         """Return True if no target can be reached."""
         return self._state is LinkState.LOST
 
+    @property
+    def checked(self) -> list[TargetId]:
+        """Return the targets that were checked for the last suspicion."""
+        return sorted(self._checked)
+
     @property
     def is_doubtful(self) -> bool:
         """Return True if failures of targets are perhaps this node's own."""
