--- a/sesameward/serving/delegating_run.py
+++ b/sesameward/serving/delegating_run.py
@@ -49,7 +49,7 @@
 class DelegatingRun(Run):
     """Send a request's sub-requests, some of them through helper nodes.
 
-    Subclasses decide which ones, make the message of a batch, and pass its
+    Subclasses decide which ones, add to the message of a batch, and pass its
     successful results to the plan.
     """
 
@@ -84,7 +84,26 @@
     def _make_batch(
         self, no: BatchNo, is_first: bool, sends: list[Send], now: float
     ) -> DelegatedBatch:
-        raise NotImplementedError
+        """Return the message of a batch; subclasses add their own fields."""
+        sub = self._sub
+        return DelegatedBatch(
+            no,
+            sub.request_id,
+            sub.route,
+            sub.method,
+            sub.identity.subject,
+            sub.head,
+            sub.identity.body,
+            max(1, int((self._deadline_at - now) * 1_000)),
+            0,
+            tuple(
+                BatchItem(index, send.target_id)
+                for index, send in enumerate(sends)
+            ),
+            is_first,
+            priority=self._route.priority,
+            on_trial=sub.on_trial,
+        )
 
     def _apply_helper_reply(
         self,
@@ -138,9 +157,6 @@
         self._lacks_connection |= result.no_connection
         super()._on_exchange_end(send, exchange, result)
 
-    def _remaining_ms(self, now: float) -> int:
-        return max(1, int((self._deadline_at - now) * 1_000))
-
     def _on_helper_message(
         self, batch: HelperBatch, parts: BatchResults | None
     ) -> None:
@@ -246,10 +262,3 @@
                 )
             self._deps.delegates.finish_batch(batch.node, batch.no, may_run_on)
         self._open_batches.clear()
-
-
-def batch_items(sends: list[Send]) -> tuple[BatchItem, ...]:
-    """Return the items of a batch, numbered in the order of the sends."""
-    return tuple(
-        BatchItem(index, send.target_id) for index, send in enumerate(sends)
-    )
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -9,13 +9,14 @@
 
 import typing
 
+import msgspec
+
 from . import gather
 from ..messages import Member
 from ..types import ServiceName
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
-from .delegating_run import batch_items
 from .delegating_run import DelegatingRun
 from .delegating_run import HelperBatch
 from .delegation import BatchNo
@@ -121,21 +122,10 @@
     def _make_batch(
         self, no: BatchNo, is_first: bool, sends: list[Send], now: float
     ) -> DelegatedBatch:
-        sub = self._sub
-        return DelegatedBatch(
-            no,
-            sub.request_id,
-            sub.route,
-            sub.method,
-            sub.identity.subject,
-            sub.head,
-            sub.identity.body,
-            self._remaining_ms(now),
-            self._shards.top_k,
-            batch_items(sends),
-            is_first,
-            self._greatest.floor,
-            self._route.priority,
+        return msgspec.structs.replace(
+            super()._make_batch(no, is_first, sends, now),
+            top_k=self._shards.top_k,
+            floor=self._greatest.floor,
             on_trial=self._plan.on_trial,
         )
 
--- a/sesameward/serving/relay_run.py
+++ b/sesameward/serving/relay_run.py
@@ -4,13 +4,14 @@
 
 import typing
 
+import msgspec
+
 from . import relay
 from ..types import NodeId
 from ..types import ServiceName
 from ..types import TargetId
 from .attempts import Send
 from .attempts import SubRequestFailure
-from .delegating_run import batch_items
 from .delegating_run import DelegatingRun
 from .delegating_run import HelperBatch
 from .delegation import BatchNo
@@ -67,23 +68,10 @@
     def _make_batch(
         self, no: BatchNo, is_first: bool, sends: list[Send], now: float
     ) -> DelegatedBatch:
-        sub = self._sub
-        return DelegatedBatch(
-            no,
-            sub.request_id,
-            sub.route,
-            sub.method,
-            sub.identity.subject,
-            sub.head,
-            sub.identity.body,
-            self._remaining_ms(now),
-            0,
-            batch_items(sends),
-            is_first,
-            priority=self._route.priority,
+        return msgspec.structs.replace(
+            super()._make_batch(no, is_first, sends, now),
             is_single=True,
-            runs_once=sub.runs_once,
-            on_trial=sub.on_trial,
+            runs_once=self._sub.runs_once,
         )
 
     def _apply_helper_reply(
