Forward connections of links and soak proxies by one piece of code

links.py had written the accepting and copying of tests/soak/proxy.py again. Both derive from Forwarder now and add only their faults. Fleet loses its parameter zones, which nothing used.

--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -132,8 +132,7 @@
 
     Use it as an asynchronous context manager, which stops exactly the
     processes and listeners that it started. If linked is True, each node
-    reaches the targets through links of its own, which can be cut. The
-    parameter zones holds the zones of the nodes, which are repeated.
+    reaches the targets through links of its own, which can be cut.
     """
 
     def __init__(
@@ -143,10 +142,8 @@
         replicas: int = 2,
         seed: int = 1,
         linked: bool = False,
-        zones: tuple[str, ...] = ZONES,
     ):
         self._linked = linked
-        self._zones = zones
         self.store = ObjectStore()
         self.rng = random.Random(seed)
         self.targets: dict[str, ShardTarget] = {}
@@ -173,7 +170,7 @@
         self.put_config()
         folder = pathlib.Path(self._temp_dir.name)
         for index in range(self._node_count):
-            zone = self._zones[index % len(self._zones)]
+            zone = ZONES[index % len(ZONES)]
             host = f'{self._network_prefix}.{index + 1}'
             links = await self._make_links(index) if self._linked else None
             node = FleetNode(f'node-{index}', host, zone, folder, links)
--- a/sesameward/standin/links.py
+++ b/sesameward/standin/links.py
@@ -6,6 +6,8 @@
 import enum
 import socket
 
+from .forwarding import Forwarder
+
 # A listener with a backlog of 0 holds this many connections that nobody has
 # accepted. The kernel then drops the packets that open further ones.
 FILLING_CONNECTIONS = 2
@@ -27,13 +29,11 @@
     ONE_WAY = 'one_way'
 
 
-class _Link:
+class _Link(Forwarder):
     """Forward connections of one node to one target."""
 
     def __init__(self, host: str, port: int):
-        self._address = host, port
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        super().__init__(host, port, (TARGET_HOST, port))
         # Events that are set while bytes pass in the direction.
         self._to_target = asyncio.Event()
         self._to_node = asyncio.Event()
@@ -42,13 +42,8 @@
         self._blockers: list[socket.socket] = []
         self._target_is_gone = False
 
-    async def listen(self) -> None:
-        self._server = await asyncio.start_server(
-            self._serve, *self._address, reuse_address=True
-        )
-
     async def cut(self, how: Cut) -> None:
-        await self._stop_listening()
+        await self._close_listener()
         match how:
             case Cut.HANG | Cut.ONE_WAY:
                 self._to_node.clear()
@@ -66,88 +61,51 @@
         self._to_target.set()
         self._to_node.set()
         if self._server is None and not self._target_is_gone:
-            await self.listen()
+            await self.start()
 
     async def stop(self) -> None:
-        await self._stop_listening()
+        await self._close_listener()
         self._unblock()
         self.reset_connections()
 
     def refuse_for_good(self) -> None:
         """Refuse new connections from now on, also after a cut."""
         self._target_is_gone = True
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        self.stop_listening()
         self._unblock()
 
-    def _unblock(self) -> None:
-        for sock in self._blockers:
-            sock.close()
-        self._blockers.clear()
-
-    def reset_connections(self) -> None:
-        for writer in tuple(self._writers):
-            writer.transport.abort()
+    async def pass_on(
+        self, data: bytes, writer: asyncio.StreamWriter, to_server: bool
+    ) -> None:
+        """Write what one side sent to the other once the direction is open."""
+        await (self._to_target if to_server else self._to_node).wait()
+        await super().pass_on(data, writer, to_server)
 
     def _block(self) -> None:
         """Listen without accepting, so that new connections hang."""
+        address = self._host, self.port
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(self._address)
+        listener.bind(address)
         listener.listen(0)
         self._blockers.append(listener)
         for _ in range(FILLING_CONNECTIONS):
             sock = socket.socket()
             sock.setblocking(False)
-            sock.connect_ex(self._address)
+            sock.connect_ex(address)
             self._blockers.append(sock)
 
-    async def _stop_listening(self) -> None:
+    def _unblock(self) -> None:
+        for sock in self._blockers:
+            sock.close()
+        self._blockers.clear()
+
+    async def _close_listener(self) -> None:
         if self._server is not None:
-            self._server.close()
-            self._server = None
+            self.stop_listening()
             # The listening socket is closed in the next turn of the loop.
             await asyncio.sleep(0)
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
-        try:
-            target_reader, target_writer = await asyncio.open_connection(
-                TARGET_HOST, self._address[1]
-            )
-        except OSError:
-            writer.transport.abort()
-            self._writers.discard(writer)
-            return
-        self._writers.add(target_writer)
-        try:
-            await asyncio.gather(
-                self._forward(reader, target_writer, self._to_target),
-                self._forward(target_reader, writer, self._to_node),
-            )
-        finally:
-            for side_writer in (writer, target_writer):
-                side_writer.transport.abort()
-                self._writers.discard(side_writer)
-
-    async def _forward(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        flowing: asyncio.Event,
-    ) -> None:
-        try:
-            while data := await reader.read(65_536):
-                await flowing.wait()
-                writer.write(data)
-            await flowing.wait()
-            writer.close()
-        except OSError:
-            writer.transport.abort()
-
 
 class NodeLinks:
     """Hold the links of one node to all targets; cut and heal them."""
@@ -162,7 +120,7 @@
         if port in self._links:
             return
         link = self._links[port] = _Link(self.host, port)
-        await link.listen()
+        await link.start()
         if self.cut_how is not None:
             await link.cut(self.cut_how)
 
