--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -125,6 +125,7 @@
                 )
             )
             delegates = run.delegates = Delegates()
+            run.selector = selector
             deps = Deps(tools, delegation, delegates, Splits(), random.random)
             route = Route(
                 'r',
@@ -215,3 +216,22 @@
         assert responder.answer.body == RECORDS
 
     query(scenario, late_s=0.0, helpers=('helper', 'other'))
+
+
+# Three failures in a row eject a target; those of its helpers are not its own.
+def test_target_is_not_blamed_for_helpers_without_connections(query):
+    def scenario(batch, on_results, responder):
+        told = []
+        query.selector.on_ejected = lambda target_id, for_s: told.append(
+            target_id
+        )
+        for _ in range(4):
+            batch, on_results = query.delegates.asks[-1]
+            ends = [
+                ItemResult(item.no, SubRequestFailure.NOT_SENT, no_links=True)
+                for item in batch.items
+            ]
+            on_results(BatchResults(batch.batch_no, tuple(ends)))
+        assert told == []
+
+    query(scenario, late_s=0.0, helpers=tuple(f'h{n}' for n in range(5)))
--- a/tests/test_target_links.py
+++ b/tests/test_target_links.py
@@ -192,3 +192,18 @@
     node.now += CHECK_INTERVAL_S
     node.fail()
     assert node.links.is_lost
+
+
+# Targets of one service or zone could be gone together.
+@pytest.mark.parametrize('seed', range(20))
+def test_checked_targets_are_of_many_services_and_zones(seed):
+    targets = make_targets(20, 2, 4)
+    node = Node(targets, seed)
+    node.reachable = lambda target: False
+    node.fail()
+    checked = [target for target in targets if target.id in node.checked]
+    assert len(checked) == sum(CHECK_ROUNDS)
+    services = {target.service for target in checked}
+    assert len(services) >= max(CHECK_ROUNDS)
+    first_two = [t.zone for t in targets if t.id in node.checked[:2]]
+    assert len(set(first_two)) == CHECK_ROUNDS[0]
