--- a/sesameward/standin/object_store.py
+++ b/sesameward/standin/object_store.py
@@ -23,6 +23,7 @@
 from ..serving.http_server import Responder
 
 PREFIX = '/v1/objects/'
+ERA_HEADER = b'Store-Era'
 PAGE_SIZE = 50
 MAX_WAIT_S = 30.0
 
@@ -41,14 +42,24 @@
     lose_replies: int = 0
 
 
+class Copy(msgspec.Struct, frozen=True):
+    """Hold all objects of a store as of a revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict]
+
+
 class ObjectStore:
     """Serve objects and their past changes from memory.
 
-    calls counts the requests of each client.
+    calls counts the requests of each client. era is the number that the
+    store's answers bear; it rises each time that the store is restored from
+    a copy. With None they bear no such number.
     """
 
     def __init__(self):
         self.faults = StoreFaults()
+        self.era: int | None = 1
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
         self.calls: collections.Counter[str] = collections.Counter()
@@ -119,6 +130,23 @@
         self._events.clear()
         self._wake_watches()
 
+    def copy(self) -> Copy:
+        """Return a copy of all objects, to restore the store from it later."""
+        return Copy(self.revision, dict(self.objects))
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to a copy; what was written since then is gone.
+
+        The revisions after that of the copy are given out again.
+        """
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self._events = [e for e in self._events if e[0] <= copy.revision]
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        if self.era is not None:
+            self.era += 1
+        self._wake_watches()
+
     def _record_event(self, kind: str, stored: dict, deleted: bool) -> None:
         self._events.append((self.revision, kind, stored, deleted))
         self._wake_watches()
@@ -142,7 +170,7 @@
         if client in faults.silent_for:
             return
         if client in faults.busy_for:
-            responder.send(Answer(503))
+            self._send(responder, Answer(503))
             return
         await asyncio.sleep(faults.slow_s)
         answer = await self._answer(req, query)
@@ -151,6 +179,11 @@
         if req.method != b'GET' and faults.lose_replies > 0:
             faults.lose_replies -= 1
             return
+        self._send(responder, answer)
+
+    def _send(self, responder: Responder, answer: Answer) -> None:
+        if self.era is not None:
+            answer.headers.append((ERA_HEADER, b'%d' % self.era))
         responder.send(answer)
 
     async def _answer(self, req: Request, query: dict[str, str]) -> Answer:
@@ -192,14 +225,13 @@
         wait_s = min(int(query.get('wait_ms', 0)) / 1_000, MAX_WAIT_S)
         try:
             async with asyncio.timeout(wait_s):
-                while (
-                    since >= self._compacted_revision
-                    and not self._events_since(kind, since)
+                while self._has_history(since) and not self._events_since(
+                    kind, since
                 ):
                     await self._changed.wait()
         except TimeoutError:
             pass
-        if since < self._compacted_revision:
+        if not self._has_history(since):
             return Answer(410)
         events = [
             {'object': stored, 'deleted': deleted}
@@ -207,6 +239,9 @@
         ]
         return _json(200, {'events': events, 'as_of': self.revision})
 
+    def _has_history(self, since: int) -> bool:
+        return self._compacted_revision <= since <= self.revision
+
     def _events_since(self, kind: str, since: int) -> list:
         return [e for e in self._events if e[0] > since and e[1] == kind]
 
