Log the store's epoch, refused lists and the version of refusals without route

The adapter decodes Store-Era once into the epoch of a position; nodes log when it changes, when a list is refused as older than their own, and which version they go by when they refuse a request for want of a route.

--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -12,14 +12,19 @@
 from ..exceptions import PlatformUnavailableError
 from ..messages import StoredObject
 from ..serving.byte_limits import STORE_LIMITS
+from ..serving.epochs import Position
 from ..serving.http_caller import HttpCaller
 from ..serving.settings import NodeSettings
 from ..serving.target_connection import Reply
 from ..settings import Endpoint
 from ..types import Revision
+from ..types import StoreEpoch
 
 NODES_KIND = 'sesameward-nodes'
 NODES_CALL_TIMEOUT_S = 1.0
+EPOCH_HEADER = b'store-era'
+# Longer numbers would not fit into the messages between nodes.
+MAX_EPOCH_DIGITS = 18
 # Limits the pages of one list, because a faulty store may never send the last
 # page. A list with more pages fails; the list of a deployment with 30,000
 # targets takes 60 pages.
@@ -69,14 +74,14 @@
 
     async def list(
         self, kind: str, timeout_s: float, allow_stale: bool = False
-    ) -> tuple[Revision, list[StoredObject]]:
-        """Return a revision to watch from and all objects of a kind.
+    ) -> tuple[Position, list[StoredObject]]:
+        """Return a position to watch from and all objects of a kind.
 
         allow_stale lets the store answer from a replica that may lag behind.
         Raise PlatformError if the store does not return the whole list.
         """
         objects: list[StoredObject] = []
-        as_of: int | None = None
+        first: Position | None = None
         after = ''
         seen_cursors: set[str] = set()
         for _ in range(MAX_LIST_PAGES):
@@ -85,12 +90,17 @@
                 query['stale_ok'] = 1
             reply = await self._call('GET', kind, query, timeout_s)
             page = self._decode(reply, _Listing)
+            position = _position(reply, page.as_of)
+            if first is None:
+                first = position
+            if position.epoch != first.epoch:
+                raise self._reject_reply(f'pages of {kind} of two epochs')
             # Pages may be of different revisions. A watch has to continue
             # from the lowest one, so that no change is missed.
-            as_of = page.as_of if as_of is None else min(as_of, page.as_of)
+            first = min(first, position, key=lambda one: one.revision)
             objects += [_to_stored_object(kind, item) for item in page.items]
             if not page.more or not page.items:
-                return Revision(as_of or 0), objects
+                return first, objects
             after = page.items[-1].meta.name
             if after in seen_cursors:
                 break
@@ -99,8 +109,8 @@
 
     async def watch(
         self, kind: str, since: Revision, wait_s: float, timeout_s: float
-    ) -> tuple[Revision, list[StoredObject]]:
-        """Return the newest revision and the objects changed after since.
+    ) -> tuple[Position, list[StoredObject]]:
+        """Return the newest position and the objects changed after since.
 
         since is a revision. If nothing changes, the store replies after at
         most wait_s. Raise CompactedError if the store no longer keeps the
@@ -114,7 +124,7 @@
                 f'revision {since}; list the objects again'
             )
         changes = self._decode(reply, _Events)
-        return Revision(changes.as_of), [
+        return _position(reply, changes.as_of), [
             _to_stored_object(kind, event.object, event.deleted)
             for event in changes.events
         ]
@@ -226,6 +236,15 @@
     )
 
 
+def _position(reply: Reply, as_of: int) -> Position:
+    for name, value in reply.headers:
+        if name.lower() == EPOCH_HEADER:
+            if value.isdigit() and len(value) <= MAX_EPOCH_DIGITS:
+                return Position(Revision(as_of), StoreEpoch(int(value)))
+            return Position(Revision(as_of), is_epoch_valid=False)
+    return Position(Revision(as_of))
+
+
 def _retry_after_s(reply: Reply) -> float:
     """Return the seconds in Retry-After, or 0.2 if there is no valid value."""
     for name, value in reply.headers:
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -69,7 +69,14 @@
         if route is None:
             is_fresh = self._configuration.age_s(now) <= MAX_ROUTES_AGE_S
             status = 404 if is_fresh else 503
-            self._refuse(req, responder, status, 'no_route', asked)
+            self._refuse(
+                req,
+                responder,
+                status,
+                'no_route',
+                asked,
+                version=route_table.version,
+            )
             return
         if deps.tools.links.is_lost and not deps.delegation.has_helper(now):
             self._refuse(
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -36,6 +36,8 @@
 from ..types import Clock
 from ..types import NodeId
 from ..types import Revision
+from ..types import StoreEpoch
+from .epochs import Position
 from .node_order import NodeOrder
 from .takeover import next_version
 from .takeover import Takeover
@@ -78,21 +80,21 @@
 
     async def list(
         self, kind: str, timeout_s: float, allow_stale: bool = False
-    ) -> tuple[Revision, list[StoredObject]]:
-        """Return all objects, and the revision of the store that they reflect.
+    ) -> tuple[Position, list[StoredObject]]:
+        """Return all objects, and the position of the store that they reflect.
 
         If allow_stale is True, the store may return an older state, which
-        costs it less; a watch from the returned revision then returns later
+        costs it less; a watch from the returned position then returns later
         changes. Raises PlatformError if the store can't be read.
         """
 
     async def watch(
         self, kind: str, since: Revision, wait_s: float, timeout_s: float
-    ) -> tuple[Revision, list[StoredObject]]:
-        """Wait for changes; return the new revision and the changed objects.
+    ) -> tuple[Position, list[StoredObject]]:
+        """Wait for changes; return the new position and the changed objects.
 
         The changes are those after the revision given by the parameter since,
-        up to the returned revision. The store holds the call for up to wait_s
+        up to the returned position. The store holds the call for up to wait_s
         until something changes. Raises CompactedError if the store no longer
         has all these changes, and PlatformError if it can't be read.
         """
@@ -165,6 +167,8 @@
         # because no other node published in time that it had read the store.
         self._took_over = False
         self._is_store_lost = False
+        self._logged_epoch: StoreEpoch | None = None
+        self._is_epoch_readable = True
         self._task: asyncio.Task | None = None
         self._read_task: asyncio.Task | None = None
         self._catch_up_task: asyncio.Task | None = None
@@ -316,7 +320,7 @@
             await self._list(allow_stale=True)
         wait_s = self._takeover.wait_s
         try:
-            through, events = await self._store.watch(
+            position, events = await self._store.watch(
                 self.kind,
                 self._complete_through,
                 wait_s if self.was_read else 0.0,
@@ -330,17 +334,26 @@
             )
             await self._list()
             return
-        self._complete_through = max(self._complete_through, through)
+        self._log_epoch(position)
+        self._complete_through = max(self._complete_through, position.revision)
         if events:
             newest = max(event.revision for event in events)
             self._report_changes(self.replica.apply(events, newest))
         self._schedule_publish()
 
     async def _list(self, allow_stale: bool = False) -> None:
-        revision, objects = await self._store.list(
+        position, objects = await self._store.list(
             self.kind, LIST_TIMEOUT_S, allow_stale
         )
+        self._log_epoch(position)
+        revision = position.revision
         if revision < self.replica.revision:
+            logs.log_event(
+                'list_refused',
+                kind=self.kind,
+                revision=revision,
+                own_revision=self.replica.revision,
+            )
             raise PlatformThrottledError(
                 f'the store listed {self.kind} as of revision {revision}, '
                 f'older than revision {self.replica.revision} of this node',
@@ -351,6 +364,28 @@
         if not allow_stale:
             self._schedule_publish()
 
+    def _log_epoch(self, position: Position) -> None:
+        if position.is_epoch_valid != self._is_epoch_readable:
+            self._is_epoch_readable = position.is_epoch_valid
+            logs.log_event(
+                'store_epoch_readable'
+                if position.is_epoch_valid
+                else 'store_epoch_unreadable',
+                kind=self.kind,
+            )
+        if not position.is_epoch_valid:
+            self._metrics.count('store_epochs_unreadable')
+        if position.epoch != self._logged_epoch:
+            logs.log_event(
+                'store_epoch',
+                kind=self.kind,
+                before=self._logged_epoch,
+                epoch=position.epoch,
+                revision=position.revision,
+                own_revision=self.replica.revision,
+            )
+            self._logged_epoch = position.epoch
+
     def _report_changes(self, changed: list[StoredObject]) -> None:
         if changed:
             logs.log_event(
--- a/sesameward/standin/object_store.py
+++ b/sesameward/standin/object_store.py
@@ -59,7 +59,7 @@
 
     def __init__(self):
         self.faults = StoreFaults()
-        self.era: int | None = 1
+        self.era: int | bytes | None = 1
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
         self.calls: collections.Counter[str] = collections.Counter()
@@ -183,7 +183,8 @@
 
     def _send(self, responder: Responder, answer: Answer) -> None:
         if self.era is not None:
-            answer.headers.append((ERA_HEADER, b'%d' % self.era))
+            era = self.era if isinstance(self.era, bytes) else b'%d' % self.era
+            answer.headers.append((ERA_HEADER, era))
         responder.send(answer)
 
     async def _answer(self, req: Request, query: dict[str, str]) -> Answer:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -12,6 +12,7 @@
 from sesameward.messages import Member
 from sesameward.messages import StoredObject
 from sesameward.metrics import Metrics
+from sesameward.serving.epochs import Position
 from sesameward.serving.mirror import Mirror
 from sesameward.serving.mirror import PUBLISH_INTERVAL_S
 from sesameward.serving.node_order import NodeOrder
@@ -82,7 +83,7 @@
             raise PlatformUnavailableError('the store does not answer')
         if allow_stale and self.store.old_list is not None:
             return self.store.old_list
-        return self.store.revision, list(self.store.objects.values())
+        return Position(self.store.revision), list(self.store.objects.values())
 
     async def watch(self, kind, since, wait_s, timeout_s):
         self._count_call('watch')
@@ -98,7 +99,7 @@
             if since < self.store.compacted_to:
                 raise CompactedError('the history was compacted')
             found = [e for e in self.store.events if e.revision > since]
-        return self.store.revision, found
+        return Position(self.store.revision), found
 
 
 class Fleet:
@@ -345,7 +346,10 @@
 
 def test_old_list_at_the_start_never_hides_the_newest(run):
     async def scenario(fleet):
-        old = fleet.store.revision, list(fleet.store.objects.values())
+        old = (
+            Position(fleet.store.revision),
+            list(fleet.store.objects.values()),
+        )
         fleet.store.old_list = old
         fleet.store.put('y', b'2')
         restarted = fleet._make('a')
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,6 +24,7 @@
 from sesameward.platform.wire import PlatformEndpointAdapter
 from sesameward.platform.wire import PlatformWire
 from sesameward.serving.directory import Addresses
+from sesameward.serving.epochs import Position
 from sesameward.serving.http_server import Answer
 from sesameward.serving.http_server import HttpServer
 from sesameward.serving.http_server import Request
@@ -235,8 +236,8 @@
     async def scenario(store, calls, cfg):
         for n in range(120):
             store.put('servers', f'i-{n:03}', {'n': n})
-        revision, objects = await calls.list('servers', 1.0)
-        assert revision == store.revision
+        position, objects = await calls.list('servers', 1.0)
+        assert position == Position(store.revision, store.era)
         assert len(objects) == 120
         assert json.loads(objects[7].value) == {'n': 7}
 
@@ -246,13 +247,15 @@
 def test_watch_tells_changes_and_removals(run_with_store):
     async def scenario(store, calls, cfg):
         since, _ = await calls.list('servers', 1.0)
-        watch = asyncio.create_task(calls.watch('servers', since, 1.0, 2.0))
+        watch = asyncio.create_task(
+            calls.watch('servers', since.revision, 1.0, 2.0)
+        )
         await asyncio.sleep(0.05)
         store.put('servers', 'i-1', {'n': 1})
         through, (event,) = await watch
         assert (event.name, event.deleted) == ('i-1', False)
         store.delete('servers', 'i-1')
-        _, (event,) = await calls.watch('servers', through, 1.0, 2.0)
+        _, (event,) = await calls.watch('servers', through.revision, 1.0, 2.0)
         assert (event.name, event.deleted) == ('i-1', True)
 
     run_with_store(scenario)
@@ -264,7 +267,7 @@
         store.put('servers', 'i-1', {})
         store.forget_history()
         with pytest.raises(CompactedError):
-            await calls.watch('servers', since, 0.1, 1.0)
+            await calls.watch('servers', since.revision, 0.1, 1.0)
 
     run_with_store(scenario)
 
@@ -290,6 +293,51 @@
     run_with_store(scenario)
 
 
+@pytest.mark.parametrize(
+    ('era', 'position'),
+    [
+        (None, Position(1)),
+        (0, Position(1, 0)),
+        (12, Position(1, 12)),
+        (b'-1', Position(1, is_epoch_valid=False)),
+        (b'', Position(1, is_epoch_valid=False)),
+        (b'2.5', Position(1, is_epoch_valid=False)),
+        (b'9' * 5_000, Position(1, is_epoch_valid=False)),
+    ],
+)
+def test_epoch_of_the_store_is_read(run_with_store, era, position):
+    async def scenario(store, calls, cfg):
+        store.era = era
+        assert await calls.list('servers', 1.0) == (position, [])
+        assert await calls.watch('servers', 1, 0.0, 1.0) == (position, [])
+
+    run_with_store(scenario)
+
+
+def test_pages_of_two_epochs_are_no_list():
+    async def main():
+        eras = [b'1', b'2']
+
+        def handle(req, responder):
+            item = b'{"meta": {"name": "i-%s", "revision": 1}}' % eras[0]
+            body = b'{"items": [%s], "more": %s, "as_of": 7}' % (
+                item,
+                b'true' if len(eras) > 1 else b'false',
+            )
+            headers = [(b'Store-Era', eras.pop(0))]
+            responder.send(Answer(200, headers, body))
+
+        server = HttpServer(
+            handle, Metrics('t'), asyncio.get_running_loop().time
+        )
+        await server.start('127.0.0.1', 0)
+        with pytest.raises(PlatformUnavailableError):
+            await StoreCalls(settings_for(server.port)).list('servers', 1.0)
+        server.stop()
+
+    asyncio.run(main())
+
+
 def test_rates_are_told_with_when_to_come_back():
     async def main():
         def handle(req, responder):
@@ -325,7 +373,7 @@
         calls = StoreCalls(settings_for(server.port))
         with pytest.raises(PlatformUnavailableError):
             await calls.list('servers', 1.0)
-        assert await calls.list('servers', 1.0) == (7, [])
+        assert await calls.list('servers', 1.0) == (Position(7), [])
         assert connections[0] is not connections[1]
         server.stop()
 
