Order what nodes know of the store by its epoch, then by its revision

Cause: revisions ordered all knowledge, and a restored store takes them back and gives them out again. Nodes refused each list as older than their own and watched from a revision that the store did not have; where it had given out that revision again, a watch would have gone on over the gap without notice.

A later epoch replaces the whole copy, from the store or from another node, and nothing of an earlier one is taken, read or believed any more (StoreCopy, pure). What is in force is ordered by what a restore can't take back: versions of the operator and start times of targets. Routes stay in force until a newer version comes, and nodes that lack it pull it (KeptRoutes); unknown paths are answered 503 meanwhile. Targets that the copy lacks are used until they could have registered again; those that were leaving or gone stay out (RestoredTargets). Messages gain fields with defaults; nodes of the earlier release are believed until this node has seen a restore.

--- a/sesameward/configuration/config_peers.py
+++ b/sesameward/configuration/config_peers.py
@@ -60,22 +60,27 @@
         """Pull all pages from a member and return them as one delta.
 
         Raise PeerUnavailableError if a page can't be fetched, if there are
-        too many pages, or if one page is part of a list of changes and another
-        of a list of all objects. The member switches to the latter when it
-        drops records of deletions that the list of changes needs.
+        too many pages, if the pages are of different epochs, or if one page
+        is part of a list of changes and another of a list of all objects. The
+        member switches to the latter when it drops records of deletions that
+        the list of changes needs.
         """
         page = await self._pull_page(member, request)
         objects = list(page.objects)
         for _ in range(MAX_PAGES):
             if page.cursor is None:
                 return msgspec.structs.replace(page, objects=tuple(objects))
-            full = page.full
+            full, epoch = page.full, page.epoch
             request = Pull(
-                request.digest, after=page.cursor, kind=request.kind
+                request.digest,
+                after=page.cursor,
+                kind=request.kind,
+                epoch=request.epoch,
+                wants_kept=request.wants_kept,
             )
             page = await self._pull_page(member, request)
             objects += page.objects
-            if page.full != full:
+            if page.full != full or page.epoch != epoch:
                 break
         raise PeerUnavailableError(
             f'the objects of agent {member.node} changed too much while they '
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -22,6 +22,7 @@
 from .types import ServiceName
 from .types import ShardId
 from .types import Snapshot
+from .types import StoreEpoch
 from .types import TargetId
 from .types import ZoneName
 
@@ -335,7 +336,9 @@
 
     The agent delays its answer until it has the wanted revision, but by no
     more than wait_s. after is the cursor of the page before, None for the
-    first page. An empty kind asks for all declared objects.
+    first page. An empty kind asks for all declared objects. epoch is that in
+    which the store gave out the revision of the digest, None if unknown.
+    wants_kept asks for the objects that are in force against the store too.
     """
 
     digest: Digest
@@ -343,13 +346,17 @@
     wait_s: float = 0.0
     after: Revision | None = None
     kind: str = ''
+    epoch: StoreEpoch | None = None
+    wants_kept: bool = False
 
 
 class Delta(msgspec.Struct, frozen=True):
     """Carry a page of the objects changed after since, through revision.
 
     full means that the pages hold all objects, so that absent ones are
-    deleted. cursor asks for the next page; the last page has None.
+    deleted. cursor asks for the next page; the last page has None. epoch is
+    that of the revisions, None if unknown. kept holds objects that are in
+    force at the sender though the store shows older ones.
     """
 
     since: Revision
@@ -358,6 +365,8 @@
     full: bool = False
     cursor: Revision | None = None
     checksum: int = 0
+    epoch: StoreEpoch | None = None
+    kept: tuple[StoredObject, ...] = ()
 
 
 # Messages between agents and operators.
--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -19,6 +19,10 @@
 SETTINGS_PATH_VARIABLE = 'SESAMEWARD_NODE_FILE'
 DEFAULT_SETTINGS_PATH = '/etc/sesameward/boot.json'
 
+# The platform removes the registration of a target after this many intervals
+# without a sign of life.
+HEARTBEATS_UNTIL_REMOVAL = 3
+
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0.0)]
 
@@ -54,6 +58,7 @@
     internal_ports are the first and the last port of the range reserved for
     traffic between nodes. seeds are addresses of other nodes; only their hosts
     are used, because all nodes gossip on the first internal port.
+    heartbeat_ms is the interval at which targets renew their registrations.
     """
 
     node: str
@@ -66,6 +71,7 @@
     bounds: _Bounds
     seeds: tuple[str, ...] = ()
     limits: _MemoryLimits = _MemoryLimits()
+    heartbeat_ms: PositiveFloat = 1_200.0
 
 
 def settings_path() -> str:
@@ -141,6 +147,9 @@
             in_force_s=min(bounds.config_ms, bounds.drain_ms) / 1_000,
             grace_s=bounds.grace_s,
             address_ttl_s=bounds.ttl_max_s,
+            registration_ttl_s=HEARTBEATS_UNTIL_REMOVAL
+            * boot.heartbeat_ms
+            / 1_000,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
     )
--- a/sesameward/serving/epochs.py
+++ b/sesameward/serving/epochs.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from ..types import Revision
@@ -23,3 +25,44 @@
     revision: Revision
     epoch: StoreEpoch | None = None
     is_epoch_valid: bool = True
+
+
+class Order(enum.Enum):
+    """Order of an epoch relative to the one that this node goes by."""
+
+    EARLIER = 'earlier'
+    SAME = 'same'
+    LATER = 'later'
+
+
+class EpochOrder:
+    """Compare epochs with the latest one that this node has objects of.
+
+    The store, or a node of an earlier release, may name no epoch. That counts
+    as the same one, but no longer for nodes once this node has seen the store
+    restored: the objects of such a node may be from before.
+    """
+
+    def __init__(self):
+        self.latest: StoreEpoch | None = None
+        self.has_seen_restore = False
+
+    def of_store(self, epoch: StoreEpoch | None) -> Order:
+        """Return the order of an epoch that the store named."""
+        if epoch == self.latest or epoch is None:
+            return Order.SAME
+        if self.latest is None or epoch > self.latest:
+            return Order.LATER
+        return Order.EARLIER
+
+    def of_node(self, epoch: StoreEpoch | None) -> Order:
+        """Return the order of an epoch that another node named."""
+        if epoch is None and self.has_seen_restore:
+            return Order.EARLIER
+        return self.of_store(epoch)
+
+    def advance(self, epoch: StoreEpoch) -> None:
+        """Go by a later epoch from now on."""
+        if self.latest is not None:
+            self.has_seen_restore = True
+        self.latest = epoch
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -42,6 +42,9 @@
     def age_s(self, now: float) -> float:
         """Return the seconds since the routes were last known to be newest."""
 
+    def may_lack_routes(self, now: float) -> bool:
+        """Return True if the store is known to lack recent configurations."""
+
 
 class Front:
     """Check each caller's request, then refuse it or start its run.
@@ -67,7 +70,11 @@
             return
         route = route_table.find(req.host, req.path)
         if route is None:
-            is_fresh = self._configuration.age_s(now) <= MAX_ROUTES_AGE_S
+            is_fresh = self._configuration.age_s(
+                now
+            ) <= MAX_ROUTES_AGE_S and not self._configuration.may_lack_routes(
+                now
+            )
             status = 404 if is_fresh else 503
             self._refuse(
                 req,
--- a/sesameward/serving/leaving_targets.py
+++ b/sesameward/serving/leaving_targets.py
@@ -51,6 +51,12 @@
         """Record and publish that a target's reply said that it is leaving."""
         target = self._targets.get(target_id)
         started_ms = target.started_ms if target is not None else 0
+        self.announce(target_id, source, started_ms)
+
+    def announce(
+        self, target_id: TargetId, source: DepartureSource, started_ms: int
+    ) -> None:
+        """Record and publish that the process of a target is leaving."""
         if self._mark_leaving(target_id, source, started_ms):
             self._publish(to_rumor(target_id, started_ms))
 
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -37,8 +37,15 @@
 from ..types import NodeId
 from ..types import Revision
 from ..types import StoreEpoch
+from .epochs import Order
 from .epochs import Position
 from .node_order import NodeOrder
+from .store_copy import Changed
+from .store_copy import Reading
+from .store_copy import Refused
+from .store_copy import Restored
+from .store_copy import StoreCopy
+from .store_copy import Update
 from .takeover import next_version
 from .takeover import Takeover
 
@@ -100,31 +107,21 @@
         """
 
 
-class Reading(msgspec.Struct, frozen=True, array_like=True):
-    """Body of the rumor that a node has just read the store.
-
-    The node has all objects of one kind as of the revision in the field
-    revision. Up to the later revision in the field through, the store had no
-    further change of this kind.
-    """
-
-    node: NodeId
-    revision: Revision
-    through: Revision
-
-
 PullFrom = collections.abc.Callable[
     [Member, Pull], collections.abc.Awaitable[Delta]
 ]
-OnChange = collections.abc.Callable[[list[StoredObject]], None]
+OnUpdate = collections.abc.Callable[[Update], None]
+Objects = collections.abc.Sequence[StoredObject]
 
 
 class Mirror:
     """Hold a copy of all store objects of one kind.
 
-    The copy is filled from the store or from other nodes, and its revision
-    never decreases. on_change is called with the objects that were added,
-    changed or deleted.
+    The copy is filled from the store or from other nodes, and its position
+    never goes back. on_update is called with the objects that were added,
+    changed or deleted, or with all objects of a restored store. kept returns
+    the objects that are in force though the store shows older ones, and
+    on_kept is called with those of another node.
     """
 
     def __init__(
@@ -137,21 +134,25 @@
             [], collections.abc.Sequence[Member]
         ],
         publish: collections.abc.Callable[[Rumor], None],
-        on_change: OnChange,
+        on_update: OnUpdate,
         takeover: Takeover,
         metrics: Metrics,
         rng: random.Random,
         clock: Clock,
     ):
         self.kind = kind
-        self.replica = ObjectReplica(metrics, (kind,), lambda stored: None)
+        self.copy = StoreCopy(kind, metrics)
+        self.kept: collections.abc.Callable[[], Objects] = tuple
+        self.on_kept: collections.abc.Callable[[Objects], None] = lambda _: (
+            None
+        )
         self._node = node
         self._store = store
         self._pull = pull
         self._members = members
         self._order = NodeOrder(kind, node)
         self._publish = publish
-        self._on_change = on_change
+        self._on_update = on_update
         self._takeover = takeover
         self._metrics = metrics
         self._rng = rng
@@ -161,7 +162,6 @@
         self._rumor_version = 0
         self._published_at = -1e9
         self._publish_timer: asyncio.TimerHandle | None = None
-        self._complete_through: Revision | None = None
         self._watching = False
         # Whether this node watches the store, because it is first in rank or
         # because no other node published in time that it had read the store.
@@ -173,6 +173,13 @@
         self._read_task: asyncio.Task | None = None
         self._catch_up_task: asyncio.Task | None = None
         self._pending_reading: Reading | None = None
+        self._kept_task: asyncio.Task | None = None
+        self._kept_source: NodeId | None = None
+
+    @property
+    def replica(self) -> ObjectReplica:
+        """Return the objects that the store had when it was last read."""
+        return self.copy.replica
 
     @property
     def was_read(self) -> bool:
@@ -203,7 +210,8 @@
         """Cancel all tasks and wait until they have ended."""
         if self._publish_timer is not None:
             self._publish_timer.cancel()
-        tasks = [t for t in (self._task, self._catch_up_task) if t is not None]
+        started = (self._task, self._catch_up_task, self._kept_task)
+        tasks = [task for task in started if task is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -232,16 +240,47 @@
         reading = msgspec.msgpack.decode(rumor.body, type=Reading)
         if reading.node == self._node:
             return
+        if self.copy.order(reading) is Order.EARLIER:
+            self._ignore(reading)
+            return
         if self._order.ranks_before(reading.node, self._members()):
             self._took_over = False
-        if reading.revision <= self.replica.revision:
-            self._mark_caught_up(reading)
-        else:
+        if not self._has_reached(reading):
             self._start_catch_up(reading)
 
+    def _ignore(self, reading: Reading) -> None:
+        self._metrics.count('readings_ignored', 'earlier_epoch')
+        logs.log_event(
+            'reading_ignored',
+            kind=self.kind,
+            by=reading.node,
+            epoch=reading.epoch,
+            revision=reading.revision,
+            own_epoch=self.copy.epoch,
+            own_revision=self.replica.revision,
+        )
+
     def answer(self, request: Pull) -> Delta:
         """Answer another node's pull with the objects that it lacks."""
-        return self.replica.delta(request.digest, request.after)
+        delta = self.copy.answer(request)
+        if not request.wants_kept or delta.cursor is not None:
+            return delta
+        return msgspec.structs.replace(delta, kept=tuple(self.kept()))
+
+    def start_pull_kept(self, node: NodeId) -> None:
+        """Pull the objects that a node has in force against the store."""
+        self._kept_source = node
+        if self._kept_task is None or self._kept_task.done():
+            self._kept_task = asyncio.ensure_future(self._pull_kept())
+            logs.log_failure(self._kept_task)
+
+    async def _pull_kept(self) -> None:
+        while self._kept_source is not None:
+            node, self._kept_source = self._kept_source, None
+            member = self._order.member(node, self._members())
+            for _ in range(READER_TRIES):
+                if member is None or await self._pull_from(member, True):
+                    break
 
     # Reading the store.
 
@@ -314,15 +353,16 @@
         )
 
     async def _read_once(self) -> None:
-        if self._complete_through is None:
+        if self.copy.complete_through is None:
             # A list with allow_stale costs the store less. It may lack recent
             # changes, but the watch below returns those.
             await self._list(allow_stale=True)
+        since = self.copy.watch_position()
         wait_s = self._takeover.wait_s
         try:
             position, events = await self._store.watch(
                 self.kind,
-                self._complete_through,
+                since.revision,
                 wait_s if self.was_read else 0.0,
                 wait_s + WATCH_TIMEOUT_MARGIN_S,
             )
@@ -330,40 +370,59 @@
             logs.log_event(
                 'store_history_gone',
                 kind=self.kind,
-                since=self._complete_through,
+                since=since.revision,
             )
             await self._list()
             return
         self._log_epoch(position)
-        self._complete_through = max(self._complete_through, position.revision)
-        if events:
-            newest = max(event.revision for event in events)
-            self._report_changes(self.replica.apply(events, newest))
-        self._schedule_publish()
+        match self.copy.apply_watch(since, position, events):
+            case Refused(reason):
+                self._metrics.count('watches_refused', reason)
+                logs.log_event(
+                    'watch_refused',
+                    kind=self.kind,
+                    reason=reason,
+                    since=since.revision,
+                    epoch=position.epoch,
+                    own_epoch=self.copy.epoch,
+                )
+                await self._list()
+            case update:
+                self._report(update)
+                self._schedule_publish()
 
     async def _list(self, allow_stale: bool = False) -> None:
         position, objects = await self._store.list(
             self.kind, LIST_TIMEOUT_S, allow_stale
         )
         self._log_epoch(position)
-        revision = position.revision
-        if revision < self.replica.revision:
-            logs.log_event(
-                'list_refused',
-                kind=self.kind,
-                revision=revision,
-                own_revision=self.replica.revision,
-            )
-            raise PlatformThrottledError(
-                f'the store listed {self.kind} as of revision {revision}, '
-                f'older than revision {self.replica.revision} of this node',
-                0.0,
-            )
-        self._report_changes(self.replica.replace(objects, revision))
-        self._complete_through = max(self._complete_through or 0, revision)
+        match self.copy.apply_list(position, objects):
+            case Refused(reason):
+                self._refuse_list(position, reason)
+            case update:
+                self._report(update)
         if not allow_stale:
             self._schedule_publish()
 
+    def _refuse_list(self, position: Position, reason: str) -> None:
+        self._metrics.count('lists_refused', reason)
+        own_revision = self.replica.revision
+        logs.log_event(
+            'list_refused',
+            kind=self.kind,
+            reason=reason,
+            revision=position.revision,
+            own_revision=own_revision,
+            epoch=position.epoch,
+            own_epoch=self.copy.epoch,
+        )
+        raise PlatformThrottledError(
+            f'the store listed {self.kind} as of revision '
+            f'{position.revision}, older than revision {own_revision} of '
+            'this node',
+            0.0,
+        )
+
     def _log_epoch(self, position: Position) -> None:
         if position.is_epoch_valid != self._is_epoch_readable:
             self._is_epoch_readable = position.is_epoch_valid
@@ -386,15 +445,27 @@
             )
             self._logged_epoch = position.epoch
 
-    def _report_changes(self, changed: list[StoredObject]) -> None:
-        if changed:
-            logs.log_event(
-                'objects_changed',
-                kind=self.kind,
-                revision=self.replica.revision,
-                count=len(changed),
-            )
-            self._on_change(changed)
+    def _report(self, update: Changed | Restored) -> None:
+        match update:
+            case Changed([]):
+                return
+            case Changed(objects):
+                logs.log_event(
+                    'objects_changed',
+                    kind=self.kind,
+                    revision=self.replica.revision,
+                    count=len(objects),
+                )
+            case Restored(objects):
+                self._metrics.count('store_restores', self.kind)
+                logs.log_event(
+                    'store_restored',
+                    kind=self.kind,
+                    epoch=self.copy.epoch,
+                    revision=self.replica.revision,
+                    count=len(objects),
+                )
+        self._on_update(update)
 
     def _mark_fresh(self) -> None:
         if not self.was_read:
@@ -420,11 +491,7 @@
         self._published_at = self._clock()
         rank, _ = self._rank()
         self._rumor_version = next_version(self._rumor_version, rank)
-        reading = Reading(
-            self._node,
-            self.replica.revision,
-            self._complete_through or Revision(0),
-        )
+        reading = self.copy.reading(self._node)
         self._publish(
             Rumor(
                 TOPIC,
@@ -438,12 +505,6 @@
 
     # Pulling the objects that another node has read from the store.
 
-    def _mark_caught_up(self, reading: Reading) -> None:
-        self._complete_through = max(
-            self._complete_through or 0, reading.through
-        )
-        self._mark_fresh()
-
     def _start_catch_up(self, reading: Reading) -> None:
         self._pending_reading = reading
         if self._catch_up_task is None or self._catch_up_task.done():
@@ -470,10 +531,11 @@
         members = self._members()
         source = self._order.pull_source(reading.node, members)
         reader = self._order.member(reading.node, members)
+        is_restored = self.copy.order(reading) is Order.LATER
         for _ in range(SOURCE_TRIES):
             if source is None or source is reader:
                 break
-            if not await self._pull_from(source):
+            if not await self._pull_from(source, is_restored):
                 break
             if self._has_reached(reading):
                 return
@@ -483,13 +545,17 @@
         for _ in range(READER_TRIES):
             if reader is None:
                 return
-            if await self._pull_from(reader) and self._has_reached(reading):
+            if await self._pull_from(
+                reader, is_restored
+            ) and self._has_reached(reading):
                 return
 
     def _has_reached(self, reading: Reading) -> bool:
-        if self.replica.revision < reading.revision:
+        if not self.copy.has_reached(reading):
             return False
-        self._mark_caught_up(reading)
+        if self.copy.order(reading) is Order.SAME:
+            self.copy.mark_complete(reading)
+            self._mark_fresh()
         return True
 
     async def _list_at_start(self) -> None:
@@ -540,10 +606,12 @@
         for member in self._rng.sample(
             peers, min(MAX_START_PULLS, len(peers))
         ):
-            await self._pull_from(member)
+            await self._pull_from(member, True)
 
-    async def _pull_from(self, member: Member) -> bool:
-        request = Pull(self.replica.digest(), kind=self.kind)
+    async def _pull_from(
+        self, member: Member, wants_kept: bool = False
+    ) -> bool:
+        request = self.copy.pull_request(wants_kept)
         try:
             delta = await self._pull(member, request)
         except PeerUnavailableError as exc:
@@ -556,6 +624,20 @@
                 cause=repr(exc.__cause__),
             )
             return False
-        self._metrics.count('mirror_pulls', 'answered')
-        self._report_changes(self.replica.apply_delta(delta))
+        match self.copy.apply_delta(delta):
+            case Refused(reason):
+                self._metrics.count('mirror_pulls', reason)
+                logs.log_event(
+                    'pull_refused',
+                    kind=self.kind,
+                    peer=member.node,
+                    reason=reason,
+                    epoch=delta.epoch,
+                    own_epoch=self.copy.epoch,
+                )
+            case update:
+                self._metrics.count('mirror_pulls', 'answered')
+                self._report(update)
+        if delta.kept:
+            self.on_kept(delta.kept)
         return True
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -21,6 +21,7 @@
 from ..configuration.spread import Backoff
 from ..exceptions import PlatformError
 from ..exceptions import SettingsError
+from . import kept_routes
 from . import leaving_targets
 from . import limit_exchange
 from ..messages import Rumor
@@ -50,6 +51,7 @@
 from .http_server import HttpServer
 from .http_server import Request
 from .http_server import Responder
+from .kept_routes import KeptRoutes
 from .leaving_targets import Departures
 from .limit_exchange import LimitExchange
 from .limit_exchange import LimitHandler
@@ -62,6 +64,7 @@
 from .pools import Pools
 from .pools import WARM_PERIOD_S
 from .replica_choice import ReplicaSelector
+from .restored_targets import RestoredTargets
 from .routing_state import Decoder
 from .routing_state import RoutingState
 from .settings import NodeSettings
@@ -175,6 +178,7 @@
         self.links = TargetLinks(self._rng)
         self.pools.may_connect = lambda: not self.links.is_lost
         splits = Splits()
+        self.peers = Peers(cfg, self.metrics, self._rng, self._clock)
         self.routing_state = RoutingState(
             adapter.decoder,
             self.targets,
@@ -182,10 +186,11 @@
             self.pools,
             splits,
             self.budget,
+            KeptRoutes(adapter.routes_kind, cfg.node, self.peers.publish),
+            RestoredTargets(cfg.bounds.registration_ttl_s),
             self.metrics,
             self._clock,
         )
-        self.peers = Peers(cfg, self.metrics, self._rng, self._clock)
         self._link_watch = LinkWatch(
             self.links,
             self.pools,
@@ -212,15 +217,19 @@
         self._crashes.clock = self._clock
         self.routing_state.on_target_dropped = self._crashes.forget_target
         self.routes_mirror = self._make_mirror(
-            adapter.routes_kind, self.routing_state.apply_routes
+            adapter.routes_kind, self.routing_state.update_routes
         )
+        self.routes_mirror.kept = self.routing_state.kept_routes.objects
+        self.routes_mirror.on_kept = self.routing_state.apply_kept_routes
         self.targets_mirror = self._make_mirror(
-            adapter.targets_kind, self.routing_state.apply_targets
+            adapter.targets_kind, self.routing_state.update_targets
         )
         self.routing_state.routes_mirror = self.routes_mirror
+        self.routing_state.targets_mirror = self.targets_mirror
         self._departures = Departures(
             self.targets, self.routing_state.mark_leaving, self.peers.publish
         )
+        self.routing_state.on_target_left = self._on_target_left
         self.selector.on_backoff = self._on_target_rest
         self.limits = TargetLimits(cfg.node, origin, now)
         self.limits.on_change = self._on_limit_change
@@ -290,7 +299,7 @@
         self._tasks: list[asyncio.Task] = []
         self._leave_finished = asyncio.Event()
 
-    def _make_mirror(self, kind: str, on_change: mirror.OnChange) -> Mirror:
+    def _make_mirror(self, kind: str, on_update: mirror.OnUpdate) -> Mirror:
         store_mirror = Mirror(
             kind,
             self._cfg.node,
@@ -298,7 +307,7 @@
             self.peers.pull,
             self.peers.members,
             self.peers.publish,
-            on_change,
+            on_update,
             Takeover(self._cfg.bounds.in_force_s, self._start_delay_s()),
             self.metrics,
             self._rng,
@@ -340,6 +349,7 @@
         loop.add_signal_handler(signal.SIGINT, self._start_leaving)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.peers.gossip.subscribe(mirror.TOPIC, self._on_reading)
+        self.peers.gossip.subscribe(kept_routes.TOPIC, self._on_kept_routes)
         self.peers.gossip.subscribe(silent_targets.TOPIC, self._on_silences)
         self.peers.gossip.subscribe(
             leaving_targets.TOPIC, self._departures.on_rumor
@@ -601,6 +611,16 @@
             if store_mirror.kind == rumor.key:
                 store_mirror.on_rumor(rumor)
 
+    def _on_kept_routes(self, rumor: Rumor) -> None:
+        source = self.routing_state.kept_routes.find_source(rumor)
+        if source is not None:
+            self.routes_mirror.start_pull_kept(source)
+
+    def _on_target_left(self, target_id: TargetId, started_ms: int) -> None:
+        self._departures.announce(
+            target_id, DepartureSource.REGISTRATION, started_ms
+        )
+
     def _on_silences(self, rumor: Rumor) -> None:
         if rumor.key in self._unheard_nodes():
             return
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -22,7 +22,8 @@
     in force on all nodes within in_force_s after the store accepted it.
     grace_s is the time between SIGTERM and SIGKILL when a node is stopped.
     address_ttl_s is the longest time for which callers may keep the addresses
-    of nodes.
+    of nodes. registration_ttl_s is the time after which the store removes the
+    registration of a target that does not renew it.
     """
 
     retry_ratio: float = 0.2
@@ -31,6 +32,7 @@
     in_force_s: Seconds = 3.0
     grace_s: Seconds = 6.0
     address_ttl_s: Seconds = 5.0
+    registration_ttl_s: Seconds = 4.0
 
 
 # A node's process takes some 40 MB even if it holds no received messages. With
--- a/sesameward/serving/targets.py
+++ b/sesameward/serving/targets.py
@@ -35,11 +35,14 @@
 
     ANSWER: a reply of the target. HELPER: a helper node, which sends this
     node's sub-requests to the target. PEER: a rumor from another node.
+    REGISTRATION: the target's registration before the store was restored from
+    an older copy.
     """
 
     ANSWER = 'answer'
     HELPER = 'helper'
     PEER = 'peer'
+    REGISTRATION = 'registration'
 
 
 class Target(msgspec.Struct, frozen=True):
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -35,6 +35,18 @@
         self.changed = asyncio.Event()
         self.old_list = None
         self.answers_nothing = False
+        self.epoch = 1
+
+    def restore(self, revision, objects):
+        self.revision = revision
+        self.objects = dict(objects)
+        self.events.clear()
+        self.epoch += 1
+        self._wake()
+
+    @property
+    def position(self):
+        return Position(self.revision, self.epoch)
 
     def put(self, name, value):
         self.revision += 1
@@ -83,11 +95,11 @@
             raise PlatformUnavailableError('the store does not answer')
         if allow_stale and self.store.old_list is not None:
             return self.store.old_list
-        return Position(self.store.revision), list(self.store.objects.values())
+        return self.store.position, list(self.store.objects.values())
 
     async def watch(self, kind, since, wait_s, timeout_s):
         self._count_call('watch')
-        if since < self.store.compacted_to:
+        if not self.store.compacted_to <= since <= self.store.revision:
             raise CompactedError('the history was compacted')
         found = [e for e in self.store.events if e.revision > since]
         if not found and wait_s:
@@ -96,10 +108,10 @@
                     await self.store.changed.wait()
             except TimeoutError:
                 pass
-            if since < self.store.compacted_to:
+            if not self.store.compacted_to <= since <= self.store.revision:
                 raise CompactedError('the history was compacted')
             found = [e for e in self.store.events if e.revision > since]
-        return Position(self.store.revision), found
+        return self.store.position, found
 
 
 class Fleet:
@@ -139,7 +151,7 @@
             pull,
             lambda: self.members,
             publish,
-            self.changes_seen[name].extend,
+            lambda update: self.changes_seen[name].extend(update.objects),
             Takeover(IN_FORCE_S, 0.0),
             Metrics('t'),
             random.Random(name),
@@ -397,3 +409,42 @@
     few = count(('a', 'b', 'c'))
     many = count(tuple('abcdefghijkl'))
     assert many <= few + 4
+
+
+# Guards against nodes that refuse what a restored store has, until its
+# revision has passed their own. The store may have given out that revision
+# again before the first node reads it.
+@pytest.mark.parametrize('further', [0, 40], ids=['behind', 'beyond'])
+def test_change_after_a_restore_reaches_all_nodes(run, further):
+    async def scenario(fleet):
+        copy = fleet.store.revision, dict(fleet.store.objects)
+        for n in range(20):
+            fleet.store.put('x', b'%d' % n)
+        assert await all_reach(fleet, {'x': b'19'})
+        for _ in range(2):
+            fleet.store.restore(*copy)
+            for n in range(further):
+                fleet.store.put('y', b'%d' % n)
+            fleet.store.put('y', b'new')
+            assert await all_reach(fleet, {'x': b'1', 'y': b'new'})
+
+    run(scenario)
+
+
+# Guards against a storm of calls: each node may list the objects once, but
+# must not go on to call since its copy is beyond the restored store.
+def test_calls_after_a_restore_stay_few(run):
+    async def scenario(fleet):
+        for n in range(20):
+            fleet.store.put('x', b'%d' % n)
+        assert await all_reach(fleet, {'x': b'19'})
+        fleet.store.calls.clear()
+        fleet.store.restore(2, {})
+        assert await all_reach(fleet, {})
+        assert fleet.store.calls[next(iter(fleet.watchers())), 'list'] == 1
+        listed = sum(
+            n for (_, v), n in fleet.store.calls.items() if v == 'list'
+        )
+        assert listed <= 2
+
+    run(scenario, [f'n{index}' for index in range(24)])
