Register a node again where the store has lost its registration

What it does to callers: a node that starts after a restore, while its seeds are down, finds no other node in the store, so it knows nothing that they know.

Cause: a node wrote its registration once and took it to last; a store that is restored from a copy from before that has it no longer.

Each node reads the list of nodes every 15 s already.

--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -18,8 +18,6 @@
 import uvloop
 
 from .. import logs
-from ..configuration.spread import Backoff
-from ..exceptions import PlatformError
 from ..exceptions import SettingsError
 from . import kept_routes
 from . import leaving_targets
@@ -63,6 +61,8 @@
 from .pools import ConnectCheck
 from .pools import Pools
 from .pools import WARM_PERIOD_S
+from .registration import Registration
+from .registration import Registry
 from .replica_choice import ReplicaSelector
 from .restored_targets import RestoredTargets
 from .routing_state import Decoder
@@ -100,24 +100,6 @@
 # In the latter case it refuses requests until it has read routes and targets.
 FIRST_READING_TIMEOUT_S = 0.25
 FIRST_READING_POLL_S = 0.005
-REGISTER_BACKOFF_BASE_S = 0.5
-REGISTER_BACKOFF_CAP_S = 5.0
-# Interval at which the list of nodes is read from the store again, so that
-# gossip finds nodes again after it has lost contact with them.
-NODE_LIST_INTERVAL_S = 15.0
-
-
-class Registry(typing.Protocol):
-    """Interface to register this node in the store and to find all nodes."""
-
-    async def register(self, cfg: NodeSettings) -> None:
-        """Write this node's addresses; raise PlatformError on failure."""
-
-    async def nodes(self) -> list[Endpoint]:
-        """Return the gossip addresses of all nodes.
-
-        Raises PlatformError if they can't be read.
-        """
 
 
 class Adapter(typing.NamedTuple):
@@ -366,9 +348,16 @@
         await self._wait_first_reading()
         await self.callers.accept(callers)
         self._upkeep(self._clock())
+        registration = Registration(
+            self._cfg,
+            self._adapter.registry,
+            self.peers.set_join_addresses,
+            self.metrics,
+            self._rng,
+        )
         for work in (
             self._run_upkeep(),
-            self._keep_registered(),
+            registration.run(),
             self._limit_exchange.run(),
         ):
             self._spawn(work)
@@ -509,26 +498,6 @@
             logs.log_event('ready' if is_ready else 'not_ready')
             self.peers.offer_entry(is_ready)
 
-    async def _keep_registered(self) -> None:
-        backoff = Backoff(
-            self._rng, REGISTER_BACKOFF_BASE_S, REGISTER_BACKOFF_CAP_S
-        )
-        registered = False
-        while True:
-            try:
-                if not registered:
-                    await self._adapter.registry.register(self._cfg)
-                    registered = True
-                self.peers.set_join_addresses(
-                    await self._adapter.registry.nodes()
-                )
-                backoff.reset()
-                pause_s = NODE_LIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
-            except PlatformError as exc:
-                self.metrics.count('store_retries', type(exc).__name__)
-                pause_s = 0.1 + backoff.next_s()
-            await asyncio.sleep(pause_s)
-
     def _on_target_unreachable(self, target_id: TargetId) -> None:
         self._link_watch.when_settled(
             lambda: self._record_unreachable(target_id)
