Let a starting node take what the others know before it serves

Cause: the list of the store, which comes first, was enough to serve callers. Ruled out: the order of versions; the pull corrects the node as soon as it comes.

Where no other node is found there is nothing to wait for beyond that.

--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -121,7 +121,8 @@
     never goes back. on_update is called with the objects that were added,
     changed or deleted, or with all objects of a restored store. kept returns
     the objects that are in force though the store shows older ones, and
-    on_kept is called with those of another node.
+    on_kept is called with those of another node. has_pulled is True once this
+    node has pulled what other nodes know at its start, or has found none.
     """
 
     def __init__(
@@ -173,6 +174,7 @@
         self._read_task: asyncio.Task | None = None
         self._catch_up_task: asyncio.Task | None = None
         self._pending_reading: Reading | None = None
+        self.has_pulled = False
         self._kept_task: asyncio.Task | None = None
         self._kept_source: NodeId | None = None
 
@@ -607,6 +609,7 @@
             peers, min(MAX_START_PULLS, len(peers))
         ):
             await self._pull_from(member, True)
+        self.has_pulled = True
 
     async def _pull_from(
         self, member: Member, wants_kept: bool = False
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -365,9 +365,15 @@
         await self._stop()
 
     async def _wait_first_reading(self) -> None:
-        """Wait for routes and targets, at most FIRST_READING_TIMEOUT_S."""
+        """Wait for routes and targets, at most FIRST_READING_TIMEOUT_S.
+
+        The store may just have been restored from an older copy, so the node
+        also waits for what other nodes know.
+        """
         until = self._clock() + FIRST_READING_TIMEOUT_S
-        while not self.ready() and self._clock() < until:
+        while self._clock() < until and not (
+            self.ready() and self.routes_mirror.has_pulled
+        ):
             await asyncio.sleep(FIRST_READING_POLL_S)
 
     def _on_loop_exception(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -8,13 +8,16 @@
 import asyncio
 import collections
 import itertools
+import signal
 import time
 
 import msgspec
 import pytest
 
+from sesameward.exceptions import PlatformUnavailableError
 from sesameward.standin.fleet import Fleet
 from tests.scenarios import SHARDS
+from tests.scenarios import with_fleet
 
 NODES = 5
 DRILLS = 3
@@ -67,8 +70,8 @@
         await fleet.add_target('shard-0', ZONE)
         for _ in range(LOST_VERSIONS):
             fleet.put_config()
-        path = await self._add_route()
-        assert await self._in_force_delay_s(path) is not None
+        path = await self.add_route()
+        assert await self.in_force_delay_s(path) is not None
         names = {node.name for node in fleet.nodes}
         fleet.store.faults.silent_for |= names
         await asyncio.sleep(AWAY_S)
@@ -78,20 +81,20 @@
         fleet.repeat_writes(lost, 'servers')
         fleet.repeat_writes(lost, 'config')
         result.drained_before_delay = await self._count_late(drained)
-        path = await self._add_route()
-        result.route_delay_s = await self._in_force_delay_s(path)
+        path = await self.add_route()
+        result.route_delay_s = await self.in_force_delay_s(path)
         added, drained = await self._add_and_drain()
         before = len(drained.runs), len(added.runs)
         await self._send(REQUESTS)
         result.to_drained = len(drained.runs) - before[0]
         result.to_added = len(added.runs) - before[1]
 
-    async def _add_route(self):
+    async def add_route(self):
         path = f'/extra-{next(self.numbers)}/'
         self.fleet.put_config(extra_routes=(path,))
         return path
 
-    async def _in_force_delay_s(self, path):
+    async def in_force_delay_s(self, path):
         started_at = time.monotonic()
         while time.monotonic() < started_at + IN_FORCE_S:
             replies = await asyncio.gather(
@@ -194,3 +197,39 @@
 def test_no_node_goes_back_to_an_older_configuration(result):
     for statuses in result.statuses_of_old_copy.values():
         assert set(statuses) == {200}
+
+
+# Guards against a node that starts while the store shows an older copy, and
+# serves or refuses by it although the other nodes know a newer configuration.
+@with_fleet(nodes=3)
+async def test_node_that_starts_during_a_restore_goes_by_the_others(fleet):
+    copy = fleet.store.copy()
+    drills = Drills(fleet)
+    for _ in range(LOST_VERSIONS):
+        fleet.put_config()
+    path = await drills.add_route()
+    assert await drills.in_force_delay_s(path) is not None
+    fleet.restore_store(copy)
+    await asyncio.sleep(OLD_COPY_S)
+    statuses = collections.Counter()
+    for _ in range(4):
+        for node in fleet.nodes:
+            node.send(signal.SIGKILL)
+            node.process.wait()
+            node.start()
+            statuses += await first_statuses(fleet, node, path)
+    assert set(statuses) == {200}
+
+
+async def first_statuses(fleet, node, path):
+    """Return the statuses of a node's first answers after its start."""
+    statuses = collections.Counter()
+    while sum(statuses.values()) < 10:
+        try:
+            reply = await fleet.ask(node, f'{path}1')
+        except PlatformUnavailableError:
+            # The node does not listen yet.
+            await asyncio.sleep(0.005)
+            continue
+        statuses[reply.status] += 1
+    return statuses
