Restore the store from an older copy in the soak

The copy lacks up to ten versions and whatever else was written meanwhile; targets and operator repeat their last writes up to a second apart. The store keeps which writes are theirs, so that restores can overlap with each other and with everything else.

--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -20,7 +20,6 @@
 from ..serving.target_connection import Reply
 from .linked_node import LINK_HOST_VARIABLE
 from .links import NodeLinks
-from .object_store import Copy
 from .object_store import ObjectStore
 from .shard_target import CrashHow
 from .shard_target import ShardTarget
@@ -48,23 +47,6 @@
 _fleet_numbers = itertools.count(os.getpid() % 200)
 
 
-class LostWrites(msgspec.Struct, frozen=True):
-    """Hold the store's objects as of an older copy, and as they were later."""
-
-    before: Copy
-    after: Copy
-
-    def names(self, kind: str) -> list[str]:
-        """Return the objects of a kind that were written after the copy."""
-        before, after = self.before.objects, self.after.objects
-        return sorted(
-            name
-            for other_kind, name in {**before, **after}
-            if other_kind == kind
-            and before.get((kind, name)) != after.get((kind, name))
-        )
-
-
 class FleetNode:
     """Run one node as a child process with its own settings and log."""
 
@@ -295,25 +277,6 @@
             'servers', target_id, target.registration(spec['zone'], 'draining')
         )
 
-    def restore_store(self, copy: Copy) -> LostWrites:
-        """Restore the store from an older copy; return what that undoes."""
-        lost = LostWrites(copy, self.store.copy())
-        self.store.restore(copy)
-        return lost
-
-    def repeat_writes(self, lost: LostWrites, kind: str) -> None:
-        """Write the objects of a kind that a restored store has lost again.
-
-        A running target writes its registration as it was; one that has gone
-        removes it. What the nodes themselves wrote is not repeated.
-        """
-        for name in self.rng.sample(names := lost.names(kind), len(names)):
-            stored = lost.after.objects.get((kind, name))
-            if stored is None:
-                self.store.delete(kind, name)
-            else:
-                self.store.put(kind, name, stored['spec'])
-
     def crash_on(self, paths: set[str], how: CrashHow) -> None:
         """Crash each target that runs a request for one of these paths."""
         self.crashing_paths = frozenset(paths)
--- a/sesameward/standin/object_store.py
+++ b/sesameward/standin/object_store.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import functools
+import random
 import time
 import typing
 import urllib.parse
@@ -62,6 +63,9 @@
         self.era: int | bytes | None = 1
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
+        # The last writes of the operator and the targets, which they repeat
+        # when the store has lost them. Those of nodes are not among them.
+        self._last_writes: dict[tuple[str, str], object] = {}
         self.calls: collections.Counter[str] = collections.Counter()
         self._events: list[tuple[int, str, dict, bool]] = []
         self._compacted_revision = 0
@@ -92,6 +96,10 @@
         If the object already has this spec, write nothing and return its
         current revision.
         """
+        self._last_writes[kind, name] = spec
+        return self._put(kind, name, spec)
+
+    def _put(self, kind: str, name: str, spec: object) -> int:
         key = kind, name
         old = self.objects.get(key)
         if old is not None and old['spec'] == spec:
@@ -115,6 +123,10 @@
 
     def delete(self, kind: str, name: str) -> None:
         """Remove an object, if it exists."""
+        self._last_writes.pop((kind, name), None)
+        self._delete(kind, name)
+
+    def _delete(self, kind: str, name: str) -> None:
         stored = self.objects.pop((kind, name), None)
         if stored is not None:
             self.revision += 1
@@ -147,6 +159,22 @@
             self.era += 1
         self._wake_watches()
 
+    def repeat_writes(self, kind: str, rng: random.Random) -> None:
+        """Repeat what the operator and the targets wrote last, in any order.
+
+        An object whose last write was its removal is removed again.
+        """
+        names = {
+            name
+            for other_kind, name in {**self.objects, **self._last_writes}
+            if other_kind == kind
+        }
+        for name in rng.sample(sorted(names), len(names)):
+            if (kind, name) in self._last_writes:
+                self._put(kind, name, self._last_writes[kind, name])
+            else:
+                self._delete(kind, name)
+
     def _record_event(self, kind: str, stored: dict, deleted: bool) -> None:
         self._events.append((self.revision, kind, stored, deleted))
         self._wake_watches()
@@ -203,7 +231,7 @@
             case b'PUT', True:
                 return self._replace(kind, name, req.body)
             case b'DELETE', True:
-                self.delete(kind, name)
+                self._delete(kind, name)
                 return _json(200, None)
         return Answer(405)
 
@@ -251,7 +279,7 @@
         name = message['meta']['name']
         if (kind, name) in self.objects:
             return _json(409, self.objects[kind, name])
-        self.put(kind, name, message.get('spec'))
+        self._put(kind, name, message.get('spec'))
         return _json(201, self.objects[kind, name])
 
     def _replace(self, kind: str, name: str, body: bytes) -> Answer:
@@ -262,7 +290,7 @@
         expected = message.get('meta', {}).get('revision')
         if expected is not None and expected != stored['meta']['revision']:
             return _json(409, stored)
-        self.put(kind, name, message.get('spec'))
+        self._put(kind, name, message.get('spec'))
         return _json(200, self.objects[kind, name])
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,6 +46,7 @@
     'target_limits',
     'service_limits',
     'nodes_stranded',
+    'store_restored',
 )
 
 # Time within which a signal that ends a process takes effect.
@@ -56,6 +57,10 @@
 # checked in the second half of this time only.
 TARGET_LIMIT_PER_S = 4.0
 TARGET_LIMIT_S = 8.0
+# Versions of the configuration that a restored store has lost, and the longest
+# time after which the operator writes the last one again.
+LOST_VERSIONS = 10
+REPEATED_AFTER_S = 2.0
 # Time for which nodes are cut off from all targets. From SETTLED_S of the
 # promises on, their callers must be served.
 STRANDED_S = 7.0
@@ -236,6 +241,29 @@
     async def _store_forgets(self, fault: Fault) -> None:
         self._world.fleet.store.forget_history()
 
+    async def _store_restored(self, fault: Fault) -> None:
+        """Take the store away and restore it from a copy that lacks writes.
+
+        Targets and operator repeat their last writes some time later.
+        """
+        world = self._world
+        store = world.fleet.store
+        copy = store.copy()
+        for _ in range(1 + int(fault.fraction * LOST_VERSIONS)):
+            world.change_config()
+        await asyncio.sleep(fault.duration_s)
+        names = {node.name for node in world.fleet.nodes}
+        world.record_store_disturbance()
+        store.faults.silent_for |= names
+        await asyncio.sleep(fault.fraction)
+        store.restore(copy)
+        store.faults.silent_for -= names
+        world.record_store_disturbance()
+        for kind in ('servers', 'config'):
+            await asyncio.sleep(fault.fraction * REPEATED_AFTER_S / 2)
+            store.repeat_writes(kind, world.fleet.rng)
+        world.record_store_disturbance()
+
     async def _store_cut(self, fault: Fault) -> None:
         self._world.record_store_disturbance()
         proxies = self._world.store_proxies
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -75,11 +75,11 @@
         names = {node.name for node in fleet.nodes}
         fleet.store.faults.silent_for |= names
         await asyncio.sleep(AWAY_S)
-        lost = fleet.restore_store(copy)
+        fleet.store.restore(copy)
         fleet.store.faults.silent_for -= names
         result.statuses_of_old_copy = await self._statuses(path, OLD_COPY_S)
-        fleet.repeat_writes(lost, 'servers')
-        fleet.repeat_writes(lost, 'config')
+        fleet.store.repeat_writes('servers', fleet.rng)
+        fleet.store.repeat_writes('config', fleet.rng)
         result.drained_before_delay = await self._count_late(drained)
         path = await self.add_route()
         result.route_delay_s = await self.in_force_delay_s(path)
@@ -209,7 +209,7 @@
         fleet.put_config()
     path = await drills.add_route()
     assert await drills.in_force_delay_s(path) is not None
-    fleet.restore_store(copy)
+    fleet.store.restore(copy)
     await asyncio.sleep(OLD_COPY_S)
     statuses = collections.Counter()
     for _ in range(4):
