Pace reports of silent targets by the steady clock

Only the first version still comes from the wall clock, so that a restarted node overrides its former process.

--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -187,7 +187,10 @@
         # Rumor versions come from the wall clock (time.time), so that the
         # rumors of a restarted node override those of its former process.
         self._silences = silent_targets.Silences(
-            cfg.node, self.peers.publish, time.time
+            cfg.node,
+            self.peers.publish,
+            self._clock,
+            int(time.time() * 1_000),
         )
         self.selector.on_silent = self._silences.report
         origin = f'{cfg.node}:{time.time_ns()}'
--- a/sesameward/serving/silent_targets.py
+++ b/sesameward/serving/silent_targets.py
@@ -22,20 +22,25 @@
 
 
 class Silences:
-    """Collect the targets that don't answer this node, and publish them."""
+    """Collect the targets that don't answer this node, and publish them.
+
+    The rumors have versions beyond version, which must be higher than those of
+    a former process of this node.
+    """
 
     def __init__(
         self,
         node: NodeId,
         publish: typing.Callable[[Rumor], None],
         clock: Clock,
+        version: int,
     ):
         self._key = node
         self._publish = publish
         self._clock = clock
-        self._version = int(clock() * 1_000)
+        self._version = version
         self._reported: list[TargetId] = []
-        self._last_published_at = 0.0
+        self._last_published_at = -PUBLISH_INTERVAL_S
 
     def report(self, target_id: TargetId) -> None:
         """Add a silent target to the next rumor, unless the rumor is full."""
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -334,3 +334,25 @@
     assert candidates(routing_state) == ('i-1', 'i-2')
     pass_time(routing_state, REGISTER_AGAIN_S)
     assert candidates(routing_state) == ('i-2',)
+
+
+# Start times of targets come from their wall clocks, which may go back.
+def test_target_whose_clock_went_back_is_used_once_its_former_process_is_gone(
+    routing_state,
+):
+    routing_state.update_targets(registration(b'9 ready'))
+    routing_state.update_targets(registration(b'5 ready', revision=2))
+    assert routing_state._targets.get('i-1').started_ms == 9
+    routing_state.update_targets(registration(b'', deleted=True))
+    pass_time(routing_state, 3.0)
+    routing_state.update_targets(registration(b'5 ready', revision=4))
+    assert candidates(routing_state) == ('i-1',)
+    assert routing_state._targets.get('i-1').started_ms == 5
+
+
+# The operator may write a version again, and a restored store shows it with
+# another revision.
+def test_version_that_is_given_out_again_replaces_itself(routing_state):
+    routing_state.update_routes(config(b'7', 9))
+    routing_state.update_routes(config(b'7', 2))
+    assert routing_state.route_table.version == 7
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -6,7 +6,9 @@
 def test_reported_targets_share_a_rumor_and_versions_rise():
     published = []
     now = [100.0]
-    reporter = silent_targets.Silences('n1', published.append, lambda: now[0])
+    reporter = silent_targets.Silences(
+        'n1', published.append, lambda: now[0], 1
+    )
     reporter.report('a')
     reporter.report('b')
     reporter.publish_reported()
@@ -23,7 +25,9 @@
 
 def test_rumor_stays_small_whatever_falls_silent():
     published = []
-    reporter = silent_targets.Silences('n1', published.append, lambda: 100.0)
+    reporter = silent_targets.Silences(
+        'n1', published.append, lambda: 100.0, 1
+    )
     for n in range(1_000):
         reporter.report(f'i-{n:010}')
     reporter.publish_reported()
@@ -32,9 +36,9 @@
 
 def test_restarted_node_overrides_its_predecessor():
     published = []
-    for start in (100.0, 101.0):
+    for started_ms in (100_000, 101_000):
         reporter = silent_targets.Silences(
-            'n1', published.append, lambda: start
+            'n1', published.append, lambda: 5.0, started_ms
         )
         reporter.report('a')
         reporter.publish_reported()
@@ -44,7 +48,9 @@
 # Cut-off nodes reported all targets as silent, so the others avoided them.
 def test_dropped_reports_are_not_published():
     published = []
-    reporter = silent_targets.Silences('n1', published.append, lambda: 100.0)
+    reporter = silent_targets.Silences(
+        'n1', published.append, lambda: 100.0, 1
+    )
     reporter.report('a')
     reporter.drop_reported()
     reporter.publish_reported()
