--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -10,6 +10,7 @@
 from ..types import NodeId
 from ..types import Revision
 from ..types import ServiceName
+from ..types import StoreEpoch
 from ..types import TargetId
 from ..types import ZoneName
 from .mirror import Mirror
@@ -31,13 +32,15 @@
 
     age_s is the time since the copy was last known to be current, or None if
     it never was. watching is True if this node itself watches the store for
-    changes of these objects.
+    changes of these objects. epoch rises each time that the store is restored
+    from an older copy; it is None if the store names none.
     """
 
     kind: str
     revision: Revision
     age_s: float | None
     watching: bool
+    epoch: StoreEpoch | None = None
 
 
 class MemberStatus(msgspec.Struct, frozen=True):
@@ -98,6 +101,7 @@
     version is the version of the routes in force, or None if there are none.
     beliefs holds the status of the node's copies of objects in the store.
     links is "up", "suspected" or "lost": the node's connections to targets.
+    store_is_behind is True if the routes in force are newer than the store's.
     """
 
     node: NodeId
@@ -109,6 +113,7 @@
     targets: tuple[TargetStatus, ...]
     routes: tuple[RouteStatus, ...]
     links: str = LinkState.UP.value
+    store_is_behind: bool = False
 
 
 def collect_status(
@@ -160,13 +165,18 @@
         if table
         else (),
         links=links.state.value,
+        store_is_behind=routing_state.kept_routes.is_store_behind,
     )
 
 
 def _mirror_status(mirror: Mirror, now: float) -> MirrorStatus:
     age_s = round(mirror.age_s(now), 3) if mirror.was_read else None
     return MirrorStatus(
-        mirror.kind, mirror.replica.revision, age_s, mirror.watching
+        mirror.kind,
+        mirror.replica.revision,
+        age_s,
+        mirror.watching,
+        mirror.copy.epoch,
     )
 
 
