Handle the newest of several waiting items by one piece of code

Behaviour unchanged: the pulls after a reading and those of kept routes had the same loop; routes that the store shows and kept ones were decoded twice over.

--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -39,6 +39,7 @@
 from ..types import StoreEpoch
 from .epochs import Order
 from .epochs import Position
+from .latest_task import LatestTask
 from .node_order import NodeOrder
 from .store_copy import Changed
 from .store_copy import Reading
@@ -172,11 +173,10 @@
         self._is_epoch_readable = True
         self._task: asyncio.Task | None = None
         self._read_task: asyncio.Task | None = None
-        self._catch_up_task: asyncio.Task | None = None
-        self._pending_reading: Reading | None = None
+        # Only the newest reading that arrives during a pull is handled after.
+        self._catch_up = LatestTask(self._catch_up_with)
         self.has_pulled = False
-        self._kept_task: asyncio.Task | None = None
-        self._kept_source: NodeId | None = None
+        self._kept_pulls = LatestTask(self._pull_kept)
 
     @property
     def replica(self) -> ObjectReplica:
@@ -212,7 +212,7 @@
         """Cancel all tasks and wait until they have ended."""
         if self._publish_timer is not None:
             self._publish_timer.cancel()
-        started = (self._task, self._catch_up_task, self._kept_task)
+        started = (self._task, self._catch_up.task, self._kept_pulls.task)
         tasks = [task for task in started if task is not None]
         for task in tasks:
             task.cancel()
@@ -248,7 +248,7 @@
         if self._order.ranks_before(reading.node, self._members()):
             self._took_over = False
         if not self._has_reached(reading):
-            self._start_catch_up(reading)
+            self._catch_up.put(reading)
 
     def _ignore(self, reading: Reading) -> None:
         self._metrics.count('readings_ignored', 'earlier_epoch')
@@ -271,18 +271,13 @@
 
     def start_pull_kept(self, node: NodeId) -> None:
         """Pull the objects that a node has in force against the store."""
-        self._kept_source = node
-        if self._kept_task is None or self._kept_task.done():
-            self._kept_task = asyncio.ensure_future(self._pull_kept())
-            logs.log_failure(self._kept_task)
-
-    async def _pull_kept(self) -> None:
-        while self._kept_source is not None:
-            node, self._kept_source = self._kept_source, None
-            member = self._order.member(node, self._members())
-            for _ in range(READER_TRIES):
-                if member is None or await self._pull_from(member, True):
-                    break
+        self._kept_pulls.put(node)
+
+    async def _pull_kept(self, node: NodeId) -> None:
+        member = self._order.member(node, self._members())
+        for _ in range(READER_TRIES):
+            if member is None or await self._pull_from(member, True):
+                return
 
     # Reading the store.
 
@@ -507,22 +502,6 @@
 
     # Pulling the objects that another node has read from the store.
 
-    def _start_catch_up(self, reading: Reading) -> None:
-        self._pending_reading = reading
-        if self._catch_up_task is None or self._catch_up_task.done():
-            self._catch_up_task = asyncio.ensure_future(self._catch_up())
-            logs.log_failure(self._catch_up_task)
-
-    async def _catch_up(self) -> None:
-        """Pull the objects that other nodes have announced in rumors.
-
-        A node publishes such a rumor after it has read the store. Only the
-        newest rumor that arrives during a pull is handled after it.
-        """
-        while self._pending_reading is not None:
-            reading, self._pending_reading = self._pending_reading, None
-            await self._catch_up_with(reading)
-
     async def _catch_up_with(self, reading: Reading) -> None:
         """Pull the objects that another node has read from the store.
 
--- a/sesameward/serving/routing_state.py
+++ b/sesameward/serving/routing_state.py
@@ -129,34 +129,32 @@
     def _apply_shown_routes(
         self, objects: typing.Iterable[StoredObject]
     ) -> None:
-        for stored in objects:
-            table = self._decode_routes(stored)
-            if table is not None:
-                self.kept_routes.record_shown(table.version)
-                self._apply_route_table(table, stored)
+        for table, stored in self._decode_routes(objects):
+            self.kept_routes.record_shown(table.version)
+            self._apply_route_table(table, stored)
 
     def apply_kept_routes(
         self, objects: typing.Iterable[StoredObject]
     ) -> None:
         """Apply what another node has in force though the store lacks it."""
+        for table, stored in self._decode_routes(objects):
+            self._apply_route_table(table, stored)
+
+    def _decode_routes(
+        self, objects: typing.Iterable[StoredObject]
+    ) -> typing.Iterator[tuple[RouteTable, StoredObject]]:
         for stored in objects:
-            table = self._decode_routes(stored)
-            if table is not None:
-                self._apply_route_table(table, stored)
-
-    def _decode_routes(self, stored: StoredObject) -> RouteTable | None:
-        if stored.deleted:
-            return None
-        try:
-            return self._decoder.routes(stored)
-        except DeclarationError as exc:
-            self._metrics.count('routes_refused')
-            logs.log_event(
-                'routes_refused',
-                revision=stored.revision,
-                error=str(exc),
-            )
-            return None
+            if stored.deleted:
+                continue
+            try:
+                yield self._decoder.routes(stored), stored
+            except DeclarationError as exc:
+                self._metrics.count('routes_refused')
+                logs.log_event(
+                    'routes_refused',
+                    revision=stored.revision,
+                    error=str(exc),
+                )
 
     def _apply_route_table(
         self, table: RouteTable, stored: StoredObject
