--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,19 @@
     360: (10.0, KINDS[:29]),
 }
 
+# Restores of the store beside whatever else changes what the nodes know of it.
+RESTORE_SEEDS = (904, 905)
+RESTORE_KINDS = (
+    *3 * ('store_restored',),
+    'config',
+    'node_kill',
+    'node_term',
+    'target_drain',
+    'target_crash',
+    'store_busy',
+    'store_forgets',
+)
+
 
 @pytest.mark.parametrize('seed', [*CI_SEEDS, *REGRESSIONS])
 def test_no_promise_is_broken_under_faults(seed):
@@ -35,6 +48,14 @@
     assert sum(world.outcomes.values()) > 100
 
 
+@pytest.mark.parametrize('seed', RESTORE_SEEDS)
+def test_no_promise_is_broken_while_the_store_is_restored(seed):
+    world = World(seed, nodes=3)
+    assert asyncio.run(world.run(LENGTH_S, RESTORE_KINDS)) == []
+    kinds = [f.kind for f in schedule(seed, LENGTH_S, RESTORE_KINDS)]
+    assert kinds.count('store_restored') > 1
+
+
 def test_schedule_is_the_same_for_a_seed():
     assert schedule(7, 20.0) == schedule(7, 20.0)
     drawn_kinds = {
