Do not use a held target again once the store has removed its registration

Found by reading, before it landed: a target that was gone, and that a restored store shows, is held back for a time; where the store removed its registration meanwhile nothing ended the wait, and the target was used without one, for ever. tests/test_routing_state.py failed for a removed and for an unreadable registration. Every change of a registration now ends the wait.

--- a/sesameward/serving/restored_targets.py
+++ b/sesameward/serving/restored_targets.py
@@ -66,18 +66,18 @@
 
     def record_gone(self, target: Target) -> None:
         """Record that the store removed a target's registration."""
-        self._forget_restore(target.id)
         self._gone[target.id] = _Gone(target.started_ms, target.drain)
         self._gone.move_to_end(target.id)
         if len(self._gone) > MAX_DEPARTED_IDS:
             self._gone.popitem(last=False)
 
     def record_registered(self, target_id: TargetId) -> None:
-        """Record that a target's registration was written or removed."""
-        self._forget_restore(target_id)
+        """Record that a target has registered."""
+        self.settle(target_id)
         self._gone.pop(target_id, None)
 
-    def _forget_restore(self, target_id: TargetId) -> None:
+    def settle(self, target_id: TargetId) -> None:
+        """End the wait for a target, whose registration has changed."""
         self._missing_since.pop(target_id, None)
         self._held.pop(target_id, None)
 
--- a/sesameward/serving/routing_state.py
+++ b/sesameward/serving/routing_state.py
@@ -321,6 +321,7 @@
         return True
 
     def _lapse_target(self, target_id: TargetId, reason: str) -> None:
+        self._restored_targets.settle(target_id)
         target = self._targets.get(target_id)
         if target is not None:
             logs.log_event(
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -293,6 +293,25 @@
     assert candidates(routing_state) == ('i-1',)
 
 
+# Guards against a target that is used for ever without a registration: the
+# store removed that which it had shown while the target was held back.
+@pytest.mark.parametrize(
+    'change',
+    [registration(b'', 2, deleted=True), registration(b'bad', 2)],
+    ids=['removed', 'unreadable'],
+)
+def test_target_held_back_is_not_used_once_its_registration_is_gone(
+    routing_state, change
+):
+    routing_state.update_targets(registration(b'5 ready'))
+    routing_state.update_targets(registration(b'', deleted=True))
+    pass_time(routing_state, 10.0)
+    routing_state.update_targets(restored(('i-1', b'5 ready')))
+    routing_state.update_targets(change)
+    pass_time(routing_state, 60.0)
+    assert candidates(routing_state) == ()
+
+
 def test_missing_target_is_used_until_it_could_have_registered_again(
     routing_state,
 ):
