--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -157,16 +157,14 @@
 
         Raise PlatformError if the call fails or an address is not valid.
         """
-        reply = await self._call(
-            'GET', NODES_KIND, {'stale_ok': 1}, NODES_CALL_TIMEOUT_S
-        )
+        _, objects = await self.list(NODES_KIND, NODES_CALL_TIMEOUT_S, True)
         endpoints = []
-        for item in self._decode(reply, _Listing).items:
+        for stored in objects:
             try:
-                spec = msgspec.json.decode(item.spec, type=_NodeSpec)
+                spec = msgspec.json.decode(stored.value, type=_NodeSpec)
             except msgspec.DecodeError as exc:
                 raise PlatformError(
-                    f'the registration of node {item.meta.name} is not valid '
+                    f'the registration of node {stored.name} is not valid '
                     f'({exc}); remove it from the store'
                 ) from exc
             endpoints.append(Endpoint(spec.host, spec.port))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -281,6 +281,18 @@
     run_with_store(scenario)
 
 
+# Guards against a node that finds only the first page of the other nodes, and
+# takes its own registration for lost since it is on a later page.
+def test_nodes_are_read_page_by_page(run_with_store):
+    async def scenario(store, calls, cfg):
+        for n in range(120):
+            spec = {'host': f'10.0.1.{n}', 'port': 7000}
+            store.put('sesameward-nodes', f'node-{n:03}', spec)
+        assert len(await calls.nodes()) == 120
+
+    run_with_store(scenario)
+
+
 @pytest.mark.parametrize('fault', ['busy_for', 'silent_for'])
 def test_store_that_turns_away_is_unavailable(run_with_store, fault):
     async def scenario(store, calls, cfg):
