--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -70,12 +70,9 @@
             return
         route = route_table.find(req.host, req.path)
         if route is None:
-            is_fresh = self._configuration.age_s(
-                now
-            ) <= MAX_ROUTES_AGE_S and not self._configuration.may_lack_routes(
-                now
-            )
-            status = 404 if is_fresh else 503
+            is_old = self._configuration.age_s(now) > MAX_ROUTES_AGE_S
+            may_exist = is_old or self._configuration.may_lack_routes(now)
+            status = 503 if may_exist else 404
             self._refuse(
                 req,
                 responder,
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -42,6 +42,7 @@
 from .latest_task import LatestTask
 from .node_order import NodeOrder
 from .store_copy import Changed
+from .store_copy import Objects
 from .store_copy import Reading
 from .store_copy import Refused
 from .store_copy import Restored
@@ -112,7 +113,6 @@
     [Member, Pull], collections.abc.Awaitable[Delta]
 ]
 OnUpdate = collections.abc.Callable[[Update], None]
-Objects = collections.abc.Sequence[StoredObject]
 
 
 class Mirror:
