Read the epoch of the store under its prefixed name too

Found by reading; which name the platform uses is not known.

test_epoch_is_read_under_both_names failed for the prefixed name before.

--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -22,7 +22,7 @@
 
 NODES_KIND = 'sesameward-nodes'
 NODES_CALL_TIMEOUT_S = 1.0
-EPOCH_HEADER = b'store-era'
+EPOCH_HEADERS = (b'store-era', b'sesameward-store-era')
 # Longer numbers would not fit into the messages between nodes.
 MAX_EPOCH_DIGITS = 18
 # Limits the pages of one list, because a faulty store may never send the last
@@ -236,7 +236,7 @@
 
 def _position(reply: Reply, as_of: int) -> Position:
     for name, value in reply.headers:
-        if name.lower() == EPOCH_HEADER:
+        if name.lower() in EPOCH_HEADERS:
             if value.isdigit() and len(value) <= MAX_EPOCH_DIGITS:
                 return Position(Revision(as_of), StoreEpoch(int(value)))
             return Position(Revision(as_of), is_epoch_valid=False)
--- a/sesameward/standin/object_store.py
+++ b/sesameward/standin/object_store.py
@@ -60,6 +60,7 @@
 
     def __init__(self):
         self.faults = StoreFaults()
+        self.era_header = ERA_HEADER
         self.era: int | bytes | None = 1
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
@@ -212,7 +213,7 @@
     def _send(self, responder: Responder, answer: Answer) -> None:
         if self.era is not None:
             era = self.era if isinstance(self.era, bytes) else b'%d' % self.era
-            answer.headers.append((ERA_HEADER, era))
+            answer.headers.append((self.era_header, era))
         responder.send(answer)
 
     async def _answer(self, req: Request, query: dict[str, str]) -> Answer:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -326,6 +326,17 @@
     run_with_store(scenario)
 
 
+# Guards against an epoch that is not seen because the store names it under the
+# deployment's prefix, as it does most headers.
+@pytest.mark.parametrize('header', [b'Store-Era', b'Sesameward-Store-Era'])
+def test_epoch_is_read_under_both_names(run_with_store, header):
+    async def scenario(store, calls, cfg):
+        store.era, store.era_header = 12, header
+        assert await calls.list('servers', 1.0) == (Position(1, 12), [])
+
+    run_with_store(scenario)
+
+
 def test_pages_of_two_epochs_are_no_list():
     async def main():
         eras = [b'1', b'2']
