Check in the soak that configurations are in force in time and never go back

Why: the soak restored the store but judged the configuration only once, after the faults, by a route written before them. A node that went back for a moment, or followed late, passed.

Each node is asked for the newest route, and for older ones, all the time; a refusal counts by its reason in the node's log, whatever its status. A change is written at the start, so that the first copy has a route that later ones lack, and one after the faults.

--- a/tests/promises.py
+++ b/tests/promises.py
@@ -6,7 +6,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
 
 from sesameward.serving.target_connection import Reply
 from sesameward.standin.shard_target import RECORD_BYTES
@@ -45,6 +49,30 @@
 FAILED_SLACK = 10
 FAILED_RATIO = 1 / 50
 
+# Nodes must handle requests that are sent this long after a configuration was
+# written by it or a later one. A node that has once gone by a configuration
+# must do so for all requests that are sent this long after.
+IN_FORCE_S = 3.0
+ROLLBACK_SLACK_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Request that shows which configuration a node goes by.
+
+    Each configuration has one route that no other one has; route is the number
+    of the one that the request is for. process is the node's process id.
+    lacked_route is True if the node refused it because it knew no such route.
+    """
+
+    node: str
+    process: int
+    route: int
+    sent_at: float
+    ended_at: float
+    is_served: bool
+    lacked_route: bool
+
 
 def header(reply: Reply, name: str) -> str:
     """Return a header's value, or an empty string if it is missing."""
@@ -228,3 +256,58 @@
         assert len(in_rest) <= MAX_REQUESTS_IN_REST, (
             f'{len(in_rest)} requests during its rest after Retry-After'
         )
+
+
+def check_in_force(
+    probes: Collection[Probe],
+    written_at: Mapping[int, float],
+    is_disturbed: Callable[[Probe], bool],
+) -> None:
+    """Check that configurations are in force in time.
+
+    written_at has the time when the configuration with each route was written.
+    Probes for which is_disturbed returns True don't count.
+    """
+    for probe in probes:
+        newest = _newest_route(written_at, probe.ended_at)
+        if probe.lacked_route and probe.route == newest:
+            due_at = written_at[probe.route] + IN_FORCE_S
+        elif probe.is_served and probe.route < newest:
+            due_at = written_at[probe.route + 1] + IN_FORCE_S
+        else:
+            continue
+        assert probe.sent_at <= due_at or is_disturbed(probe), (
+            f'{probe.node} goes by an old configuration '
+            f'{probe.sent_at - due_at:.2f} s after the newer one was due: '
+            f'{probe}'
+        )
+
+
+def check_never_back(
+    probes: Sequence[Probe], written_at: Mapping[int, float]
+) -> None:
+    """Check that no process goes back to an older configuration."""
+    for probe in probes:
+        newest = _newest_route(written_at, probe.ended_at)
+        gone_by = max(
+            (
+                other.route
+                for other in probes
+                if other.is_served
+                and (other.node, other.process) == (probe.node, probe.process)
+                and other.ended_at + ROLLBACK_SLACK_S < probe.sent_at
+            ),
+            default=0,
+        )
+        is_back = (probe.is_served and probe.route < gone_by) or (
+            probe.lacked_route and probe.route == gone_by == newest
+        )
+        assert not is_back, (
+            f'{probe.node} went back from route {gone_by}: {probe}'
+        )
+
+
+def _newest_route(written_at: Mapping[int, float], now: float) -> int:
+    return max(
+        (route for route, at in written_at.items() if at <= now), default=0
+    )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 from sesameward.exceptions import PlatformUnavailableError
 from sesameward.serving.http_caller import HttpCaller
 from sesameward.standin.fleet import Fleet
+from sesameward.standin.fleet import FleetNode
 from sesameward.standin.fleet import PORTS
 from sesameward.standin.fleet import request
 from sesameward.standin.shard_target import CrashHow
@@ -22,6 +23,7 @@
 from tests import promises
 from tests.soak.faults import Injector
 from tests.soak.faults import KINDS
+from tests.soak.faults import LOST_VERSIONS
 from tests.soak.faults import RETRY_AFTER_S
 from tests.soak.faults import schedule
 from tests.soak.proxy import FaultProxy
@@ -29,6 +31,11 @@
 SHARD_COUNT = 4
 CALLER_COUNT = 6
 MEAN_THINK_TIME_S = 0.03
+# Pause between two requests to a node that show which configuration it goes
+# by. Some of them are for the route of an older one, as a restored store has.
+PROBE_INTERVAL_S = 0.05
+OLD_ROUTE_SHARE = 0.5
+OLD_ROUTES = LOST_VERSIONS + 1
 # The next three are bounds of the users' documentation, which hold while no
 # fault is active.
 # Time within which requests to a draining target must stop.
@@ -98,8 +105,10 @@
             collections.defaultdict(list)
         )
         self._terminated_at: dict[str, float] = {}
-        self._store_disturbed_at = 0.0
-        self._extra_route_number = 0
+        self._store_disturbance_times: list[float] = [0.0]
+        # When the configuration with each extra route was written.
+        self._routes_written_at: dict[int, float] = {}
+        self._probes: dict[str, promises.Probe] = {}
         self._sent_at: dict[str, float] = {}
         self._leaving_since: dict[str, float] = {}
         self._notice_passed_on_at: dict[str, float] = {}
@@ -141,7 +150,7 @@
 
     def record_store_disturbance(self) -> None:
         """Record that a fault of the store started or ended."""
-        self._store_disturbed_at = time.monotonic()
+        self._store_disturbance_times.append(time.monotonic())
 
     async def proxy_store(self, port: int) -> int:
         """Start a proxy for a port of the store; return the proxy's port."""
@@ -259,10 +268,9 @@
 
     def change_config(self) -> None:
         """Write a configuration version that has a different extra route."""
-        self._extra_route_number += 1
-        self.fleet.put_config(
-            extra_routes=(f'/extra-{self._extra_route_number}/',)
-        )
+        number = len(self._routes_written_at) + 1
+        self.fleet.put_config(extra_routes=(f'/extra-{number}/',))
+        self._routes_written_at[number] = time.monotonic()
 
     # The run and its callers.
 
@@ -271,10 +279,15 @@
     ) -> list[str]:
         """Run the seed's fault schedule under load; return the violations."""
         async with asyncio.timeout(length_s + OVERTIME_LIMIT_S), self.fleet:
+            self.change_config()
             callers = [
                 asyncio.create_task(self._run_caller(random.Random(number)))
                 for number in range(CALLER_COUNT)
             ]
+            callers += [
+                asyncio.create_task(self._probe_routes(node))
+                for node in self.fleet.nodes
+            ]
             await Injector(self).run_schedule(
                 schedule(self.seed, length_s, kinds)
             )
@@ -329,6 +342,34 @@
         if reply is not None and reply.status == 200:
             self._check_answer(kind, reply, path, request_id)
 
+    async def _probe_routes(self, node: FleetNode) -> None:
+        """Ask a node for recent routes until the run ends."""
+        rng = random.Random(node.name)
+        while not self.is_over:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            route = newest = len(self._routes_written_at)
+            if rng.random() < OLD_ROUTE_SHARE:
+                route = rng.randint(max(1, newest - OLD_ROUTES), newest)
+            request_id = self.fleet.request_id()
+            process, sent_at = node.process.pid, time.monotonic()
+            try:
+                reply = await self.fleet.ask(
+                    node, f'/extra-{route}/1', request_id
+                )
+            except PlatformUnavailableError:
+                continue
+            self._probes[request_id] = promises.Probe(
+                node.name,
+                process,
+                route,
+                sent_at,
+                time.monotonic(),
+                reply.status == 200,
+                # A node's log tells the other cases, which are refused with
+                # 503 because the node does not know whether the route exists.
+                reply.status == 404,
+            )
+
     # Checks.
 
     def _check_answer(
@@ -367,10 +408,12 @@
     async def _check_recovery(self) -> None:
         """Check that every node serves everything soon after the faults.
 
-        Crashing requests are still sent at this time, so each further crash
-        of a target restarts the time limit.
+        That includes a route that is added now. Crashing requests are still
+        sent at this time, so each further crash of a target restarts the time
+        limit.
         """
-        path = f'/extra-{self._extra_route_number}/1'
+        self.change_config()
+        path = f'/extra-{len(self._routes_written_at)}/1'
         self._recovery_since = time.monotonic()
         problems: list[str] = ['no node was checked']
         while (
@@ -398,12 +441,11 @@
                 problems.append(
                     f'{node.name} answers for {covered} shards only'
                 )
-            if self._extra_route_number:
-                reply = await self.fleet.ask(node, path)
-                if reply.status != 200:
-                    problems.append(
-                        f'{node.name}: {path} returns status {reply.status}'
-                    )
+            reply = await self.fleet.ask(node, path)
+            if reply.status != 200:
+                problems.append(
+                    f'{node.name}: {path} returns status {reply.status}'
+                )
         except (PlatformUnavailableError, AssertionError) as exc:
             problems.append(f'{node.name}: {exc!r}')
         return problems
@@ -421,6 +463,7 @@
         for node in self.fleet.nodes:
             self._check_quarantined(node)
         self._check_stranded()
+        self._check_configurations()
         for target in self.fleet.targets.values():
             self._check_leave_and_rest(target)
             self._check_limits(target)
@@ -448,6 +491,33 @@
         except AssertionError as exc:
             self._add_violation(f'{path}: {exc}')
 
+    def _check_configurations(self) -> None:
+        probes = self._probes
+        for node in self.fleet.nodes:
+            for line in node.lines('refused'):
+                if line['reason'] == 'no_route' and line['request'] in probes:
+                    probes[line['request']] = dataclasses.replace(
+                        probes[line['request']], lacked_route=True
+                    )
+        written_at = self._routes_written_at
+        try:
+            promises.check_never_back(tuple(probes.values()), written_at)
+            promises.check_in_force(
+                probes.values(), written_at, self._is_probe_disturbed
+            )
+        except AssertionError as exc:
+            self._add_violation(str(exc))
+
+    def _is_probe_disturbed(self, probe: promises.Probe) -> bool:
+        """Return True if the node or the store was disturbed before."""
+        since = probe.sent_at - EXCUSED_S
+        return self._any_disturbed(
+            (probe.node,), since, probe.ended_at
+        ) or any(
+            since <= at <= probe.ended_at
+            for at in self._store_disturbance_times
+        )
+
     def _check_stranded(self) -> None:
         """Check that callers of nodes cut off from all targets are served.
 
@@ -561,7 +631,10 @@
 
     def _check_drain(self, target_id: str, drained_at: float) -> None:
         last_disturbed_at = max(
-            [self._store_disturbed_at, *self._last_fault_at.values()]
+            [
+                self._store_disturbance_times[-1],
+                *self._last_fault_at.values(),
+            ]
         )
         late = [
             run
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -213,3 +213,54 @@
         return
     with pytest.raises(AssertionError):
         promises.check_stranded(*tries)
+
+
+def probe(node, route, sent_at, is_served, lacked_route=None, process=1):
+    return promises.Probe(
+        node,
+        process,
+        route,
+        sent_at,
+        sent_at + 0.1,
+        is_served,
+        not is_served if lacked_route is None else lacked_route,
+    )
+
+
+# The configuration with route 1 was written at 0 s, that with route 2 at 10 s.
+WRITTEN_AT = {1: 0.0, 2: 10.0}
+
+
+@pytest.mark.parametrize(
+    ('late', 'early'),
+    [
+        (probe('n', 2, 13.1, False), probe('n', 2, 12.9, False)),
+        (probe('n', 1, 13.1, True), probe('n', 1, 12.9, True)),
+        (probe('n', 1, 3.1, False), probe('n', 1, 13.1, False)),
+        (probe('n', 2, 13.1, False), probe('n', 2, 13.1, False, False)),
+    ],
+    ids=['new route', 'old route', 'only route', 'other refusal'],
+)
+def test_configurations_that_are_in_force_too_late_are_judged(late, early):
+    promises.check_in_force([early], WRITTEN_AT, lambda _: False)
+    promises.check_in_force([late], WRITTEN_AT, lambda _: True)
+    with pytest.raises(AssertionError):
+        promises.check_in_force([late], WRITTEN_AT, lambda _: False)
+
+
+@pytest.mark.parametrize(
+    ('back', 'allowed'),
+    [
+        (probe('n', 1, 11.4, True), probe('n', 1, 11.3, True)),
+        (probe('n', 2, 11.4, False), probe('n', 2, 11.4, False, False)),
+        (probe('n', 1, 11.4, True), probe('m', 1, 11.4, True)),
+        (probe('n', 2, 11.4, False), probe('n', 2, 11.4, False, process=2)),
+        (probe('n', 1, 11.4, True), probe('n', 1, 11.4, False)),
+    ],
+    ids=['in flight', 'other refusal', 'other node', 'restarted', 'dropped'],
+)
+def test_nodes_that_go_back_to_a_configuration_are_judged(back, allowed):
+    seen = probe('n', 2, 11.0, True)
+    promises.check_never_back([seen, allowed], WRITTEN_AT)
+    with pytest.raises(AssertionError):
+        promises.check_never_back([seen, back], WRITTEN_AT)
