--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -174,15 +174,23 @@
 
     The field open maps each unfinished batch of sub-requests to the time at
     which it was sent, awaited holds those that were not acknowledged. Until
-    the time in unusable_until, the helper node gets no new batch.
+    the time in unusable_until, the helper node gets no new batch; until the
+    time in no_links_until it gets one only if no other helper node is left.
     """
 
-    __slots__ = ('awaited', 'last_message_at', 'open', 'unusable_until')
+    __slots__ = (
+        'awaited',
+        'last_message_at',
+        'no_links_until',
+        'open',
+        'unusable_until',
+    )
 
     def __init__(self):
         self.open: dict[BatchNo, float] = {}
         self.awaited: dict[BatchNo, float] = {}
         self.last_message_at = 0.0
+        self.no_links_until = 0.0
         self.unusable_until = 0.0
 
 
@@ -243,8 +251,8 @@
         return self._by_zone.keys() - {self._zone}
 
     def has_helper(self, now: float) -> bool:
-        """Return True if any zone has a usable helper node."""
-        return any(self._least_busy((zone,), now) for zone in self._by_zone)
+        """Return True if any zone has a helper node, also as a last resort."""
+        return any(self._usable((zone,), now) for zone in self._by_zone)
 
     def choose_helper(
         self, zone: ZoneName, now: float, must_help: bool = False
@@ -254,11 +262,14 @@
         None means that this node must send to the targets of the zone itself,
         because the zone is its own or has no usable helper node. If must_help
         is True, this node can't do so: a helper node of its own zone is then
-        returned too, or one of another zone.
+        returned too, one of another zone, or, as a last resort, one that has
+        lately refused batches for want of connections.
         """
         if must_help:
-            return self._least_busy((zone,), now) or self._least_busy(
-                self._zones_in_own_order(), now
+            return (
+                self._least_busy((zone,), now)
+                or self._least_busy(self._zones_in_own_order(), now)
+                or self._last_resort(now)
             )
         return None if zone == self._zone else self._least_busy((zone,), now)
 
@@ -270,18 +281,32 @@
     def _least_busy(
         self, zones: typing.Iterable[ZoneName], now: float
     ) -> Member | None:
-        usable_members = [
+        return min(
+            (
+                member
+                for member in self._usable(zones, now)
+                if now >= self._helper_state(member.node).no_links_until
+            ),
+            key=lambda m: len(self._helper_state(m.node).open),
+            default=None,
+        )
+
+    def _last_resort(self, now: float) -> Member | None:
+        return min(
+            self._usable(self._by_zone, now),
+            key=lambda m: self._helper_state(m.node).no_links_until,
+            default=None,
+        )
+
+    def _usable(
+        self, zones: typing.Iterable[ZoneName], now: float
+    ) -> list[Member]:
+        return [
             member
             for zone in zones
             for member in self._by_zone.get(zone, ())
             if self._is_usable(member.node, now)
         ]
-        if not usable_members:
-            return None
-        return min(
-            usable_members,
-            key=lambda m: len(self._helper_state(m.node).open),
-        )
 
     def batch_sent(self, node: NodeId, batch_no: BatchNo, now: float) -> None:
         """Record that a batch of sub-requests was sent to a helper node."""
@@ -310,12 +335,14 @@
         helper.unusable_until = now + HELPER_RETRY_S
 
     def record_no_links(self, node: NodeId, now: float) -> None:
-        """Avoid a helper node for HELPER_RETRY_S: it can't reach targets.
+        """Prefer others to a helper node that can't send, for HELPER_RETRY_S.
 
         Without this it would be preferred, because it refuses its batches at
-        once and so has fewer unfinished ones than all others.
+        once and so has fewer unfinished ones than all others. It is perhaps
+        only in doubt about its connections; if it has lost them, it says so in
+        its member record soon.
         """
-        self._helper_state(node).unusable_until = now + HELPER_RETRY_S
+        self._helper_state(node).no_links_until = now + HELPER_RETRY_S
 
     def _helper_state(self, node: NodeId) -> _Helper:
         helper = self._helpers.get(node)
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -90,6 +90,25 @@
     assert delegation.choose_helper('b', HELPER_RETRY_S).node == 'b1'
 
 
+# A node that was cut off refused all requests for HELPER_RETRY_S: its only
+# helpers had said once that they could not send. A target had crashed, and
+# they were not yet sure of their own connections.
+def test_helpers_that_may_have_connections_are_the_last_resort(delegation):
+    helpers = ('near', 'b1', 'b2', 'c1')
+    for n, node in enumerate(helpers):
+        delegation.record_no_links(node, n / 1_000)
+    for n, node in enumerate((*helpers, *helpers)):
+        now = 0.1 + n / 1_000
+        assert delegation.has_helper(now)
+        assert delegation.choose_helper('z', now, must_help=True).node == node
+        delegation.record_no_links(node, now)
+    # A node with connections sends to the targets itself.
+    assert delegation.choose_helper('b', 0.1) is None
+    for node in helpers:
+        delegation.connection_lost(node, 0.1)
+    assert not delegation.has_helper(0.1)
+
+
 def test_node_without_connections_is_helped_in_its_own_zone(delegation):
     assert delegation.choose_helper('z', 0.0, must_help=True).node == 'near'
 
