Judge a reading by one method; log the store's state in a module of its own

No change of behaviour. In test_store_copy.py a copy that is not confirmed no longer passes as one of a later epoch.

--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -36,7 +36,6 @@
 from ..types import Clock
 from ..types import NodeId
 from ..types import Revision
-from ..types import StoreEpoch
 from .epochs import Order
 from .epochs import Position
 from .latest_task import LatestTask
@@ -48,6 +47,7 @@
 from .store_copy import Restored
 from .store_copy import StoreCopy
 from .store_copy import Update
+from .store_log import StoreLog
 from .takeover import next_version
 from .takeover import Takeover
 
@@ -168,9 +168,7 @@
         # Whether this node watches the store, because it is first in rank or
         # because no other node published in time that it had read the store.
         self._took_over = False
-        self._is_store_lost = False
-        self._logged_epoch: StoreEpoch | None = None
-        self._is_epoch_readable = True
+        self._store_log = StoreLog(kind, metrics)
         self._task: asyncio.Task | None = None
         self._read_task: asyncio.Task | None = None
         # Only the newest reading that arrives during a pull is handled after.
@@ -291,29 +289,18 @@
                 continue
             try:
                 await self._read()
-                self._log_store_state(None)
+                self._store_log.record_call(None, self._logged_age_s())
                 backoff.reset()
                 await asyncio.sleep(self._takeover.read_gap_s)
             except PlatformError as exc:
                 self._took_over = False
                 self._metrics.count('store_retries', type(exc).__name__)
-                self._log_store_state(exc)
+                self._store_log.record_call(exc, self._logged_age_s())
                 pause_s = backoff.next_s()
                 if isinstance(exc, PlatformThrottledError):
                     pause_s += exc.retry_after_s
                 await asyncio.sleep(pause_s)
 
-    def _log_store_state(self, exc: PlatformError | None) -> None:
-        if (exc is not None) == self._is_store_lost:
-            return
-        self._is_store_lost = exc is not None
-        logs.log_event(
-            'store_lost' if self._is_store_lost else 'store_back',
-            kind=self.kind,
-            read_age_s=self._logged_age_s(),
-            error=str(exc) if exc is not None else None,
-        )
-
     async def _read(self) -> None:
         self._read_task = asyncio.ensure_future(self._read_once())
         try:
@@ -371,7 +358,7 @@
             )
             await self._list()
             return
-        self._log_epoch(position)
+        self._store_log.record_position(position, self.replica.revision)
         match self.copy.apply_watch(since, position, events):
             case Refused(reason):
                 self._metrics.count('watches_refused', reason)
@@ -392,7 +379,7 @@
         position, objects = await self._store.list(
             self.kind, LIST_TIMEOUT_S, allow_stale
         )
-        self._log_epoch(position)
+        self._store_log.record_position(position, self.replica.revision)
         match self.copy.apply_list(position, objects):
             case Refused(reason):
                 self._refuse_list(position, reason)
@@ -420,28 +407,6 @@
             0.0,
         )
 
-    def _log_epoch(self, position: Position) -> None:
-        if position.is_epoch_valid != self._is_epoch_readable:
-            self._is_epoch_readable = position.is_epoch_valid
-            logs.log_event(
-                'store_epoch_readable'
-                if position.is_epoch_valid
-                else 'store_epoch_unreadable',
-                kind=self.kind,
-            )
-        if not position.is_epoch_valid:
-            self._metrics.count('store_epochs_unreadable')
-        if position.epoch != self._logged_epoch:
-            logs.log_event(
-                'store_epoch',
-                kind=self.kind,
-                before=self._logged_epoch,
-                epoch=position.epoch,
-                revision=position.revision,
-                own_revision=self.replica.revision,
-            )
-            self._logged_epoch = position.epoch
-
     def _report(self, update: Changed | Restored) -> None:
         match update:
             case Changed([]):
@@ -532,12 +497,10 @@
                 return
 
     def _has_reached(self, reading: Reading) -> bool:
-        if not self.copy.has_reached(reading):
-            return False
-        if self.copy.order(reading) is Order.SAME:
-            self.copy.mark_complete(reading)
+        if self.copy.confirm(reading):
             self._mark_fresh()
-        return True
+            return True
+        return self.copy.order(reading) is Order.EARLIER
 
     async def _list_at_start(self) -> None:
         """List the store's objects until this node has some.
@@ -566,10 +529,10 @@
     async def _try_list(self) -> None:
         try:
             await self._list(allow_stale=True)
-            self._log_store_state(None)
+            self._store_log.record_call(None, self._logged_age_s())
         except PlatformError as exc:
             self._metrics.count('store_retries', type(exc).__name__)
-            self._log_store_state(exc)
+            self._store_log.record_call(exc, self._logged_age_s())
 
     async def _pull_at_start(self) -> None:
         """Wait until another node is known, and pull its objects.
--- a/sesameward/serving/store_copy.py
+++ b/sesameward/serving/store_copy.py
@@ -93,18 +93,18 @@
         """Return the order of a reading's epoch."""
         return self._epochs.of_node(reading.epoch)
 
-    def has_reached(self, reading: Reading) -> bool:
-        """Return True if this node has the objects of a reading."""
-        match self.order(reading):
-            case Order.SAME:
-                return self.replica.revision >= reading.revision
-            case order:
-                return order is Order.EARLIER
+    def confirm(self, reading: Reading) -> bool:
+        """Record through which revision a reading shows this to be complete.
 
-    def mark_complete(self, reading: Reading) -> None:
-        """Record through which revision a reached reading is complete."""
-        if self.order(reading) is Order.SAME:
-            self._complete(reading.through)
+        Return False if this copy is of another epoch, or lacks objects.
+        """
+        if (
+            self.order(reading) is not Order.SAME
+            or self.replica.revision < reading.revision
+        ):
+            return False
+        self._complete(reading.through)
+        return True
 
     def reading(self, node: NodeId) -> Reading:
         """Return what this node announces after it has read the store."""
--- a/tests/test_store_copy.py
+++ b/tests/test_store_copy.py
@@ -158,9 +158,7 @@
     @stateful.rule(reader=st.sampled_from(NODES), node=st.sampled_from(NODES))
     def hear_reading(self, reader, node):
         reading = self.copies[reader].reading(reader)
-        copy = self.copies[node]
-        if copy.order(reading) is Order.SAME and copy.has_reached(reading):
-            copy.mark_complete(reading)
+        self.copies[node].confirm(reading)
 
     @stateful.invariant()
     def no_copy_goes_back(self):
@@ -182,7 +180,7 @@
         for node in ('b', 'c'):
             copy = self.copies[node]
             copy.apply_delta(reader.answer(copy.pull_request()))
-            assert copy.has_reached(reader.reading('a'))
+            assert copy.confirm(reader.reading('a'))
         for copy in self.copies.values():
             assert values_of(copy) == contents(self.store.objects.values())
 
@@ -245,7 +243,7 @@
     store.restore((2, {}))
     copy.apply_list(*store.list())
     assert copy.order(late) is Order.EARLIER
-    copy.mark_complete(late)
+    assert not copy.confirm(late)
     assert copy.watch_position() == store.position
 
 
