--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -45,17 +45,23 @@
 
 
 class _Batch:
-    """Send the sub-requests of one batch (its items); queue their results."""
+    """Send the sub-requests of one batch (its items); queue their results.
+
+    If may_send is False, nothing is sent, as by a node without connections:
+    the sub-requests must go through another helper node.
+    """
 
     def __init__(
         self,
         tools: ExchangeDeps,
         batch: DelegatedBatch,
         outbox: asyncio.Queue[BatchResults],
+        may_send: bool = True,
     ):
         self._tools = tools
         self._batch = batch
         self._outbox = outbox
+        self._may_send = may_send
         self._greatest = Greatest(batch.top_k, batch.floor)
         self._marked_floors: dict[int, bytes] = {}
         self._running: dict[int, SubRequestExchange] = {}
@@ -111,7 +117,7 @@
         self._running = {item.no: exchange for item, exchange in exchanges}
         for item, exchange in exchanges:
             target = self._tools.policy.targets.get(item.target_id)
-            if tools.links.is_lost:
+            if tools.links.is_lost or not self._may_send:
                 self._on_result(item, Result(SubRequestFailure.NO_LINKS))
             elif (
                 is_refused
@@ -267,6 +273,22 @@
 
     def __init__(self, tools: ExchangeDeps):
         self._tools = tools
+        self._is_closed = False
+        # The batches of each open stream.
+        self._streams: list[dict[BatchNo, _Batch]] = []
+
+    def close(self) -> None:
+        """Send nothing of further batches; those begun go on."""
+        self._is_closed = True
+
+    @property
+    def is_idle(self) -> bool:
+        """Return True if no sub-request of another node is running."""
+        return all(
+            batch.is_done
+            for batches in self._streams
+            for batch in batches.values()
+        )
 
     def __mapping__(self) -> dict[str, const.Handler]:
         """Return the methods for grpclib's Server."""
@@ -282,6 +304,7 @@
     async def _serve(self, stream: server.Stream) -> None:
         outbox: asyncio.Queue[BatchResults] = asyncio.Queue()
         batches: dict[BatchNo, _Batch] = {}
+        self._streams.append(batches)
         sender = asyncio.ensure_future(_send_all(stream, outbox))
         try:
             async for envelope in stream:
@@ -290,6 +313,7 @@
             logs.log_event('delegation_stream_lost', error=str(exc))
         finally:
             sender.cancel()
+            self._streams.remove(batches)
             for batch in batches.values():
                 batch.cancel()
 
@@ -304,7 +328,7 @@
                 for done in [n for n, b in batches.items() if b.is_done]:
                     del batches[done]
                 batch = batches[batch_no] = _Batch(
-                    self._tools, message, outbox
+                    self._tools, message, outbox, not self._is_closed
                 )
                 batch.start()
             case MarkSentElsewhere(batch_no, item_no, floor):
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -212,6 +212,8 @@
         self._helpers: dict[NodeId, _Helper] = {}
         self._weights: dict[NodeId, int] = {}
         self._by_zone: dict[ZoneName, list[Member]] = {}
+        # Nodes that leave help only as a last resort.
+        self._leaving: list[Member] = []
         self._members: typing.Sequence[Member] = ()
 
     def set_members(self, members: typing.Sequence[Member]) -> None:
@@ -220,14 +222,17 @@
             return
         self._members = members
         self._by_zone = {}
+        self._leaving = []
         for member in members:
             if (
-                member.node != self._node
-                and member.entries
-                and not member.leaving
-                and member.reaches_targets
-                and member.state is MemberState.ALIVE
+                member.node == self._node
+                or not member.reaches_targets
+                or member.state is not MemberState.ALIVE
             ):
+                continue
+            if member.leaving:
+                self._leaving.append(member)
+            elif member.entries:
                 self._by_zone.setdefault(member.zone, []).append(member)
         # Of helper nodes with equally many batches the first one is chosen. So
         # each node has an order of its own, which spreads the batches.
@@ -251,8 +256,8 @@
         return self._by_zone.keys() - {self._zone}
 
     def has_helper(self, now: float) -> bool:
-        """Return True if any zone has a helper node, also as a last resort."""
-        return any(self._usable((zone,), now) for zone in self._by_zone)
+        """Return True if there is a helper node, also as a last resort."""
+        return self._last_resort(now) is not None
 
     def choose_helper(
         self, zone: ZoneName, now: float, must_help: bool = False
@@ -262,8 +267,8 @@
         None means that this node must send to the targets of the zone itself,
         because the zone is its own or has no usable helper node. If must_help
         is True, this node can't do so: a helper node of its own zone is then
-        returned too, one of another zone, or, as a last resort, one that has
-        lately refused batches for want of connections.
+        returned too, one of another zone, or, as a last resort, one that
+        leaves or has lately refused batches for want of connections.
         """
         if must_help:
             return (
@@ -292,8 +297,13 @@
         )
 
     def _last_resort(self, now: float) -> Member | None:
+        leaving = [
+            member
+            for member in self._leaving
+            if self._is_usable(member.node, now)
+        ]
         return min(
-            self._usable(self._by_zone, now),
+            self._usable(self._by_zone, now) + leaving,
             key=lambda m: self._helper_state(m.node).no_links_until,
             default=None,
         )
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -251,7 +251,8 @@
             self.delegation, self.metrics, self._clock
         )
         self._delegates.on_notice = self._on_helper_notice
-        self.peers.add_handler(DelegateHandler(tools))
+        self._delegate_handler = DelegateHandler(tools)
+        self.peers.add_handler(self._delegate_handler)
         self.peers.add_handler(LimitHandler(self.limits, self._clock))
         self.front = Front(
             Deps(
@@ -405,17 +406,21 @@
         self._spawn(self._leave())
 
     async def _leave(self) -> None:
-        """Wait until callers' requests have ended, then make run() stop.
+        """Wait until all requests have ended, then make run() stop.
 
-        For KEEP_LISTENING_S the node still accepts connections; then it closes
-        each connection that is idle. It stops EXIT_RESERVE_S before SIGKILL
-        even if requests are still in flight.
+        These are callers' requests and sub-requests sent for other nodes. For
+        KEEP_LISTENING_S the node still accepts both; then it closes each
+        connection that is idle. It stops EXIT_RESERVE_S before SIGKILL even if
+        requests are still in flight.
         """
         started_at = self._clock()
         until = started_at + self._cfg.bounds.grace_s - EXIT_RESERVE_S
         await asyncio.sleep(KEEP_LISTENING_S)
         self.callers.stop_listening()
-        while self.callers.close_idle() and self._clock() < until:
+        self._delegate_handler.close()
+        while (
+            self.callers.close_idle() or not self._delegate_handler.is_idle
+        ) and self._clock() < until:
             await asyncio.sleep(0.05)
         logs.log_event(
             'stopping',
--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -68,7 +68,7 @@
     The scenario gets the batch, the connection to the target and the outbox.
     """
 
-    def run(scenario, cut_off=False, **fields):
+    def run(scenario, cut_off=False, may_send=True, **fields):
         async def main():
             clock = asyncio.get_running_loop().time
             metrics = Metrics('t')
@@ -106,7 +106,7 @@
                 **fields,
             )
             outbox = asyncio.Queue()
-            batch = _Batch(tools, message, outbox)
+            batch = _Batch(tools, message, outbox, may_send)
             batch.start()
             scenario(batch, pools.conn, outbox)
 
@@ -154,6 +154,17 @@
     run_batch(scenario, cut_off=True)
 
 
+# Guards against sub-requests that a node begins just before it ends.
+def test_node_that_ends_sends_the_asking_node_elsewhere(run_batch):
+    def scenario(batch, conn, outbox):
+        (item,) = outbox.get_nowait().item_results
+        assert item.end is SubRequestFailure.NOT_SENT
+        assert item.no_links
+        assert not hasattr(conn, '_on_end')
+
+    run_batch(scenario, may_send=False)
+
+
 OK = Reply(200, b'OK', [(b'Sesameward-Server-Stamp', b's')], b'b' * 100)
 
 
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -109,6 +109,20 @@
     assert not delegation.has_helper(0.1)
 
 
+# A node that was cut off refused everything while its only helper shut down,
+# which serves on for seconds.
+def test_helper_that_leaves_is_the_last_resort(delegation):
+    leaving = member('b1', 'b', leaving=True, entries=())
+    delegation.set_members((member('me', 'z'), leaving, member('c1', 'c')))
+    assert delegation.choose_helper('b', 0.0, must_help=True).node == 'c1'
+    delegation.connection_lost('c1', 0.0)
+    assert delegation.has_helper(0.0)
+    assert delegation.choose_helper('b', 0.0, must_help=True).node == 'b1'
+    assert delegation.choose_helper('b', 0.0) is None
+    delegation.connection_lost('b1', 0.0)
+    assert not delegation.has_helper(0.0)
+
+
 def test_node_without_connections_is_helped_in_its_own_zone(delegation):
     assert delegation.choose_helper('z', 0.0, must_help=True).node == 'near'
 
--- a/tests/test_stranded_nodes.py
+++ b/tests/test_stranded_nodes.py
@@ -26,6 +26,8 @@
 # Requests to a service that take longer than replies to queries.
 SLOW_WORK_S = 0.2
 SLOW_REQUESTS_PER_S = 12.0
+# Time for which a node serves on after SIGTERM at least.
+LEAVING_S = 2.3
 # After the end of a cut all nodes must serve everything again within this.
 RECOVERED_S = 1.5
 # A request that nobody can serve must be refused at once, nine of ten within
@@ -219,6 +221,26 @@
     scenario()
 
 
+# A node without connections refused everything while its only helper left,
+# which serves on for seconds, and cuts nothing off that it has begun.
+def test_stranded_node_is_served_while_its_only_helper_leaves():
+    @with_fleet(nodes=2, linked=True)
+    async def scenario(fleet):
+        stranded, helper = fleet.nodes
+        load = Load(fleet)
+        load.nodes = [stranded]
+        running = asyncio.create_task(load.run(1.0 + SETTLED_S + LEAVING_S))
+        await asyncio.sleep(1.0)
+        cut_at = time.monotonic()
+        await stranded.links.cut(Cut.HANG)
+        await asyncio.sleep(SETTLED_S)
+        helper.send(signal.SIGTERM)
+        await running
+        check_served(load, {stranded.name}, cut_at, cut_at + 99.0)
+
+    scenario()
+
+
 # Nodes that could help fall silent one after the other.
 def test_stranded_node_without_helpers_refuses_at_once():
     @with_fleet(nodes=3, linked=True)
