--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -257,7 +257,7 @@
 
     def has_helper(self, now: float) -> bool:
         """Return True if there is a helper node, also as a last resort."""
-        return self._last_resort(now) is not None
+        return any(self._all_usable(now))
 
     def choose_helper(
         self, zone: ZoneName, now: float, must_help: bool = False
@@ -297,26 +297,25 @@
         )
 
     def _last_resort(self, now: float) -> Member | None:
-        leaving = [
-            member
-            for member in self._leaving
-            if self._is_usable(member.node, now)
-        ]
         return min(
-            self._usable(self._by_zone, now) + leaving,
+            self._all_usable(now),
             key=lambda m: self._helper_state(m.node).no_links_until,
             default=None,
         )
 
+    def _all_usable(self, now: float) -> typing.Iterator[Member]:
+        yield from self._usable(self._by_zone, now)
+        for member in self._leaving:
+            if self._is_usable(member.node, now):
+                yield member
+
     def _usable(
         self, zones: typing.Iterable[ZoneName], now: float
-    ) -> list[Member]:
-        return [
-            member
-            for zone in zones
-            for member in self._by_zone.get(zone, ())
-            if self._is_usable(member.node, now)
-        ]
+    ) -> typing.Iterator[Member]:
+        for zone in zones:
+            for member in self._by_zone.get(zone, ()):
+                if self._is_usable(member.node, now):
+                    yield member
 
     def batch_sent(self, node: NodeId, batch_no: BatchNo, now: float) -> None:
         """Record that a batch of sub-requests was sent to a helper node."""
