--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -106,9 +106,7 @@
         promises.check_limit(times, limit, named_at)
         used = sum(at >= used_since for at in times) / CHECKED_S
         assert used >= LEAST_USED * limit, (
-            target_id,
-            used,
-            coordinator_events(fleet),
+            f'{target_id} got {used} requests/s: {coordinator_events(fleet)}'
         )
 
 
