--- a/sesameward/interface/request_log.py
+++ b/sesameward/interface/request_log.py
@@ -30,6 +30,7 @@
         'store_lost',
         'store_back',
         'pull_failed',
+        'helper_heard',
         'helper_lost',
         'helper_quiet',
         'links_lost',
--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -27,6 +27,7 @@
 from .delegation import DelegatedBatch
 from .delegation import Delegation
 from .delegation import HelperMessage
+from .delegation import make_probe
 from .delegation import TargetNotice
 
 METHOD = '/sesameward.Peer/Delegate'
@@ -97,6 +98,10 @@
         if stream is not None:
             stream.outbox.put_nowait(message)
 
+    def probe(self, node: NodeId) -> None:
+        """Ask a helper node for a message, which shows that it runs."""
+        self.send_message(node, make_probe(self.next_batch_no()))
+
     def finish_batch(
         self, node: NodeId, batch_no: BatchNo, is_answered: bool
     ) -> None:
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -38,8 +38,11 @@
 # ones pause for up to 120 ms, but not all targets of a zone at once. A request
 # to a single target may take longer, so the helper node acknowledges it.
 HELPER_QUIET_AFTER_S = 0.06
+# A node that can't send by itself and has no other helper node waits for this
+# long, because nodes with a capped core stand still for up to 0.1 s at a time.
+ONLY_HELPER_QUIET_AFTER_S = 0.2
 # A helper node that was disconnected, sent nothing or can't reach targets gets
-# no batch of sub-requests for this time.
+# no batch of sub-requests for this time, if there is any other way.
 HELPER_RETRY_S = 1.0
 
 
@@ -169,29 +172,77 @@
 HelperMessage = DelegatedBatch | MarkSentElsewhere | CancelBatch
 
 
+def make_probe(batch_no: BatchNo) -> DelegatedBatch:
+    """Return a batch without sub-requests.
+
+    A helper node that runs acknowledges it at once, of any release.
+    """
+    return DelegatedBatch(
+        batch_no,
+        request_id=RequestId(''),
+        route=RouteName(''),
+        method=b'',
+        subject=b'',
+        head=b'',
+        body=b'',
+        remaining_ms=0,
+        top_k=0,
+        items=(),
+        may_filter=False,
+        is_single=True,
+    )
+
+
 class _Helper:
     """State of one helper node, which sends sub-requests for this node.
 
     The field open maps each unfinished batch of sub-requests to the time at
-    which it was sent, awaited holds those that were not acknowledged. Until
-    the time in unusable_until, the helper node gets no new batch; until the
-    time in no_links_until it gets one only if no other helper node is left.
+    which it was sent, awaited holds those that were not acknowledged. The
+    helper node is left out until the time in lost_until. One that was found
+    quiet has is_quiet set until its next message; until the times in
+    quiet_until and no_links_until it gets a batch only if no other helper node
+    is left. Then it gets one also while it is quiet, until wait_until.
     """
 
     __slots__ = (
         'awaited',
+        'is_quiet',
         'last_message_at',
+        'lost_until',
         'no_links_until',
         'open',
-        'unusable_until',
+        'quiet_since',
+        'quiet_until',
+        'wait_until',
     )
 
     def __init__(self):
         self.open: dict[BatchNo, float] = {}
         self.awaited: dict[BatchNo, float] = {}
         self.last_message_at = 0.0
+        self.lost_until = 0.0
         self.no_links_until = 0.0
-        self.unusable_until = 0.0
+        self.is_quiet = False
+        self.quiet_since = 0.0
+        self.quiet_until = 0.0
+        self.wait_until = 0.0
+
+    def silent_since(self) -> float | None:
+        """Return the time of the oldest lack of a message, None if none."""
+        if not self.awaited:
+            return None
+        return max(next(iter(self.awaited.values())), self.last_message_at)
+
+    def mark_quiet(self, since: float, now: float) -> None:
+        """Record that it has sent nothing since a time."""
+        # One that has not been heard of since it was last found quiet is
+        # probably frozen, so nothing more waits for it.
+        self.wait_until = (
+            now if self.is_quiet else since + ONLY_HELPER_QUIET_AFTER_S
+        )
+        self.is_quiet = True
+        self.quiet_since = since
+        self.quiet_until = now + HELPER_RETRY_S
 
 
 class Delegation:
@@ -199,14 +250,17 @@
 
     A helper node sends batches of sub-requests to targets of its zone for this
     node. on_helper_quiet is called when one has sent nothing for too long and
-    gets no new batch for HELPER_RETRY_S. Its arguments are the helper node and
-    the seconds for which it sent nothing.
+    is avoided for HELPER_RETRY_S, on_helper_heard at its next message. Their
+    arguments are the helper node and the seconds for which it sent nothing.
     """
 
     def __init__(self, node: NodeId, zone: ZoneName):
         self.on_helper_quiet: typing.Callable[[NodeId, float], None] = (
             lambda node, for_s: None
         )
+        self.on_helper_heard: typing.Callable[[NodeId, float], None] = (
+            lambda node, for_s: None
+        )
         self._node = node
         self._zone = zone
         self._helpers: dict[NodeId, _Helper] = {}
@@ -268,7 +322,8 @@
         because the zone is its own or has no usable helper node. If must_help
         is True, this node can't do so: a helper node of its own zone is then
         returned too, one of another zone, or, as a last resort, one that
-        leaves or has lately refused batches for want of connections.
+        leaves, that has lately refused batches for want of connections, or
+        that paused and has been heard of since.
         """
         if must_help:
             return (
@@ -299,15 +354,20 @@
     def _last_resort(self, now: float) -> Member | None:
         return min(
             self._all_usable(now),
-            key=lambda m: self._helper_state(m.node).no_links_until,
+            key=lambda m: self._last_resort_order(m.node),
             default=None,
         )
 
+    def _last_resort_order(self, node: NodeId) -> tuple[bool, float]:
+        helper = self._helper_state(node)
+        return helper.is_quiet, helper.no_links_until
+
     def _all_usable(self, now: float) -> typing.Iterator[Member]:
-        yield from self._usable(self._by_zone, now)
-        for member in self._leaving:
-            if self._is_usable(member.node, now):
-                yield member
+        """Return the helper nodes, those that are a last resort included."""
+        for members in (*self._by_zone.values(), self._leaving):
+            for member in members:
+                if self._is_last_resort(member.node, now):
+                    yield member
 
     def _usable(
         self, zones: typing.Iterable[ZoneName], now: float
@@ -328,7 +388,11 @@
 
     def message_received(self, node: NodeId, now: float) -> None:
         """Record that a helper node sent a message, so it is not frozen."""
-        self._helper_state(node).last_message_at = now
+        helper = self._helper_state(node)
+        helper.last_message_at = now
+        if helper.is_quiet:
+            helper.is_quiet = False
+            self.on_helper_heard(node, now - helper.quiet_since)
 
     def batch_ended(self, node: NodeId, batch_no: BatchNo) -> None:
         """Record that a helper node's batch will get no more results."""
@@ -341,7 +405,8 @@
         helper = self._helper_state(node)
         helper.open.clear()
         helper.awaited.clear()
-        helper.unusable_until = now + HELPER_RETRY_S
+        helper.is_quiet = False
+        helper.lost_until = now + HELPER_RETRY_S
 
     def record_no_links(self, node: NodeId, now: float) -> None:
         """Prefer others to a helper node that can't send, for HELPER_RETRY_S.
@@ -361,14 +426,25 @@
 
     def _is_usable(self, node: NodeId, now: float) -> bool:
         helper = self._helper_state(node)
-        if now < helper.unusable_until:
+        if now < max(helper.lost_until, helper.quiet_until):
             return False
-        if not helper.awaited:
-            return True
-        oldest_sent_at = next(iter(helper.awaited.values()))
-        no_message_s = now - max(oldest_sent_at, helper.last_message_at)
-        if no_message_s > HELPER_QUIET_AFTER_S:
-            helper.unusable_until = now + HELPER_RETRY_S
-            self.on_helper_quiet(node, no_message_s)
+        self._check_quiet(node, helper, now)
+        return now >= helper.quiet_until
+
+    def _is_last_resort(self, node: NodeId, now: float) -> bool:
+        helper = self._helper_state(node)
+        if now < helper.lost_until:
             return False
-        return True
+        if now >= helper.quiet_until or not helper.is_quiet:
+            self._check_quiet(node, helper, now)
+        return (
+            not helper.is_quiet
+            or now >= helper.quiet_until
+            or now < helper.wait_until
+        )
+
+    def _check_quiet(self, node: NodeId, helper: _Helper, now: float) -> None:
+        since = helper.silent_since()
+        if since is not None and now - since > HELPER_QUIET_AFTER_S:
+            helper.mark_quiet(since, now)
+            self.on_helper_quiet(node, now - since)
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -246,6 +246,7 @@
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
         self.delegation.on_helper_quiet = self._on_helper_quiet
+        self.delegation.on_helper_heard = self._on_helper_heard
         self.selector.on_ejected = self._on_target_ejected
         self._delegates = DelegateClient(
             self.delegation, self.metrics, self._clock
@@ -578,6 +579,12 @@
         logs.log_event(
             'helper_quiet', helper=node, no_message_s=round(no_message_s, 3)
         )
+        self._delegates.probe(node)
+
+    def _on_helper_heard(self, node: NodeId, no_message_s: float) -> None:
+        logs.log_event(
+            'helper_heard', helper=node, no_message_s=round(no_message_s, 3)
+        )
 
     def _on_helper_notice(self, notice: TargetNotice) -> None:
         if notice.leaving:
--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -34,6 +34,8 @@
 READY_TIMEOUT_S = 15.0
 # Changes of the configuration must be in force on all nodes within this time.
 MAX_CONFIG_DELAY_MS = 3_000
+# Time for which callers wait for an answer.
+DEADLINE_MS = 1_000
 # A crashed target is replaced by a new one after this time.
 RESTART_DELAY_S = 1.5
 # Last number of the loopback address at which the first node of a fleet with
@@ -426,14 +428,19 @@
         method: str = 'GET',
         body: bytes = b'',
         timeout_s: float = 2.0,
+        deadline_ms: int = DEADLINE_MS,
     ) -> Reply:
         """Send one request over a new connection; return the node's reply."""
         caller = HttpCaller(node.host, PORTS['front'])
+        asked = request(
+            path,
+            request_id or self.request_id(),
+            method,
+            body,
+            deadline_ms=deadline_ms,
+        )
         try:
-            return await caller.call(
-                request(path, request_id or self.request_id(), method, body),
-                timeout_s,
-            )
+            return await caller.call(asked, timeout_s)
         finally:
             caller.close()
 
@@ -444,6 +451,7 @@
     method: str = 'GET',
     body: bytes = b'',
     node_name: str = '',
+    deadline_ms: int = DEADLINE_MS,
 ) -> bytes:
     """Return the bytes of a caller's HTTP request.
 
@@ -453,7 +461,7 @@
     head = (
         f'{method} {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n'
         f'Sesameward-Request-Id: {request_id}\r\n'
-        f'Sesameward-Deadline-Ms: 1000\r\n'
+        f'Sesameward-Deadline-Ms: {deadline_ms}\r\n'
         f'X-Asked: {node_name}\r\n'
     )
     if body:
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -7,6 +7,7 @@
 from sesameward.serving.delegation import Delegation
 from sesameward.serving.delegation import HELPER_QUIET_AFTER_S
 from sesameward.serving.delegation import HELPER_RETRY_S
+from sesameward.serving.delegation import ONLY_HELPER_QUIET_AFTER_S
 from sesameward.types import MemberState
 
 
@@ -156,3 +157,68 @@
     delegation.batch_sent('c1', 2, late)
     later = late + 2 * HELPER_QUIET_AFTER_S
     assert delegation.choose_helper('c', later) is None
+
+
+def only_helper():
+    """Return the decisions of a node with one helper, asked at 0.0."""
+    delegation = Delegation('me', 'z')
+    delegation.set_members((member('me', 'z'), member('b1', 'b')))
+    delegation.batch_sent('b1', 1, 0.0)
+    return delegation
+
+
+def is_helped(delegation, now):
+    helped = delegation.choose_helper('z', now, must_help=True) is not None
+    assert delegation.has_helper(now) == helped
+    return helped
+
+
+# A node that was cut off refused everything for HELPER_RETRY_S after its only
+# helper had paused for a moment, though the helper had answered since.
+def test_only_helper_is_used_again_from_its_next_message_on():
+    delegation = only_helper()
+    heard = []
+    delegation.on_helper_heard = lambda *args: heard.append(args)
+    frozen = 1.5 * ONLY_HELPER_QUIET_AFTER_S
+    assert not is_helped(delegation, frozen)
+    delegation.message_received('b1', frozen)
+    delegation.message_received('b1', frozen)
+    assert heard == [('b1', frozen)]
+    assert is_helped(delegation, frozen)
+    # A node with connections goes on without it for HELPER_RETRY_S.
+    assert delegation.choose_helper('b', frozen) is None
+    again = frozen + 1.5 * ONLY_HELPER_QUIET_AFTER_S
+    assert not is_helped(delegation, again)
+
+
+def test_only_helper_is_waited_for_through_a_short_pause():
+    delegation = only_helper()
+    short = 0.9 * ONLY_HELPER_QUIET_AFTER_S
+    assert short > HELPER_QUIET_AFTER_S
+    assert is_helped(delegation, short)
+    # A node with connections sends directly meanwhile.
+    assert delegation.choose_helper('b', short) is None
+    assert not is_helped(delegation, 1.1 * ONLY_HELPER_QUIET_AFTER_S)
+
+
+# Otherwise a part of the requests would wait for their deadlines each second,
+# at a helper that is frozen.
+def test_frozen_helper_is_not_waited_for_again():
+    delegation = only_helper()
+    assert not is_helped(delegation, 1.1 * ONLY_HELPER_QUIET_AFTER_S)
+    delegation.batch_ended('b1', 1)
+    tried_at = 1.2 * ONLY_HELPER_QUIET_AFTER_S + HELPER_RETRY_S
+    assert is_helped(delegation, tried_at)
+    delegation.batch_sent('b1', 2, tried_at)
+    assert not is_helped(delegation, tried_at + 1.1 * HELPER_QUIET_AFTER_S)
+
+
+def test_helper_that_paused_is_used_only_if_no_other_is_left(delegation):
+    for node in ('near', 'b1', 'c1'):
+        delegation.batch_sent(node, 1, 0.0)
+    now = 1.1 * HELPER_QUIET_AFTER_S
+    assert delegation.choose_helper('z', now, must_help=True).node == 'b2'
+    delegation.connection_lost('b2', now)
+    assert delegation.choose_helper('z', now, must_help=True) is not None
+    delegation.message_received('c1', now)
+    assert delegation.choose_helper('z', now, must_help=True).node == 'c1'
--- a/tests/test_stranded_nodes.py
+++ b/tests/test_stranded_nodes.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from sesameward.standin.fleet import DEADLINE_MS
 from sesameward.standin.links import Cut
 from tests import promises
 from tests.scenarios import SHARDS
@@ -35,20 +36,38 @@
 REFUSED_WITHIN_S = 0.1
 LATEST_REFUSAL_S = 0.5
 PATHS = ('/q/1', '/q/2', '/safe/1', '/once/1')
+# A node with a capped core stands still for up to this time. PAUSES such
+# pauses begin PAUSE_PERIOD_S after each other.
+PAUSE_S = 0.1
+PAUSES = 4
+PAUSE_PERIOD_S = 1.2
+# A pause in which all queries with a short deadline end, and the time from its
+# end until requests must be served again.
+LONG_PAUSE_S = 0.6
+AFTER_PAUSE_S = 0.15
+SHORT_DEADLINE_MS = 250
 
 
 class Load:
     """Send requests of all kinds to all nodes; keep how each one ended."""
 
-    def __init__(self, fleet, requests_per_s=REQUESTS_PER_S):
+    def __init__(
+        self,
+        fleet,
+        requests_per_s=REQUESTS_PER_S,
+        paths=PATHS,
+        deadline_ms=DEADLINE_MS,
+    ):
         self.fleet = fleet
         self.nodes = fleet.nodes
         self.requests_per_s = requests_per_s
+        self.paths = paths
+        self.deadline_ms = deadline_ms
         self.results = []
         self._tasks = set()
 
     async def run(self, length_s):
-        asked = itertools.cycle(itertools.product(PATHS, self.nodes))
+        asked = itertools.cycle(itertools.product(self.paths, self.nodes))
         until = time.monotonic() + length_s
         while time.monotonic() < until:
             path, node = next(asked)
@@ -69,6 +88,7 @@
                 path,
                 request_id,
                 *(('POST', b'x') if is_once else ()),
+                deadline_ms=self.deadline_ms,
             )
         except Exception:
             reply = None
@@ -241,6 +261,61 @@
     scenario()
 
 
+async def pause(node, for_s):
+    node.send(signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    node.send(signal.SIGCONT)
+
+
+# A node without connections refused everything for a second after each moment
+# in which its only helper stood still.
+def test_stranded_node_is_served_while_its_only_helper_pauses():
+    @with_fleet(nodes=2, linked=True)
+    async def scenario(fleet):
+        stranded, helper = fleet.nodes
+        load = Load(fleet)
+        load.nodes = [stranded]
+        running = asyncio.create_task(
+            load.run(1.0 + SETTLED_S + PAUSES * PAUSE_PERIOD_S)
+        )
+        await asyncio.sleep(1.0)
+        cut_at = time.monotonic()
+        await stranded.links.cut(Cut.HANG)
+        await asyncio.sleep(SETTLED_S)
+        for _ in range(PAUSES):
+            await pause(helper, PAUSE_S)
+            await asyncio.sleep(PAUSE_PERIOD_S - PAUSE_S)
+        await running
+        check_served(load, {stranded.name}, cut_at, cut_at + 99.0)
+
+    scenario()
+
+
+# The same after a longer pause: all that the helper had been sent was
+# cancelled meanwhile, so that it had nothing to answer.
+def test_stranded_node_is_served_once_its_only_helper_runs_again():
+    @with_fleet(nodes=2, linked=True)
+    async def scenario(fleet):
+        stranded, helper = fleet.nodes
+        load = Load(
+            fleet, paths=('/q/1', '/q/2'), deadline_ms=SHORT_DEADLINE_MS
+        )
+        load.nodes = [stranded]
+        running = asyncio.create_task(
+            load.run(1.0 + SETTLED_S + LONG_PAUSE_S + PAUSE_PERIOD_S)
+        )
+        await asyncio.sleep(1.0)
+        await stranded.links.cut(Cut.HANG)
+        await asyncio.sleep(SETTLED_S)
+        await pause(helper, LONG_PAUSE_S)
+        served_from = time.monotonic() + AFTER_PAUSE_S
+        await running
+        served = load.served({stranded.name}, served_from, served_from + 99.0)
+        assert served['q'] >= 1.0 - SERVED_GAP
+
+    scenario()
+
+
 # Nodes that could help fall silent one after the other.
 def test_stranded_node_without_helpers_refuses_at_once():
     @with_fleet(nodes=3, linked=True)
