Pull all objects after a part of a later epoch was refused

What callers would see: during an upgrade, on a node of this release that has its objects from one of an earlier release, changes come into force only once it reads the store itself, some 2 s later (by reading; not seen in a play).

Cause: messages of earlier releases bear no epoch. A node that has only such objects is later sent changes which bear one, by a node that has read the store itself and takes no epoch for the same one. A part of a later epoch can't be applied, so it was refused, and the next pull asked for the same part again.

Evidence: test_whole_is_pulled_after_a_part_of_a_later_epoch failed before.

Fix: after such a refusal a node asks for everything, once, by the digest of an empty copy, which nodes of all releases answer with the whole.

--- a/sesameward/serving/store_copy.py
+++ b/sesameward/serving/store_copy.py
@@ -80,6 +80,9 @@
         self.complete_through: Revision | None = None
         self._metrics = metrics
         self._epochs = EpochOrder()
+        # Whether another node sent changes in a later epoch, but not to which
+        # objects.
+        self._needs_all = False
 
     def _empty_replica(self, metrics: Metrics) -> ObjectReplica:
         return ObjectReplica(metrics, (self.kind,), lambda stored: None)
@@ -161,7 +164,7 @@
     def pull_request(self, wants_kept: bool = False) -> Pull:
         """Return a request to another node for the objects that lack here."""
         return Pull(
-            self.replica.digest(),
+            Digest(Revision(0)) if self._needs_all else self.replica.digest(),
             kind=self.kind,
             epoch=self.epoch,
             wants_kept=wants_kept,
@@ -183,6 +186,7 @@
             case Order.SAME:
                 return Changed(self.replica.apply_delta(delta))
         if not delta.full:
+            self._needs_all = True
             return Refused('part_of_later_epoch')
         position = Position(delta.revision, delta.epoch)
         return self._begin_epoch(position, delta.objects)
@@ -191,6 +195,7 @@
         before = self.replica
         self.replica = self._empty_replica(self._metrics)
         self.complete_through = position.revision
+        self._needs_all = False
         self._epochs.advance(position.epoch)
         changed = self.replica.replace(objects, position.revision)
         return Restored(changed) if before.revision else Changed(changed)
--- a/tests/test_store_copy.py
+++ b/tests/test_store_copy.py
@@ -268,6 +268,24 @@
     assert values_of(copy) == contents(objects)
 
 
+# Guards against a node that gets no changes from another one during an
+# upgrade: it has the objects of a node of an earlier release, which names no
+# epoch, and refuses each part that bears one.
+def test_whole_is_pulled_after_a_part_of_a_later_epoch(store, copy):
+    behind = StoreCopy(KIND, Metrics('t'))
+    objects = tuple(store.objects.values())
+    behind.apply_delta(Delta(0, store.revision, objects, full=True))
+    since = copy.watch_position()
+    store.put('y', b'new')
+    copy.apply_watch(since, *store.changes_after(since.revision))
+    part = copy.answer(behind.pull_request())
+    assert behind.apply_delta(part) == Refused('part_of_later_epoch')
+    behind.apply_delta(copy.answer(behind.pull_request()))
+    assert values_of(behind) == values_of(copy) == {'x': b'4', 'y': b'new'}
+    assert behind.confirm(copy.reading('b'))
+    assert not copy.answer(behind.pull_request()).full
+
+
 def test_answer_without_readable_epoch_counts_as_the_same(store, copy):
     unreadable = Position(store.revision, is_epoch_valid=False)
     store.put('y', b'new')
