Take the first epoch that a store names for that of a restore

Cause: no epoch counted as the same as any until a node had seen one epoch follow another. Where the first one that is named is that of a restore, nodes that had not read the store since were taken for current by those that had, and their objects for newer ones.

Evidence: test_first_epoch_that_a_store_names_is_that_of_a_restore, and the property test played on such a store, failed before.

Fix: objects that were read from a store without an epoch are of epoch 0. What a node of an earlier release sent, which never names one, is not.

--- a/sesameward/serving/epochs.py
+++ b/sesameward/serving/epochs.py
@@ -15,6 +15,10 @@
 from ..types import StoreEpoch
 
 
+# Epoch of a store that has not named one yet.
+FIRST_EPOCH = StoreEpoch(0)
+
+
 class Position(msgspec.Struct, frozen=True):
     """Hold a revision of the store and the epoch in which it was given out.
 
@@ -40,7 +44,8 @@
 
     The store, or a node of an earlier release, may name no epoch. That counts
     as the same one, but no longer for nodes once this node has seen the store
-    restored: the objects of such a node may be from before.
+    restored: the objects of such a node may be from before. A store that has
+    never named one is in FIRST_EPOCH, so the first that it names is later.
     """
 
     def __init__(self):
@@ -61,6 +66,14 @@
             return Order.EARLIER
         return self.of_store(epoch)
 
+    def record_read(self, position: Position) -> None:
+        """Record a position that the store named, if it is of the same epoch.
+
+        This is called only for those that of_store() takes for the same.
+        """
+        if self.latest is None and position.is_epoch_valid:
+            self.latest = FIRST_EPOCH
+
     def advance(self, epoch: StoreEpoch) -> None:
         """Go by a later epoch from now on."""
         if self.latest is not None:
--- a/sesameward/serving/store_copy.py
+++ b/sesameward/serving/store_copy.py
@@ -129,6 +129,7 @@
                 return self._begin_epoch(position, objects)
         if position.revision < self.replica.revision:
             return Refused('earlier_revision')
+        self._epochs.record_read(position)
         changed = self.replica.replace(objects, position.revision)
         self._complete(position.revision)
         return Changed(changed)
@@ -145,6 +146,7 @@
             return Refused('copy_of_later_epoch')
         match self._epochs.of_store(position.epoch):
             case Order.SAME:
+                self._epochs.record_read(position)
                 self._complete(position.revision)
                 if not events:
                     return Changed([])
--- a/tests/test_store_copy.py
+++ b/tests/test_store_copy.py
@@ -32,9 +32,13 @@
 
 
 class Store:
-    """A store in memory which can be restored from its copies."""
+    """A store in memory which can be restored from its copies.
 
-    def __init__(self):
+    It names its first epoch only if names_first is True.
+    """
+
+    def __init__(self, names_first=True):
+        self.names_first = names_first
         self.epoch = 1
         self.revision = 1
         self.objects = {}
@@ -43,6 +47,8 @@
 
     @property
     def position(self):
+        if self.epoch == 1 and not self.names_first:
+            return Position(self.revision)
         return Position(self.revision, self.epoch)
 
     def put(self, name, value):
@@ -100,9 +106,11 @@
     replies = stateful.Bundle('replies')
     requests = stateful.Bundle('requests')
 
+    names_first = True
+
     def __init__(self):
         super().__init__()
-        self.store = Store()
+        self.store = Store(self.names_first)
         self.copies = {node: StoreCopy(KIND, Metrics('t')) for node in NODES}
         self.positions = dict.fromkeys(NODES, (0, 0))
 
@@ -171,7 +179,7 @@
     def copies_are_what_the_store_had_at_their_position(self):
         for copy in self.copies.values():
             if copy.replica.revision:
-                position = copy.epoch, copy.replica.revision
+                position = copy.epoch or 1, copy.replica.revision
                 assert values_of(copy) == self.store.history[position]
 
     def teardown(self):
@@ -185,8 +193,15 @@
             assert values_of(copy) == contents(self.store.objects.values())
 
 
+class CopiesOfUnnamedEpoch(CopiesOfOneStore):
+    """The same, of a store that names no epoch until its first restore."""
+
+    names_first = False
+
+
 TestCopiesOfOneStore = CopiesOfOneStore.TestCase
-TestCopiesOfOneStore.settings = settings(
+TestCopiesOfUnnamedEpoch = CopiesOfUnnamedEpoch.TestCase
+TestCopiesOfOneStore.settings = TestCopiesOfUnnamedEpoch.settings = settings(
     max_examples=300, stateful_step_count=40
 )
 
@@ -268,6 +283,26 @@
     assert values_of(copy) == contents(objects)
 
 
+# Guards against nodes that go back: a store that names an epoch only once it
+# was restored was not known to have been restored, so objects of nodes that
+# had not read it since were taken for newer ones.
+def test_first_epoch_that_a_store_names_is_that_of_a_restore():
+    store = Store(names_first=False)
+    store.put('x', b'old')
+    late, copy = (StoreCopy(KIND, Metrics('t')) for _ in range(2))
+    before = store.copy()
+    store.put('x', b'lost')
+    for one in (late, copy):
+        one.apply_list(*store.list())
+    store.restore(before)
+    assert isinstance(copy.apply_list(*store.list()), Restored)
+    assert copy.order(late.reading('late')) is Order.EARLIER
+    delta = late.answer(copy.pull_request())
+    assert copy.apply_delta(delta) == Refused('earlier_epoch')
+    late.apply_delta(copy.answer(late.pull_request()))
+    assert values_of(copy) == values_of(late) == {'x': b'old'}
+
+
 # Guards against a node that gets no changes from another one during an
 # upgrade: it has the objects of a node of an earlier release, which names no
 # epoch, and refuses each part that bears one.
