End connections that are being accepted when a simulated target crashes

Cause: a server of asyncio that is closed leaves connections open that it has accepted but not set up; one that is set up right after is served. So a simulated target that crashed while a node opened a connection to it hung instead, until the node's connection was collected 0.2 s later (target_lost, ran_ms 220).

Ruled out: other replicas taken for silent (the one that was left was offered at each check), and too late checks (each 4 to 6 ms).

Fix: targets listen by a server of their own that resets what is being accepted once it has crashed. The forwarders of links and of the soak still have the gap: a connection may hang there where it should be reset.

--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -513,14 +513,17 @@
 
     async def accept(self, sock: socket.socket) -> None:
         """Accept connections on a socket that is already listening."""
+        self._server = await self._listen(sock)
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        self._timeout_task = loop.create_task(self._close_timed_out())
+        logs.log_failure(self._timeout_task)
+
+    async def _listen(self, sock: socket.socket) -> asyncio.Server:
+        return await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(self),
             sock=sock,
             backlog=listening.BACKLOG,
         )
-        self._timeout_task = loop.create_task(self._close_timed_out())
-        logs.log_failure(self._timeout_task)
 
     @property
     def port(self) -> int:
--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -16,10 +16,10 @@
 from ..metrics import Metrics
 from ..serving.http_server import Answer
 from ..serving.http_server import encode
-from ..serving.http_server import HttpServer
 from ..serving.http_server import Request
 from ..serving.http_server import Responder
 from ..serving.target_connection import Headers
+from .abrupt_server import AbruptServer
 
 RECORD_BYTES = 16
 RECORDS_PER_REPLY = 20
@@ -152,18 +152,20 @@
         self._running_count = 0
         self._reply_numbers = itertools.count(1)
         self._rng = random.Random(target_id)
-        self._http = HttpServer(
+        self._http = AbruptServer(
             self._handle, Metrics('target'), time.monotonic
         )
 
     async def start(self, port: int = 0) -> int:
         """Start to listen; return the port, a free one if port is 0."""
+        self._http.has_crashed = False
         await self._http.start('127.0.0.1', port)
         self.port = self._http.port
         return self.port
 
     def stop(self) -> None:
         """Stop listening and reset all connections, as a crash does."""
+        self._http.has_crashed = True
         self._http.stop_listening()
         self.reset_connections()
         self._http.stop()
@@ -179,6 +181,7 @@
         partial_reply is sent in the mode HALF_ANSWER.
         """
         self.crashed = True
+        self._http.has_crashed = self.faults.crash_mode is not CrashHow.SILENCE
         self._http.stop_listening()
         for conn in tuple(self._http.connections):
             match self.faults.crash_mode:
