Remember the zones of simulated targets apart from the store

A drain, and the replacement of a target that a request had crashed, read the zone from the store in the same way.

test_target_that_a_restored_store_lacks_drains_and_is_replaced failed before.

--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -149,6 +149,8 @@
         self.store = ObjectStore()
         self.rng = random.Random(seed)
         self.targets: dict[str, ShardTarget] = {}
+        # The zone of each target; a restored store may lack its registration.
+        self._zones: dict[str, str] = {}
         self.nodes: list[FleetNode] = []
         self.version = 0
         self.services: dict[str, list[str]] = {}
@@ -267,16 +269,21 @@
             if node.links is not None:
                 await node.links.add(target.port)
         self.targets[target.id] = target
+        self._zones[target.id] = zone
         self.services.setdefault(service, []).append(target.id)
         self.store.put('servers', target.id, target.registration(zone))
         return target
 
+    async def replace(self, target: ShardTarget) -> ShardTarget:
+        """Start one more target of the service and zone of another one."""
+        return await self.add_target(target.service, self._zones[target.id])
+
     def drain(self, target_id: str) -> None:
         """Register a running target as draining."""
         target = self.targets[target_id]
-        spec = self.store.objects['servers', target_id]['spec']
+        zone = self._zones[target_id]
         self.store.put(
-            'servers', target_id, target.registration(spec['zone'], 'draining')
+            'servers', target_id, target.registration(zone, 'draining')
         )
 
     def crash_on(self, paths: set[str], how: CrashHow) -> None:
@@ -295,9 +302,8 @@
     async def _restart(self, target: ShardTarget) -> None:
         """Replace a crashed target by a new one with another id."""
         await asyncio.sleep(RESTART_DELAY_S)
-        spec = self.store.objects['servers', target.id]['spec']
         self.store.delete('servers', target.id)
-        await self.add_target(target.service, spec['zone'])
+        await self.replace(target)
 
     def crash(self, target_id: str) -> None:
         """Stop a target at once, but leave its registration in the store."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -166,8 +166,7 @@
 
     async def add_replacement(self, target: ShardTarget) -> None:
         """Start a replacement for a target that is about to be removed."""
-        spec = self.fleet.store.objects['servers', target.id]['spec']
-        await self.fleet.add_target(target.service, spec['zone'])
+        await self.fleet.replace(target)
         await asyncio.sleep(0.5)
 
     def drain(self, target: ShardTarget) -> None:
--- a/tests/test_crashed_target.py
+++ b/tests/test_crashed_target.py
@@ -1,10 +1,11 @@
-"""Test that a simulated target that crashes ends all its connections."""
+"""Test how simulated targets crash, leave and are replaced."""
 
 import asyncio
 import socket
 
 import pytest
 
+from sesameward.standin.fleet import Fleet
 from sesameward.standin.shard_target import ShardTarget
 
 REQUEST = b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -46,3 +47,22 @@
             socket.create_connection(address)
 
     asyncio.run(scenario())
+
+
+# A soak ended with a KeyError: a target was replaced, or drained, while the
+# store had been restored from a copy that lacked it.
+def test_target_that_a_restored_store_lacks_drains_and_is_replaced():
+    async def scenario():
+        async with Fleet(nodes=0, shards=1, replicas=1) as fleet:
+            copy = fleet.store.copy()
+            target = await fleet.add_target('desk', 'zone-b')
+            fleet.store.restore(copy)
+            fleet.drain(target.id)
+            spec = fleet.store.objects['servers', target.id]['spec']
+            assert (spec['zone'], spec['state']) == ('zone-b', 'draining')
+            fleet.store.restore(copy)
+            replacement = await fleet.replace(target)
+            spec = fleet.store.objects['servers', replacement.id]['spec']
+            assert (spec['zone'], spec['state']) == ('zone-b', 'ready')
+
+    asyncio.run(scenario())
