--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -173,9 +173,9 @@
 
 
 def make_probe(batch_no: BatchNo) -> DelegatedBatch:
-    """Return a batch without sub-requests.
+    """Return a batch without sub-requests, which shows if a node runs.
 
-    A helper node that runs acknowledges it at once, of any release.
+    Nodes of all releases acknowledge it at once.
     """
     return DelegatedBatch(
         batch_no,
@@ -228,13 +228,13 @@
         self.wait_until = 0.0
 
     def silent_since(self) -> float | None:
-        """Return the time of the oldest lack of a message, None if none."""
+        """Return since when a message is awaited, None if none is."""
         if not self.awaited:
             return None
         return max(next(iter(self.awaited.values())), self.last_message_at)
 
     def mark_quiet(self, since: float, now: float) -> None:
-        """Record that it has sent nothing since a time."""
+        """Record that the helper node has sent nothing since a time."""
         # One that has not been heard of since it was last found quiet is
         # probably frozen, so nothing more waits for it.
         self.wait_until = (
--- a/sesameward/serving/epochs.py
+++ b/sesameward/serving/epochs.py
@@ -14,7 +14,6 @@
 from ..types import Revision
 from ..types import StoreEpoch
 
-
 # Epoch of a store that has not named one yet.
 FIRST_EPOCH = StoreEpoch(0)
 
@@ -67,10 +66,7 @@
         return self.of_store(epoch)
 
     def record_read(self, position: Position) -> None:
-        """Record a position that the store named, if it is of the same epoch.
-
-        This is called only for those that of_store() takes for the same.
-        """
+        """Record that the store was read at a position of the same epoch."""
         if self.latest is None and position.is_epoch_valid:
             self.latest = FIRST_EPOCH
 
--- a/sesameward/serving/store_copy.py
+++ b/sesameward/serving/store_copy.py
@@ -80,8 +80,8 @@
         self.complete_through: Revision | None = None
         self._metrics = metrics
         self._epochs = EpochOrder()
-        # Whether another node sent changes in a later epoch, but not to which
-        # objects.
+        # True after another node sent changes of a later epoch: they can't be
+        # applied, so all objects of that epoch must be pulled.
         self._needs_all = False
 
     def _empty_replica(self, metrics: Metrics) -> ObjectReplica:
