--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,11 +1,10 @@
-"""Play case 4: SIGTERM reaches a process that has just been started."""
+"""Play case 4: an entry of another writer comes and goes."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import pathlib
-import signal
 import sys
 import time
 
@@ -13,111 +12,101 @@
 from review.common import fleet  # noqa: E402
 from review.common.server import Server  # noqa: E402
 
-SERVICE = 'teacher-portal'
-PATH = '/pupil/'
-WORK_S = 0.3
-DEADLINE_MS = 1_500
+FIRST_PATH = '/pupil/'
+LATER_PATH = '/hall/'
+# The service is a list in a list in a list, and so on, instead of a name.
+DEPTH = 3_000
+FORGED_ENTRY = (
+    '{"service": %s, "address": "127.0.0.1:1", "zone": "zone-a", '
+    '"version": "v1", "slots": 2, "state": "ready", "warmup_left_ms": 0, '
+    '"seq": 1, "born": 1}'
+) % ('[' * DEPTH + ']' * DEPTH)
 CALM_S = 6.0
+ENTRY_S = 8.0
+# Time from the removal of the entry until the new service starts, and from
+# there until the route to it is added.
+SETTLE_S = 8.0
+START_S = 3.0
+# Time after the confirmation of the new route from which requests count.
+STEADY_S = fleet.BOUNDS['config_ms'] / 1_000 + 5.0
+ASKED = 90
 PAUSE_S = 0.05
-START_TIMEOUT_S = 10.0
 
 
 async def play() -> int:
     trouble = os.environ.get('TROUBLE', '1') != '0'
     lines: list[str] = []
-    # For each request: its node, when it was sent, when and how it ended.
-    results: dict[str, tuple[str, float, float, int | None]] = {}
-    tasks: list[asyncio.Future] = []
+    served: dict[str, int] = {FIRST_PATH: 0, LATER_PATH: 0}
 
     def note(text: str) -> None:
         lines.append(f'{time.monotonic():.3f} {text}')
 
-    async def send(system: fleet.Fleet, node: fleet.Node) -> None:
+    async def send(system: fleet.Fleet, number: int, path: str) -> None:
+        node = system.nodes[number % len(system.nodes)]
         request_id = system.next_id()
-        at = time.monotonic()
-        got = await system.ask(
-            node, f'{PATH}{request_id}', request_id, deadline_ms=DEADLINE_MS
-        )
+        got = await system.ask(node, f'{path}{number}', request_id)
         status = None if got is None else got.status
-        results[request_id] = node.name, at, time.monotonic(), status
-        note(f'{node.name} {request_id} sent at {at:.3f}: {status}')
+        served[path] += status == 200
+        note(f'{node.name} {path} {request_id}: {status}')
 
-    async def press(system: fleet.Fleet) -> None:
-        while True:
-            node = system.nodes[len(tasks) % 2]
-            tasks.append(asyncio.ensure_future(send(system, node)))
-            await asyncio.sleep(PAUSE_S)
+    async with fleet.Fleet(nodes=3) as system:
 
-    async def stop(node: fleet.Node) -> float | None:
-        """Stop a process as the platform does; return when it was killed."""
-        note(f'{node.name} gets SIGTERM')
-        node.send(signal.SIGTERM)
-        until = time.monotonic() + fleet.GRACE_S
-        while node.is_running and time.monotonic() < until:
-            await asyncio.sleep(0.01)
-        if not node.is_running:
-            note(f'{node.name} has ended by itself')
-            return None
-        note(f'{node.name} gets SIGKILL')
-        killed_at = time.monotonic()
-        node.kill()
-        return killed_at
+        async def add_service(name: str) -> None:
+            for zone in fleet.ZONES:
+                server = Server(f'i-{len(system.servers):08x}', name)
+                await system.add_server(server, zone)
 
-    async with fleet.Fleet(nodes=3) as system:
-        for index in range(4):
-            server = Server(f'i-{index:08x}', SERVICE, slots=8, work_s=WORK_S)
-            await system.add_server(server, fleet.ZONES[index % 2])
-        route = fleet.single_route('pupil', PATH, SERVICE, 'safe')
-        system.put_config(1, [route])
+        await add_service('teacher-portal')
+        first = fleet.single_route(
+            'pupil', FIRST_PATH, 'teacher-portal', 'safe'
+        )
+        later = fleet.single_route('hall', LATER_PATH, 'hall-roster', 'safe')
+        system.put_config(1, [first])
         await system.start_nodes()
-        pressing = asyncio.ensure_future(press(system))
         await asyncio.sleep(CALM_S)
-        node = system.nodes[0]
-        if await stop(node) is not None:
-            raise fleet.CannotRunError('the first stop already failed')
-        starts = len(node.events('started'))
-        note(f'{node.name} is started again')
-        node.start()
-        until = time.monotonic() + START_TIMEOUT_S
-        while len(node.events('started')) == starts:
-            if time.monotonic() > until:
-                raise fleet.CannotRunError('the node did not start')
-            await asyncio.sleep(0)
-        if not trouble:
-            await system.wait_ready()
-        stopped_at = time.monotonic()
-        killed_at = await stop(node)
-        await asyncio.sleep(1.0)
-        pressing.cancel()
+        if trouble:
+            note('another writer writes an entry')
+            system.store.put_text('servers', 'i-other', FORGED_ENTRY)
+        await asyncio.sleep(ENTRY_S)
+        if trouble:
+            note('the entry is removed')
+            system.store.delete('servers', 'i-other')
+        await asyncio.sleep(SETTLE_S)
+        note('servers of another service start')
+        await add_service('hall-roster')
+        await asyncio.sleep(START_S)
+        note('the store confirms a version that adds a route to them')
+        system.put_config(3, [first, later])
+        await asyncio.sleep(STEADY_S)
+        tasks = []
+        for number in range(ASKED):
+            for path in served:
+                tasks.append(asyncio.ensure_future(send(system, number, path)))
+            await asyncio.sleep(PAUSE_S)
         await asyncio.gather(*tasks)
-        ran = {
-            run.request_id: run.at
-            for server in system.servers
-            for run in server.runs
-        }
-        faults = [line.get('error') for line in node.events('loop_fault')]
-    lost = [
-        request_id
-        for request_id, (name, sent_at, _, status) in results.items()
-        if name == node.name
-        and status is None
-        and request_id in ran
-        and killed_at is not None
-        and sent_at > stopped_at + 3.0
-        and results[request_id][2] - sent_at < DEADLINE_MS / 1_000
-    ]
+        errors = [
+            line.get('error')
+            for node in system.nodes
+            for line in node.events('task_failed')
+        ]
+        versions = [
+            node.events('routes_in_force')[-1].get('version')
+            for node in system.nodes
+        ]
+    if served[FIRST_PATH] < ASKED / 2:
+        raise fleet.CannotRunError('the first route was not served')
+    broken = served[LATER_PATH] < 0.25 * served[FIRST_PATH]
     result = (
-        f'trouble={trouble} requests={len(results)} served='
-        f'{sum(r[3] == 200 for r in results.values())}\n'
-        f'process outlived grace_s after SIGTERM: {killed_at is not None}; '
-        f'loop faults: {faults}\n'
-        f'LOST: {len(lost)} requests sent over 3 s after the SIGTERM were '
-        f'passed on to a server and cut off without an answer: {lost}'
+        f'trouble={trouble} versions in force: {versions}\n'
+        f'CONFIG: of {ASKED} requests each, served on the first route: '
+        f'{served[FIRST_PATH]}, on the route added later: '
+        f'{served[LATER_PATH]}\n'
+        f'failed tasks: {errors}'
     )
     print(result)
     record = pathlib.Path(__file__).parent / 'record.txt'
     record.write_text('\n'.join([result, *sorted(lines)]) + '\n')
-    return 1 if lost else 0
+    return 1 if broken else 0
 
 
 if __name__ == '__main__':
