--- a/review/4/run.py
+++ b/review/4/run.py
@@ -9,8 +9,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
-from review.common import fleet  # noqa: E402
-from review.common.server import Server  # noqa: E402
+from review import fleet  # noqa: E402
+from review.server import Server  # noqa: E402
 
 FIRST_PATH = '/pupil/'
 LATER_PATH = '/hall/'
--- a/review/__init__.py
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the review's scripts, from the standard library only."""
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,6 @@
 # compile.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-exec python3 -m compileall -q review
+for file in review/*.py review/*/*.py; do
+    python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), *sys.argv[1:], "exec")' "$file"
+done
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -17,7 +17,7 @@
 from .server import Server
 from .store import Store
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST_NAME = 'desk.example'
 ZONES = ('zone-a', 'zone-b')
 DEADLINE_MS = 1_500
