Send a request that must not run twice to each target once at most

Cause: when all usable targets had refused a request, it was sent to one of them again. A reply names the request, not the attempt, so a late second copy of the first refusal was taken for the reply to the second attempt, which then counted as not run.

Why this works: a target that got a request once can only refuse that one attempt. A request that may run again is still sent to a target that refused it, but a second refusal of one target no longer counts as proof that nothing ran (also in queries over shards).

Messages between nodes are unchanged.

--- a/sesameward/serving/attempts.py
+++ b/sesameward/serving/attempts.py
@@ -103,6 +103,35 @@
             return False
 
 
+class Recipients:
+    """Record which targets have received a request.
+
+    A faulty target may send a reply twice, the second time where its reply to
+    a later attempt is expected, on the same connection or on another. Both
+    attempts bear the request's id, so nothing tells that copy from the reply.
+    Hence a refusal proves that its attempt did not run only if it is the first
+    that the target received.
+    """
+
+    def __init__(self):
+        self._targets: set[TargetId] = set()
+
+    @property
+    def targets(self) -> typing.Collection[TargetId]:
+        """Return the targets that have received the request."""
+        return self._targets
+
+    def record_failure(
+        self, target_id: TargetId, end: SubRequestFailure
+    ) -> bool:
+        """Record a failed attempt; return True if it surely did not run."""
+        if end in NOTHING_SENT:
+            return True
+        is_first = target_id not in self._targets
+        self._targets.add(target_id)
+        return is_first and end in SURELY_NOT_RUN
+
+
 class Send(msgspec.Struct, frozen=True):
     """Order to send one sub-request to a target.
 
@@ -175,14 +204,15 @@
         now: float,
         reserve: float = 0.0,
         priority: int = 0,
+        excluded: typing.Collection[TargetId] = (),
     ) -> TargetId | None:
         """Return the target to send to; None if no target or budget is left.
 
         The parameter asked holds the targets of earlier attempts, which are
-        avoided. A repeat is charged to the retry budget, unless the earlier
-        attempt was not sent. The parameter reserve is the number of repeats
-        that must be left in the budget after it, priority is that of the
-        route.
+        avoided; those in excluded are never chosen. A repeat is charged to the
+        retry budget, unless the earlier attempt was not sent. The parameter
+        reserve is the number of repeats that must be left in the budget after
+        it, priority is that of the route.
         """
         registered = candidates = self.targets.candidates(service)
         if self.limits.named:
@@ -199,7 +229,7 @@
             # All usable replicas had an attempt already. One that refused it
             # because of overload is possibly less loaded by now. Where the
             # other replicas have no permit left, one that failed has to do.
-            target_id = self.selector.choose(candidates, now)
+            target_id = self.selector.choose(candidates, now, excluded)
         if target_id is None or reason in _WITHOUT_BUDGET:
             return target_id
         return target_id if self.budget.take(service, now, reserve) else None
--- a/sesameward/serving/gather.py
+++ b/sesameward/serving/gather.py
@@ -32,6 +32,7 @@
 from .attempts import MAX_NO_LINKS_ATTEMPTS
 from .attempts import may_ask_again
 from .attempts import NOTHING_SENT
+from .attempts import Recipients
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
@@ -119,8 +120,8 @@
     counts the attempts that surely did not run, broken_count those whose
     connection broke. An attempt that was not sent for a reason other than its
     target is not in asked; unpermitted counts those without a permit, no_links
-    those whose helper node had no connections. done is True once the shard has
-    replied.
+    those whose helper node had no connections. recipients are the targets that
+    received an attempt. done is True once the shard has replied.
     """
 
     __slots__ = (
@@ -130,11 +131,13 @@
         'no_links',
         'not_run',
         'open',
+        'recipients',
         'unpermitted',
     )
 
     def __init__(self):
         self.asked: list[TargetId] = []
+        self.recipients = Recipients()
         self.open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self.done = False
         self.not_run = 0
@@ -334,15 +337,14 @@
         all attempts have ended, and only one at a time.
         """
         shard = self._shards[index]
-        opened = shard.open.pop(attempt, None)
-        if opened is not None and may_ask_again(
-            end, self._wait_s(opened[0], now)
-        ):
-            shard.record_unsent(opened[0], end)
+        target_id, _ = shard.open.pop(attempt)
+        if not shard.recipients.record_failure(target_id, end):
+            self._may_have_run = True
+        if may_ask_again(end, self._wait_s(target_id, now)):
+            shard.record_unsent(target_id, end)
         elif end in SURELY_NOT_RUN:
             shard.not_run += 1
         else:
-            self._may_have_run = True
             shard.broken_count += end is SubRequestFailure.BROKEN
             self._broken_count += end is SubRequestFailure.BROKEN
         if self._finished or shard.done:
--- a/sesameward/serving/relay.py
+++ b/sesameward/serving/relay.py
@@ -2,7 +2,7 @@
 
 This module does no I/O: each call returns the sub-request to send, or how the
 request ended. A request that must not run twice is sent again only if it
-surely did not run.
+surely did not run, and no target receives it twice.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from .attempts import MAX_NO_LINKS_ATTEMPTS
 from .attempts import may_ask_again
 from .attempts import NOTHING_SENT
+from .attempts import Recipients
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
@@ -92,6 +93,7 @@
         self._policy = policy
         self._deadline_at = deadline_at
         self._asked: list[TargetId] = []
+        self._recipients = Recipients()
         self._open: dict[AttemptNo, tuple[TargetId, float]] = {}
         self._attempts = 0
         self._not_run_count = 0
@@ -140,17 +142,15 @@
         A retry is safe if the target surely did not run the attempt, or if the
         route allows its requests to run more than once.
         """
-        opened = self._open.pop(attempt, None)
-        if opened is not None and may_ask_again(
-            end, self._wait_s(opened[0], now)
-        ):
-            self._asked.remove(opened[0])
+        target_id, _ = self._open.pop(attempt)
+        if not self._recipients.record_failure(target_id, end):
+            self._may_have_run = True
+        if may_ask_again(end, self._wait_s(target_id, now)):
+            self._asked.remove(target_id)
             self._no_links_count += end is SubRequestFailure.NO_LINKS
             self._unpermitted_count += end is SubRequestFailure.NO_PERMIT
         elif end in SURELY_NOT_RUN:
             self._not_run_count += 1
-        else:
-            self._may_have_run = True
         self._broken_count += end is SubRequestFailure.BROKEN
         if self._finished:
             return []
@@ -239,6 +239,7 @@
     ) -> list[Action]:
         if len(self._asked) - self._not_run_count >= self._route.max_attempts:
             return []
+        is_once = self._route.repeat is Repeat.ONCE
         target_id = self._policy.pick(
             self._service,
             self._asked,
@@ -246,6 +247,7 @@
             now,
             reserve,
             self._route.priority,
+            self._recipients.targets if is_once else (),
         )
         if target_id is None:
             return []
--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -41,6 +41,17 @@
     HALF_ANSWER = 'half_answer'
 
 
+class CopyHow(enum.Enum):
+    """Say where a target sends an answer a second time.
+
+    CONNECTION: before its next answer on the same connection. REQUEST: before
+    its next answer to a request with the same id, on any connection.
+    """
+
+    CONNECTION = 'connection'
+    REQUEST = 'request'
+
+
 class FloodHow(enum.Enum):
     """Say which part of an answer never ends."""
 
@@ -85,6 +96,9 @@
     crashes_on: the paths whose requests crash the target; crash_mode says how
     its connections then end.
     floods: if set, answers never end.
+    queue_limit: a request gets 503 if this many others wait for a slot.
+    copies_refusals: if set, each answer that refuses a request is sent a
+    second time, late.
     """
 
     work_s: float = 0.003
@@ -100,6 +114,8 @@
     crashes_on: frozenset[str] = frozenset()
     crash_mode: CrashHow = CrashHow.RESET
     floods: FloodHow | None = None
+    queue_limit: int = MAX_QUEUED
+    copies_refusals: CopyHow | None = None
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -152,6 +168,8 @@
         self._running_count = 0
         self._reply_numbers = itertools.count(1)
         self._rng = random.Random(target_id)
+        # Refusals to be sent a second time, by where that happens.
+        self._copies: dict[object, bytes] = {}
         self._http = AbruptServer(
             self._handle, Metrics('target'), time.monotonic
         )
@@ -218,17 +236,50 @@
             expected_instance is not None
             and expected_instance.decode() != self.id
         ):
-            responder.send(self._not_executed(421, request_id))
+            self._refuse(421, request_id, responder)
         elif not request_id:
-            responder.send(self._not_executed(400, request_id))
-        elif self.faults.sheds or self._queued_count >= MAX_QUEUED:
+            self._refuse(400, request_id, responder)
+        elif self._is_full():
             self._record_arrival(headers, bool(self.faults.rest_after))
-            responder.send(self._not_executed(503, request_id))
+            self._refuse(503, request_id, responder)
         else:
             self._record_arrival(headers, False)
             work = self._execute(req, request_id, responder)
             logs.log_failure(asyncio.ensure_future(work))
 
+    def _is_full(self) -> bool:
+        return (
+            self.faults.sheds or self._queued_count >= self.faults.queue_limit
+        )
+
+    def _refuse(
+        self, status: int, request_id: bytes, responder: Responder
+    ) -> None:
+        answer = self._not_executed(status, request_id)
+        key = self._copy_key(request_id, responder)
+        self._send(answer, request_id, responder)
+        if key is not None:
+            self._copies[key] = encode(answer, True)
+
+    def _send(
+        self, answer: Answer, request_id: bytes, responder: Responder
+    ) -> None:
+        """Send an answer, after the copy that is due before it, if any."""
+        transport = responder.raw_transport()
+        copy = self._copies.pop(self._copy_key(request_id, responder), None)
+        if copy is not None and transport is not None:
+            transport.write(copy)
+        responder.send(answer)
+
+    def _copy_key(self, request_id: bytes, responder: Responder) -> object:
+        match self.faults.copies_refusals:
+            case CopyHow.CONNECTION:
+                return responder.raw_transport()
+            case CopyHow.REQUEST:
+                return request_id
+            case None:
+                return None
+
     def _record_arrival(
         self, headers: dict[bytes, bytes], has_retry_after: bool
     ) -> None:
@@ -270,7 +321,7 @@
         if self.faults.floods is not None:
             await self._flood(responder, self.faults.floods)
         elif not self.faults.loses_answers:
-            responder.send(self._answer(request_id, req))
+            self._send(self._answer(request_id, req), request_id, responder)
 
     async def _flood(self, responder: Responder, kind: FloodHow) -> None:
         """Send an endless answer until the peer closes the connection."""
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -171,6 +171,23 @@
     assert retry.target_id != one.target_id
 
 
+# Guards against a second copy of a refusal being taken for the reply to a
+# later attempt at the same target: both bear the same request id.
+def test_second_refusal_of_one_target_does_not_show_that_nothing_ran(policy):
+    query = make_gather(policy, min_coverage=1.0)
+    actions = query.start(NOW)
+    refused = []
+    while sends := only_sends(actions):
+        actions = []
+        for one in sends:
+            refused.append(one.target_id)
+            actions += query.failed(
+                one.shard, one.attempt, SubRequestFailure.NOT_RUN, NOW
+            )
+    assert len(refused) > len(set(refused))
+    assert actions == [Finish(Ending.TOO_FEW_SHARDS, True)]
+
+
 def test_never_more_replicas_run_it_than_allowed(policy):
     query = make_gather(policy, max_attempts=1)
     first_sends = only_sends(query.start(NOW))
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -11,6 +11,7 @@
 
 from sesameward.standin.fleet import Fleet
 from sesameward.standin.fleet import MAX_CONFIG_DELAY_MS
+from sesameward.standin.shard_target import CopyHow
 from sesameward.standin.shard_target import CrashHow
 from sesameward.standin.shard_target import FloodHow
 from tests.floods import flood_front
@@ -340,6 +341,34 @@
     asyncio.run(main())
 
 
+# Guards against a late second copy of a refusal being taken for the reply to
+# the retry of its request, which then ran twice or was refused though it ran.
+@pytest.mark.parametrize('how', list(CopyHow))
+def test_late_copy_of_a_refusal_makes_no_request_run_twice(how):
+    async def main():
+        async with Fleet(nodes=2, shards=1, replicas=1) as fleet:
+            (target_id,) = fleet.services['desk']
+            faults = fleet.targets[target_id].faults
+            faults.work_s, faults.queue_limit = 0.008, 2
+            faults.copies_refusals = how
+
+            async def send(n):
+                await asyncio.sleep(0.004 * n)
+                request_id = fleet.request_id()
+                reply = await fleet.ask(
+                    fleet.nodes[n % 2], f'/once/{n}', request_id, 'POST', b'x'
+                )
+                return reply, request_id
+
+            replies = await asyncio.gather(*map(send, range(400)))
+            refused = sum(reply.status == 503 for reply, _ in replies)
+            assert 0 < refused < len(replies)
+            for reply, request_id in replies:
+                promises.check_once(fleet, reply, request_id)
+
+    asyncio.run(main())
+
+
 @with_fleet()
 async def test_operator_follows_a_request_and_sees_beliefs(fleet):
     for target_id in fleet.services['desk']:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sesameward.serving.attempts import AttemptPolicy
+from sesameward.serving.attempts import NOTHING_SENT
 from sesameward.serving.attempts import Send
 from sesameward.serving.attempts import SendReason
 from sesameward.serving.attempts import SubRequestFailure
@@ -103,6 +104,40 @@
     assert actions == [Finish(Verdict.REFUSED)]
 
 
+# Guards against a second copy of a refusal being taken for the reply to a
+# later attempt at the same target: both bear the same request id.
+@given(
+    st.integers(1, 3),
+    st.lists(st.sampled_from(list(SubRequestFailure)), max_size=12),
+)
+def test_request_that_runs_once_reaches_each_target_once(targets, ends):
+    relay = make_relay(make_policy('abc'[:targets]), Repeat.ONCE, 9)
+    received = []
+    actions = relay.start(NOW)
+    for end in ends:
+        if not actions or not isinstance(actions[0], Send):
+            break
+        if end not in NOTHING_SENT:
+            received.append(actions[0].target_id)
+        actions = relay.failed(actions[0].attempt, end, NOW)
+    assert len(received) == len(set(received))
+
+
+# Guards against the same for requests that may run again: their caller must
+# not be told that they did not run.
+def test_second_refusal_of_one_target_does_not_show_that_nothing_ran():
+    relay = make_relay(make_policy('a'), Repeat.SAFE)
+    actions = relay.start(NOW)
+    refusals = 0
+    while isinstance(actions[0], Send):
+        actions = relay.failed(
+            actions[0].attempt, SubRequestFailure.NOT_RUN, NOW
+        )
+        refusals += 1
+    assert refusals > 1
+    assert actions == [Finish(Verdict.FAILED)]
+
+
 def test_it_is_never_hedged(once_relay):
     once_relay.start(NOW)
     assert once_relay.on_timer(NOW + 0.9) == []
