Go on reading the store after an unexpected exception

Cause: a registration nested 3,000 levels deep makes msgspec raise RecursionError. Mirror handled PlatformError alone, so the task that reads the store ended, and nothing started it again; the next node took over and ended the same way.

Four new tests of test_mirror.py failed before: reads that raise RecursionError or ValueError for a while, a watch that fails because of a change that the store sends again, and an update that its consumer can't apply.

Why this works: keep_running (until now a method of the earlier interface's Configuration, which uses it too) restarts the loop after a pause. After such a failure the objects are listed, since the changes of a watch may be what made it fail. An update that fails is passed on object by object, since the copy has the objects already.

--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import collections.abc
+import functools
 import itertools
 import random
 
 from .. import logs
+from ..background import keep_running
 from ..configuration import declared
 from ..configuration.objects import ObjectReplica
 from ..configuration.platform_client import PlatformClient
@@ -131,7 +133,16 @@
             self._reconcile,
         ):
             self._tasks.append(
-                asyncio.ensure_future(self._run_and_restart(run_loop))
+                asyncio.ensure_future(
+                    keep_running(
+                        run_loop,
+                        functools.partial(
+                            self._record_fault, run_loop.__name__
+                        ),
+                        self._rng,
+                        MAX_RESTART_PAUSE_S,
+                    )
+                )
             )
 
     async def stop(self) -> None:
@@ -141,20 +152,6 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks.clear()
 
-    async def _run_and_restart(
-        self, run_loop: collections.abc.Callable[[], collections.abc.Awaitable]
-    ) -> None:
-        # Restart a failed loop; without it the node could stay on an old
-        # revision.
-        while True:
-            try:
-                return await run_loop()
-            except Exception as exc:
-                self._record_fault(run_loop.__name__, exc)
-                await asyncio.sleep(
-                    self._rng.uniform(0.5, 1.0) * MAX_RESTART_PAUSE_S
-                )
-
     def handle_hint(self, rumor: Rumor) -> None:
         """Handle a rumor that another agent has a newer revision."""
         if rumor.topic != HINT_TOPIC or rumor.key != HINT_KEY:
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -20,6 +20,8 @@
 import msgspec
 
 from .. import logs
+from ..background import keep_running
+from ..background import restart_logger
 from ..configuration.objects import ObjectReplica
 from ..configuration.spread import Backoff
 from ..exceptions import CompactedError
@@ -171,6 +173,9 @@
         self._store_log = StoreLog(kind, metrics)
         self._task: asyncio.Task | None = None
         self._read_task: asyncio.Task | None = None
+        # Whether the next read must list the objects. The changes in a watch
+        # may be what made the last read fail, and the store sends them again.
+        self._must_list = False
         # Only the newest reading that arrives during a pull is handled after.
         self._catch_up = LatestTask(self._catch_up_with)
         self.has_pulled = False
@@ -203,7 +208,10 @@
     def start(self) -> None:
         """Start to fill the copy, and to watch the store when needed."""
         self._started_at = self._clock()
-        self._task = asyncio.ensure_future(self._run())
+        on_fault = restart_logger(self._metrics, f'mirror {self.kind}')
+        self._task = asyncio.ensure_future(
+            keep_running(self._run, on_fault, self._rng)
+        )
         logs.log_failure(self._task)
 
     async def stop(self) -> None:
@@ -280,6 +288,7 @@
     # Reading the store.
 
     async def _run(self) -> None:
+        self._took_over = False
         backoff = Backoff(self._rng, BACKOFF_BASE_S, BACKOFF_CAP_S)
         await asyncio.gather(self._pull_at_start(), self._list_at_start())
         while True:
@@ -309,6 +318,11 @@
             if asyncio.current_task().cancelling():
                 self._read_task.cancel()
                 raise
+        except PlatformError:
+            raise
+        except Exception:
+            self._must_list = True
+            raise
         finally:
             self._read_task = None
 
@@ -341,6 +355,9 @@
             # A list with allow_stale costs the store less. It may lack recent
             # changes, but the watch below returns those.
             await self._list(allow_stale=True)
+        if self._must_list:
+            await self._list()
+            self._must_list = False
         since = self.copy.watch_position()
         wait_s = self._takeover.wait_s
         try:
@@ -427,7 +444,31 @@
                     revision=self.replica.revision,
                     count=len(objects),
                 )
-        self._on_update(update)
+        self._deliver(update)
+
+    def _deliver(self, update: Changed | Restored) -> None:
+        """Pass an update on; pass its objects one by one if that fails.
+
+        The copy has the objects already, so none would be passed on later.
+        """
+        try:
+            self._on_update(update)
+            return
+        except Exception as exc:
+            self._log_update_failure(exc)
+        for stored in update.objects:
+            try:
+                self._on_update(Changed([stored]))
+            except Exception as exc:
+                self._log_update_failure(exc, stored.name)
+
+    def _log_update_failure(
+        self, exc: Exception, name: str | None = None
+    ) -> None:
+        self._metrics.count('updates_failed', type(exc).__name__)
+        logs.log_event(
+            'update_failed', kind=self.kind, object=name, error=repr(exc)
+        )
 
     def _mark_fresh(self) -> None:
         if not self.was_read:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,6 +10,7 @@
 # subpackage; the units of a layer may import each other.
 LAYERS = (
     {
+        'background',
         'channels',
         'codec',
         'exceptions',
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -35,6 +35,8 @@
         self.changed = asyncio.Event()
         self.old_list = None
         self.answers_nothing = False
+        # The exception that each call raises, as a fault of the client would.
+        self.fault = None
         self.epoch = 1
 
     def restore(self, revision, objects):
@@ -87,6 +89,8 @@
         self.store.calls[key] = self.store.calls.get(key, 0) + 1
         if self.node in self.store.refused_nodes:
             raise PlatformUnavailableError('the store refuses this node')
+        if self.store.fault is not None:
+            raise self.store.fault
 
     async def list(self, kind, timeout_s, allow_stale=False):
         self._count_call('stale' if allow_stale else 'list')
@@ -126,6 +130,8 @@
         self.cut_off = set()
         self.pulls = collections.Counter()
         self.changes_seen = {name: [] for name in names}
+        # The consumers of updates fail if one of these objects is in them.
+        self.harmful_names = set()
         self.mirrors = {name: self._make(name) for name in names}
 
     def _make(self, name):
@@ -144,6 +150,11 @@
                 if other != name and other not in self.cut_off:
                     loop.call_soon(mirror.on_rumor, rumor)
 
+        def on_update(update):
+            if self.harmful_names & {one.name for one in update.objects}:
+                raise ValueError('an object that the consumer can not use')
+            self.changes_seen[name].extend(update.objects)
+
         return Mirror(
             KIND,
             name,
@@ -151,7 +162,7 @@
             pull,
             lambda: self.members,
             publish,
-            lambda update: self.changes_seen[name].extend(update.objects),
+            on_update,
             Takeover(IN_FORCE_S, 0.0),
             Metrics('t'),
             random.Random(name),
@@ -448,3 +459,64 @@
         assert listed <= 2
 
     run(scenario, [f'n{index}' for index in range(24)])
+
+
+# Guards against an exception other than PlatformError ending the reading of
+# the store for good, on one node after the other.
+@pytest.mark.parametrize('fault', [RecursionError(), ValueError()])
+def test_reading_goes_on_after_an_unexpected_exception(run, fault):
+    async def scenario(fleet):
+        fleet.store.fault = fault
+        fleet.store.put('y', b'2')
+        await asyncio.sleep(4 * IN_FORCE_S)
+        fleet.store.fault = None
+        fleet.store.put('z', b'3')
+        assert await all_reach(fleet, {'x': b'1', 'y': b'2', 'z': b'3'})
+
+    run(scenario)
+
+
+# Guards against a watch that fails again and again because of a change that
+# the store sends again until its history is gone.
+def test_changes_that_can_not_be_read_are_made_up_by_a_list(run):
+    async def scenario(fleet):
+        view_class = StoreView
+        watch = view_class.watch
+
+        async def failing_watch(self, kind, since, wait_s, timeout_s):
+            position, found = await watch(self, kind, since, wait_s, timeout_s)
+            if any(one.value == b'harmful' for one in found):
+                raise RecursionError
+            return position, found
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(view_class, 'watch', failing_watch)
+            fleet.store.put('y', b'harmful')
+            await asyncio.sleep(IN_FORCE_S)
+            fleet.store.delete('y')
+            fleet.store.put('z', b'3')
+            assert await all_reach(fleet, {'x': b'1', 'z': b'3'})
+
+    run(scenario)
+
+
+# Guards against one object that the consumer of the updates can't use keeping
+# the others of the same update from it.
+def test_object_that_its_consumer_can_not_use_harms_no_others(run):
+    async def scenario(fleet):
+        fleet.harmful_names.add('b')
+        fleet.store.revision += 3
+        for offset, name in enumerate('abc'):
+            revision = fleet.store.revision - 2 + offset
+            stored = StoredObject(KIND, name, revision, b'1')
+            fleet.store.objects[name] = stored
+            fleet.store.events.append(stored)
+        fleet.store._wake()
+        wanted = {name: b'1' for name in 'xabc'}
+        assert await all_reach(fleet, wanted)
+        for seen in fleet.changes_seen.values():
+            assert {one.name for one in seen} == {'x', 'a', 'c'}
+        fleet.store.put('d', b'2')
+        assert await all_reach(fleet, wanted | {'d': b'2'})
+
+    run(scenario)
