Restart the other background loops of a node that fail unexpectedly

What callers would see: a node whose upkeep has ended no longer drops expired targets, opens connections ahead, takes new limits of the configuration or reads its settings; one whose registration has ended no longer finds nodes.

The loops handled PlatformError or nothing, and nobody started them again.

Evidence: test_node_loops.py runs a node whose check for new settings, or list of nodes, fails once with RecursionError. Before, neither was called again within 5 s.

Why this works: keep_running restarts each of them after a pause.

--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -18,6 +18,9 @@
 import uvloop
 
 from .. import logs
+from ..background import keep_running
+from ..background import restart_logger
+from ..background import RunLoop
 from ..exceptions import SettingsError
 from . import kept_routes
 from . import leaving_targets
@@ -360,12 +363,12 @@
             self.metrics,
             self._rng,
         )
-        for work in (
-            self._run_upkeep(),
-            registration.run(),
-            self._limit_exchange.run(),
+        for name, run_loop in (
+            ('upkeep', self._run_upkeep),
+            ('registration', registration.run),
+            ('limits', self._limit_exchange.run),
         ):
-            self._spawn(work)
+            self._spawn_loop(name, run_loop)
         await self._leave_finished.wait()
         await self._stop()
 
@@ -396,6 +399,10 @@
         logs.log_failure(task)
         self._tasks.append(task)
 
+    def _spawn_loop(self, name: str, run_loop: RunLoop) -> None:
+        on_fault = restart_logger(self.metrics, name)
+        self._spawn(keep_running(run_loop, on_fault, self._rng))
+
     def _start_leaving(self) -> None:
         if self._leaving:
             return
