Read the store's replies although one object in them can't be decoded

Cause: a reply of the store is decoded as a whole. msgspec refuses it if any value in it is nested too deeply or holds half of a surrogate pair, also in fields that nobody reads and in values that are kept raw.

Evidence: test_object_that_can_not_be_decoded_harms_no_others (seven specs) and test_changes_are_in_force_beside_an_undecodable_entry (processes, two specs) failed before. Ruled out: that msgspec.Raw for whole objects would do; it walks through the text with the same checks.

Why this works: a reply that can't be decoded is split into its objects by counting brackets, so that depth doesn't matter. An object that can't be decoded is taken with its name and revision and null as its content, which names no target. A page without any readable name is still refused, since the list could not go on after it.

--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import typing
 import urllib.parse
 
 import msgspec
@@ -17,6 +18,7 @@
 from ..serving.settings import NodeSettings
 from ..serving.target_connection import Reply
 from ..settings import Endpoint
+from . import store_replies
 from ..types import Revision
 from ..types import StoreEpoch
 
@@ -30,33 +32,7 @@
 # targets takes 60 pages.
 MAX_LIST_PAGES = 200
 
-
-class _Meta(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    meta: _Meta
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _Listing(msgspec.Struct):
-    """Hold one page of a list; as_of is the revision that the page shows."""
-
-    items: tuple[_Object, ...]
-    more: bool
-    as_of: int
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool
-
-
-class _Events(msgspec.Struct):
-    events: tuple[_Event, ...]
-    as_of: int
+T = typing.TypeVar('T')
 
 
 class _NodeSpec(msgspec.Struct):
@@ -89,7 +65,7 @@
             if allow_stale:
                 query['stale_ok'] = 1
             reply = await self._call('GET', kind, query, timeout_s)
-            page = self._decode(reply, _Listing)
+            page = self._decode(reply, store_replies.decode_listing)
             position = _position(reply, page.as_of)
             if first is None:
                 first = position
@@ -99,7 +75,11 @@
             # from the lowest one, so that no change is missed.
             first = min(first, position, key=lambda one: one.revision)
             objects += [_to_stored_object(kind, item) for item in page.items]
-            if not page.more or not page.items:
+            if not page.more:
+                return first, objects
+            if not page.items:
+                if page.unnamed:
+                    raise self._reject_reply(f'only unnamed {kind} in a page')
                 return first, objects
             after = page.items[-1].meta.name
             if after in seen_cursors:
@@ -123,7 +103,7 @@
                 f'the store no longer keeps the changes of {kind} after '
                 f'revision {since}; list the objects again'
             )
-        changes = self._decode(reply, _Events)
+        changes = self._decode(reply, store_replies.decode_events)
         return _position(reply, changes.as_of), [
             _to_stored_object(kind, event.object, event.deleted)
             for event in changes.events
@@ -199,14 +179,14 @@
             )
         return reply
 
-    def _decode(self, reply: Reply, kind):
+    def _decode(self, reply: Reply, decode: typing.Callable[[bytes], T]) -> T:
         if reply.status != 200:
             raise PlatformError(
                 f'the store replied with status {reply.status}, not 200; '
                 "check the store's address in the settings"
             )
         try:
-            return msgspec.json.decode(reply.body, type=kind)
+            return decode(reply.body)
         except msgspec.DecodeError as exc:
             raise self._reject_reply(
                 f'a reply that cannot be decoded ({exc})'
@@ -223,7 +203,7 @@
 
 
 def _to_stored_object(
-    kind: str, item: _Object, deleted: bool = False
+    kind: str, item: store_replies.Object, deleted: bool = False
 ) -> StoredObject:
     return StoredObject(
         kind,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from sesameward.exceptions import CompactedError
@@ -19,6 +20,7 @@
 from sesameward.messages import StoredObject
 from sesameward.metrics import Metrics
 from sesameward.platform import boot
+from sesameward.platform import json_parts
 from sesameward.platform.objects import ObjectDecoder
 from sesameward.platform.store import StoreCalls
 from sesameward.platform.wire import PlatformEndpointAdapter
@@ -272,6 +274,95 @@
     run_with_store(scenario)
 
 
+# Specs of other writers that can't be decoded.
+NESTED = b'[' * 3_000 + b']' * 3_000
+UNDECODABLE_SPECS = [
+    NESTED,
+    b'{"service": %s}' % NESTED,
+    b'{"unknown": {"a": %s}, "service": "s"}' % NESTED,
+    b'"\\ud800"',
+    b'{"service": "\\ud800"}',
+    b'{"\\udfff": 1}',
+    b'{"text": "]}, \\" [{", "a": "\\ud800"}',
+]
+
+
+# Guards against one object that can't be decoded making the whole reply
+# unreadable, in each list and watch for as long as it is stored.
+@pytest.mark.parametrize('spec', UNDECODABLE_SPECS)
+def test_object_that_can_not_be_decoded_harms_no_others(run_with_store, spec):
+    async def scenario(store, calls, cfg):
+        store.put('servers', 'i-1', {'n': 1})
+        since = store.revision
+        store.put('servers', 'i-2', msgspec.Raw(spec))
+        store.put('servers', 'i-3', {'n': 3})
+        _, objects = await calls.list('servers', 1.0)
+        assert [json.loads(o.value) for o in objects] == [
+            {'n': 1},
+            None,
+            {'n': 3},
+        ]
+        _, events = await calls.watch('servers', since, 0.0, 1.0)
+        assert [o.name for o in events] == ['i-2', 'i-3']
+        assert [json.loads(o.value) for o in events] == [None, {'n': 3}]
+        with pytest.raises(DeclarationError):
+            ObjectDecoder().target(events[0])
+
+    run_with_store(scenario)
+
+
+# Guards against a list that ends early where a whole page has no object with a
+# readable name: the objects after it would count as deleted.
+def test_page_without_any_readable_name_is_no_end_of_a_list():
+    name = (
+        b'{"items": [{"meta": {"name": "\\ud800"}}], "more": %s, "as_of": 3}'
+    )
+
+    def handle(req, responder):
+        responder.send(Answer(200, [], name % b'true'))
+
+    async def main():
+        server = HttpServer(handle, Metrics('t'), lambda: 0.0)
+        await server.start('127.0.0.1', 0)
+        try:
+            await StoreCalls(settings_for(server.port)).list('servers', 1.0)
+        finally:
+            server.stop()
+
+    with pytest.raises(PlatformUnavailableError, match='unnamed'):
+        asyncio.run(main())
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=20,
+)
+
+
+@given(st.lists(JSON_VALUES), st.sampled_from([None, 1]))
+def test_elements_of_an_array_are_found(values, indent):
+    text = json.dumps(values, indent=indent).encode()
+    parts = json_parts.elements(text)
+    assert [json.loads(part) for part in parts] == values
+
+
+@given(st.dictionaries(st.text(), JSON_VALUES), st.sampled_from([None, 1]))
+def test_members_of_an_object_are_found(fields, indent):
+    text = json.dumps(fields, indent=indent).encode()
+    parts = json_parts.members(text)
+    assert {name: json.loads(one) for name, one in parts.items()} == fields
+
+
+@given(st.binary(max_size=30))
+def test_text_that_is_no_json_is_split_or_refused(text):
+    for split in (json_parts.elements, json_parts.members):
+        try:
+            split(text)
+        except msgspec.DecodeError:
+            continue
+
+
 def test_registration_is_found_and_repeatable(run_with_store):
     async def scenario(store, calls, cfg):
         await calls.register(cfg)
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -7,10 +7,12 @@
 import sys
 import time
 
+import msgspec
 import pytest
 
 from sesameward.standin.fleet import Fleet
 from sesameward.standin.fleet import MAX_CONFIG_DELAY_MS
+from sesameward.standin.fleet import ZONES
 from sesameward.standin.shard_target import CopyHow
 from sesameward.standin.shard_target import CrashHow
 from sesameward.standin.shard_target import FloodHow
@@ -205,6 +207,44 @@
         assert await query_coverage(fleet, node) == SHARDS
 
 
+async def is_new_service_served(fleet, name):
+    """Start a service, add routes to it, and ask for them at all nodes."""
+    for zone in ZONES:
+        await fleet.add_target(name, zone)
+    fleet.put_config(single_service=name, extra_routes=(f'/{name}/',))
+
+    async def all_serve():
+        replies = [await fleet.ask(n, f'/{name}/1') for n in fleet.nodes]
+        return all(reply.status == 200 for reply in replies)
+
+    await wait_until(all_serve, MAX_CONFIG_DELAY_MS / 1_000)
+    return True
+
+
+NESTED = b'[' * 3_000 + b']' * 3_000
+
+
+# Guards against nodes that learn of no further target, or don't start, while
+# an object is stored that can't be decoded.
+@pytest.mark.parametrize('spec', [NESTED, b'{"service": "\\ud800"}'])
+def test_changes_are_in_force_beside_an_undecodable_entry(spec):
+    async def main():
+        async with Fleet(nodes=3, shards=SHARDS) as fleet:
+            fleet.store.put('servers', 'forged', msgspec.Raw(spec))
+            assert await is_new_service_served(fleet, 'later')
+            for node in fleet.nodes:
+                node.send(signal.SIGKILL)
+                node.process.wait()
+                node.start()
+            await fleet.wait_until_ready()
+            assert await is_new_service_served(fleet, 'latest')
+            for node in fleet.nodes:
+                assert node.lines('task_failed') == []
+                assert node.lines('loop_restarted') == []
+
+    asyncio.run(main())
+
+
 @with_fleet()
 async def test_sigterm_cuts_nothing(fleet):
     node = fleet.nodes[0]
