Refuse registrations whose address or numbers can't be used

What callers saw: requests sent to a registered target whose host can't be encoded waited until their deadline (504), and a registration with a port such as U+00B2 ended the reading of targets on the node that read it.

Cause: the decoder checked str.isdigit() before int(), which accepts other digits or refuses thousands of them, and took any text as a host. Opening a connection handled OSError alone, so the failed task kept its place among the connections and its waiting requests. A start time over 64 bits can't be encoded in messages between nodes.

Evidence: ten of the registrations of test_registration_that_can_not_be_used_is_refused were accepted or raised something but DeclarationError before, and test_target_without_a_usable_address_leaves_nobody_waiting failed for three hosts.

Why this works: addresses.parse, which the settings use too, accepts a numeric IP address and a port of ASCII digits (there are no name lookups on the platform). Pools counts any ValueError of a connection as a failure.

--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from . import addresses
 from ..exceptions import SettingsError
 from ..serving.settings import Bounds
 from ..serving.settings import NodeSettings
@@ -156,12 +157,12 @@
 
 
 def _parse_endpoint(path: str, field: str, text: str) -> Endpoint:
-    host, _, port = text.rpartition(':')
-    if not host or not port.isdigit() or int(port) > 65_535:
+    try:
+        return addresses.parse(text)
+    except ValueError as exc:
         raise SettingsError(
-            path, field, f'invalid address {text!r}', 'write it as HOST:PORT'
-        )
-    return Endpoint(host, int(port))
+            path, field, f'invalid address {text!r}', 'write it as IP:PORT'
+        ) from exc
 
 
 class SettingsFile:
--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from . import addresses
 from ..exceptions import DeclarationError
 from ..messages import StoredObject
 from ..serving.routes import CallerLimits
@@ -32,6 +33,9 @@
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
+# Integers that fit into the messages between nodes.
+PositiveInt64 = typing.Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
+NonNegativeInt64 = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0)]
 
 _REPEAT_BY_ROUTE_TYPE = {'safe': Repeat.SAFE, 'unsafe': Repeat.ONCE}
@@ -133,12 +137,12 @@
     service: str
     address: str
     zone: str
-    slots: PositiveInt
+    slots: PositiveInt64
     state: typing.Literal['ready', 'draining']
     seq: NonNegativeInt
     version: str = ''
     warmup_left_ms: Milliseconds = 0
-    born: int = 0
+    born: NonNegativeInt64 = 0
 
 
 class ObjectDecoder:
@@ -179,18 +183,19 @@
     def target(self, stored: StoredObject) -> Target:
         """Return the target that a stored registration describes."""
         server = _decode(self._server, stored)
-        host, _, port = server.address.rpartition(':')
-        if not host or not port.isdigit() or int(port) > 65_535:
+        try:
+            address = addresses.parse(server.address)
+        except ValueError as exc:
             raise DeclarationError(
                 'address',
                 f'invalid address {server.address!r}',
-                'write it as HOST:PORT',
-            )
+                'write it as IP:PORT',
+            ) from exc
         return Target(
             id=TargetId(stored.name),
             service=ServiceName(server.service),
-            host=host,
-            port=int(port),
+            host=address.host,
+            port=address.port,
             zone=ZoneName(server.zone),
             slots=server.slots,
             state=TargetState(server.state),
@@ -202,7 +207,8 @@
 def _decode(decoder: msgspec.json.Decoder, stored: StoredObject):
     try:
         return decoder.decode(stored.value)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
+        # msgspec raises RecursionError for text that is nested too deeply.
         problem, _, json_path = str(exc).partition(' - at ')
         raise DeclarationError(
             json_path.strip('`') or stored.name,
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -369,7 +369,9 @@
                     target.host,
                     target.port,
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, ValueError) as exc:
+            # ValueError, and UnicodeError as a kind of it, mean that the host
+            # is no address.
             pool.connecting -= 1
             self._metrics.count('target_connections', type(exc).__name__)
             pool.unreachable_until = self._clock() + UNREACHABLE_S
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -204,6 +204,37 @@
         assert 0 < len(target.host)
 
 
+NESTED = b'[' * 3_000 + b']' * 3_000
+
+
+# Guards against a registration that is accepted, but whose address or numbers
+# make the connections to it or the messages about it fail.
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'address': '127.0.0.1:\u00b2'},
+        {'address': '127.0.0.1:' + '1' * 5_000},
+        {'address': '127.0.0.1:\u0661'},
+        {'address': '127.0.0.1:65536'},
+        {'address': 'a..b:80'},
+        {'address': 'x' * 64 + ':80'},
+        {'address': 'a\x00b:80'},
+        {'address': 'somewhere:80'},
+        {'address': ':80'},
+        {'born': 10**30},
+        {'slots': 10**30},
+        {'unknown': 'nested'},
+    ],
+)
+def test_registration_that_can_not_be_used_is_refused(changes):
+    text = json.dumps(REGISTRATION | changes).encode()
+    text = text.replace(b'"nested"', NESTED)
+    stored = StoredObject('servers', 'i-1', 7, text)
+    with pytest.raises(DeclarationError) as caught:
+        ObjectDecoder().target(stored)
+    assert caught.value.remedy
+
+
 def test_bytes_that_are_no_json_are_refused():
     with pytest.raises(DeclarationError):
         ObjectDecoder().target(StoredObject('servers', 'i-1', 7, b'\xff{'))
@@ -275,7 +306,6 @@
 
 
 # Specs of other writers that can't be decoded.
-NESTED = b'[' * 3_000 + b']' * 3_000
 UNDECODABLE_SPECS = [
     NESTED,
     b'{"service": %s}' % NESTED,
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -108,6 +108,20 @@
     run_with_pools(scenario)
 
 
+# Guards against requests that wait until their deadline for a target whose
+# host is no address.
+@pytest.mark.parametrize('host', ['a..b', 'x' * 64, '\udc80'])
+def test_target_without_a_usable_address_leaves_nobody_waiting(
+    run_with_pools, host
+):
+    async def scenario(pools, standin, unreachable):
+        pools.declare(Target('i-1', 's', host, 80, 'z', 2, TargetState.READY))
+        assert await send_request(pools) is None
+        assert unreachable == ['i-1']
+
+    run_with_pools(scenario)
+
+
 def test_forgotten_target_leaves_nobody_waiting(run_with_pools):
     async def scenario(pools, standin, _):
         pools.forget('i-1')
