Leave an invalid registration of a node out of the list of nodes

What callers would see: a node that starts, or has lost the others, finds none of them through the store, so that it learns of changes by its own calls only and is in no directory.

Cause: one object decided over a whole list, as with targets: one registration of a node that could not be decoded made StoreCalls.nodes() fail. A host that is no address was passed on to gossip.

Evidence: test_invalid_registration_of_a_node_harms_no_others failed before for all five registrations. By reading; not seen at callers.

Why this works: such a registration is logged and left out.

--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from .. import logs
+from . import addresses
 from ..exceptions import CompactedError
 from ..exceptions import PlatformError
 from ..exceptions import PlatformThrottledError
@@ -135,19 +137,21 @@
     async def nodes(self) -> list[Endpoint]:
         """Return the gossip addresses of the registered nodes.
 
-        Raise PlatformError if the call fails or an address is not valid.
+        Registrations that are not valid are left out. Raise PlatformError if
+        the call fails.
         """
         _, objects = await self.list(NODES_KIND, NODES_CALL_TIMEOUT_S, True)
         endpoints = []
         for stored in objects:
             try:
-                spec = msgspec.json.decode(stored.value, type=_NodeSpec)
-            except msgspec.DecodeError as exc:
-                raise PlatformError(
-                    f'the registration of node {stored.name} is not valid '
-                    f'({exc}); remove it from the store'
-                ) from exc
-            endpoints.append(Endpoint(spec.host, spec.port))
+                endpoints.append(_node_address(stored.value))
+            except (ValueError, RecursionError) as exc:
+                logs.log_event(
+                    'node_registration_skipped',
+                    name=stored.name,
+                    revision=stored.revision,
+                    error=str(exc),
+                )
         return endpoints
 
     async def _call(
@@ -202,6 +206,11 @@
         )
 
 
+def _node_address(value: bytes) -> Endpoint:
+    spec = msgspec.json.decode(value, type=_NodeSpec)
+    return addresses.parse(f'{spec.host}:{spec.port}')
+
+
 def _to_stored_object(
     kind: str, item: store_replies.Object, deleted: bool = False
 ) -> StoredObject:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -404,6 +404,27 @@
 
 # Guards against a node that finds only the first page of the other nodes, and
 # takes its own registration for lost since it is on a later page.
+# Guards against nodes that find no others because one registration of a node
+# is not valid.
+@pytest.mark.parametrize(
+    'spec',
+    [
+        b'null',
+        b'{"host": 7}',
+        b'{"host": "a..b", "port": 80}',
+        b'{"host": "10.0.0.5", "port": -1}',
+        b'{"host": "10.0.0.5", "port": 80, "unknown": %s}' % NESTED,
+    ],
+)
+def test_invalid_registration_of_a_node_harms_no_others(run_with_store, spec):
+    async def scenario(store, calls, cfg):
+        await calls.register(cfg)
+        store.put('sesameward-nodes', 'n0', msgspec.Raw(spec))
+        assert await calls.nodes() == [cfg.gossip]
+
+    run_with_store(scenario)
+
+
 def test_nodes_are_read_page_by_page(run_with_store):
     async def scenario(store, calls, cfg):
         for n in range(120):
