Refuse registrations whose names can't stand in a header

What could happen: a registration named "i-1\r\nX-Header: 1" added a header of its writer's choice to each request that was sent to its target. A name of a megabyte would be put into datagrams between nodes.

Cause: the name of a stored object was taken as the id of a target without a check, as the address was.

Evidence: test_registration_with_an_unusable_name_is_refused failed before for five names. By reading; not seen at callers.

Why this works: the decoder accepts 1 to 200 visible ASCII characters.

--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 import msgspec
@@ -38,6 +39,11 @@
 NonNegativeInt64 = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0)]
 
+# The name of a target is sent to it in a header, and to other nodes in
+# datagrams.
+MAX_NAME_CHARS = 200
+_NAME = re.compile(rf'[!-~]{{1,{MAX_NAME_CHARS}}}')
+
 _REPEAT_BY_ROUTE_TYPE = {'safe': Repeat.SAFE, 'unsafe': Repeat.ONCE}
 
 
@@ -183,6 +189,12 @@
     def target(self, stored: StoredObject) -> Target:
         """Return the target that a stored registration describes."""
         server = _decode(self._server, stored)
+        if not _NAME.fullmatch(stored.name):
+            raise DeclarationError(
+                'name',
+                f'unusable name {stored.name[:MAX_NAME_CHARS]!r}',
+                f'use 1 to {MAX_NAME_CHARS} visible ASCII characters',
+            )
         try:
             address = addresses.parse(server.address)
         except ValueError as exc:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -235,6 +235,16 @@
     assert caught.value.remedy
 
 
+# Guards against a registration whose name adds headers to the requests that
+# are sent to its target, or does not fit into a datagram.
+@pytest.mark.parametrize(
+    'name', ['', 'i-1\r\nX-Header: 1', 'i 1', 'i-\u00e9', 'i' * 201]
+)
+def test_registration_with_an_unusable_name_is_refused(name):
+    with pytest.raises(DeclarationError, match='name'):
+        ObjectDecoder().target(make_stored(REGISTRATION, name, 'servers'))
+
+
 def test_bytes_that_are_no_json_are_refused():
     with pytest.raises(DeclarationError):
         ObjectDecoder().target(StoredObject('servers', 'i-1', 7, b'\xff{'))
