Restart the loop that reads the list of VMs after an unexpected exception

What operators would see: an agent that keeps its list of VMs for good after one reply of the platform that is nested too deeply.

Evidence: test_vm_list.py failed before. By reading; not seen at callers.

Why this works: keep_running restarts the loop.

--- a/sesameward/controllers/vm_list.py
+++ b/sesameward/controllers/vm_list.py
@@ -6,7 +6,8 @@
 import random
 import typing
 
-from .. import logs
+from ..background import keep_running
+from ..background import restart_logger
 from ..configuration.platform_client import PlatformClient
 from ..exceptions import PlatformError
 from ..messages import Vm
@@ -48,8 +49,10 @@
 
     def start(self) -> None:
         """Start the poll loop."""
-        self._task = asyncio.ensure_future(self._run())
-        logs.log_failure(self._task)
+        on_fault = restart_logger(self._metrics, 'vm_list')
+        self._task = asyncio.ensure_future(
+            keep_running(self._run, on_fault, self._rng)
+        )
 
     async def stop(self) -> None:
         """Cancel the poll loop and wait until it has ended."""
