--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,10 @@
 import signal
 import time
 
+import msgspec
+
 from sesameward.standin.links import Cut
+from sesameward.standin.shard_target import CopyHow
 from sesameward.standin.shard_target import CrashHow
 from sesameward.standin.shard_target import FloodHow
 from tests.floods import flood_front
@@ -47,6 +50,8 @@
     'service_limits',
     'nodes_stranded',
     'store_restored',
+    'service_copies',
+    'entry_forged',
 )
 
 # Time within which a signal that ends a process takes effect.
@@ -64,6 +69,18 @@
 # Time for which nodes are cut off from all targets. From SETTLED_S of the
 # promises on, their callers must be served.
 STRANDED_S = 7.0
+# A service that sends its refusals twice refuses requests for this time, then
+# accepts them for as long, and so on.
+REFUSING_S = 0.01
+NESTED = b'[' * 3_000 + b']' * 3_000
+# Registrations of another writer, as they stand in the store.
+FORGED_SPECS = (
+    NESTED,
+    b'{"service": "shard-0", "unknown": %s}' % NESTED,
+    b'{"service": "\\ud800"}',
+    b'{"service": "shard-0", "address": "a..b:80", "zone": "zone-a", '
+    b'"slots": 2, "state": "ready", "seq": 1}',
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -264,6 +281,13 @@
             store.repeat_writes(kind, world.fleet.rng)
         world.record_store_disturbance()
 
+    async def _entry_forged(self, fault: Fault) -> None:
+        store = self._world.fleet.store
+        spec = FORGED_SPECS[int(fault.fraction * 100) % len(FORGED_SPECS)]
+        store.put('servers', f'forged-{fault.start_s}', msgspec.Raw(spec))
+        await asyncio.sleep(fault.duration_s)
+        store.delete('servers', f'forged-{fault.start_s}')
+
     async def _store_cut(self, fault: Fault) -> None:
         self._world.record_store_disturbance()
         proxies = self._world.store_proxies
@@ -351,6 +375,22 @@
         selected = await self._target(fault)
         await self._request_rest(self._targets_of(selected.service), fault)
 
+    async def _service_copies(self, fault: Fault) -> None:
+        """Refuse requests of a service now and then, and repeat refusals."""
+        selected = await self._target(fault)
+        targets = self._targets_of(selected.service)
+        how = list(CopyHow)[int(fault.fraction * 100) % len(CopyHow)]
+        for target in targets:
+            target.faults.copies_refusals = how
+        until = time.monotonic() + fault.duration_s
+        while time.monotonic() < until:
+            for sheds in (True, False):
+                for target in targets:
+                    target.faults.sheds = sheds
+                await asyncio.sleep(REFUSING_S)
+        for target in targets:
+            target.faults.copies_refusals = None
+
     async def _limit(self, targets, fault: Fault) -> None:
         limit = TARGET_LIMIT_PER_S * (1 + int(fault.fraction * 5))
         for target in targets:
