Search a reply of the store in time that grows with its length only

What callers would see: a node that stands still for minutes if the store hands out text with a string that has no end and holds many escaped quotes.

Cause: after a string without an end the search went on behind its first quote and came to the same end from each further quote.

Why this works: a string without an end takes the rest of the text.

--- a/sesameward/platform/json_parts.py
+++ b/sesameward/platform/json_parts.py
@@ -10,8 +10,11 @@
 
 import msgspec
 
-# A string, a run of opening or closing brackets, or a comma.
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|,', re.DOTALL)
+# A string, a run of opening or closing brackets, or a comma. A string without
+# an end takes the rest of the text, so that no part is searched twice.
+_TOKEN = re.compile(
+    rb'"[^"\\]*(?:\\.[^"\\]*)*(?:"|\\?\Z)|[\[{]+|[\]}]+|,', re.DOTALL
+)
 
 
 def elements(text: bytes) -> list[bytes]:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -30,6 +31,7 @@
 from sesameward.serving.http_server import Answer
 from sesameward.serving.http_server import HttpServer
 from sesameward.serving.http_server import Request
+from sesameward.serving.node import SUSPENDED_AFTER_S
 from sesameward.serving.routes import OneService
 from sesameward.serving.routes import Repeat
 from sesameward.serving.routes import Shards
@@ -204,6 +206,7 @@
         assert 0 < len(target.host)
 
 
+LARGEST_OBJECT_BYTES = 1_048_576
 NESTED = b'[' * 3_000 + b']' * 3_000
 
 
@@ -403,6 +406,19 @@
             continue
 
 
+# Guards against a node that stands still while it searches a large object.
+@pytest.mark.parametrize('unit', [b'\\"', b'{', b'[1],['])
+def test_large_text_is_split_in_short_time(unit):
+    text = b'["' if unit == b'\\"' else b'['
+    text += unit * (LARGEST_OBJECT_BYTES // len(unit))
+    for split in (json_parts.elements, json_parts.members):
+        started_at = time.process_time()
+        with pytest.raises(msgspec.DecodeError):
+            split(text)
+        # A node that stands still for longer counts as suspended.
+        assert time.process_time() - started_at < SUSPENDED_AFTER_S
+
+
 def test_registration_is_found_and_repeatable(run_with_store):
     async def scenario(store, calls, cfg):
         await calls.register(cfg)
