Pass updates of the store's copy on in a module of its own

Mirror had grown by the delivery of single objects after a failed update, which needs nothing else of it. Behaviour is unchanged.

--- a/sesameward/serving/__init__.py
+++ b/sesameward/serving/__init__.py
@@ -15,8 +15,9 @@
 delegate_client and delegate_server send sub-requests through helper nodes.
 Copies of store objects: takeover decides which node reads the store, mirror
 reads it, store_log logs losses and restores, store_copy holds the objects in
-the order of epochs, routing_state applies them to routes and targets;
-kept_routes and restored_targets decide what a restored store does not change.
+the order of epochs, delivery passes on what changed, routing_state applies it
+to routes and targets; kept_routes and restored_targets decide what a restored
+store does not change.
 registration finds the other nodes.
 Rumors between nodes: peers runs the gossip; silent_targets, leaving_targets
 and crashes publish which targets are silent or leaving and which requests
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -38,6 +38,8 @@
 from ..types import Clock
 from ..types import NodeId
 from ..types import Revision
+from .delivery import Delivery
+from .delivery import OnUpdate
 from .epochs import Order
 from .epochs import Position
 from .latest_task import LatestTask
@@ -48,7 +50,6 @@
 from .store_copy import Refused
 from .store_copy import Restored
 from .store_copy import StoreCopy
-from .store_copy import Update
 from .store_log import StoreLog
 from .takeover import next_version
 from .takeover import Takeover
@@ -114,7 +115,6 @@
 PullFrom = collections.abc.Callable[
     [Member, Pull], collections.abc.Awaitable[Delta]
 ]
-OnUpdate = collections.abc.Callable[[Update], None]
 
 
 class Mirror:
@@ -156,7 +156,7 @@
         self._members = members
         self._order = NodeOrder(kind, node)
         self._publish = publish
-        self._on_update = on_update
+        self._delivery = Delivery(kind, on_update, metrics)
         self._takeover = takeover
         self._metrics = metrics
         self._rng = rng
@@ -318,10 +318,8 @@
             if asyncio.current_task().cancelling():
                 self._read_task.cancel()
                 raise
-        except PlatformError:
-            raise
-        except Exception:
-            self._must_list = True
+        except Exception as exc:
+            self._must_list |= not isinstance(exc, PlatformError)
             raise
         finally:
             self._read_task = None
@@ -444,31 +442,7 @@
                     revision=self.replica.revision,
                     count=len(objects),
                 )
-        self._deliver(update)
-
-    def _deliver(self, update: Changed | Restored) -> None:
-        """Pass an update on; pass its objects one by one if that fails.
-
-        The copy has the objects already, so none would be passed on later.
-        """
-        try:
-            self._on_update(update)
-            return
-        except Exception as exc:
-            self._log_update_failure(exc)
-        for stored in update.objects:
-            try:
-                self._on_update(Changed([stored]))
-            except Exception as exc:
-                self._log_update_failure(exc, stored.name)
-
-    def _log_update_failure(
-        self, exc: Exception, name: str | None = None
-    ) -> None:
-        self._metrics.count('updates_failed', type(exc).__name__)
-        logs.log_event(
-            'update_failed', kind=self.kind, object=name, error=repr(exc)
-        )
+        self._delivery.deliver(update)
 
     def _mark_fresh(self) -> None:
         if not self.was_read:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -43,6 +43,7 @@
 from .delegate_server import DelegateHandler
 from .delegation import Delegation
 from .delegation import TargetNotice
+from .delivery import OnUpdate
 from .deps import Deps
 from .directory import Directory
 from .endpoints import EndpointAdapter
@@ -289,7 +290,7 @@
         self._tasks: list[asyncio.Task] = []
         self._leave_finished = asyncio.Event()
 
-    def _make_mirror(self, kind: str, on_update: mirror.OnUpdate) -> Mirror:
+    def _make_mirror(self, kind: str, on_update: OnUpdate) -> Mirror:
         store_mirror = Mirror(
             kind,
             self._cfg.node,
