Log each signal that stops a node, and where an exception was raised

A loop_fault line named the error alone: 'NoneType' object has no attribute 'me' has several possible places. loop_fault, loop_restarted, handler_fault and task_failed lines now name the innermost calls (where), and a signal line says whether the node was leaving already.

started 21:18:28.231 signal 21:18:28.235 SIGTERM is_leaving=false leaving 21:18:28.235 in_flight=0 loop_fault 21:18:28.236 AttributeError: 'NoneType' object has no attribute 'me', where: node.py _on_stop_signal, node.py _start_leaving, peers.py announce_leaving, gossip.py update

No stopping or stopped line follows.

--- a/sesameward/background.py
+++ b/sesameward/background.py
@@ -39,6 +39,11 @@
 
     def log_restart(exc: Exception) -> None:
         metrics.count('loops_restarted', loop_name)
-        logs.log_event('loop_restarted', loop=loop_name, error=repr(exc))
+        logs.log_event(
+            'loop_restarted',
+            loop=loop_name,
+            error=repr(exc),
+            where=logs.origin_of(exc),
+        )
 
     return log_restart
--- a/sesameward/logs.py
+++ b/sesameward/logs.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import os.path
 import sys
+import traceback
 import typing
 
+# Innermost calls of a traceback that one log line names.
+MAX_LOGGED_CALLS = 4
+
 Sink = typing.Callable[[str, dict[str, object]], None]
 
 
@@ -40,7 +46,22 @@
 
 def _log_failure(task: asyncio.Future) -> None:
     if not task.cancelled() and task.exception() is not None:
-        log_event('task_failed', error=repr(task.exception()))
+        exc = task.exception()
+        log_event('task_failed', error=repr(exc), where=origin_of(exc))
+
+
+def origin_of(exc: BaseException | None) -> list[str]:
+    """Return the innermost calls that raised an exception, outermost first."""
+    if exc is None:
+        return []
+    calls = collections.deque(
+        traceback.walk_tb(exc.__traceback__), maxlen=MAX_LOGGED_CALLS
+    )
+    return [
+        f'{os.path.basename(frame.f_code.co_filename)}:{line} '
+        f'{frame.f_code.co_name}'
+        for frame, line in calls
+    ]
 
 
 def log_event(event: str, **fields: object) -> None:
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -536,7 +536,12 @@
             self._handler(req, responder)
         except Exception as exc:
             self.metrics.count('handler_faults', type(exc).__name__)
-            logs.log_event('handler_fault', error=repr(exc), path=req.path)
+            logs.log_event(
+                'handler_fault',
+                error=repr(exc),
+                where=logs.origin_of(exc),
+                path=req.path,
+            )
             responder.send(Answer(500))
 
     def stop_listening(self) -> None:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -336,8 +336,8 @@
         logs.log_event('started', zone=self._cfg.zone, pid=os.getpid())
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._on_loop_exception)
-        loop.add_signal_handler(signal.SIGTERM, self._start_leaving)
-        loop.add_signal_handler(signal.SIGINT, self._start_leaving)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_stop_signal, number)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.peers.gossip.subscribe(mirror.TOPIC, self._on_reading)
         self.peers.gossip.subscribe(kept_routes.TOPIC, self._on_kept_routes)
@@ -389,10 +389,12 @@
         self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
     ) -> None:
         self.metrics.count('loop_faults')
+        exc = context.get('exception')
         logs.log_event(
             'loop_fault',
             problem=context.get('message'),
-            error=repr(context.get('exception')),
+            error=repr(exc),
+            where=logs.origin_of(exc),
         )
 
     def _spawn(self, work: typing.Coroutine) -> None:
@@ -404,6 +406,10 @@
         on_fault = restart_logger(self.metrics, name)
         self._spawn(keep_running(run_loop, on_fault, self._rng))
 
+    def _on_stop_signal(self, number: signal.Signals) -> None:
+        logs.log_event('signal', signal=number.name, is_leaving=self._leaving)
+        self._start_leaving()
+
     def _start_leaving(self) -> None:
         if self._leaving:
             return
