End a node that is told to stop while its parts are starting

Cause: the handler of the signal did the work of leaving by itself, and its first steps were "leaving = True" and Peers.announce_leaving(). The handlers stand before gossip has started; until then Gossip has no Swim to update, so announce_leaving() raised AttributeError. Nothing after it was done, and later signals returned at once because the node was "leaving".

Ruled out: an order in which the exception is caught or leaving is set last would end this node, but the signal would still act on parts that are not up, such as the callers' server, which would start to accept after the node had closed to callers.

Change: the handler only records the wish to stop, which can't fail. Lifecycle holds the parts of a node in the order of their start, with what stops each. run() starts no further part once the stop is requested, takes the steps of leaving, and stops what was started in reverse order. The time until SIGKILL counts from the signal. Where callers' connections have not been accepted yet, their socket is closed at once: their requests are unread, so they can go to another node. A node that has not joined the others has nothing to wait for and ends at once.

--- a/sesameward/serving/__init__.py
+++ b/sesameward/serving/__init__.py
@@ -22,5 +22,6 @@
 Rumors between nodes: peers runs the gossip; silent_targets, leaving_targets
 and crashes publish which targets are silent or leaving and which requests
 crash targets. limit_exchange calls the coordinator of the limits.
-Operation: endpoints, directory, node_status, lines (log output).
+Operation: lifecycle (start and stop of the parts), endpoints, directory,
+node_status, lines (log output).
 """
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import os
 import random
 import signal
@@ -55,6 +56,9 @@
 from .http_server import Responder
 from .kept_routes import KeptRoutes
 from .leaving_targets import Departures
+from .lifecycle import Action
+from .lifecycle import Lifecycle
+from .lifecycle import Part
 from .limit_exchange import LimitExchange
 from .limit_exchange import LimitHandler
 from .lines import LineWriter
@@ -105,6 +109,10 @@
 FIRST_READING_TIMEOUT_S = 0.25
 FIRST_READING_POLL_S = 0.005
 
+# Parts of a node, on whose start it depends what there is to be left.
+PEERS = 'peers'
+CALLERS = 'callers'
+
 
 class Adapter(typing.NamedTuple):
     """The parts of a node that depend on the deployment's protocols.
@@ -285,10 +293,9 @@
             (self._make_server(endpoints.directory), cfg.directory),
             (self._make_server(endpoints.operators), operators),
         ]
-        self._leaving = False
+        self._lifecycle = Lifecycle(self._clock)
         self._is_entry_offered = False
         self._tasks: list[asyncio.Task] = []
-        self._leave_finished = asyncio.Event()
 
     def _make_mirror(self, kind: str, on_update: OnUpdate) -> Mirror:
         store_mirror = Mirror(
@@ -327,35 +334,88 @@
 
     # Start, handling of signals, and stop.
 
-    async def run(self, callers: socket.socket) -> None:
+    async def run(self, listener: socket.socket) -> None:
         """Serve callers on a listening socket until the node has stopped.
 
         SIGTERM or SIGINT makes the node leave: it finishes the requests in
-        flight, as far as the time before SIGKILL allows, and then stops.
+        flight, as far as the time before SIGKILL allows, and then stops. If it
+        is still starting, it starts no further part.
         """
-        logs.log_event('started', zone=self._cfg.zone, pid=os.getpid())
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._on_loop_exception)
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_stop_signal, number)
+            loop.add_signal_handler(
+                number, self._lifecycle.request_stop, number.name
+            )
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self.peers.gossip.subscribe(mirror.TOPIC, self._on_reading)
-        self.peers.gossip.subscribe(kept_routes.TOPIC, self._on_kept_routes)
-        self.peers.gossip.subscribe(silent_targets.TOPIC, self._on_silences)
-        self.peers.gossip.subscribe(
-            leaving_targets.TOPIC, self._departures.on_rumor
+        logs.log_event('started', zone=self._cfg.zone, pid=os.getpid())
+        self._subscribe()
+        await self._lifecycle.run(
+            self._parts(listener), self._leave_steps(listener)
         )
-        self.peers.gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
-        self.peers.gossip.subscribe(
-            limit_exchange.TOPIC, self._limit_exchange.on_rumor
+        logs.log_event('stopped')
+
+    def _subscribe(self) -> None:
+        gossip = self.peers.gossip
+        gossip.subscribe(mirror.TOPIC, self._on_reading)
+        gossip.subscribe(kept_routes.TOPIC, self._on_kept_routes)
+        gossip.subscribe(silent_targets.TOPIC, self._on_silences)
+        gossip.subscribe(leaving_targets.TOPIC, self._departures.on_rumor)
+        gossip.subscribe(QUARANTINE_TOPIC, self._on_quarantine)
+        gossip.subscribe(limit_exchange.TOPIC, self._limit_exchange.on_rumor)
+
+    def _parts(self, listener: socket.socket) -> tuple[Part, ...]:
+        """Return the parts of the node in the order of their start."""
+        return (
+            Part('connections to targets', stop=self.pools.close),
+            Part(
+                'internal servers',
+                self._start_internal_servers,
+                self._stop_internal_servers,
+            ),
+            Part(PEERS, self.peers.start, self.peers.stop),
+            Part('calls to other nodes', stop=self._close_calls),
+            Part('mirrors', self._start_mirrors, self._stop_mirrors),
+            Part('first reading', self._wait_first_reading),
+            Part(
+                CALLERS,
+                functools.partial(self.callers.accept, listener),
+                self.callers.stop,
+            ),
+            Part('loops', self._start_loops, self._cancel_tasks),
         )
+
+    def _leave_steps(self, listener: socket.socket) -> dict[str, Action]:
+        """Return what a leaving node does before its parts are stopped."""
+        return {
+            'close to callers': functools.partial(
+                self._close_to_callers, listener
+            ),
+            'announcement': self._announce_leaving,
+            'requests in flight': self._finish_requests,
+        }
+
+    async def _start_internal_servers(self) -> None:
         for server, at in self._internal_servers:
             await server.start(at.host, at.port)
-        await self.peers.start()
+
+    def _stop_internal_servers(self) -> None:
+        for server, _ in self._internal_servers:
+            server.stop()
+
+    def _close_calls(self) -> None:
+        self._delegates.close()
+        self._limit_exchange.close()
+
+    def _start_mirrors(self) -> None:
         self.routes_mirror.start()
         self.targets_mirror.start()
-        await self._wait_first_reading()
-        await self.callers.accept(callers)
+
+    async def _stop_mirrors(self) -> None:
+        await self.routes_mirror.stop()
+        await self.targets_mirror.stop()
+
+    def _start_loops(self) -> None:
         self._upkeep(self._clock())
         registration = Registration(
             self._cfg,
@@ -370,8 +430,10 @@
             ('limits', self._limit_exchange.run),
         ):
             self._spawn_loop(name, run_loop)
-        await self._leave_finished.wait()
-        await self._stop()
+
+    def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
 
     async def _wait_first_reading(self) -> None:
         """Wait for routes and targets, at most FIRST_READING_TIMEOUT_S.
@@ -380,8 +442,10 @@
         also waits for what other nodes know.
         """
         until = self._clock() + FIRST_READING_TIMEOUT_S
-        while self._clock() < until and not (
-            self.ready() and self.routes_mirror.has_pulled
+        while (
+            self._clock() < until
+            and not self._lifecycle.is_stop_requested
+            and not (self.ready() and self.routes_mirror.has_pulled)
         ):
             await asyncio.sleep(FIRST_READING_POLL_S)
 
@@ -406,30 +470,32 @@
         on_fault = restart_logger(self.metrics, name)
         self._spawn(keep_running(run_loop, on_fault, self._rng))
 
-    def _on_stop_signal(self, number: signal.Signals) -> None:
-        logs.log_event('signal', signal=number.name, is_leaving=self._leaving)
-        self._start_leaving()
-
-    def _start_leaving(self) -> None:
-        if self._leaving:
-            return
-        self._leaving = True
+    def _close_to_callers(self, listener: socket.socket) -> None:
         logs.log_event('leaving', in_flight=len(self.front.deps.runs))
-        self.peers.announce_leaving()
         self.callers.leaving = True
-        self.limits.stop()
-        self._spawn(self._leave())
+        if not self._lifecycle.has_started(CALLERS):
+            # Nothing was read from the connections that wait on the socket, so
+            # their callers can send their requests to another node at once.
+            listener.close()
+
+    def _announce_leaving(self) -> None:
+        if self._lifecycle.has_started(PEERS):
+            self.peers.announce_leaving()
+            self.limits.stop()
 
-    async def _leave(self) -> None:
-        """Wait until all requests have ended, then make run() stop.
+    async def _finish_requests(self) -> None:
+        """Wait until all requests have ended.
 
         These are callers' requests and sub-requests sent for other nodes. For
         KEEP_LISTENING_S the node still accepts both; then it closes each
-        connection that is idle. It stops EXIT_RESERVE_S before SIGKILL even if
-        requests are still in flight.
+        connection that is idle. The wait ends EXIT_RESERVE_S before SIGKILL
+        even if requests are still in flight. There are none if the node has
+        stopped before other nodes could know it.
         """
-        started_at = self._clock()
-        until = started_at + self._cfg.bounds.grace_s - EXIT_RESERVE_S
+        if not self._lifecycle.has_started(PEERS):
+            return
+        signal_at = self._lifecycle.stop_requested_at
+        until = signal_at + self._cfg.bounds.grace_s - EXIT_RESERVE_S
         await asyncio.sleep(KEEP_LISTENING_S)
         self.callers.stop_listening()
         self._delegate_handler.close()
@@ -440,25 +506,10 @@
         logs.log_event(
             'stopping',
             in_flight=len(self.front.deps.runs),
-            after_s=round(self._clock() - started_at, 3),
+            after_s=round(self._clock() - signal_at, 3),
         )
         # Leave time to send the last answers from the socket buffers.
         await asyncio.sleep(0.1)
-        self._leave_finished.set()
-
-    async def _stop(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await self.routes_mirror.stop()
-        await self.targets_mirror.stop()
-        self._delegates.close()
-        self._limit_exchange.close()
-        await self.peers.stop()
-        self.callers.stop()
-        for server, _ in self._internal_servers:
-            server.stop()
-        self.pools.close()
-        logs.log_event('stopped')
 
     def _reload(self) -> None:
         try:
@@ -522,7 +573,10 @@
         if table is not None:
             self.callers.limits = table.limits
         is_ready = self.ready()
-        if is_ready != self._is_entry_offered and not self._leaving:
+        if (
+            is_ready != self._is_entry_offered
+            and not self._lifecycle.is_stop_requested
+        ):
             self._is_entry_offered = is_ready
             logs.log_event('ready' if is_ready else 'not_ready')
             self.peers.offer_entry(is_ready)
@@ -658,7 +712,7 @@
         It has routes and at least one target, and is not leaving.
         """
         return (
-            not self._leaving
+            not self._lifecycle.is_stop_requested
             and self.routing_state.route_table is not None
             and len(self.targets) > 0
         )
@@ -666,7 +720,7 @@
     def _status(self) -> node_status.NodeStatus:
         return node_status.collect_status(
             self._cfg.node,
-            self._leaving,
+            self._lifecycle.is_stop_requested,
             self.ready(),
             self.routing_state,
             self.targets,
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -79,8 +79,9 @@
 
     async def start(self) -> None:
         """Serve other nodes' gRPC calls, and join the fleet by gossip."""
-        self._server = Server(self._handlers, codec=MsgpackCodec())
-        await self._server.start(self._cfg.gossip.host, self._cfg.peer_port)
+        server = Server(self._handlers, codec=MsgpackCodec())
+        await server.start(self._cfg.gossip.host, self._cfg.peer_port)
+        self._server = server
         await self.gossip.start()
 
     async def stop(self) -> None:
--- a/tests/test_node_loops.py
+++ b/tests/test_node_loops.py
@@ -1,21 +1,13 @@
 """Test that the background loops of a node survive unexpected exceptions."""
 
 import asyncio
-import random
 
 import pytest
 
-from sesameward.platform.objects import ObjectDecoder
-from sesameward.platform.objects import ROUTES_KIND
-from sesameward.platform.objects import TARGETS_KIND
-from sesameward.platform.store import StoreCalls
-from sesameward.platform.wire import PlatformEndpointAdapter
-from sesameward.platform.wire import PlatformWire
 from sesameward.serving.listening import listen
-from sesameward.serving.node import Adapter
-from sesameward.serving.node import Node
 from sesameward.standin.object_store import ObjectStore
-from tests.test_platform_adapter import parse_settings
+from tests.local_node import make_node
+from tests.local_node import make_settings
 
 REPEATED_TIMEOUT_S = 5.0
 
@@ -54,31 +46,9 @@
     """
 
     async def main(settings_changed, registry, condition):
-        host = f'127.250.{random.randrange(1, 250)}.{random.randrange(1, 250)}'
         store = ObjectStore()
-        cfg = parse_settings(
-            ip=host,
-            listen={
-                name: f'{host}:{7020 + index}'
-                for index, name in enumerate(
-                    ('front', 'ready', 'directory', 'control')
-                )
-            },
-            seeds=[],
-            platform={'address': f'127.0.0.1:{await store.open_door("n1")}'},
-        )
-        adapter = Adapter(
-            wire=PlatformWire(),
-            decoder=ObjectDecoder(),
-            store=StoreCalls(cfg),
-            registry=registry,
-            queries=PlatformEndpointAdapter(),
-            routes_kind=ROUTES_KIND,
-            targets_kind=TARGETS_KIND,
-            read_settings=lambda: cfg,
-            settings_changed=settings_changed,
-        )
-        node = Node(cfg, adapter)
+        cfg = make_settings(await store.open_door('n1'))
+        node = make_node(cfg, registry, settings_changed)
         running = asyncio.ensure_future(node.run(listen(cfg.callers)))
         try:
             async with asyncio.timeout(REPEATED_TIMEOUT_S):
@@ -87,7 +57,6 @@
         finally:
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
-            await node._stop()
             store.stop()
 
     def run(settings_changed, registry, condition):
--- /dev/null
+++ b/tests/test_node_signals.py
@@ -0,0 +1,208 @@
+"""Send signals to a node at each step of its start and of its stop.
+
+The node runs in the process of the test. A step, the call of a method, waits
+until the node has handled the signals.
+"""
+
+import asyncio
+import inspect
+import os
+import signal
+
+from grpclib.server import Server
+import pytest
+import uvloop
+
+from sesameward import logs
+from sesameward.membership.gossip import Gossip
+from sesameward.serving.http_server import HttpServer
+from sesameward.serving.limit_exchange import LimitExchange
+from sesameward.serving.listening import listen
+from sesameward.serving.mirror import Mirror
+from sesameward.serving.node import Node
+from sesameward.serving.peers import Peers
+from sesameward.serving.pools import Pools
+from sesameward.serving.registration import Registration
+from sesameward.standin.object_store import ObjectStore
+from tests.local_node import make_node
+from tests.local_node import make_settings
+
+# Time that the node of these tests gives callers to learn that it leaves.
+KEEP_LISTENING_S = 0.05
+HANDLED_TIMEOUT_S = 2.0
+REQUEST = (
+    b'GET /nowhere HTTP/1.1\r\nHost: h\r\nSesameward-Request-Id: r1\r\n'
+    b'Sesameward-Deadline-Ms: 500\r\n\r\n'
+)
+# Log events of the faults of a node.
+FAULTS = ('loop_fault', 'stop_fault', 'task_failed', 'handler_fault')
+
+# Class, method and number of the call at which a start is held up.
+START_STEPS = (
+    (HttpServer, 'start', 1),
+    (HttpServer, 'start', 2),
+    (HttpServer, 'start', 3),
+    (Peers, 'start', 1),
+    (Server, 'start', 1),
+    (Gossip, 'start', 1),
+    (Mirror, 'start', 1),
+    (Mirror, 'start', 2),
+    (Node, '_wait_first_reading', 1),
+    (HttpServer, 'accept', 4),
+    (Node, '_upkeep', 1),
+    (Registration, 'run', 1),
+    (LimitExchange, 'run', 1),
+)
+STOP_STEPS = (
+    (Peers, 'announce_leaving', 1),
+    (HttpServer, 'stop_listening', 1),
+    (HttpServer, 'close_idle', 1),
+    (HttpServer, 'stop', 1),
+    (Mirror, 'stop', 1),
+    (Mirror, 'stop', 2),
+    (Peers, 'stop', 1),
+    (Pools, 'close', 1),
+)
+SIGNALS = (
+    (signal.SIGTERM,),
+    (signal.SIGINT,),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGTERM),
+)
+
+
+def name_of(value):
+    if isinstance(value[0], signal.Signals):
+        return '+'.join(number.name for number in value)
+    cls, method, call_no = value
+    return f'{cls.__name__}.{method}-{call_no}'
+
+
+@pytest.fixture
+def events(monkeypatch):
+    """Return a list of the events that are logged during a test."""
+    logged = []
+    monkeypatch.setattr(
+        logs, '_sink', lambda event, fields: logged.append((event, fields))
+    )
+    return logged
+
+
+@pytest.fixture
+def hold_step(monkeypatch, events):
+    """Return a function that makes a step send signals to this process."""
+
+    def hold(step, signals):
+        cls, name, held_call_no = step
+        original = getattr(cls, name)
+        calls = 0
+
+        def send():
+            for number in signals:
+                os.kill(os.getpid(), number)
+
+        async def wait_until_handled():
+            async with asyncio.timeout(HANDLED_TIMEOUT_S):
+                while count_handled(events) < len(signals):
+                    await asyncio.sleep(0)
+
+        def is_held():
+            nonlocal calls
+            # The store of the test uses some of the same classes.
+            calls += 'started' in [event for event, _ in events]
+            return calls == held_call_no
+
+        def call(*args, **kwargs):
+            if is_held():
+                send()
+            return original(*args, **kwargs)
+
+        async def call_async(*args, **kwargs):
+            if is_held():
+                send()
+                await wait_until_handled()
+            return await original(*args, **kwargs)
+
+        is_async = inspect.iscoroutinefunction(original)
+        monkeypatch.setattr(cls, name, call_async if is_async else call)
+
+    return hold
+
+
+def count_handled(events):
+    # The event loop passes a signal on once that arrives twice at one time.
+    return sum(event in ('signal', 'reloaded') for event, _ in events)
+
+
+@pytest.fixture
+def run_node(monkeypatch):
+    """Return a function that runs a node while a caller waits for it.
+
+    It returns what the caller gets. A node that still runs after grace_s fails
+    the test.
+    """
+    monkeypatch.setattr(
+        'sesameward.serving.node.KEEP_LISTENING_S', KEEP_LISTENING_S
+    )
+
+    async def main():
+        store = ObjectStore()
+        cfg = make_settings(await store.open_door('n1'))
+        node = make_node(cfg)
+        listener = listen(cfg.callers)
+        reader, writer = await asyncio.open_connection(
+            cfg.callers.host, cfg.callers.port
+        )
+        writer.write(REQUEST)
+        running = asyncio.ensure_future(node.run(listener))
+        try:
+            async with asyncio.timeout(cfg.bounds.grace_s):
+                await asyncio.shield(running)
+            try:
+                return await reader.read()
+            except ConnectionResetError:
+                return b''
+        finally:
+            writer.close()
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            store.stop()
+
+    return lambda: uvloop.run(main())
+
+
+def check_answer(answer):
+    """Check that the caller got a whole answer, or none."""
+    if answer:
+        head, _, body = answer.partition(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 503 ')
+        assert f'Content-Length: {len(body)}'.encode() in head.split(b'\r\n')
+
+
+# Guards against a node that ignores SIGTERM for good, and is then killed with
+# requests in flight, because the signal came while its parts were starting.
+@pytest.mark.parametrize('signals', SIGNALS, ids=name_of)
+@pytest.mark.parametrize('step', START_STEPS, ids=name_of)
+def test_signal_at_each_step_of_the_start_ends_the_node(
+    step, signals, hold_step, run_node, events
+):
+    hold_step(step, signals)
+    check_answer(run_node())
+    names = [event for event, _ in events]
+    assert 'signal' in names
+    assert names[-1] == 'stopped'
+    assert not set(FAULTS) & set(names)
+
+
+# Guards against a further signal that keeps a leaving node from stopping.
+@pytest.mark.parametrize('signals', SIGNALS, ids=name_of)
+@pytest.mark.parametrize('step', STOP_STEPS, ids=name_of)
+def test_signal_at_each_step_of_the_stop_changes_nothing(
+    step, signals, hold_step, run_node, events
+):
+    hold_step((Registration, 'run', 1), (signal.SIGTERM,))
+    hold_step(step, signals)
+    check_answer(run_node())
+    names = [event for event, _ in events]
+    assert names.count('leaving') == names.count('stopped') == 1
+    assert not set(FAULTS) & set(names)
