Go on leaving where one step of leaving or stopping fails

Cause: the steps of leaving, and the stops of the parts, were one sequence that any exception ended.

Change: each of them is attempted by itself. A failure is counted (stop_faults), logged with its origin (stop_fault), and the next step follows. The shares of limits that were entrusted to this node are given back before the announcement, not after it, since that can't fail.

Evidence: before the change test_failure_while_leaving_or_stopping_skips_nothing failed in its 3 cases, and so did test_node_that_fails_to_announce_its_leaving_waits_for_requests; both hold now.

--- a/sesameward/serving/lifecycle.py
+++ b/sesameward/serving/lifecycle.py
@@ -15,6 +15,7 @@
 import typing
 
 from .. import logs
+from ..metrics import Metrics
 from ..types import Clock
 
 Action = collections.abc.Callable[[], collections.abc.Awaitable[None] | None]
@@ -48,10 +49,11 @@
     that is at work. stop_requested_at is None before the request to stop.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, metrics: Metrics, clock: Clock):
         self.stage = Stage.STARTING
         self.current = ''
         self.stop_requested_at: float | None = None
+        self._metrics = metrics
         self._clock = clock
         self._started: set[str] = set()
         self._stop_requested = asyncio.Event()
@@ -86,8 +88,9 @@
         """Start the parts in order, wait for the request to stop, and stop.
 
         After the request no further part is started, the steps of leaving are
-        taken, and the parts are stopped in reverse order. Raises what the
-        start of a part raises, after the parts before it have been stopped.
+        taken, and the parts are stopped in reverse order; where one of these
+        fails, the others follow. Raises what the start of a part raises, after
+        the parts before it have been stopped.
         """
         async with contextlib.AsyncExitStack() as started:
             for part in parts:
@@ -95,7 +98,7 @@
                     break
                 self.current = part.name
                 started.push_async_callback(
-                    self._take_step, part.name, part.stop
+                    self._attempt, part.name, part.stop
                 )
                 await _perform(part.start)
                 self._started.add(part.name)
@@ -104,7 +107,7 @@
             await self._stop_requested.wait()
             self._enter(Stage.LEAVING)
             for name, action in leave_steps.items():
-                await self._take_step(name, action)
+                await self._attempt(name, action)
             self._enter(Stage.STOPPING)
         self._enter(Stage.STOPPED)
 
@@ -112,9 +115,20 @@
         self.stage = stage
         self.current = ''
 
-    async def _take_step(self, name: str, action: Action | None) -> None:
+    async def _attempt(self, name: str, action: Action | None) -> None:
+        """Perform an action; count and log its failure."""
         self.current = name
-        await _perform(action)
+        try:
+            await _perform(action)
+        except Exception as exc:
+            self._metrics.count('stop_faults', name)
+            logs.log_event(
+                'stop_fault',
+                stage=self.stage.value,
+                current=name,
+                error=repr(exc),
+                where=logs.origin_of(exc),
+            )
 
 
 async def _perform(action: Action | None) -> None:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -293,7 +293,7 @@
             (self._make_server(endpoints.directory), cfg.directory),
             (self._make_server(endpoints.operators), operators),
         ]
-        self._lifecycle = Lifecycle(self._clock)
+        self._lifecycle = Lifecycle(self.metrics, self._clock)
         self._is_entry_offered = False
         self._tasks: list[asyncio.Task] = []
 
@@ -480,8 +480,8 @@
 
     def _announce_leaving(self) -> None:
         if self._lifecycle.has_started(PEERS):
-            self.peers.announce_leaving()
             self.limits.stop()
+            self.peers.announce_leaving()
 
     async def _finish_requests(self) -> None:
         """Wait until all requests have ended.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 
 from sesameward.configuration import declared
 from sesameward.configuration.platform_client import PlatformClient
+from sesameward import logs
 from sesameward.metrics import Metrics
 from sesameward.settings import PlatformSettings
 from sesameward.standin.platform import Platform
@@ -102,6 +103,16 @@
     return Metrics('test')
 
 
+@pytest.fixture
+def events(monkeypatch):
+    """Return a list of the events that are logged during a test."""
+    logged = []
+    monkeypatch.setattr(
+        logs, '_sink', lambda event, fields: logged.append((event, fields))
+    )
+    return logged
+
+
 @pytest.fixture
 def with_platform(metrics):
     """Return a function that runs a coroutine function on a stand-in platform.
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sesameward.metrics import Metrics
 from sesameward.serving.lifecycle import Lifecycle
 from sesameward.serving.lifecycle import Part
 from sesameward.serving.lifecycle import Stage
@@ -23,7 +24,8 @@
 
     def __init__(self, moment=None, act=lambda lifecycle: None):
         self.done = []
-        self.lifecycle = Lifecycle(time.monotonic)
+        self.metrics = Metrics('test')
+        self.lifecycle = Lifecycle(self.metrics, time.monotonic)
         self._moment = moment
         self._act = act
 
@@ -47,7 +49,12 @@
 
     def _stop(self, name):
         # Stops may be plain functions.
-        return lambda: self.done.append(f'stop {name}')
+        def stop():
+            self.done.append(f'stop {name}')
+            if self._moment == f'stop {name}':
+                self._act(self.lifecycle)
+
+        return stop
 
 
 def run(recorder, stop_after=None):
@@ -104,6 +111,23 @@
     assert done[-len(NAMES) :] == [f'stop {name}' for name in NAMES[::-1]]
 
 
+# Guards against a process that goes on with half of its parts, or cuts off
+# requests in flight, because one step of leaving or stopping fails.
+@pytest.mark.parametrize('moment', ['leave', 'wait', 'stop callers'])
+def test_failure_while_leaving_or_stopping_skips_nothing(moment):
+    def fail(lifecycle):
+        raise RuntimeError(moment)
+
+    recorder = Recorder(moment, fail)
+    assert run(recorder, stop_after='start callers')[len(NAMES) :] == [
+        'leave',
+        'wait',
+        *(f'stop {name}' for name in reversed(NAMES)),
+    ]
+    name = moment.removeprefix('stop ')
+    assert recorder.metrics.value('stop_faults', name) == 1
+
+
 # Guards against parts that stay as they are, such as a node that others still
 # take for a member, because the start of a later part failed.
 def test_parts_before_one_that_does_not_start_are_stopped():
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,16 +9,6 @@
 from sesameward import logs
 
 
-@pytest.fixture
-def events():
-    """Return the list of the events that are logged during a test."""
-    logged = []
-    before = logs._sink
-    logs.set_sink(lambda event, fields: logged.append((event, fields)))
-    yield logged
-    logs.set_sink(before)
-
-
 def fail(depth):
     if depth:
         fail(depth - 1)
--- a/tests/test_node_signals.py
+++ b/tests/test_node_signals.py
@@ -13,7 +13,6 @@
 import pytest
 import uvloop
 
-from sesameward import logs
 from sesameward.membership.gossip import Gossip
 from sesameward.serving.http_server import HttpServer
 from sesameward.serving.limit_exchange import LimitExchange
@@ -78,34 +77,19 @@
     return f'{cls.__name__}.{method}-{call_no}'
 
 
-@pytest.fixture
-def events(monkeypatch):
-    """Return a list of the events that are logged during a test."""
-    logged = []
-    monkeypatch.setattr(
-        logs, '_sink', lambda event, fields: logged.append((event, fields))
-    )
-    return logged
-
-
 @pytest.fixture
 def hold_step(monkeypatch, events):
-    """Return a function that makes a step send signals to this process."""
+    """Return a function that lets something happen before a step goes on.
 
-    def hold(step, signals):
+    It takes the step, a function and, for steps that can wait, a coroutine
+    function that is awaited next.
+    """
+
+    def hold(step, act, wait=None):
         cls, name, held_call_no = step
         original = getattr(cls, name)
         calls = 0
 
-        def send():
-            for number in signals:
-                os.kill(os.getpid(), number)
-
-        async def wait_until_handled():
-            async with asyncio.timeout(HANDLED_TIMEOUT_S):
-                while count_handled(events) < len(signals):
-                    await asyncio.sleep(0)
-
         def is_held():
             nonlocal calls
             # The store of the test uses some of the same classes.
@@ -114,13 +98,14 @@
 
         def call(*args, **kwargs):
             if is_held():
-                send()
+                act()
             return original(*args, **kwargs)
 
         async def call_async(*args, **kwargs):
             if is_held():
-                send()
-                await wait_until_handled()
+                act()
+                if wait is not None:
+                    await wait()
             return await original(*args, **kwargs)
 
         is_async = inspect.iscoroutinefunction(original)
@@ -129,8 +114,33 @@
     return hold
 
 
+@pytest.fixture
+def send_at(hold_step, events):
+    """Return a function that sends signals to this process at a step.
+
+    The step goes on once the node has handled them, if it can wait.
+    """
+
+    def send_at_step(step, signals):
+        expected = 0
+
+        def send():
+            nonlocal expected
+            expected = count_handled(events) + len(signals)
+            for number in signals:
+                os.kill(os.getpid(), number)
+
+        async def wait_until_handled():
+            async with asyncio.timeout(HANDLED_TIMEOUT_S):
+                while count_handled(events) < expected:
+                    await asyncio.sleep(0)
+
+        hold_step(step, send, wait_until_handled)
+
+    return send_at_step
+
+
 def count_handled(events):
-    # The event loop passes a signal on once that arrives twice at one time.
     return sum(event in ('signal', 'reloaded') for event, _ in events)
 
 
@@ -184,9 +194,9 @@
 @pytest.mark.parametrize('signals', SIGNALS, ids=name_of)
 @pytest.mark.parametrize('step', START_STEPS, ids=name_of)
 def test_signal_at_each_step_of_the_start_ends_the_node(
-    step, signals, hold_step, run_node, events
+    step, signals, send_at, run_node, events
 ):
-    hold_step(step, signals)
+    send_at(step, signals)
     check_answer(run_node())
     names = [event for event, _ in events]
     assert 'signal' in names
@@ -198,11 +208,27 @@
 @pytest.mark.parametrize('signals', SIGNALS, ids=name_of)
 @pytest.mark.parametrize('step', STOP_STEPS, ids=name_of)
 def test_signal_at_each_step_of_the_stop_changes_nothing(
-    step, signals, hold_step, run_node, events
+    step, signals, send_at, run_node, events
 ):
-    hold_step((Registration, 'run', 1), (signal.SIGTERM,))
-    hold_step(step, signals)
+    send_at((Registration, 'run', 1), (signal.SIGTERM,))
+    send_at(step, signals)
     check_answer(run_node())
     names = [event for event, _ in events]
     assert names.count('leaving') == names.count('stopped') == 1
     assert not set(FAULTS) & set(names)
+
+
+# Guards against a node that cuts off requests in flight, or runs on, because
+# it could not tell the other nodes that it leaves.
+def test_node_that_fails_to_announce_its_leaving_waits_for_requests(
+    monkeypatch, send_at, run_node, events
+):
+    def fail(peers):
+        raise RuntimeError('no announcement')
+
+    monkeypatch.setattr(Peers, 'announce_leaving', fail)
+    send_at((Registration, 'run', 1), (signal.SIGTERM,))
+    check_answer(run_node())
+    names = [event for event, _ in events]
+    assert names.index('stop_fault') < names.index('stopping')
+    assert names[-1] == 'stopped'
