Serve a node's directory and status only once its gossip has started

What callers saw: a lookup of addresses (/v1/resolve) answered 500 at a node that was just starting, and so did /status for operators.

Evidence: test_no_endpoint_fails_while_the_node_starts asks all endpoints at each step of the start that other tasks can interrupt. Found by looking for other uses of a part before its start.

Change: the node joins the others first. Until its internal servers listen, connections to them are refused, so callers ask the next directory at once.

--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -365,16 +365,20 @@
         gossip.subscribe(limit_exchange.TOPIC, self._limit_exchange.on_rumor)
 
     def _parts(self, listener: socket.socket) -> tuple[Part, ...]:
-        """Return the parts of the node in the order of their start."""
+        """Return the parts of the node in the order of their start.
+
+        A part may use those before it as soon as it is started. The internal
+        servers, for example, answer with the members that gossip knows.
+        """
         return (
             Part('connections to targets', stop=self.pools.close),
+            Part(PEERS, self.peers.start, self.peers.stop),
+            Part('calls to other nodes', stop=self._close_calls),
             Part(
                 'internal servers',
                 self._start_internal_servers,
                 self._stop_internal_servers,
             ),
-            Part(PEERS, self.peers.start, self.peers.stop),
-            Part('calls to other nodes', stop=self._close_calls),
             Part('mirrors', self._start_mirrors, self._stop_mirrors),
             Part('first reading', self._wait_first_reading),
             Part(
--- a/tests/local_node.py
+++ b/tests/local_node.py
@@ -12,19 +12,28 @@
 from sesameward.serving.node import Node
 from tests.test_platform_adapter import parse_settings
 
-FIRST_PORT = 7020
+CALLERS_PORT = 7020
+READINESS_PORT = 7021
+DIRECTORY_PORT = 7022
+CONTROL_PORT = 7023
+# The last of the internal ports in the settings of the other tests.
+METRICS_PORT = 7015
 
 
-def make_settings(store_port):
-    """Return settings with a loopback address that no other node uses."""
-    host = f'127.250.{random.randrange(1, 250)}.{random.randrange(1, 250)}'
+def random_host():
+    """Return a loopback address that hardly any other node uses."""
+    return f'127.250.{random.randrange(1, 250)}.{random.randrange(1, 250)}'
+
+
+def make_settings(host, store_port):
+    """Return the settings of a node that knows no other node."""
     return parse_settings(
         ip=host,
         listen={
-            name: f'{host}:{FIRST_PORT + index}'
-            for index, name in enumerate(
-                ('front', 'ready', 'directory', 'control')
-            )
+            'front': f'{host}:{CALLERS_PORT}',
+            'ready': f'{host}:{READINESS_PORT}',
+            'directory': f'{host}:{DIRECTORY_PORT}',
+            'control': f'{host}:{CONTROL_PORT}',
         },
         seeds=[],
         platform={'address': f'127.0.0.1:{store_port}'},
--- a/tests/test_node_loops.py
+++ b/tests/test_node_loops.py
@@ -8,6 +8,7 @@
 from sesameward.standin.object_store import ObjectStore
 from tests.local_node import make_node
 from tests.local_node import make_settings
+from tests.local_node import random_host
 
 REPEATED_TIMEOUT_S = 5.0
 
@@ -47,7 +48,7 @@
 
     async def main(settings_changed, registry, condition):
         store = ObjectStore()
-        cfg = make_settings(await store.open_door('n1'))
+        cfg = make_settings(random_host(), await store.open_door('n1'))
         node = make_node(cfg, registry, settings_changed)
         running = asyncio.ensure_future(node.run(listen(cfg.callers)))
         try:
--- a/tests/test_node_signals.py
+++ b/tests/test_node_signals.py
@@ -13,7 +13,9 @@
 import pytest
 import uvloop
 
+from sesameward.exceptions import PlatformUnavailableError
 from sesameward.membership.gossip import Gossip
+from sesameward.serving.http_caller import HttpCaller
 from sesameward.serving.http_server import HttpServer
 from sesameward.serving.limit_exchange import LimitExchange
 from sesameward.serving.listening import listen
@@ -23,8 +25,7 @@
 from sesameward.serving.pools import Pools
 from sesameward.serving.registration import Registration
 from sesameward.standin.object_store import ObjectStore
-from tests.local_node import make_node
-from tests.local_node import make_settings
+from tests import local_node
 
 # Time that the node of these tests gives callers to learn that it leaves.
 KEEP_LISTENING_S = 0.05
@@ -52,6 +53,13 @@
     (Registration, 'run', 1),
     (LimitExchange, 'run', 1),
 )
+# Steps at which other tasks of the node run on.
+WAITING_STEPS = tuple(
+    step
+    for step in START_STEPS
+    if inspect.iscoroutinefunction(getattr(step[0], step[1]))
+    and step[0] is not LimitExchange
+)
 STOP_STEPS = (
     (Peers, 'announce_leaving', 1),
     (HttpServer, 'stop_listening', 1),
@@ -68,6 +76,12 @@
     (signal.SIGTERM, signal.SIGTERM),
     (signal.SIGHUP, signal.SIGTERM),
 )
+ENDPOINTS = (
+    (local_node.READINESS_PORT, '/v1/readyz'),
+    (local_node.DIRECTORY_PORT, '/v1/resolve?name=h&region=r&zone=z1'),
+    (local_node.METRICS_PORT, '/status'),
+    (local_node.METRICS_PORT, '/metrics'),
+)
 
 
 def name_of(value):
@@ -77,6 +91,12 @@
     return f'{cls.__name__}.{method}-{call_no}'
 
 
+@pytest.fixture
+def host():
+    """Return a loopback address for one node."""
+    return local_node.random_host()
+
+
 @pytest.fixture
 def hold_step(monkeypatch, events):
     """Return a function that lets something happen before a step goes on.
@@ -145,7 +165,7 @@
 
 
 @pytest.fixture
-def run_node(monkeypatch):
+def run_node(monkeypatch, host):
     """Return a function that runs a node while a caller waits for it.
 
     It returns what the caller gets. A node that still runs after grace_s fails
@@ -157,8 +177,8 @@
 
     async def main():
         store = ObjectStore()
-        cfg = make_settings(await store.open_door('n1'))
-        node = make_node(cfg)
+        cfg = local_node.make_settings(host, await store.open_door('n1'))
+        node = local_node.make_node(cfg)
         listener = listen(cfg.callers)
         reader, writer = await asyncio.open_connection(
             cfg.callers.host, cfg.callers.port
@@ -232,3 +252,31 @@
     names = [event for event, _ in events]
     assert names.index('stop_fault') < names.index('stopping')
     assert names[-1] == 'stopped'
+
+
+# Guards against a node that answers 500 while it starts, because endpoints are
+# served before what they tell of is up.
+@pytest.mark.parametrize('step', WAITING_STEPS, ids=name_of)
+def test_no_endpoint_fails_while_the_node_starts(
+    step, host, hold_step, send_at, run_node, events
+):
+    statuses = {}
+
+    async def ask_endpoints():
+        for port, path in ENDPOINTS:
+            caller = HttpCaller(host, port)
+            head = f'GET {path} HTTP/1.1\r\nHost: n\r\n\r\n'
+            try:
+                reply = await caller.call(head.encode(), HANDLED_TIMEOUT_S)
+                statuses[path] = reply.status
+            except PlatformUnavailableError:
+                statuses[path] = None
+            finally:
+                caller.close()
+
+    hold_step(step, lambda: None, ask_endpoints)
+    send_at((LimitExchange, 'run', 1), (signal.SIGTERM,))
+    check_answer(run_node())
+    assert len(statuses) == len(ENDPOINTS)
+    assert set(statuses.values()) <= {None, 200, 503}
+    assert not set(FAULTS) & {event for event, _ in events}
