Answer other nodes' calls only once this node's gossip has started

What other nodes saw: an anti-entropy exchange with a node that was just starting failed with UNKNOWN, and that node wrote a traceback (AttributeError: 'NoneType' object has no attribute 'me').

Evidence: test_no_call_of_a_node_fails_while_this_one_starts calls a node at each step of its start that other tasks can interrupt. Before the change it failed while the gossip was being started. Found by looking for other uses of a part before its start.

Change: the socket listens first, then the gossip starts, then the server. Starting the gossip first, with no socket, would have refused the calls of nodes that already know this one.

--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import typing
 
 from grpclib._typing import IServable
@@ -25,6 +26,7 @@
 from ..settings import Endpoint
 from ..types import Clock
 from ..types import NodeId
+from .listening import listen
 from .settings import NodeSettings
 
 # A node that is no longer a member may be cut off from gossip but still send
@@ -67,6 +69,7 @@
             PeerHandler(self.gossip.answer_sync),
             PullHandler(self._answer_pull),
         ]
+        self._listener: socket.socket | None = None
         self._server: Server | None = None
 
     def set_pull_answerer(self, kind: str, answer: PullAnswerer) -> None:
@@ -79,10 +82,16 @@
 
     async def start(self) -> None:
         """Serve other nodes' gRPC calls, and join the fleet by gossip."""
+        # Other nodes may call as soon as they know this one from gossip, but
+        # calls are answered with what gossip knows. Until both have started,
+        # connections wait on the socket.
+        self._listener = listen(
+            Endpoint(self._cfg.gossip.host, self._cfg.peer_port)
+        )
+        await self.gossip.start()
         server = Server(self._handlers, codec=MsgpackCodec())
-        await server.start(self._cfg.gossip.host, self._cfg.peer_port)
+        await server.start(sock=self._listener)
         self._server = server
-        await self.gossip.start()
 
     async def stop(self) -> None:
         """Stop the gossip, and close the connections and the server."""
@@ -90,6 +99,8 @@
         self._pull_client.close()
         if self._server is not None:
             self._server.close()
+        elif self._listener is not None:
+            self._listener.close()
 
     async def pull(self, member: Member, request: Pull) -> Delta:
         """Pull store objects from a member.
--- a/tests/local_node.py
+++ b/tests/local_node.py
@@ -16,7 +16,8 @@
 READINESS_PORT = 7021
 DIRECTORY_PORT = 7022
 CONTROL_PORT = 7023
-# The last of the internal ports in the settings of the other tests.
+# Internal ports in the settings of the other tests.
+PEER_PORT = 7001
 METRICS_PORT = 7015
 
 
--- a/tests/test_node_signals.py
+++ b/tests/test_node_signals.py
@@ -9,12 +9,16 @@
 import os
 import signal
 
+from grpclib.const import Status
 from grpclib.server import Server
 import pytest
 import uvloop
 
+from sesameward.exceptions import PeerUnavailableError
 from sesameward.exceptions import PlatformUnavailableError
 from sesameward.membership.gossip import Gossip
+from sesameward.membership.peers import PeerClient
+from sesameward.messages import Member
 from sesameward.serving.http_caller import HttpCaller
 from sesameward.serving.http_server import HttpServer
 from sesameward.serving.limit_exchange import LimitExchange
@@ -25,11 +29,15 @@
 from sesameward.serving.pools import Pools
 from sesameward.serving.registration import Registration
 from sesameward.standin.object_store import ObjectStore
+from sesameward.types import NodeId
+from sesameward.types import ZoneName
 from tests import local_node
 
 # Time that the node of these tests gives callers to learn that it leaves.
 KEEP_LISTENING_S = 0.05
 HANDLED_TIMEOUT_S = 2.0
+# A step waits this long for a call that the node may answer after it only.
+MAX_CALL_WAIT_S = 0.2
 REQUEST = (
     b'GET /nowhere HTTP/1.1\r\nHost: h\r\nSesameward-Request-Id: r1\r\n'
     b'Sesameward-Deadline-Ms: 500\r\n\r\n'
@@ -160,6 +168,10 @@
     return send_at_step
 
 
+def send_sigterm():
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
 def count_handled(events):
     return sum(event in ('signal', 'reloaded') for event, _ in events)
 
@@ -280,3 +292,33 @@
     assert len(statuses) == len(ENDPOINTS)
     assert set(statuses.values()) <= {None, 200, 503}
     assert not set(FAULTS) & {event for event, _ in events}
+
+
+# Guards against calls of other nodes that fail, with a traceback in the log,
+# because this node answers them before its gossip has started.
+@pytest.mark.parametrize('step', WAITING_STEPS, ids=name_of)
+def test_no_call_of_a_node_fails_while_this_one_starts(
+    step, host, hold_step, run_node
+):
+    statuses, calls = [], []
+
+    async def call():
+        port = local_node.PEER_PORT
+        member = Member(NodeId('n2'), ZoneName('z1'), host, 1, port, 1)
+        try:
+            await PeerClient().sync(member, b'not sealed')
+        except PeerUnavailableError as exc:
+            statuses.append(getattr(exc.__cause__, 'status', None))
+
+    async def start_call():
+        calls.append(asyncio.ensure_future(call()))
+        await asyncio.wait(calls, timeout=MAX_CALL_WAIT_S)
+
+    async def finish_call():
+        await asyncio.wait(calls)
+
+    hold_step(step, lambda: None, start_call)
+    hold_step((LimitExchange, 'run', 1), send_sigterm, finish_call)
+    check_answer(run_node())
+    # The call is refused because it has no valid seal, or not taken at all.
+    assert statuses[0] in (None, Status.UNAUTHENTICATED)
