End a node without a traceback on SIGINT while it is still starting

What a user saw: SIGINT before the node had installed its handlers printed a traceback of KeyboardInterrupt, as a fault does. No promise was broken: nothing had been read by then.

Cause: Python's own handler of SIGINT raises that exception wherever the program is, while SIGTERM has the default action of the system.

Change: the first line of the program gives SIGINT the default action, too.

--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -20,8 +20,10 @@
 
 def main() -> int:
     """Serve until SIGTERM; return the exit code of the process."""
+    # SIGINT ends the process as SIGTERM does, without a traceback.
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
     # Ignore SIGHUP, which would end the process, until the node installs its
-    # handler. The other modules are imported after this call, because their
+    # handlers. The other modules are imported after this call, because their
     # import takes most of the start-up time.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from . import boot
--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -34,6 +34,8 @@
 READY_TIMEOUT_S = 15.0
 # Changes of the configuration must be in force on all nodes within this time.
 MAX_CONFIG_DELAY_MS = 3_000
+# The platform sends SIGKILL this long after SIGTERM.
+GRACE_S = 6
 # Time for which callers wait for an answer.
 DEADLINE_MS = 1_000
 # A crashed target is replaced by a new one after this time.
@@ -230,7 +232,7 @@
                 'budget_window_s': 10,
                 'config_ms': MAX_CONFIG_DELAY_MS,
                 'drain_ms': 3_000,
-                'grace_s': 6,
+                'grace_s': GRACE_S,
                 'ttl_max_s': 5,
             },
             # Nodes must ignore settings that they don't know.
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -14,6 +14,7 @@
 
 from sesameward.platform.__main__ import EXIT_START
 from sesameward.standin.fleet import Fleet
+from sesameward.standin.fleet import GRACE_S
 from sesameward.standin.fleet import INTERNAL_PORTS
 from sesameward.standin.fleet import MAX_CONFIG_DELAY_MS
 from sesameward.standin.fleet import PORTS
@@ -29,6 +30,9 @@
 from tests.scenarios import wait_until
 from tests.scenarios import with_fleet
 
+# Delays of a signal after the first line of the program. The start takes some
+# 0.2 s.
+START_DELAYS_S = (0.0, 0.04, 0.08, 0.12, 0.16, 0.2, 0.25)
 # Ports that a node binds: for callers, and the internal ones for gossip, calls
 # of other nodes, and metrics.
 BOUND_PORTS = (
@@ -479,7 +483,7 @@
 @with_fleet(nodes=1)
 async def test_sighup_during_the_start_does_not_end_the_process(fleet):
     (node,) = fleet.nodes
-    for delay_s in (0.0, 0.04, 0.08, 0.12, 0.16, 0.2, 0.25):
+    for delay_s in START_DELAYS_S:
         node.send(signal.SIGKILL)
         node.process.wait()
         node.start()
@@ -489,6 +493,26 @@
         await fleet.wait_until_ready()
 
 
+# Guards against a node that prints a traceback, as for a fault, because SIGINT
+# came while its modules were being imported.
+@with_fleet(nodes=1)
+async def test_sigint_during_the_start_ends_the_process_quietly(fleet):
+    (node,) = fleet.nodes
+    for delay_s in START_DELAYS_S:
+        node.send(signal.SIGKILL)
+        node.process.wait()
+        node.start()
+        await wait_until_sighup_ignored(node)
+        await asyncio.sleep(delay_s)
+        node.send(signal.SIGINT)
+        async with asyncio.timeout(GRACE_S):
+            while node.is_running:
+                await asyncio.sleep(0.02)
+        # Before its handler is set, the signal ends the process by itself.
+        assert node.process.returncode in (0, -signal.SIGINT)
+    assert 'Traceback' not in node.log.read_text()
+
+
 # Guards against a node that ends with a traceback, and without a reason in its
 # log, because one of its ports is taken.
 @pytest.mark.parametrize('port', BOUND_PORTS)
