--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -5,6 +5,8 @@
 import contextlib
 import http.client
 import json
+import pathlib
+import re
 import signal
 import threading
 import time
@@ -238,3 +240,28 @@
         process.send(signal.SIGTERM)
     assert (entry.wait(), agent.wait()) == (4, 4)
     assert time.monotonic() - began_at < 1.0
+
+
+def handles(process, signum):
+    """Return whether a process handles a signal."""
+    status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
+    mask = re.search(r'^SigCgt:\s*([0-9a-f]+)$', status, re.MULTILINE)
+    return bool(int(mask[1], 16) >> (signum - 1) & 1)
+
+
+# Guards against an entry or agent that ignores SIGTERM because the signal came
+# while its parts were starting, as nodes of the platform path did (issue 46).
+@pytest.mark.parametrize('delay_s', [0.0, 0.002, 0.005, 0.01, 0.02])
+def test_sigterm_during_the_start_ends_entry_and_agent(tier, delay_s):
+    alone = {'host': HOST, 'port': 1}
+    for process in (
+        tier.start_agent(0, node='starting', seeds=[alone]),
+        tier.start_entry(0, node='starting', agent=alone),
+    ):
+        while not handles(process, signal.SIGTERM):
+            assert process.exit_code is None
+            time.sleep(0.001)
+        time.sleep(delay_s)
+        process.send(signal.SIGTERM)
+        assert process.wait(30) == 0
+        assert 'Traceback' not in process.log.read_text()
