Record the wish to stop before it is logged

What is done first in the handler can't be lost to a failure of the rest. The comments on the parts of a node say what they are for; two tests share the restart of a node.

--- a/sesameward/serving/lifecycle.py
+++ b/sesameward/serving/lifecycle.py
@@ -69,16 +69,17 @@
 
     def request_stop(self, signal_name: str) -> None:
         """Make run() stop the process; further requests change nothing."""
+        is_repeated = self.is_stop_requested
+        if not is_repeated:
+            self.stop_requested_at = self._clock()
+            self._stop_requested.set()
         logs.log_event(
             'signal',
             signal=signal_name,
             stage=self.stage.value,
             current=self.current,
-            is_repeated=self.is_stop_requested,
+            is_repeated=is_repeated,
         )
-        if not self.is_stop_requested:
-            self.stop_requested_at = self._clock()
-        self._stop_requested.set()
 
     async def run(
         self,
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -109,7 +109,7 @@
 FIRST_READING_TIMEOUT_S = 0.25
 FIRST_READING_POLL_S = 0.005
 
-# Parts of a node, on whose start it depends what there is to be left.
+# Names of the parts whose start decides what a node has to do to leave.
 PEERS = 'peers'
 CALLERS = 'callers'
 
@@ -494,8 +494,8 @@
         These are callers' requests and sub-requests sent for other nodes. For
         KEEP_LISTENING_S the node still accepts both; then it closes each
         connection that is idle. The wait ends EXIT_RESERVE_S before SIGKILL
-        even if requests are still in flight. There are none if the node has
-        stopped before other nodes could know it.
+        even if requests are still in flight. A node that was told to stop
+        before it joined the others has accepted none and does not wait.
         """
         if not self._lifecycle.has_started(PEERS):
             return
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -480,16 +480,21 @@
             await asyncio.sleep(0.001)
 
 
+async def restart_and_signal(node, delay_s, signum):
+    """Start a node again; send a signal this long after its first line."""
+    node.send(signal.SIGKILL)
+    node.process.wait()
+    node.start()
+    await wait_until_sighup_ignored(node)
+    await asyncio.sleep(delay_s)
+    node.send(signum)
+
+
 @with_fleet(nodes=1)
 async def test_sighup_during_the_start_does_not_end_the_process(fleet):
     (node,) = fleet.nodes
     for delay_s in START_DELAYS_S:
-        node.send(signal.SIGKILL)
-        node.process.wait()
-        node.start()
-        await wait_until_sighup_ignored(node)
-        await asyncio.sleep(delay_s)
-        node.send(signal.SIGHUP)
+        await restart_and_signal(node, delay_s, signal.SIGHUP)
         await fleet.wait_until_ready()
 
 
@@ -499,12 +504,7 @@
 async def test_sigint_during_the_start_ends_the_process_quietly(fleet):
     (node,) = fleet.nodes
     for delay_s in START_DELAYS_S:
-        node.send(signal.SIGKILL)
-        node.process.wait()
-        node.start()
-        await wait_until_sighup_ignored(node)
-        await asyncio.sleep(delay_s)
-        node.send(signal.SIGINT)
+        await restart_and_signal(node, delay_s, signal.SIGINT)
         async with asyncio.timeout(GRACE_S):
             while node.is_running:
                 await asyncio.sleep(0.02)
