Soak: stop nodes that are still starting

A new kind, node_term_starting, stops a node, starts it again and sends it one of four sequences of signals up to 12 ms after its line "started", or at any time of its start. A node that runs on for grace_s after a signal to stop is a violation now, unless it was frozen meanwhile, and is killed as the platform does; before, the soak waited for it.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sesameward.standin.fleet import GRACE_S
 from sesameward.standin.links import Cut
 from sesameward.standin.shard_target import CopyHow
 from sesameward.standin.shard_target import CrashHow
@@ -52,10 +53,21 @@
     'store_restored',
     'service_copies',
     'entry_forged',
+    'node_term_starting',
 )
 
 # Time within which a signal that ends a process takes effect.
 SIGNAL_TIMEOUT_S = 0.5
+# Signals to a node that is starting, 1 ms apart, and when they come: after its
+# line "started" by up to STARTED_DELAY_S, or at any time of its start.
+STARTING_SIGNALS = (
+    (signal.SIGTERM,),
+    (signal.SIGINT,),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGTERM),
+)
+STARTED_DELAY_S = 0.012
+START_S = 0.5
 # Retry-After value, in seconds, with which targets refuse requests.
 RETRY_AFTER_S = '1.5'
 # Requests per second to which targets limit all nodes, and for how long. It is
@@ -162,9 +174,46 @@
         self._world.record_disturbance(node.name, number is signal.SIGTERM)
         process = node.process
         node.send(number)
+        await self._wait_for_end(node, process)
+        # An overlapping fault may have restarted the node already.
+        if node.process is process and not self._world.is_over:
+            node.start()
+            self._world.record_restart(node.name)
+
+    async def _wait_for_end(self, node, process) -> None:
+        """Wait until a process that was told to stop has ended.
+
+        It is killed after GRACE_S, as by the platform.
+        """
+        signal_at = time.monotonic()
         while process.poll() is None:
             await asyncio.sleep(0.02)
-        # An overlapping fault may have restarted the node already.
+            if time.monotonic() - signal_at > GRACE_S:
+                self._world.record_late_stop(node.name, signal_at)
+                process.kill()
+                process.wait()
+
+    async def _node_term_starting(self, fault: Fault) -> None:
+        """Stop a node, and stop it again while it is starting."""
+        node = self._node(fault)
+        await self._restart(node, signal.SIGTERM)
+        process, starts = node.process, len(node.lines('started'))
+        variant = int(fault.fraction * 1_000)
+        if variant % 2:
+            await asyncio.sleep(START_S * (variant % 97) / 97)
+        else:
+            while len(node.lines('started')) == starts:
+                if process.poll() is not None:
+                    return
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(STARTED_DELAY_S * (variant % 97) / 97)
+        if node.process is not process:
+            return
+        self._world.record_disturbance(node.name, is_planned=True)
+        for number in STARTING_SIGNALS[variant // 2 % len(STARTING_SIGNALS)]:
+            node.send(number)
+            await asyncio.sleep(0.001)
+        await self._wait_for_end(node, process)
         if node.process is process and not self._world.is_over:
             node.start()
             self._world.record_restart(node.name)
@@ -183,11 +232,11 @@
 
     async def _node_freeze(self, fault: Fault) -> None:
         node = self._node(fault)
-        self._world.record_disturbance(node.name)
+        self._world.record_freeze(node.name)
         node.send(signal.SIGSTOP)
         await asyncio.sleep(fault.duration_s)
         node.send(signal.SIGCONT)
-        self._world.record_disturbance(node.name)
+        self._world.record_freeze(node.name)
 
     async def _node_hup(self, fault: Fault) -> None:
         node = self._node(fault)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -105,6 +105,7 @@
             collections.defaultdict(list)
         )
         self._terminated_at: dict[str, float] = {}
+        self._frozen_at: dict[str, float] = {}
         self._store_disturbance_times: list[float] = [0.0]
         # When the configuration with each extra route was written.
         self._routes_written_at: dict[int, float] = {}
@@ -148,6 +149,19 @@
         """
         self._disturbance_times[node].append(time.monotonic())
 
+    def record_freeze(self, node: str) -> None:
+        """Record that a node was frozen or goes on."""
+        self.record_disturbance(node)
+        self._frozen_at[node] = time.monotonic()
+
+    def record_late_stop(self, node: str, signal_at: float) -> None:
+        """Record a node that had to be killed, unless it was frozen."""
+        now = time.monotonic()
+        if self._frozen_at.get(node, 0.0) < signal_at:
+            self._add_violation(
+                f'{node} ran on {now - signal_at:.1f} s after a signal to stop'
+            )
+
     def record_store_disturbance(self) -> None:
         """Record that a fault of the store started or ended."""
         self._store_disturbance_times.append(time.monotonic())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,9 @@
     'store_busy',
     'store_forgets',
 )
+# Seeds whose runs found nodes that ignored the signals to stop.
+STARTING_SEEDS = (1, 2)
+STARTING_LENGTH_S = 8.0
 
 
 @pytest.mark.parametrize('seed', [*CI_SEEDS, *REGRESSIONS])
@@ -56,6 +59,15 @@
     assert kinds.count('store_restored') > 1
 
 
+# Guards against nodes that run on, and cut off what is in flight when they are
+# killed, because they were told to stop while they were starting.
+@pytest.mark.parametrize('seed', STARTING_SEEDS)
+def test_no_promise_is_broken_while_starting_nodes_are_stopped(seed):
+    world = World(seed, nodes=3)
+    kinds = ('node_term_starting',)
+    assert asyncio.run(world.run(STARTING_LENGTH_S, kinds)) == []
+
+
 def test_schedule_is_the_same_for_a_seed():
     assert schedule(7, 20.0) == schedule(7, 20.0)
     drawn_kinds = {
