--- a/tests/test_node_signals.py
+++ b/tests/test_node_signals.py
@@ -236,6 +236,22 @@
     assert not set(FAULTS) & set(names)
 
 
+# Guards against a node that ends, or serves in part, because it was told to
+# read its settings again while its parts were starting.
+@pytest.mark.parametrize('step', START_STEPS[:-1], ids=name_of)
+def test_sighup_at_each_step_of_the_start_changes_nothing(
+    step, send_at, run_node, events
+):
+    send_at(step, (signal.SIGHUP,))
+    send_at(START_STEPS[-1], (signal.SIGTERM,))
+    check_answer(run_node())
+    names = [event for event, _ in events]
+    assert names.index('reloaded') < names.index('signal')
+    stages = [fields['stage'] for event, fields in events if event == 'signal']
+    assert stages == ['serving']
+    assert not set(FAULTS) & set(names)
+
+
 # Guards against a further signal that keeps a leaving node from stopping.
 @pytest.mark.parametrize('signals', SIGNALS, ids=name_of)
 @pytest.mark.parametrize('step', STOP_STEPS, ids=name_of)
