Stand-in: start nodes with the default actions of the signals

Trace: node_term_starting sent SIGINT 67 ms after the process was made. The node logged no signal line and served on. /proc showed SIGINT among the ignored signals of the soak: a shell makes its background jobs ignore it, and children take that over, until the first line of the program gives it its action.

test_node_takes_over_no_ignored_signals_of_the_test failed before.

--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -13,6 +14,7 @@
 import subprocess
 import sys
 import tempfile
+import typing
 
 import msgspec
 
@@ -51,6 +53,27 @@
 _fleet_numbers = itertools.count(os.getpid() % 200)
 
 
+@contextlib.contextmanager
+def _no_ignored_signals() -> typing.Iterator[None]:
+    """Start processes with the default actions of the signals to stop.
+
+    A process ignores the signals that its parent ignores. A shell makes its
+    background jobs ignore SIGINT.
+    """
+    ignored = [
+        number
+        for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+        if signal.getsignal(number) is signal.SIG_IGN
+    ]
+    for number in ignored:
+        signal.signal(number, signal.SIG_DFL)
+    try:
+        yield
+    finally:
+        for number in ignored:
+            signal.signal(number, signal.SIG_IGN)
+
+
 class FleetNode:
     """Run one node as a child process with its own settings and log."""
 
@@ -82,7 +105,7 @@
         if self.links is not None:
             env[LINK_HOST_VARIABLE] = self.links.host
             module = 'sesameward.standin.linked_node'
-        with self.log.open('ab') as log:
+        with self.log.open('ab') as log, _no_ignored_signals():
             self.process = subprocess.Popen(
                 # The same command as in deploy/system.toml; -S keeps the start
                 # from reading site packages.
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -498,6 +498,22 @@
         await fleet.wait_until_ready()
 
 
+# Guards against soaks that run in the background and find nodes that ignore
+# SIGINT only because the soak ignores it (seed 4604, length 10).
+@with_fleet(nodes=1)
+async def test_node_takes_over_no_ignored_signals_of_the_test(fleet):
+    (node,) = fleet.nodes
+    before = signal.signal(signal.SIGINT, signal.SIG_IGN)
+    try:
+        node.send(signal.SIGKILL)
+        node.process.wait()
+        node.start()
+        assert not node.ignores(signal.SIGINT)
+        assert signal.getsignal(signal.SIGINT) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGINT, before)
+
+
 # Guards against a node that prints a traceback, as for a fault, because SIGINT
 # came while its modules were being imported.
 @with_fleet(nodes=1)
