Read the signal masks of a process in one place

The test of signals to a starting entry or agent parsed /proc again, as the stand-in of a fleet did for its nodes; one function serves both now. Behaviour is the same.

--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import random
-import re
 import signal
 import subprocess
 import sys
@@ -25,6 +24,7 @@
 from .object_store import ObjectStore
 from .shard_target import CrashHow
 from .shard_target import ShardTarget
+from .signal_masks import is_in_mask
 
 HOST_NAME = 'search.example'
 PORTS = {'front': 8104, 'ready': 8108, 'control': 8106, 'directory': 8100}
@@ -122,25 +122,15 @@
 
     def ignores(self, signum: signal.Signals) -> bool:
         """Return whether the process, which must run, ignores a signal."""
-        return self._is_in_signal_mask('SigIgn', signum)
+        return is_in_mask(self.process.pid, 'SigIgn', signum)
 
     def outlives(self, signum: signal.Signals) -> bool:
         """Return whether the process runs and ignores or handles a signal."""
         return self.is_running and (
-            self._is_in_signal_mask('SigIgn', signum)
-            or self._is_in_signal_mask('SigCgt', signum)
+            is_in_mask(self.process.pid, 'SigIgn', signum)
+            or is_in_mask(self.process.pid, 'SigCgt', signum)
         )
 
-    def _is_in_signal_mask(
-        self, mask_name: str, signum: signal.Signals
-    ) -> bool:
-        """Return whether a mask of /proc/PID/status contains a signal."""
-        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
-        (mask,) = re.findall(
-            rf'^{mask_name}:\s*([0-9a-f]+)$', status, re.MULTILINE
-        )
-        return bool(int(mask, 16) >> (signum - 1) & 1)
-
     @property
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -5,8 +5,6 @@
 import contextlib
 import http.client
 import json
-import pathlib
-import re
 import signal
 import threading
 import time
@@ -18,6 +16,7 @@
 from sesameward.standin.processes import Shape
 from sesameward.standin.processes import Tier
 from sesameward.standin.processes import wait_until
+from sesameward.standin.signal_masks import is_in_mask
 
 TARGET = 't1-0'
 MAX_DRAIN_S = 3.0
@@ -242,13 +241,6 @@
     assert time.monotonic() - began_at < 1.0
 
 
-def handles(process, signum):
-    """Return whether a process handles a signal."""
-    status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
-    mask = re.search(r'^SigCgt:\s*([0-9a-f]+)$', status, re.MULTILINE)
-    return bool(int(mask[1], 16) >> (signum - 1) & 1)
-
-
 # Guards against an entry or agent that ignores SIGTERM because the signal came
 # while its parts were starting, as nodes of the platform path did (issue 46).
 @pytest.mark.parametrize('delay_s', [0.0, 0.002, 0.005, 0.01, 0.02])
@@ -258,7 +250,7 @@
         tier.start_agent(0, node='starting', seeds=[alone]),
         tier.start_entry(0, node='starting', agent=alone),
     ):
-        while not handles(process, signal.SIGTERM):
+        while not is_in_mask(process.pid, 'SigCgt', signal.SIGTERM):
             assert process.exit_code is None
             time.sleep(0.001)
         time.sleep(delay_s)
