Fail replies whose status HTTP does not know at once

A target in trouble can send a status such as 000 or 999. Statuses from 600 were passed on to the caller as answers. Those below 100 were taken for interim replies, so that the request waited until its deadline. The parser accepts any digits, and nothing checked them.

Such a reply is no answer: the exchange fails as NOT_HTTP as soon as its head is read, also one with 101, which no request asks for. A safe request is sent again; one that must not run twice gets 502.

--- a/sesameward/serving/relay_run.py
+++ b/sesameward/serving/relay_run.py
@@ -24,6 +24,7 @@
 from .http_server import Answer
 from .relay import Relay
 from .run import Arrival
+from .target_connection import FINAL_STATUSES
 from .target_connection import Reply
 
 
@@ -82,9 +83,10 @@
         is_wanted: bool,
         now: float,
     ) -> list:
-        if end.reply is None:
+        if end.reply is None or end.reply.status not in FINAL_STATUSES:
             # The helper node runs an earlier release, which does not return
-            # whole replies.
+            # whole replies, or also returns those with a status that HTTP
+            # does not know.
             return self._apply_helper_failure(
                 batch, send, SubRequestFailure.FAILED, now
             )
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -31,6 +31,11 @@
 # Idle time of a connection before the kernel sends TCP keep-alive probes.
 KEEPALIVE_IDLE_S = 2
 
+# Statuses of HTTP that end a request, and those of interim replies. 101 would
+# change the protocol of the connection, which this client never asks for.
+FINAL_STATUSES = range(200, 600)
+INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -112,6 +117,7 @@
         self._no_body = False
         self._usable = True
         self._status = 0
+        self._has_unknown_status = False
         self._reason = b''
         self._headers: Headers = []
         self._body: list[bytes] = []
@@ -201,6 +207,9 @@
             self._usable = False
             if self._complete_reply is None:
                 self._fail(ExchangeFailure.NOT_HTTP)
+        if self._has_unknown_status and self._complete_reply is None:
+            self._fail(ExchangeFailure.NOT_HTTP)
+            return
         # The reply is delivered only after all received bytes are parsed.
         # A second reply among them makes the connection unusable.
         if self._complete_reply is not None:
@@ -277,6 +286,9 @@
         """Determine how the body ends; finish a reply to a HEAD request."""
         self._has_head = True
         self._status = self._parser.get_status_code()
+        if not is_known_status(self._status):
+            self._has_unknown_status = True
+            return
         if self._status in (204, 304) or self._status < 200:
             self._is_delimited = True
         if len(self._headers) > MAX_HEADERS:
@@ -295,7 +307,7 @@
 
     def on_message_complete(self) -> None:
         """Finish a reply, unless it is an interim one (1xx)."""
-        if self._status >= 200:
+        if self._status in FINAL_STATUSES:
             self._finish_reply()
 
     def _finish_reply(self) -> None:
@@ -345,6 +357,14 @@
         self._on_free(self)
 
 
+def is_known_status(status: int) -> bool:
+    """Return True if a status is one of a final or an interim reply.
+
+    A server in trouble can send others, such as 000, which are no answer.
+    """
+    return status in FINAL_STATUSES or status in INTERIM_STATUSES
+
+
 def _keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b','):
         name, _, seconds = part.strip().partition(b'=')
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -236,3 +236,22 @@
         assert responder.answer.status == 502
 
     relay(scenario, Repeat.ONCE)
+
+
+# A helper of an earlier release passes on replies with statuses that HTTP does
+# not know; the caller would take them for answers.
+@pytest.mark.parametrize('status', [0, 99, 101, 600, 999])
+def test_reply_with_an_odd_status_is_a_failure(relay, status):
+    odd = WholeReply(status, b'Odd', REPLY.headers, b'body')
+
+    def runs_once(delegates, pools, responder):
+        answer(delegates, reply=odd)
+        assert responder.answer.status == 502
+
+    def is_sent_again(delegates, pools, responder):
+        answer(delegates, reply=odd)
+        answer(delegates, reply=REPLY)
+        assert responder.answer.status == 200
+
+    relay(runs_once, Repeat.ONCE)
+    relay(is_sent_again)
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -7,6 +7,8 @@
 import socket
 import struct
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from sesameward.serving.target_connection import ExchangeFailure
@@ -281,3 +283,68 @@
         return await done
 
     assert run_with_target([[]], scenario) is ExchangeFailure.ABANDONED
+
+
+FINAL_STATUSES = range(200, 600)
+
+
+@hypothesis.given(
+    status=st.from_regex(
+        r'[0-9]{1,4}|[0-9][0-9 x]{2}|-[0-9]{2}', fullmatch=True
+    ),
+    body=st.sampled_from([b'', b'hi']),
+    has_length=st.booleans(),
+)
+@hypothesis.example('000', b'hi', True)
+@hypothesis.example('099', b'hi', True)
+@hypothesis.example('101', b'', True)
+@hypothesis.example('600', b'hi', True)
+@hypothesis.example('999', b'hi', False)
+@hypothesis.settings(
+    max_examples=120,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+def test_only_final_statuses_of_http_are_replies(
+    run_with_target, status, body, has_length
+):
+    # A target in trouble sends statuses that HTTP does not know. Passed on,
+    # they reach the caller as answers; taken for interim replies, they keep
+    # the request waiting until its deadline.
+    head = f'HTTP/1.1 {status} Odd\r\nId: own\r\n'.encode()
+    if has_length:
+        head += b'Content-Length: %d\r\n' % len(body)
+    result = run_with_target([[head + b'\r\n' + body, None]], exchange)
+    if isinstance(result, Reply):
+        assert len(status) == 3
+        assert result.status == int(status)
+        assert result.status in FINAL_STATUSES
+    elif not (status.isdigit() and 100 <= int(status) < 600):
+        assert result is ExchangeFailure.NOT_HTTP
+
+
+@pytest.mark.parametrize('status', [0, 99, 101, 600, 999])
+def test_a_reply_without_a_valid_status_fails_at_once(run_with_target, status):
+    # The connection stays open: waiting for a further reply would hold the
+    # request until its deadline.
+    head = f'HTTP/1.1 {status:03} Odd\r\nContent-Length: 0\r\n\r\n'.encode()
+    result, is_usable = run_with_target([[head]], exchange_and_check)
+    assert (result, is_usable) == (ExchangeFailure.NOT_HTTP, False)
+
+
+def test_a_final_reply_after_interim_ones_is_used(run_with_target):
+    # Interim replies must not be mistaken for statuses that HTTP does not
+    # know.
+    script = [[b'HTTP/1.1 103 Early Hints\r\n\r\n', OWN_REPLY]]
+    result, is_usable = run_with_target(script, exchange_and_check)
+    assert (result.status, is_usable) == (200, True)
+
+
+def test_an_odd_status_after_a_complete_reply_does_not_spoil_it(
+    run_with_target,
+):
+    # Bytes after a complete reply belong to no request. They end the use of
+    # the connection, not the request that was answered.
+    script = [[OWN_REPLY + b'HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n']]
+    result, is_usable = run_with_target(script, exchange_and_check)
+    assert (result.status, is_usable) == (200, False)
