Identify organisations by the keys of their callers

Routes that aren't public need a key that the configuration lists. Keys and forged names of organisations don't reach targets or other nodes. Settings fail_closed and revoke_ms refuse keys that may be withdrawn.

--- /dev/null
+++ b/sesameward/organisations/__init__.py
@@ -0,0 +1,5 @@
+"""Organisations: the customers that callers belong to, and their limits.
+
+A caller identifies its organisation by a key. Nodes keep to the request rate
+of each organisation together.
+"""
--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -50,6 +50,8 @@
     drain_ms: PositiveFloat
     grace_s: PositiveFloat
     ttl_max_s: PositiveFloat
+    fail_closed: bool = False
+    revoke_ms: PositiveFloat = 5_000.0
 
 
 class _Boot(msgspec.Struct):
@@ -151,6 +153,8 @@
             registration_ttl_s=HEARTBEATS_UNTIL_REMOVAL
             * boot.heartbeat_ms
             / 1_000,
+            refuses_stale_keys=bounds.fail_closed,
+            max_keys_age_s=bounds.revoke_ms / 1_000,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
     )
--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -13,6 +13,8 @@
 from ..serving.routes import CallerLimits
 from ..serving.routes import Destination
 from ..serving.routes import OneService
+from ..serving.routes import Organisation
+from ..serving.routes import OrganisationName
 from ..serving.routes import Repeat
 from ..serving.routes import Route
 from ..serving.routes import RouteName
@@ -37,12 +39,17 @@
 # Integers that fit into the messages between nodes.
 PositiveInt64 = typing.Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
 NonNegativeInt64 = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0)]
 
 # The name of a target is sent to it in a header, and to other nodes in
 # datagrams.
 MAX_NAME_CHARS = 200
 _NAME = re.compile(rf'[!-~]{{1,{MAX_NAME_CHARS}}}')
+# The name of an organisation is sent to targets as the value of a header.
+ORGANISATION_NAME_PATTERN = (
+    rf'^(?! )[^\x00-\x1f\x7f]{{1,{MAX_NAME_CHARS}}}(?<! )\Z'
+)
 
 _REPEAT_BY_ROUTE_TYPE = {'safe': Repeat.SAFE, 'unsafe': Repeat.ONCE}
 
@@ -73,6 +80,7 @@
     gather: tuple[str, ...] | None = None
     top_k: NonNegativeInt = 0
     min_coverage: float = 0.0
+    public: bool = False
 
     def destination(self) -> Destination:
         """Return the service or services that the route leads to."""
@@ -103,6 +111,7 @@
             priority=self.priority,
             max_attempts=self.max_attempts,
             destination=self.destination(),
+            is_public=self.public,
         )
 
 
@@ -117,6 +126,31 @@
     max_conns: PositiveInt
 
 
+class _Tenant(msgspec.Struct):
+    """Hold an organisation as stored.
+
+    A rate of 0 or null means that there is no limit.
+    """
+
+    name: typing.Annotated[
+        str, msgspec.Meta(pattern=ORGANISATION_NAME_PATTERN)
+    ]
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: NonNegativeFloat | None = None
+    burst: NonNegativeFloat | None = None
+
+    def to_organisation(self) -> Organisation:
+        """Convert to the Organisation that the node uses."""
+        return Organisation(
+            OrganisationName(self.name),
+            self.api_keys,
+            self.priority,
+            self.rate_per_s or 0.0,
+            self.burst or 0.0,
+        )
+
+
 class _CallerLimits(msgspec.Struct):
     max_header_bytes: PositiveInt = 16_384
     max_body_bytes: PositiveInt = 262_144
@@ -129,6 +163,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _CallerLimits = msgspec.field(default_factory=_CallerLimits)
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 class _Server(msgspec.Struct):
@@ -184,6 +219,9 @@
                 limits.header_timeout_ms / 1_000,
                 limits.idle_timeout_ms / 1_000,
             ),
+            None
+            if config.tenants is None
+            else [tenant.to_organisation() for tenant in config.tenants],
         )
 
     def target(self, stored: StoredObject) -> Target:
--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -12,6 +12,7 @@
 from ..serving.directory import Addresses
 from ..serving.http_server import Answer
 from ..serving.http_server import Request
+from ..serving.routes import OrganisationName
 from ..serving.target_connection import Headers
 from ..serving.target_connection import Reply
 from ..serving.wire import ReplyHeaders
@@ -23,6 +24,8 @@
 REQUEST_ID_HEADER = b'sesameward-request-id'
 DEADLINE_HEADER = b'sesameward-deadline-ms'
 EXPECT_TARGET_HEADER = b'sesameward-expect-instance'
+API_KEY_HEADER = b'x-api-key'
+ORGANISATION_HEADER = b'sesameward-tenant'
 PART_SIGNATURES_HEADER = b'Sesameward-Part-Stamps'
 MISSING_PARTS_HEADER = b'Sesameward-Missing-Parts'
 
@@ -47,7 +50,12 @@
 # This node sets these headers on each sub-request itself. The values that a
 # caller sent are not passed on to targets.
 _REPLACED_HEADERS = frozenset({DEADLINE_HEADER, EXPECT_TARGET_HEADER})
-
+# If the configuration lists organisations, a key is not passed on, and only
+# this node names the organisation of a request.
+_REPLACED_HEADERS_WITH_KEYS = _REPLACED_HEADERS | {
+    API_KEY_HEADER,
+    ORGANISATION_HEADER,
+}
 
 _DECIMAL_NUMBER = re.compile(rb'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
 
@@ -59,11 +67,18 @@
     node answers the caller.
     """
 
-    def read_request(self, req: Request) -> RequestHeaders | None:
+    def read_request(
+        self, req: Request, with_keys: bool = False
+    ) -> RequestHeaders | None:
         """Return a request's id, deadline and the head to send to targets.
 
-        Return None if the request has no request id.
+        Return None if the request has no request id. If with_keys is True, its
+        keys are returned as well, and are not in the head.
         """
+        replaced = (
+            _REPLACED_HEADERS_WITH_KEYS if with_keys else _REPLACED_HEADERS
+        )
+        api_keys = []
         request_id = None
         deadline_s = None
         dropped = _connection_options(req.headers)
@@ -72,9 +87,11 @@
             lower = name.lower()
             if lower == DEADLINE_HEADER:
                 deadline_s = _parse_deadline_s(value)
+            if with_keys and lower == API_KEY_HEADER:
+                api_keys.append(value.strip())
             if (
                 lower in _HOP_BY_HOP_HEADERS
-                or lower in _REPLACED_HEADERS
+                or lower in replaced
                 or lower in dropped
             ):
                 continue
@@ -89,8 +106,15 @@
             RequestId(request_id.decode('latin-1')),
             deadline_s,
             b''.join(lines),
+            tuple(api_keys),
         )
 
+    def add_organisation(
+        self, asked: RequestHeaders, organisation: OrganisationName
+    ) -> None:
+        """Add the header that names the caller's organisation to targets."""
+        asked.head += b'Sesameward-Tenant: %s\r\n' % organisation.encode()
+
     def sub_request(
         self, head: bytes, body: bytes, target_id: TargetId, left_s: float
     ) -> bytes:
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -4,7 +4,11 @@
 
 import typing
 
+import msgspec
+
 from .. import logs
+from ..organisations.identity import Identity
+from ..organisations.identity import KeyRefusal
 from ..quarantine.quarantine import Canary
 from ..quarantine.quarantine import Refuse
 from .deps import add_retry_after
@@ -52,8 +56,14 @@
     A run sends the sub-requests for the request and answers the caller.
     """
 
-    def __init__(self, deps: Deps, configuration: KnownConfiguration):
+    def __init__(
+        self,
+        deps: Deps,
+        configuration: KnownConfiguration,
+        identity: Identity,
+    ):
         self.deps = deps
+        self._identity = identity
         self._configuration = configuration
 
     def handle(self, req: Request, responder: Responder) -> None:
@@ -61,7 +71,10 @@
         deps = self.deps
         now = deps.tools.clock()
         route_table = self._configuration.route_table
-        asked = deps.tools.wire.read_request(req)
+        with_keys = (
+            route_table is not None and route_table.organisations is not None
+        )
+        asked = deps.tools.wire.read_request(req, with_keys)
         if asked is None:
             self._refuse(req, responder, 400, 'no_request_id')
             return
@@ -70,9 +83,7 @@
             return
         route = route_table.find(req.host, req.path)
         if route is None:
-            is_old = self._configuration.age_s(now) > MAX_ROUTES_AGE_S
-            may_exist = is_old or self._configuration.may_lack_routes(now)
-            status = 503 if may_exist else 404
+            status = 503 if self._may_be_outdated(now) else 404
             self._refuse(
                 req,
                 responder,
@@ -82,6 +93,22 @@
                 version=route_table.version,
             )
             return
+        organisation = None
+        if with_keys and not route.is_public:
+            match self._identity.identify(
+                route_table, asked.api_keys, self._configuration.age_s(now)
+            ):
+                case KeyRefusal() as refusal:
+                    self._refuse_key(
+                        req, responder, refusal, asked, route_table, now
+                    )
+                    return
+                case organisation:
+                    deps.tools.wire.add_organisation(asked, organisation.name)
+            if organisation.priority is not None:
+                route = msgspec.structs.replace(
+                    route, priority=organisation.priority
+                )
         if deps.tools.links.is_lost and not deps.delegation.has_helper(now):
             self._refuse(
                 req, responder, 503, 'no_links', asked, LINKS_RETRY_AFTER_S
@@ -112,11 +139,40 @@
                 responder,
                 identity,
                 on_trial,
+                None if organisation is None else organisation.name,
             )
         )
         deps.runs.add(run)
         run.start(now)
 
+    def _may_be_outdated(self, now: float) -> bool:
+        """Return True if a newer configuration may be in force elsewhere."""
+        is_old = self._configuration.age_s(now) > MAX_ROUTES_AGE_S
+        return is_old or self._configuration.may_lack_routes(now)
+
+    def _refuse_key(
+        self,
+        req: Request,
+        responder: Responder,
+        refusal: KeyRefusal,
+        asked: RequestHeaders,
+        route_table: RouteTable,
+        now: float,
+    ) -> None:
+        # A wrong 401 is final for the caller, so it is sent only if no newer
+        # configuration can have the key.
+        is_final = refusal is KeyRefusal.UNKNOWN and not self._may_be_outdated(
+            now
+        )
+        self._refuse(
+            req,
+            responder,
+            401 if is_final else 503,
+            refusal.value,
+            asked,
+            version=route_table.version,
+        )
+
     def _make_run(self, arrival: Arrival) -> Run:
         deps = self.deps
         match arrival.route.destination:
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -47,6 +47,7 @@
     100: b'Continue',
     200: b'OK',
     400: b'Bad Request',
+    401: b'Unauthorized',
     404: b'Not Found',
     405: b'Method Not Allowed',
     408: b'Request Timeout',
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import functools
+import math
 import os
 import random
 import signal
@@ -30,6 +31,7 @@
 from ..metrics import Metrics
 from . import mirror
 from . import node_status
+from ..organisations.identity import Identity
 from ..quarantine.quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from . import silent_targets
@@ -276,6 +278,11 @@
                 self._rng.random,
             ),
             self.routing_state,
+            Identity(
+                cfg.bounds.max_keys_age_s
+                if cfg.bounds.refuses_stale_keys
+                else math.inf
+            ),
         )
         self.callers = self._make_server(self.front.handle)
         endpoints = Endpoints(
--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -17,6 +17,7 @@
 from .named_limits import NamedLimits
 from .replica_choice import ReplicaSelector
 from .routes import OneService
+from .routes import OrganisationName
 from .routes import Route
 from .routes import RouteName
 from .routes import Shards
@@ -95,6 +96,19 @@
     timeout_ms: float
 
 
+class OrganisationStatus(msgspec.Struct, frozen=True):
+    """Status of one organisation in the configuration in force.
+
+    priority is None if the routes decide, and rate_per_s and burst are 0
+    without a limit.
+    """
+
+    organisation: OrganisationName
+    priority: int | None
+    rate_per_s: float
+    burst: float
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """Status that a node shows to operators, encoded as JSON.
 
@@ -114,6 +128,7 @@
     routes: tuple[RouteStatus, ...]
     links: str = LinkState.UP.value
     store_is_behind: bool = False
+    organisations: tuple[OrganisationStatus, ...] = ()
 
 
 def collect_status(
@@ -166,6 +181,10 @@
         else (),
         links=links.state.value,
         store_is_behind=routing_state.kept_routes.is_store_behind,
+        organisations=tuple(
+            OrganisationStatus(o.name, o.priority, o.rate_per_s, o.burst)
+            for o in (table.organisations if table else None) or ()
+        ),
     )
 
 
--- a/sesameward/serving/routes.py
+++ b/sesameward/serving/routes.py
@@ -9,6 +9,7 @@
 
 from ..types import ServiceName
 
+OrganisationName = typing.NewType('OrganisationName', str)
 RouteName = typing.NewType('RouteName', str)
 Version = typing.NewType('Version', int)
 
@@ -72,7 +73,7 @@
     the latency objective: a later answer has little value to the caller.
     max_attempts limits the attempts per request, or per shard of a query; an
     attempt that the target surely did not run doesn't count. Priority 0 is the
-    most urgent.
+    most urgent. A request of a public route needs no key.
     """
 
     name: RouteName
@@ -84,6 +85,7 @@
     priority: int
     max_attempts: int
     destination: Destination
+    is_public: bool = False
 
     def services(self) -> tuple[ServiceName, ...]:
         """Return all services to which the route sends requests."""
@@ -121,10 +123,31 @@
     idle_timeout_s: float = 15.0
 
 
+class Organisation(msgspec.Struct, frozen=True):
+    """Define an organisation, whose callers identify it by a key.
+
+    priority overrides that of the routes, unless it is None. All nodes
+    together run at most rate_per_s requests of the organisation, and up to
+    burst at once after a pause; rate_per_s is 0 if there is no limit.
+    """
+
+    name: OrganisationName
+    keys: tuple[str, ...]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    def __repr__(self) -> str:
+        # Without the keys, which must not get into a log line.
+        return f'Organisation({self.name!r})'
+
+
 class RouteTable:
     """Find routes of one configuration version by host and path.
 
     The table is immutable; each new configuration has a new one.
+    organisations is None if the configuration has no list of them: then no
+    request needs a key.
     """
 
     def __init__(
@@ -133,11 +156,15 @@
         routes: typing.Iterable[Route],
         services: typing.Iterable[Service],
         limits: CallerLimits,
+        organisations: typing.Iterable[Organisation] | None = None,
     ):
         self.version = version
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
         self.limits = limits
+        self.organisations = (
+            None if organisations is None else tuple(organisations)
+        )
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in self.routes:
             prefixes = self._hosts.setdefault(route.host.lower(), {})
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -27,6 +27,7 @@
 from .http_server import Request
 from .http_server import Responder
 from .relay import Relay
+from .routes import OrganisationName
 from .routes import Repeat
 from .routes import Route
 from .routes import Shards
@@ -37,7 +38,9 @@
 class Arrival(msgspec.Struct):
     """Hold a caller's request with its route and the responder to answer it.
 
-    version is the version of the configuration that defines the route. If
+    version is the version of the configuration that defines the route. The
+    priority of the route is that of the request's organisation, if it has one
+    of its own; organisation is None if the request has none. If
     on_trial is True, the request is suspected of crashing targets, so it is
     sent to one target first.
     """
@@ -49,6 +52,12 @@
     responder: Responder
     identity: RequestIdentity
     on_trial: bool = False
+    organisation: OrganisationName | None = None
+
+    @property
+    def priority(self) -> int:
+        """Return the request's priority; 0 is the most urgent."""
+        return self.route.priority
 
 
 class Run:
@@ -70,6 +79,7 @@
         self._route = route
         self._responder = arrival.responder
         self._version = arrival.version
+        self._organisation = arrival.organisation
         self._exchanges: set[SubRequestExchange] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_over = False
@@ -86,7 +96,7 @@
             arrival.identity,
             asked.head,
             self._deadline_at,
-            route.priority,
+            arrival.priority,
             isinstance(route.destination, Shards),
             route.repeat is Repeat.ONCE,
             arrival.on_trial,
@@ -182,6 +192,7 @@
             request=self._asked.request_id,
             route=self._route.name,
             version=self._version,
+            organisation=self._organisation,
             ending=ending,
             status=answer.status,
             took_ms=round(took_s * 1_000, 2),
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -23,7 +23,9 @@
     grace_s is the time between SIGTERM and SIGKILL when a node is stopped.
     address_ttl_s is the longest time for which callers may keep the addresses
     of nodes. registration_ttl_s is the time after which the store removes the
-    registration of a target that does not renew it.
+    registration of a target that does not renew it. If refuses_stale_keys is
+    True, requests that need a key are refused while the configuration is not
+    known to be the newest for more than max_keys_age_s.
     """
 
     retry_ratio: float = 0.2
@@ -33,6 +35,8 @@
     grace_s: Seconds = 6.0
     address_ttl_s: Seconds = 5.0
     registration_ttl_s: Seconds = 4.0
+    refuses_stale_keys: bool = False
+    max_keys_age_s: Seconds = 5.0
 
 
 # A node's process takes some 40 MB even if it holds no received messages. With
--- a/sesameward/serving/wire.py
+++ b/sesameward/serving/wire.py
@@ -11,6 +11,7 @@
 from ..types import TargetId
 from .http_server import Answer
 from .http_server import Request
+from .routes import OrganisationName
 from .target_connection import Reply
 
 
@@ -19,12 +20,14 @@
 
     caller_timeout_s is how long the caller waits for an answer; None if the
     request does not say. head holds the request line and those headers that
-    are the same for all targets.
+    are the same for all targets. api_keys has the value of each key header if
+    the request was read with keys.
     """
 
     request_id: RequestId
     caller_timeout_s: float | None
     head: bytes
+    api_keys: tuple[bytes, ...] = ()
 
 
 class ReplyHeaders(msgspec.Struct):
@@ -54,8 +57,19 @@
 class Wire(typing.Protocol):
     """Translate between HTTP messages and the types of this package."""
 
-    def read_request(self, req: Request) -> RequestHeaders | None:
-        """Read a caller's request; return None if it has no request id."""
+    def read_request(
+        self, req: Request, with_keys: bool = False
+    ) -> RequestHeaders | None:
+        """Read a caller's request; return None if it has no request id.
+
+        If with_keys is True, the head gets neither a key nor an organisation
+        that the caller named.
+        """
+
+    def add_organisation(
+        self, asked: RequestHeaders, organisation: OrganisationName
+    ) -> None:
+        """Add the caller's organisation to the head sent to targets."""
 
     def sub_request(
         self, head: bytes, body: bytes, target_id: TargetId, left_s: float
--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -159,8 +159,10 @@
         replicas: int = 2,
         seed: int = 1,
         linked: bool = False,
+        bounds: dict[str, object] | None = None,
     ):
         self._linked = linked
+        self._bounds = bounds or {}
         self.store = ObjectStore()
         self.rng = random.Random(seed)
         self.targets: dict[str, ShardTarget] = {}
@@ -247,6 +249,7 @@
                 'drain_ms': 3_000,
                 'grace_s': GRACE_S,
                 'ttl_max_s': 5,
+                **self._bounds,
             },
             # Nodes must ignore settings that they don't know.
             'something_new': True,
@@ -325,13 +328,17 @@
         self.targets[target_id].stop()
 
     def put_config(
-        self, single_service: str = 'desk', extra_routes: tuple[str, ...] = ()
+        self,
+        single_service: str = 'desk',
+        extra_routes: tuple[str, ...] = (),
+        **extra_fields: object,
     ) -> int:
         """Write the next version of the configuration; return its number.
 
         single_service is the service of the routes whose requests are each
         answered by one target. extra_routes are path prefixes of further
-        routes to this service.
+        routes to this service; those that start with /public are public.
+        extra_fields are further fields of the configuration.
         """
         self.version += self.rng.choice((1, 2, 5))
         shards = [f'shard-{n}' for n in range(self._shard_count)]
@@ -375,6 +382,7 @@
                     'path_prefix': path,
                     'route_type': 'safe',
                     'service': single_service,
+                    'public': path.startswith('/public'),
                 }
             )
         services = [
@@ -389,6 +397,7 @@
                 'routes': routes,
                 'services': services,
                 'limits': {'idle_timeout_ms': 5_000},
+                **extra_fields,
             },
         )
         return self.version
@@ -450,6 +459,7 @@
         body: bytes = b'',
         timeout_s: float = 2.0,
         deadline_ms: int = DEADLINE_MS,
+        headers: tuple[tuple[str, str], ...] = (),
     ) -> Reply:
         """Send one request over a new connection; return the node's reply."""
         caller = HttpCaller(node.host, PORTS['front'])
@@ -459,6 +469,7 @@
             method,
             body,
             deadline_ms=deadline_ms,
+            headers=headers,
         )
         try:
             return await caller.call(asked, timeout_s)
@@ -473,6 +484,7 @@
     body: bytes = b'',
     node_name: str = '',
     deadline_ms: int = DEADLINE_MS,
+    headers: tuple[tuple[str, str], ...] = (),
 ) -> bytes:
     """Return the bytes of a caller's HTTP request.
 
@@ -485,6 +497,7 @@
         f'Sesameward-Deadline-Ms: {deadline_ms}\r\n'
         f'X-Asked: {node_name}\r\n'
     )
+    head += ''.join(f'{name}: {value}\r\n' for name, value in headers)
     if body:
         head += f'Content-Length: {len(body)}\r\n'
     return f'{head}\r\n'.encode() + body
--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -130,6 +130,7 @@
     path: str
     body: bytes
     at: float
+    headers: Headers = []
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -309,6 +310,7 @@
                     req.path,
                     req.body,
                     time.monotonic(),
+                    req.headers,
                 )
             )
             if req.path in self.faults.crashes_on:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,7 +29,7 @@
     {'routing', 'bookings'},
     {'clients'},
     {'controllers', 'filters'},
-    {'interface', 'serving'},
+    {'interface', 'organisations', 'serving'},
     {'agent', 'cmdline', 'entry', 'platform'},
     {'standin'},
 )
--- /dev/null
+++ b/tests/test_organisation_node.py
@@ -0,0 +1,177 @@
+"""Test organisations with real node processes and simulated targets."""
+
+import signal
+
+import pytest
+
+from sesameward.platform import boot
+from sesameward.serving.http_caller import HttpCaller
+from sesameward.standin.fleet import INTERNAL_PORTS
+from sesameward.standin.fleet import MAX_CONFIG_DELAY_MS
+from tests import promises
+from tests.scenarios import wait_until
+from tests.scenarios import with_fleet
+
+KEY = 'secret-key-1'
+SECOND_KEY = 'secret-key-2'
+
+
+def tenant(**fields):
+    return {'name': 'acme', 'api_keys': [KEY], **fields}
+
+
+async def put_tenants(fleet, *tenants, key=KEY, status=200):
+    """Write organisations; wait until all nodes answer the key by a status."""
+    fleet.put_config(extra_routes=('/public/',), tenants=tenants)
+
+    async def is_in_force():
+        for node in fleet.nodes:
+            keyless = await ask(fleet, node, '/safe/ready')
+            keyed = await ask(fleet, node, '/safe/ready', key)
+            if (keyless.status, keyed.status) != (401, status):
+                return False
+        return True
+
+    await wait_until(is_in_force, MAX_CONFIG_DELAY_MS / 1_000)
+
+
+async def ask(fleet, node, path, *keys, request_id=None, headers=()):
+    headers = (*headers, *(('X-Api-Key', key) for key in keys))
+    return await fleet.ask(node, path, request_id, headers=headers)
+
+
+def sent_headers(fleet, request_id):
+    """Return the headers of all runs of a request, names in lower case."""
+    return [
+        (name.lower(), value)
+        for run in promises.runs_of(fleet, request_id)
+        for name, value in run.headers
+    ]
+
+
+def names_of(headers):
+    return {v for name, v in headers if name == b'sesameward-tenant'}
+
+
+# Guards against keys passed on to targets, directly or by helpers in other
+# zones, and against names of organisations that a caller forged.
+@with_fleet()
+async def test_targets_get_the_organisation_and_never_the_key(fleet):
+    await put_tenants(fleet, tenant())
+    forged = ('sesameward-tenant', 'forged'), ('Sesameward-Tenant', 'x')
+    for node in fleet.nodes:
+        for path in ('/q/1', '/once/1', '/safe/1'):
+            request_id = fleet.request_id()
+            reply = await ask(
+                fleet, node, path, KEY, request_id=request_id, headers=forged
+            )
+            assert reply.status == 200
+            headers = sent_headers(fleet, request_id)
+            assert names_of(headers) == {b'acme'}
+            assert not any(name == b'x-api-key' for name, _ in headers)
+        request_id = fleet.request_id()
+        reply = await ask(
+            fleet,
+            node,
+            '/public/1',
+            'unknown',
+            request_id=request_id,
+            headers=forged,
+        )
+        assert reply.status == 200
+        headers = sent_headers(fleet, request_id)
+        assert headers
+        assert names_of(headers) == set()
+        assert not any(name == b'x-api-key' for name, _ in headers)
+
+
+@with_fleet()
+async def test_unknown_missing_and_several_keys_reach_no_target(fleet):
+    await put_tenants(fleet, tenant())
+    for keys in ((), ('unknown',), (KEY, KEY), (KEY, 'unknown')):
+        for node in fleet.nodes:
+            request_id = fleet.request_id()
+            reply = await ask(
+                fleet, node, '/q/1', *keys, request_id=request_id
+            )
+            assert reply.status == 401
+            assert promises.runs_of(fleet, request_id) == []
+    reply = await ask(fleet, fleet.nodes[0], '/nowhere/')
+    assert reply.status == 404
+
+
+# Guards against a withdrawn key that works again after a restart, or while a
+# restored store shows the configuration that still has it.
+@with_fleet()
+async def test_withdrawn_key_stays_withdrawn(fleet):
+    await put_tenants(fleet, tenant(api_keys=[KEY, SECOND_KEY]))
+    copy = fleet.store.copy()
+    await put_tenants(
+        fleet, tenant(api_keys=[SECOND_KEY]), key=KEY, status=401
+    )
+    fleet.store.restore(copy)
+    node = fleet.nodes[0]
+    node.send(signal.SIGKILL)
+    node.process.wait()
+    node.start()
+    await fleet.wait_until_ready()
+    for node in fleet.nodes:
+        for _ in range(10):
+            reply = await ask(fleet, node, '/safe/1', KEY)
+            assert reply.status in (401, 503)
+        assert (await ask(fleet, node, '/safe/1', SECOND_KEY)).status == 200
+
+
+# Guards against a final 401 for a key that a newer configuration may have, and
+# against keys served for too long where the settings forbid that.
+@pytest.mark.parametrize('fail_closed', [False, True])
+def test_node_without_news_refuses_as_the_settings_say(fail_closed):
+    @with_fleet(bounds={'fail_closed': fail_closed, 'revoke_ms': 1_000})
+    async def scenario(fleet):
+        await put_tenants(fleet, tenant())
+        fleet.store.faults.silent_for |= {n.name for n in fleet.nodes}
+        node = fleet.nodes[0]
+
+        async def is_doubtful():
+            reply = await ask(fleet, node, '/safe/1', 'unknown')
+            assert reply.status in (401, 503)
+            return reply.status == 503
+
+        await wait_until(is_doubtful, 8.0)
+        reply = await ask(fleet, node, '/safe/1', KEY)
+        assert reply.status == (503 if fail_closed else 200)
+        assert (await ask(fleet, node, '/public/1')).status == 200
+
+    scenario()
+
+
+# Guards against keys in what a node shows to operators.
+@with_fleet()
+async def test_no_log_line_status_or_metric_shows_a_key(fleet):
+    await put_tenants(fleet, tenant())
+    for node in fleet.nodes:
+        await ask(fleet, node, '/safe/1', 'secret-unknown')
+        await ask(fleet, node, '/nowhere/', KEY)
+
+        async def is_logged():
+            refused = node.lines('refused')
+            return {'unknown_key', 'no_route'} <= {
+                line['reason'] for line in refused
+            }
+
+        await wait_until(is_logged, 2.0)
+        assert 'secret' not in node.log.read_text()
+        client = HttpCaller(node.host, INTERNAL_PORTS[1])
+        for path in ('/status', '/metrics'):
+            reply = await client.call(
+                f'GET {path} HTTP/1.1\r\nHost: h\r\n\r\n'.encode(), 2.0
+            )
+            assert reply.status == 200
+            assert b'secret' not in reply.body
+            assert (b'acme' in reply.body) == (path == '/status')
+        client.close()
+
+
+def test_settings_file_without_the_new_bounds_serves_known_keys():
+    bounds = boot._Bounds(0.2, 50, 10, 3_000, 2_000, 6, 5)
+    assert (bounds.fail_closed, bounds.revoke_ms) == (False, 5_000)
