--- /dev/null
+++ b/sesameward/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Place work on nodes and targets: decisions without I/O."""
--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -32,6 +32,13 @@
 
 METHOD = '/sesameward.Peer/Delegate'
 CONNECT_TIMEOUT_S = 0.3
+# connect_ahead() opens at most this many streams in one call, because each one
+# costs both nodes some 2 ms of processor time.
+MAX_STREAMS_AHEAD = 2
+# connect_ahead() keeps at most this many streams open, because each takes some
+# 60 KB of memory. In a larger deployment the others open with their first
+# batch.
+MAX_STREAMS_KEPT = 64
 
 # Called with each message of a helper node about one batch of sub-requests, or
 # with None if the stream to the helper node has ended.
@@ -89,6 +96,19 @@
         self._metrics.count('delegated', amount=len(batch.items))
         stream.outbox.put_nowait(batch)
 
+    def connect_ahead(self, nodes: typing.Iterable[NodeId]) -> None:
+        """Open streams to nodes that will get batches, a few in each call.
+
+        Without this the first batch to each of them would wait until its
+        stream is open.
+        """
+        if len(self._streams) >= MAX_STREAMS_KEPT:
+            return
+        missing = (node for node in nodes if node not in self._streams)
+        members = self._delegation.helpers_to_connect(missing, self._clock())
+        for member in tuple(itertools.islice(members, MAX_STREAMS_AHEAD)):
+            self._stream(member)
+
     def send_message(self, node: NodeId, message: HelperMessage) -> None:
         """Send a message about an open batch of sub-requests to a helper node.
 
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -42,6 +42,10 @@
 # After the first result of a sub-request, this node waits this long for
 # further results of the same batch, and sends all of them in one message.
 FLUSH_S = 0.001
+# Batches of fewer sub-requests to targets with relays are acknowledged at
+# once. Their few targets may all pause, for longer than this node may send
+# nothing before it is taken for frozen.
+MIN_UNACKNOWLEDGED_ITEMS = 4
 
 
 class _Batch:
@@ -82,7 +86,7 @@
         identity = RequestIdentity(batch.subject, batch.body)
         tools = self._tools
         is_refused = tools.crashes.is_refused(identity, tools.clock())
-        if batch.is_single:
+        if batch.is_single or self._is_small_relayed():
             # Its target may need longer than this node may be silent.
             self._outbox.put_nowait(BatchResults(batch.batch_no, ()))
         sub = SubRequest(
@@ -131,6 +135,13 @@
         loop = asyncio.get_running_loop()
         loop.call_later(remaining_s + DEADLINE_GRACE_S, self._abandon)
 
+    def _is_small_relayed(self) -> bool:
+        items = self._batch.items
+        return len(items) < MIN_UNACKNOWLEDGED_ITEMS and any(
+            self._tools.relays.get(item.target_id) is not None
+            for item in items
+        )
+
     def _skips_silent_target(self, item: BatchItem) -> bool:
         # First sub-requests of a query (may_filter is True) are not sent to a
         # target that has stopped answering, because the node that asked for
--- a/sesameward/serving/delegating_run.py
+++ b/sesameward/serving/delegating_run.py
@@ -8,6 +8,8 @@
 import typing
 
 from ..messages import Member
+from ..placement.relays import NO_RELAYS
+from ..placement.relays import RelayRole
 from ..types import NodeId
 from ..types import Outcome
 from .attempts import Send
@@ -28,6 +30,16 @@
 from .targets import DepartureSource
 
 
+# How sub-requests to targets with relays are counted, by who sends them. A
+# relay that sends by itself counts as that relay.
+_RELAYED_BY = {
+    RelayRole.FIRST: 'first',
+    RelayRole.SECOND: 'second',
+    RelayRole.OTHER: 'other',
+    RelayRole.UNRELAYED: 'direct',
+}
+
+
 class HelperBatch:
     """Track one batch of sub-requests that was sent to a helper node.
 
@@ -67,19 +79,34 @@
         lost, or if this target has just refused one. Where new connections are
         refused by all targets, the next one would refuse too, so a request
         that lacked one connection goes through helpers from then on.
+
+        Where the target has relays, one of them sends. A request on trial is
+        sent directly all the same, so that this node sees whether the
+        connection breaks.
         """
-        target = self._tools.policy.targets.get(send.target_id)
+        tools = self._tools
+        target = tools.policy.targets.get(send.target_id)
         if target is None:
             return None
-        if not (
-            self._tools.links.is_lost
+        delegation = self._deps.delegation
+        relays = tools.relays.get(target.id)
+        now = tools.clock()
+        if (
+            tools.links.is_lost
             or self._lacks_connection
-            or self._tools.pools.is_unreachable(send.target_id)
+            or tools.pools.is_unreachable(target.id)
         ):
+            return delegation.choose_helper(
+                target.zone, now, True, relays or NO_RELAYS
+            )
+        if relays is None or self._is_on_trial():
             return None
-        return self._deps.delegation.choose_helper(
-            target.zone, self._tools.clock(), must_help=True
-        )
+        role, member = delegation.choose_relay(relays, target.zone, now)
+        tools.metrics.count('relayed', _RELAYED_BY[role])
+        return member
+
+    def _is_on_trial(self) -> bool:
+        return self._sub.on_trial
 
     def _make_batch(
         self, no: BatchNo, is_first: bool, sends: list[Send], now: float
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -13,6 +13,10 @@
 may be cut off at the same time, or all of a zone. Its targets are then asked
 by helper nodes of other zones. A helper node never passes a sub-request on to
 another one.
+
+Load pattern: nodes outnumber the connections that a target accepts. Most nodes
+send to such a target through the same helper node, its relay, which has open
+connections to it; see placement/relays.py.
 """
 
 from __future__ import annotations
@@ -23,6 +27,9 @@
 
 from .. import rendezvous
 from ..messages import Member
+from ..placement.relays import NO_RELAYS
+from ..placement.relays import RelayPair
+from ..placement.relays import RelayRole
 from ..types import MemberState
 from ..types import NodeId
 from ..types import RequestId
@@ -266,6 +273,7 @@
         self._helpers: dict[NodeId, _Helper] = {}
         self._weights: dict[NodeId, int] = {}
         self._by_zone: dict[ZoneName, list[Member]] = {}
+        self._by_node: dict[NodeId, Member] = {}
         # Nodes that leave help only as a last resort.
         self._leaving: list[Member] = []
         self._members: typing.Sequence[Member] = ()
@@ -292,6 +300,11 @@
         # each node has an order of its own, which spreads the batches.
         for helpers in self._by_zone.values():
             helpers.sort(key=lambda member: self._weight(member.node))
+        self._by_node = {
+            member.node: member
+            for helpers in self._by_zone.values()
+            for member in helpers
+        }
         known = {member.node for member in members}
         for node in self._helpers.keys() - known:
             del self._helpers[node]
@@ -313,8 +326,56 @@
         """Return True if there is a helper node, also as a last resort."""
         return any(self._all_usable(now))
 
+    def choose_relay(
+        self, relays: RelayPair, zone: ZoneName, now: float
+    ) -> tuple[RelayRole, Member | None]:
+        """Return the node that sends to a target with relays, and its role.
+
+        zone is the zone of the target. If neither relay is usable, it is any
+        helper node of the zone. None means that this node sends by itself,
+        because it is a relay of the target, or because no other node is left;
+        the role is UNRELAYED in the latter case.
+        """
+        for role, node in (
+            (RelayRole.FIRST, relays.first),
+            (RelayRole.SECOND, relays.second),
+        ):
+            if node == self._node:
+                return role, None
+            member = self._usable_relay(node, now)
+            if member is not None:
+                return role, member
+        member = self._least_busy((zone,), now)
+        role = RelayRole.UNRELAYED if member is None else RelayRole.OTHER
+        return role, member
+
+    def _usable_relay(self, node: NodeId | None, now: float) -> Member | None:
+        member = None if node is None else self._by_node.get(node)
+        if (
+            member is None
+            or not self._is_usable(member.node, now)
+            or now < self._helper_state(member.node).no_links_until
+        ):
+            return None
+        return member
+
+    def helpers_to_connect(
+        self, nodes: typing.Iterable[NodeId], now: float
+    ) -> typing.Iterator[Member]:
+        """Return those of some nodes to which a stream may be opened now."""
+        for node in nodes:
+            member = self._by_node.get(node)
+            if member is not None and (
+                now >= self._helper_state(node).lost_until
+            ):
+                yield member
+
     def choose_helper(
-        self, zone: ZoneName, now: float, must_help: bool = False
+        self,
+        zone: ZoneName,
+        now: float,
+        must_help: bool = False,
+        relays: RelayPair = NO_RELAYS,
     ) -> Member | None:
         """Return the helper node in a zone with the fewest unfinished batches.
 
@@ -323,11 +384,14 @@
         is True, this node can't do so: a helper node of its own zone is then
         returned too, one of another zone, or, as a last resort, one that
         leaves, that has lately refused batches for want of connections, or
-        that paused and has been heard of since.
+        that paused and has been heard of since. The target's relays are
+        preferred to all of them.
         """
         if must_help:
             return (
-                self._least_busy((zone,), now)
+                self._usable_relay(relays.first, now)
+                or self._usable_relay(relays.second, now)
+                or self._least_busy((zone,), now)
                 or self._least_busy(self._zones_in_own_order(), now)
                 or self._last_resort(now)
             )
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -9,6 +9,7 @@
 
 from .. import logs
 from ..metrics import Metrics
+from ..placement.relays import Relays
 from ..types import Clock
 from ..types import Outcome
 from ..types import RequestId
@@ -70,6 +71,7 @@
     )
     links: TargetLinks = msgspec.field(default_factory=TargetLinks)
     on_sent: typing.Callable[[], None] = lambda: None
+    relays: Relays = msgspec.field(default_factory=Relays)
 
 
 class SubRequest(msgspec.Struct):
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -84,6 +84,8 @@
             # A query on trial is sent to its target directly, so that this
             # node sees whether the connection breaks.
             return None
+        if self._tools.relays.get(send.target_id) is not None:
+            return super()._choose_helper(send)
         target = self._tools.policy.targets.get(send.target_id)
         if target is None:
             return None
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -30,6 +30,7 @@
 from ..metrics import Metrics
 from . import mirror
 from . import node_status
+from ..placement.relays import Relays
 from ..quarantine.quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from . import silent_targets
@@ -169,6 +170,8 @@
             self._on_target_unreachable,
             self._message_memory,
         )
+        self.relays = Relays(cfg.node)
+        self.pools.role = self.relays.role
         self.links = TargetLinks(self._rng)
         self.pools.may_connect = lambda: not self.links.is_lost
         splits = Splits()
@@ -255,6 +258,7 @@
             self._departures.on_leaving_reply,
             self.links,
             self._link_watch.on_sent,
+            self.relays,
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
         self.delegation.on_helper_quiet = self._on_helper_quiet
@@ -573,6 +577,7 @@
             sharing_nodes,
             self.peers.cut_off_count(),
         )
+        self._update_relays()
         self.pools.warm(self.delegation.zones())
         table = self.routing_state.route_table
         if table is not None:
@@ -586,6 +591,20 @@
             logs.log_event('ready' if is_ready else 'not_ready')
             self.peers.offer_entry(is_ready)
 
+    def _update_relays(self) -> None:
+        was_active = bool(self.relays)
+        self.relays.update(
+            self.peers.members(),
+            (
+                (target.id, target.zone)
+                for target in self.targets
+                if self.pools.needs_relay(target)
+            ),
+        )
+        if was_active != bool(self.relays):
+            logs.log_event('relays', active=not was_active)
+        self._delegates.connect_ahead(self.relays.nodes())
+
     def _on_target_unreachable(self, target_id: TargetId) -> None:
         self._link_watch.when_settled(
             lambda: self._record_unreachable(target_id)
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -14,6 +14,7 @@
 
 from .. import logs
 from ..metrics import Metrics
+from ..placement.relays import RelayRole
 from ..routing.shares import ConnectRateLimit
 from ..types import Clock
 from ..types import TargetId
@@ -43,6 +44,14 @@
 # Fraction of a target's connection limit that all nodes together may use; each
 # node gets an equal share of it, but at least one connection.
 SHARED_FRACTION = 0.8
+# A relay of a target, through which other nodes send to it, may open this part
+# of the connections that all nodes together may use. Several nodes may take
+# themselves for its relay for a moment, and other nodes send directly if they
+# reach no relay.
+RELAY_SHARE_DIVISOR = 8
+# Time after which a node that is not a target's relay closes an idle
+# connection to it. Repeats of one request come within this time.
+NOT_RELAY_MAX_IDLE_S = 0.5
 # Time that a small target needs to accept a connection. With a larger value,
 # warm() waits longer before it opens another connection to the same target.
 CONNECT_COST_MS = 6.0
@@ -112,7 +121,8 @@
     network error, with the time since when the target has sent nothing, and
     with True if the connection was open. on_contact is called when a target
     has accepted a connection. While may_connect returns False, connections are
-    opened only by probe(), and acquire() passes none.
+    opened only by probe(), and acquire() passes none. role returns whether
+    this node is a relay of a target.
     """
 
     def __init__(
@@ -128,6 +138,9 @@
         )
         self.on_contact: typing.Callable[[], None] = lambda: None
         self.may_connect: typing.Callable[[], bool] = lambda: True
+        self.role: typing.Callable[[TargetId], RelayRole] = lambda target_id: (
+            RelayRole.UNRELAYED
+        )
         self._message_memory = message_memory or MessageMemory()
         self._metrics = metrics
         self._clock = clock
@@ -155,6 +168,11 @@
         self._cut_off_nodes = min(cut_off_nodes, max(nodes - 1, 0))
         self._nodes = max(nodes, 1) - self._cut_off_nodes
 
+    def needs_relay(self, target: Target) -> bool:
+        """Return True if a node's share of the connections is below one."""
+        nodes = self._nodes + self._cut_off_nodes
+        return int(self._limits(target) * SHARED_FRACTION) < nodes
+
     def declare(self, target: Target) -> None:
         """Add a target or update its registration.
 
@@ -300,16 +318,22 @@
 
         Each call opens at most MAX_WARM_CONNECTS connections, and none to
         draining targets or to targets in delegated_zones, whose requests go
-        through another node.
+        through another node. Of a target with relays, only the first one keeps
+        a connection open.
         """
         now = self._clock()
         remaining = MAX_WARM_CONNECTS if self.may_connect() else 0
         for pool in self._pools.values():
-            self._close_expired(pool, now)
+            role = self.role(pool.target.id)
+            self._close_expired(pool, role, now)
             if pool.connection_count >= WARM_CONNECTIONS or pool.target.drain:
                 continue
-            if pool.target.zone in delegated_zones:
-                continue
+            match role:
+                case RelayRole.UNRELAYED:
+                    if pool.target.zone in delegated_zones:
+                        continue
+                case RelayRole.SECOND | RelayRole.OTHER:
+                    continue
             if remaining > 0 and self._warm_policy.grant(
                 pool.target.id, CONNECT_COST_MS, 1, now
             ):
@@ -318,6 +342,11 @@
 
     def _connection_share(self, target: Target) -> int:
         shared = int(self._limits(target) * SHARED_FRACTION)
+        match self.role(target.id):
+            case RelayRole.FIRST | RelayRole.SECOND:
+                return max(1, shared // RELAY_SHARE_DIVISOR)
+            case RelayRole.OTHER:
+                return 1
         held = self._cut_off_nodes * WARM_CONNECTIONS
         return max(1, (shared - held) // self._nodes)
 
@@ -333,10 +362,15 @@
             conn.close()
         return None
 
-    def _close_expired(self, pool: TargetPool, now: float) -> None:
+    def _close_expired(
+        self, pool: TargetPool, role: RelayRole, now: float
+    ) -> None:
         while pool.idle:
             conn = pool.idle[0]
-            if conn.usable and now - conn.last_used_at < _max_idle_s(conn):
+            idle_limit_s = _max_idle_s(conn)
+            if role is RelayRole.OTHER:
+                idle_limit_s = min(idle_limit_s, NOT_RELAY_MAX_IDLE_S)
+            if conn.usable and now - conn.last_used_at < idle_limit_s:
                 return
             pool.idle.pop(0)
             conn.close()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,7 +26,7 @@
     {'quarantine'},
     {'settings'},
     {'membership', 'configuration'},
-    {'routing', 'bookings'},
+    {'routing', 'bookings', 'placement'},
     {'clients'},
     {'controllers', 'filters'},
     {'interface', 'serving'},
