--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -592,13 +592,18 @@
             self.peers.offer_entry(is_ready)
 
     def _update_relays(self) -> None:
+        # A target whose service the configuration doesn't name has no
+        # connection limit that its owner chose.
+        table = self.routing_state.route_table
+        services = table.services if table is not None else {}
         was_active = bool(self.relays)
         self.relays.update(
             self.peers.members(),
             (
                 (target.id, target.zone)
                 for target in self.targets
-                if self.pools.needs_relay(target)
+                if target.service in services
+                and self.pools.needs_relay(target)
             ),
         )
         if was_active != bool(self.relays):
--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -150,6 +150,7 @@
     Use it as an asynchronous context manager, which stops exactly the
     processes and listeners that it started. If linked is True, each node
     reaches the targets through links of its own, which can be cut.
+    max_connections is the limit of connections to each target.
     """
 
     def __init__(
@@ -159,8 +160,10 @@
         replicas: int = 2,
         seed: int = 1,
         linked: bool = False,
+        max_connections: int = 26,
     ):
         self._linked = linked
+        self._max_connections = max_connections
         self.store = ObjectStore()
         self.rng = random.Random(seed)
         self.targets: dict[str, ShardTarget] = {}
@@ -378,7 +381,11 @@
                 }
             )
         services = [
-            {'name': name, 'max_conns': 26, 'health_path': '/healthz'}
+            {
+                'name': name,
+                'max_conns': self._max_connections,
+                'health_path': '/healthz',
+            }
             for name in [*shards, 'desk', single_service]
         ]
         self.store.put(
