--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -12,6 +12,7 @@
 from sesameward.serving.budget_window import BudgetWindow
 from sesameward.serving.crashes import Crashes
 from sesameward.serving.delegate_server import _Batch
+from sesameward.serving.delegate_server import MIN_UNACKNOWLEDGED_ITEMS
 from sesameward.serving.delegation import BatchItem
 from sesameward.serving.delegation import DelegatedBatch
 from sesameward.serving.delegation import TargetNotice
@@ -66,9 +67,18 @@
     """Return a function that plays a scenario on a batch of one item.
 
     The scenario gets the batch, the connection to the target and the outbox.
+    Targets in relayed have relays. Of more items than one, only the first has
+    a target that the node knows.
     """
 
-    def run(scenario, cut_off=False, may_send=True, **fields):
+    def run(
+        scenario,
+        cut_off=False,
+        may_send=True,
+        relayed=(),
+        items=1,
+        **fields,
+    ):
         async def main():
             clock = asyncio.get_running_loop().time
             metrics = Metrics('t')
@@ -89,6 +99,7 @@
                 metrics,
                 clock,
             )
+            tools.relays.update((), [(one, 'z') for one in relayed])
             if cut_off:
                 lose_links(tools.links, targets)
             message = DelegatedBatch(
@@ -101,7 +112,7 @@
                 b'',
                 500,
                 10,
-                (BatchItem(0, 't0'),),
+                tuple(BatchItem(n, f't{n}') for n in range(items)),
                 True,
                 **fields,
             )
@@ -195,3 +206,29 @@
         assert conn.is_abandoned is not runs_once
 
     run_batch(scenario, is_single=True, runs_once=runs_once)
+
+
+# Guards against a relay that is taken for frozen because the few targets of a
+# batch pause.
+def test_small_batch_of_a_relay_is_acknowledged(run_batch):
+    def scenario(batch, conn, outbox):
+        ack = outbox.get_nowait()
+        assert (ack.item_results, ack.notices) == ((), ())
+        conn.answer(OK)
+        (item,) = outbox.get_nowait().item_results
+        assert item.end is None
+
+    run_batch(scenario, relayed=('t0',))
+
+
+# Other batches are not acknowledged: a helper that sends nothing is frozen.
+@pytest.mark.parametrize(
+    ('relayed', 'items'), [((), 1), (('t0',), MIN_UNACKNOWLEDGED_ITEMS)]
+)
+def test_other_batches_are_not_acknowledged(run_batch, relayed, items):
+    def scenario(batch, conn, outbox):
+        assert outbox.empty()
+        conn.answer(OK)
+        assert len(outbox.get_nowait().item_results) == items
+
+    run_batch(scenario, relayed=relayed, items=items)
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -4,6 +4,8 @@
 
 from sesameward.messages import Address
 from sesameward.messages import Member
+from sesameward.placement.relays import RelayPair
+from sesameward.placement.relays import RelayRole
 from sesameward.serving.delegation import Delegation
 from sesameward.serving.delegation import HELPER_QUIET_AFTER_S
 from sesameward.serving.delegation import HELPER_RETRY_S
@@ -222,3 +224,85 @@
     assert delegation.choose_helper('z', now, must_help=True) is not None
     delegation.message_received('c1', now)
     assert delegation.choose_helper('z', now, must_help=True).node == 'c1'
+
+
+PAIR = RelayPair('b1', 'b2')
+
+
+def test_first_relay_is_used_however_busy(delegation):
+    for batch_no in range(10):
+        delegation.batch_sent('b1', batch_no, 0.0)
+    delegation.message_received('b1', 0.0)
+    role, member = delegation.choose_relay(PAIR, 'b', 0.01)
+    assert (role, member.node) == (RelayRole.FIRST, 'b1')
+
+
+# Guards against sub-requests that wait for a relay that can't send them.
+@pytest.mark.parametrize('why', ['lost', 'quiet', 'no_links', 'leaving'])
+def test_second_relay_replaces_an_unusable_one(delegation, why):
+    now = 1.0
+    match why:
+        case 'lost':
+            delegation.connection_lost('b1', now)
+        case 'quiet':
+            delegation.batch_sent('b1', 1, now - 2 * HELPER_QUIET_AFTER_S)
+        case 'no_links':
+            delegation.record_no_links('b1', now)
+        case _:
+            delegation.set_members(
+                (member('b1', 'b', leaving=True), member('b2', 'b'))
+            )
+    role, chosen = delegation.choose_relay(PAIR, 'b', now)
+    assert (role, chosen.node) == (RelayRole.SECOND, 'b2')
+
+
+def test_any_helper_replaces_both_relays(delegation):
+    delegation.set_members((member('b1', 'b'), member('b3', 'b')))
+    delegation.connection_lost('b1', 0.0)
+    role, chosen = delegation.choose_relay(PAIR, 'b', 0.1)
+    assert (role, chosen.node) == (RelayRole.OTHER, 'b3')
+    delegation.connection_lost('b3', 0.0)
+    assert delegation.choose_relay(PAIR, 'b', 0.1) == (
+        RelayRole.UNRELAYED,
+        None,
+    )
+
+
+def test_relay_in_the_own_zone_is_used(delegation):
+    role, chosen = delegation.choose_relay(RelayPair('near', 'me'), 'z', 0.0)
+    assert (role, chosen.node) == (RelayRole.FIRST, 'near')
+
+
+def test_relay_sends_by_itself(delegation):
+    first = RelayPair('me', 'near')
+    assert delegation.choose_relay(first, 'z', 0.0) == (RelayRole.FIRST, None)
+    second = RelayPair('near', 'me')
+    delegation.connection_lost('near', 0.0)
+    assert delegation.choose_relay(second, 'z', 0.0) == (
+        RelayRole.SECOND,
+        None,
+    )
+
+
+# Guards against helpers of a node without links that open connections of their
+# own, while the relay of the target has some.
+def test_node_that_can_not_send_prefers_the_relay(delegation):
+    for node, other in (('b1', 'b2'), ('b2', 'b1')):
+        delegation.batch_sent(node, 1, 0.0)
+        delegation.message_received(node, 0.0)
+        chosen = delegation.choose_helper(
+            'b', 0.0, True, RelayPair(node, other)
+        )
+        assert chosen.node == node
+        delegation.batch_ended(node, 1)
+
+
+def test_streams_are_opened_to_nodes_that_are_not_lost(delegation):
+    delegation.connection_lost('b1', 0.0)
+    nodes = ('b1', 'b2', 'unknown')
+
+    def connected(now):
+        return [one.node for one in delegation.helpers_to_connect(nodes, now)]
+
+    assert connected(0.1) == ['b2']
+    assert connected(HELPER_RETRY_S) == ['b1', 'b2']
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -13,6 +13,7 @@
 from sesameward.messages import Address
 from sesameward.messages import Member
 from sesameward.metrics import Metrics
+from sesameward.placement.relays import Relays
 from sesameward.serving.attempts import AttemptPolicy
 from sesameward.serving.attempts import SubRequestFailure
 from sesameward.serving.budget_window import BudgetWindow
@@ -25,6 +26,7 @@
 from sesameward.serving.gather_run import GatherRun
 from sesameward.serving.http_server import Answer
 from sesameward.serving.http_server import Request
+from sesameward.serving.limit_exchange import LimitExchange
 from sesameward.serving.replica_choice import ReplicaSelector
 from sesameward.serving.routes import Repeat
 from sesameward.serving.routes import Route
@@ -87,14 +89,31 @@
     The messages to helpers are in the attribute delegates.asks.
     """
 
-    def run(scenario, late_s, helpers=('helper',)):
+    class Pools:
+        def __init__(self):
+            self.tried = []
+
+        def acquire(self, target_id, on_connection, max_idle_s):
+            self.tried.append(target_id)
+
+        def is_unreachable(self, target_id):
+            return False
+
+    def run(
+        scenario,
+        late_s,
+        helpers=('helper',),
+        zone='far',
+        relayed=(),
+        on_trial=False,
+    ):
         async def main():
             loop = asyncio.get_running_loop()
             targets = TargetTable()
             selector = ReplicaSelector('z', random.Random(1))
             for n in range(3):
                 target = Target(
-                    f't{n}', f's{n}', 'h', 1, 'far', 2, TargetState.READY
+                    f't{n}', f's{n}', 'h', 1, zone, 2, TargetState.READY
                 )
                 targets.put(target)
                 selector.declare(target)
@@ -103,27 +122,31 @@
             tools = ExchangeDeps(
                 Wire(),
                 AttemptPolicy(targets, selector, budget, limits),
-                None,
+                run.pools,
                 Crashes('me', Metrics('t'), random.Random(1)),
-                None,
-                Metrics('t'),
+                LimitExchange(
+                    'me', limits, tuple, print, Metrics('t'), loop.time
+                ),
+                run.metrics,
                 loop.time,
+                relays=Relays('me'),
             )
-            delegation = Delegation('me', 'z')
-            delegation.set_members(
-                tuple(
-                    Member(
-                        name,
-                        'far',
-                        'h',
-                        1,
-                        2,
-                        3,
-                        entries=(Address(name, 'h', 1, 'far', 1.0),),
-                    )
-                    for name in helpers
+            members = tuple(
+                Member(
+                    name,
+                    zone,
+                    'h',
+                    1,
+                    2,
+                    3,
+                    entries=(Address(name, 'h', 1, zone, 1.0),),
                 )
+                for name in helpers
             )
+            tools.relays.update(members, [(one, zone) for one in relayed])
+            run.relays = tools.relays
+            delegation = Delegation('me', 'z')
+            delegation.set_members(members)
             delegates = run.delegates = Delegates()
             run.selector = selector
             deps = Deps(tools, delegation, delegates, Splits(), random.random)
@@ -150,13 +173,18 @@
                 1,
                 responder,
                 identity_of(req),
+                on_trial,
             )
             GatherRun(deps, arrival).start(loop.time())
+            if relayed:
+                return scenario(delegates.asks, run.pools.tried)
             ((batch, on_results),) = delegates.asks
             return scenario(batch, on_results, responder)
 
         return asyncio.run(main())
 
+    run.pools = Pools()
+    run.metrics = Metrics('t')
     return run
 
 
@@ -235,3 +263,52 @@
         assert told == []
 
     query(scenario, late_s=0.0, helpers=tuple(f'h{n}' for n in range(5)))
+
+
+def targets_of(batch):
+    return [item.target_id for item in batch.items]
+
+
+# Guards against a message for each item, which costs both nodes processor
+# time, and against targets of the own zone that are not relayed.
+@pytest.mark.parametrize('zone', ['z', 'far'])
+def test_targets_of_one_relay_go_in_one_batch(query, zone):
+    def scenario(asks, tried):
+        batches = [targets_of(batch) for batch, _ in asks]
+        assert sorted(sum(batches, [])) == ['t0', 't1', 't2']
+        firsts = [
+            {query.relays.get(one).first for one in batch} for batch in batches
+        ]
+        assert all(len(nodes) == 1 for nodes in firsts)
+        assert len(firsts) == len(set.union(*firsts))
+        assert tried == []
+        assert query.metrics.value('relayed', 'first') == 3
+
+    query(scenario, 0.0, ('h0', 'h1', 'h2'), zone, ('t0', 't1', 't2'))
+
+
+# Where each node may have a connection of its own, targets of the own zone get
+# their sub-requests directly, although others have relays.
+def test_targets_without_relays_are_sent_to_directly(query):
+    def scenario(asks, tried):
+        assert [targets_of(batch) for batch, _ in asks] == [['t1']]
+        assert tried == ['t0', 't2']
+
+    query(scenario, 0.0, ('h0', 'h1'), 'z', ('t1',))
+
+
+def test_query_on_trial_goes_through_no_relay(query):
+    def scenario(asks, tried):
+        assert asks == []
+        assert len(tried) == 1
+
+    query(scenario, 0.0, ('h0', 'h1'), 'z', ('t0', 't1', 't2'), True)
+
+
+def test_relayed_target_without_helpers_is_sent_to_directly(query):
+    def scenario(asks, tried):
+        assert asks == []
+        assert tried == ['t0', 't1', 't2']
+        assert query.metrics.value('relayed', 'direct') == 3
+
+    query(scenario, 0.0, (), 'z', ('t0', 't1', 't2'))
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -6,7 +6,9 @@
 import pytest
 
 from sesameward.metrics import Metrics
+from sesameward.placement.relays import RelayRole
 from sesameward.serving.pools import ConnectCheck
+from sesameward.serving.pools import NOT_RELAY_MAX_IDLE_S
 from sesameward.serving.pools import Pools
 from sesameward.serving.targets import Target
 from sesameward.serving.targets import TargetState
@@ -252,3 +254,87 @@
         assert len(standin._http.connections) == 2
 
     run_with_pools(scenario)
+
+
+@pytest.mark.parametrize(
+    ('limit', 'nodes', 'cut_off', 'needs'),
+    [
+        (54, 26, 0, False),
+        (54, 43, 0, False),
+        (54, 44, 0, True),
+        (54, 44, 20, True),
+        (68, 91, 0, True),
+        (440, 91, 0, False),
+    ],
+)
+def test_relays_are_needed_if_a_share_is_below_one(
+    run_with_pools, limit, nodes, cut_off, needs
+):
+    async def scenario(pools, standin, _):
+        pools.set_limits(lambda target: limit, nodes, cut_off)
+        target = Target('x', 's', 'h', 1, 'z', 2, TargetState.READY)
+        assert pools.needs_relay(target) is needs
+
+    run_with_pools(scenario)
+
+
+# Guards against a node that takes more of a target's connections than its role
+# allows.
+@pytest.mark.parametrize(
+    ('role', 'max_connections'),
+    [(RelayRole.FIRST, 6), (RelayRole.SECOND, 6), (RelayRole.OTHER, 1)],
+)
+def test_connections_stay_within_those_of_the_role(
+    run_with_pools, role, max_connections
+):
+    async def scenario(pools, standin, _):
+        pools.set_limits(lambda target: 68, 91)
+        pools.role = lambda target_id: role
+        replies = await asyncio.gather(
+            *(send_request(pools) for _ in range(12))
+        )
+        assert {reply.status for reply in replies} == {200}
+        assert 1 <= count_connections(standin) <= max_connections
+
+    run_with_pools(scenario)
+
+
+# Guards against as many idle connections to a target as there are nodes.
+@pytest.mark.parametrize('role', list(RelayRole))
+def test_only_first_relays_keep_connections_warm(run_with_pools, role):
+    async def scenario(pools, standin, _):
+        pools.role = lambda target_id: role
+        for _ in range(20):
+            pools.warm()
+            await asyncio.sleep(0.01)
+        is_warm = role in (RelayRole.FIRST, RelayRole.UNRELAYED)
+        assert count_connections(standin) == (1 if is_warm else 0)
+
+    run_with_pools(scenario)
+
+
+@pytest.mark.parametrize('role', list(RelayRole))
+def test_nodes_that_are_no_relays_close_idle_connections(run_with_pools, role):
+    async def scenario(pools, standin, _):
+        pools.role = lambda target_id: role
+        assert (await send_request(pools)).status == 200
+        pools.warm()
+        assert pools.has_idle('i-1')
+        await asyncio.sleep(NOT_RELAY_MAX_IDLE_S)
+        pools.warm()
+        assert pools.has_idle('i-1') is (role is not RelayRole.OTHER)
+
+    run_with_pools(scenario)
+
+
+# Guards against first relays that leave it to others to connect, as a node
+# does for zones where helpers send for it.
+def test_first_relay_connects_also_in_delegated_zones(run_with_pools):
+    async def scenario(pools, standin, _):
+        pools.role = lambda target_id: RelayRole.FIRST
+        for _ in range(20):
+            pools.warm({'z'})
+            await asyncio.sleep(0.01)
+        assert count_connections(standin) == 1
+
+    run_with_pools(scenario)
