--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -32,6 +32,7 @@
 from . import mirror
 from . import node_status
 from ..organisations.identity import Identity
+from ..placement.relays import Relays
 from ..quarantine.quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from . import silent_targets
@@ -171,6 +172,9 @@
             self._on_target_unreachable,
             self._message_memory,
         )
+        self.relays = Relays(cfg.node)
+        self._relays_state: tuple | None = None
+        self.pools.role = self.relays.role
         self.links = TargetLinks(self._rng)
         self.pools.may_connect = lambda: not self.links.is_lost
         splits = Splits()
@@ -257,6 +261,7 @@
             self._departures.on_leaving_reply,
             self.links,
             self._link_watch.on_sent,
+            self.relays,
         )
         self.delegation = Delegation(cfg.node, cfg.zone)
         self.delegation.on_helper_quiet = self._on_helper_quiet
@@ -580,6 +585,7 @@
             sharing_nodes,
             self.peers.cut_off_count(),
         )
+        self._update_relays()
         self.pools.warm(self.delegation.zones())
         table = self.routing_state.route_table
         if table is not None:
@@ -593,6 +599,30 @@
             logs.log_event('ready' if is_ready else 'not_ready')
             self.peers.offer_entry(is_ready)
 
+    def _update_relays(self) -> None:
+        members = self.peers.members()
+        table = self.routing_state.route_table
+        # Most rounds change none of what the assignment depends on.
+        state = members, table, self.targets.placement_no, self.pools.nodes
+        was_active = bool(self.relays)
+        if state != self._relays_state or not self.relays.is_settled:
+            self._relays_state = state
+            # A target whose service the configuration doesn't name has no
+            # connection limit that its owner chose.
+            services = table.services if table is not None else {}
+            self.relays.update(
+                members,
+                (
+                    (target.id, target.zone)
+                    for target in self.targets
+                    if target.service in services
+                    and self.pools.needs_relay(target)
+                ),
+            )
+        if was_active != bool(self.relays):
+            logs.log_event('relays', active=not was_active)
+        self._delegates.connect_ahead(self.relays.nodes())
+
     def _on_target_unreachable(self, target_id: TargetId) -> None:
         self._link_watch.when_settled(
             lambda: self._record_unreachable(target_id)
