--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -162,7 +162,9 @@
 class LoadReport(msgspec.Struct, frozen=True):
     """Hold what a target reports of itself; it can be outdated or wrong.
 
-    holds maps each shard to the snapshots which the target has of it.
+    holds maps each shard to the snapshots which the target has of it. pace is
+    the time that work takes there at present, in percent of the usual one, or
+    0 if the target does not report it.
     """
 
     in_flight: int = 0
@@ -170,6 +172,7 @@
     draining: bool = False
     cold: bool = False
     holds: dict[ShardId, tuple[Snapshot, ...]] | None = None
+    pace: int = 0
 
 
 class ShardReply(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/sesameward/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where sub-requests go; decisions only, without I/O."""
--- a/sesameward/routing/estimates.py
+++ b/sesameward/routing/estimates.py
@@ -7,6 +7,7 @@
 
 from ..configuration import declared
 from ..messages import LoadReport
+from ..placement.load_view import LoadView
 from .budget import Backoff
 
 # Average latency assumed before the first latency is recorded.
@@ -105,6 +106,8 @@
         'in_flight',
         'local',
         'requested_pause_until',
+        'slots',
+        'view',
         '_declared_drain',
         '_ejections_in_row',
         '_failures_in_row',
@@ -115,7 +118,6 @@
         '_other_load',
         '_drain_refused_at',
         '_reported_at',
-        '_slots',
         '_drain_reported_at',
         '_report_trust',
         '_average',
@@ -142,6 +144,8 @@
         self._reported_at = -math.inf
         self._drain_refused_at = -math.inf
         self._report_trust = 0.0
+        # Figures of the last report with a pace; None if it had none.
+        self.view: LoadView | None = None
         self._failures_in_row = 0
         self._ejections_in_row = 0
         # Whether the target counts as cold from its first sub-request on.
@@ -154,7 +158,7 @@
     def apply_declaration(self, target: declared.Target, local: bool) -> None:
         """Apply a new or changed declaration of the target."""
         self.local = local
-        self._slots = target.slots
+        self.slots = target.slots
         self._declared_drain = target.drain
         self._update_drain_until()
 
@@ -177,9 +181,26 @@
         self._drain_reported_at = now if report.draining else -math.inf
         self._update_drain_until()
 
+    def record_view(self, report: LoadReport, taken_at: float) -> bool:
+        """Record a report with a pace; return False if it is not the newest.
+
+        The pace ends at once if a newer report has none.
+        """
+        if self.view is not None and taken_at <= self.view.taken_at:
+            return False
+        if not report.pace:
+            self.view = None
+        elif self.view is None:
+            self.view = LoadView(report, taken_at)
+        else:
+            self.view.update(report, taken_at)
+        return True
+
     def record_sent(self, now: float) -> None:
         """Count one sub-request as in flight to the target."""
         self.in_flight += 1
+        if self.view is not None:
+            self.view.record_sent(now)
         if self.fresh:
             # The target was declared while others were already in use, so it
             # was probably just started and is cold.
@@ -253,8 +274,12 @@
             implied_load = self._implied_load(latency_s) - self.in_flight
             other_load = max(other_load, (1.0 - trust) * implied_load)
         expected_s = latency_s * (
-            1.0 + (self.in_flight + other_load) / self._slots
+            1.0 + (self.in_flight + other_load) / self.slots
         )
+        return self.raised_if_cold_s(expected_s, now)
+
+    def raised_if_cold_s(self, expected_s: float, now: float) -> float:
+        """Return an expected latency, raised if the target is cold."""
         age_s = now - self.cold_since
         if age_s < RAMP_UP_S:
             expected_s /= max(age_s / RAMP_UP_S, RAMP_UP_START_FRACTION)
@@ -275,7 +300,7 @@
 
     def _implied_load(self, latency_s: float) -> float:
         relative_excess = latency_s / self._baseline_s - 1.0
-        return relative_excess * self._slots if relative_excess > 0.0 else 0.0
+        return relative_excess * self.slots if relative_excess > 0.0 else 0.0
 
     def _latency_at(self, now: float) -> float:
         # Without new latencies the estimate moves to just below the average
--- a/sesameward/routing/replicas.py
+++ b/sesameward/routing/replicas.py
@@ -8,10 +8,13 @@
 
 from ..configuration import declared
 from ..messages import LoadReport
+from ..placement.even_choice import EvenChoice
+from ..placement.load_view import LoadView
 from ..types import Outcome
 from ..types import TargetId
 from ..types import ZoneName
 from .estimates import AverageLatency
+from .estimates import INITIAL_LATENCY_S
 from .estimates import TargetEstimate
 
 # A replica in another zone is chosen over one in the same zone only if its
@@ -38,12 +41,15 @@
         zone: ZoneName,
         rng: random.Random,
         zone_cost_s: float = ZONE_COST_S,
+        unit_s: float = INITIAL_LATENCY_S,
     ):
         self._zone = zone
         self._zone_cost_s = zone_cost_s
         self._rng = rng
         self._estimates: dict[TargetId, TargetEstimate] = {}
         self._average = AverageLatency()
+        # Latency of a sub-request to an idle target of usual pace.
+        self._unit_s = unit_s
 
     def declare(self, target: declared.Target) -> None:
         """Add a target or apply its changed declaration."""
@@ -66,8 +72,24 @@
         """Record a target's load report."""
         estimate = self._estimates.get(target_id)
         if estimate is not None:
+            estimate.record_view(report, now)
             estimate.record_report(report, now)
 
+    def reported_elsewhere(
+        self, target_id: TargetId, report: LoadReport, taken_at: float
+    ) -> bool:
+        """Record figures that another node received at a time.
+
+        Return False, and ignore them, if this node has newer ones.
+        """
+        estimate = self._estimates.get(target_id)
+        return estimate is not None and estimate.record_view(report, taken_at)
+
+    def view(self, target_id: TargetId) -> LoadView | None:
+        """Return a target's newest figures if they include a pace."""
+        estimate = self._estimates.get(target_id)
+        return estimate.view if estimate else None
+
     def cancel_drain(self, target_id: TargetId) -> None:
         """Allow sub-requests to a target again after a draining refusal."""
         estimate = self._estimates.get(target_id)
@@ -162,11 +184,16 @@
                 break
         if not usable:
             return None
+        even = None
+        for estimate in usable:
+            if estimate.view is not None:
+                even = EvenChoice(usable, self._unit_s, now)
+                break
         same_zone = [e for e in usable if e.local]
-        best, best_s = self._pick_of_two(same_zone or usable, now)
+        best, best_s = self._pick_of_two(same_zone or usable, now, even)
         if same_zone and len(same_zone) < len(usable):
             other_zones = [e for e in usable if not e.local]
-            remote, remote_s = self._pick_of_two(other_zones, now)
+            remote, remote_s = self._pick_of_two(other_zones, now, even)
             if remote_s + self._zone_cost_s < best_s:
                 return remote.id
         return best.id
@@ -213,15 +240,26 @@
         return ready or kept
 
     def _pick_of_two(
-        self, usable: list[TargetEstimate], now: float
+        self,
+        usable: list[TargetEstimate],
+        now: float,
+        even: EvenChoice | None,
     ) -> tuple[TargetEstimate, float]:
         count = len(usable)
         index = int(self._rng.random() * count)
         first = usable[index]
-        first_s = first.expected_latency_s(now)
+        first_s = _expected_s(first, now, even)
         if count == 1:
             return first, first_s
         step = 1 + int(self._rng.random() * (count - 1))
         second = usable[(index + step) % count]
-        second_s = second.expected_latency_s(now)
+        second_s = _expected_s(second, now, even)
         return (second, second_s) if second_s < first_s else (first, first_s)
+
+
+def _expected_s(
+    one: TargetEstimate, now: float, even: EvenChoice | None
+) -> float:
+    if even is None:
+        return one.expected_latency_s(now)
+    return one.raised_if_cold_s(even.expected_s(one), now)
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -27,6 +27,7 @@
 from .delegation import CancelBatch
 from .delegation import DelegatedBatch
 from .delegation import ItemResult
+from .delegation import LoadFigures
 from .delegation import MarkSentElsewhere
 from .delegation import TargetNotice
 from .delegation import WholeReply
@@ -42,6 +43,9 @@
 # After the first result of a sub-request, this node waits this long for
 # further results of the same batch, and sends all of them in one message.
 FLUSH_S = 0.001
+# Figures of a target's load that are older than this are not passed on. They
+# have almost no weight in a choice, and bytes between zones are expensive.
+MAX_FIGURES_AGE_S = 2.0
 
 
 class _Batch:
@@ -65,6 +69,7 @@
         self._greatest = Greatest(batch.top_k, batch.floor)
         self._marked_floors: dict[int, bytes] = {}
         self._running: dict[int, SubRequestExchange] = {}
+        self._target_ids = {item.no: item.target_id for item in batch.items}
         self._item_results: list[ItemResult] = []
         self._records: list[bytes] = []
         self._flush_timer: asyncio.TimerHandle | None = None
@@ -262,11 +267,31 @@
             self._batch.batch_no,
             tuple(self._item_results),
             b''.join(self._records),
+            figures=self._collect_figures(),
         )
         self._item_results = []
         self._records = []
         self._outbox.put_nowait(message)
 
+    def _collect_figures(self) -> tuple[LoadFigures, ...]:
+        now = self._tools.clock()
+        figures = []
+        for result in self._item_results:
+            target_id = self._target_ids[result.no]
+            view = self._tools.policy.selector.load_view(target_id)
+            if view is None or now - view.taken_at > MAX_FIGURES_AGE_S:
+                continue
+            figures.append(
+                LoadFigures(
+                    target_id,
+                    view.report.in_flight,
+                    view.report.queued,
+                    view.report.pace,
+                    int((now - view.taken_at) * 1_000),
+                )
+            )
+        return tuple(figures)
+
 
 class DelegateHandler:
     """gRPC handler of the streams on which other nodes send batches."""
--- a/sesameward/serving/delegating_run.py
+++ b/sesameward/serving/delegating_run.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from ..messages import LoadReport
 from ..messages import Member
 from ..types import NodeId
 from ..types import Outcome
@@ -18,6 +19,7 @@
 from .delegation import BatchResults
 from .delegation import DelegatedBatch
 from .delegation import ItemResult
+from .delegation import LoadFigures
 from .deps import Deps
 from .exchange import Result
 from .exchange import SubRequestExchange
@@ -167,8 +169,22 @@
             ]
             self._apply_item_results(batch, ends, Outcome.CANCELLED)
             return
+        self._record_figures(parts.figures)
         self._apply_item_results(batch, parts.item_results, Outcome.ERROR)
 
+    def _record_figures(self, figures: tuple[LoadFigures, ...]) -> None:
+        now = self._tools.clock()
+        for one in figures:
+            if one.pace <= 0 or min(one.running, one.waiting, one.age_ms) < 0:
+                continue
+            report = LoadReport(one.running, one.waiting, pace=one.pace)
+            is_newer = self._tools.policy.selector.reported_elsewhere(
+                one.target_id, report, now - one.age_ms / 1_000
+            )
+            self._tools.metrics.count(
+                'load_figures', 'newer' if is_newer else 'older'
+            )
+
     def _is_needed(self, batch: HelperBatch, end: ItemResult) -> bool:
         opened = batch.open.get(end.no)
         return opened is not None and self._needs_result(opened[0])
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -154,19 +154,36 @@
     rest_s: float
 
 
+class LoadFigures(msgspec.Struct, frozen=True, array_like=True):
+    """Newest load report that a helper node has of one target.
+
+    running and waiting are numbers of requests, pace is that of LoadReport,
+    and age_ms is the time since the helper node received the report.
+    """
+
+    target_id: TargetId
+    running: int
+    waiting: int
+    pace: int
+    age_ms: int
+
+
 class BatchResults(msgspec.Struct, frozen=True, array_like=True):
     """Message from a helper node: results of some sub-requests of a batch.
 
     The field ends holds one result for each of them. The field records holds
     the joined records of those sub-requests whose ItemResult has None in both
     end and whole. The field notices is about targets whose replies came after
-    the batch was cancelled. A message with neither acknowledges the batch.
+    the batch was cancelled. A message with neither acknowledges the batch. The
+    field figures is about the targets of the results, where they report their
+    pace. Nodes of earlier releases don't know it.
     """
 
     batch_no: BatchNo
     item_results: tuple[ItemResult, ...]
     records: bytes = b''
     notices: tuple[TargetNotice, ...] = ()
+    figures: tuple[LoadFigures, ...] = ()
 
 
 HelperMessage = DelegatedBatch | MarkSentElsewhere | CancelBatch
--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -24,6 +24,7 @@
 from .routing_state import RoutingState
 from .target_links import LinkState
 from .target_links import TargetLinks
+from .targets import Target
 from .targets import TargetTable
 
 
@@ -66,7 +67,8 @@
     target after failures. rest_s is the time for which the target still wants
     to get no requests. Either time is 0 if it has passed. limit_per_s is the
     number of requests per second to which the target limits all nodes
-    together, or None.
+    together, or None. The last four are the newest figures of the target's
+    load and their age, or None if the target does not report its pace.
     """
 
     target: TargetId
@@ -77,6 +79,10 @@
     ejected_s: float
     rest_s: float
     limit_per_s: float | None
+    running: int | None = None
+    waiting: int | None = None
+    pace: int | None = None
+    figures_age_s: float | None = None
 
 
 class RouteStatus(msgspec.Struct, frozen=True):
@@ -149,17 +155,7 @@
             for m in members
         ),
         targets=tuple(
-            TargetStatus(
-                t.id,
-                t.service,
-                t.zone,
-                t.state.value,
-                selector.paused(t.id, now),
-                selector.ejected_s(t.id, now),
-                selector.backoff_left_s(t.id, now),
-                limits.get(t.id),
-            )
-            for t in targets
+            _target_status(t, selector, limits, now) for t in targets
         ),
         routes=tuple(_route_status(route) for route in table.routes)
         if table
@@ -180,6 +176,31 @@
     )
 
 
+def _target_status(
+    target: Target, selector: ReplicaSelector, limits: NamedLimits, now: float
+) -> TargetStatus:
+    status = TargetStatus(
+        target.id,
+        target.service,
+        target.zone,
+        target.state.value,
+        selector.paused(target.id, now),
+        selector.ejected_s(target.id, now),
+        selector.backoff_left_s(target.id, now),
+        limits.get(target.id),
+    )
+    view = selector.load_view(target.id)
+    if view is None:
+        return status
+    return msgspec.structs.replace(
+        status,
+        running=view.report.in_flight,
+        waiting=view.report.queued,
+        pace=view.report.pace,
+        figures_age_s=round(now - view.taken_at, 3),
+    )
+
+
 def _route_status(route: Route) -> RouteStatus:
     match route.destination:
         case Shards():
--- a/sesameward/serving/replica_choice.py
+++ b/sesameward/serving/replica_choice.py
@@ -19,6 +19,7 @@
 import typing
 
 from ..messages import LoadReport
+from ..placement.load_view import LoadView
 from ..routing.latency import LatencyTracker
 from ..routing.replicas import ReplicaChooser
 from ..types import Outcome
@@ -93,7 +94,9 @@
         self.on_ejected: typing.Callable[[TargetId, float], None] = (
             lambda target_id, for_s: None
         )
-        self._chooser = ReplicaChooser(zone, rng, OTHER_ZONE_COST_S)
+        self._chooser = ReplicaChooser(
+            zone, rng, OTHER_ZONE_COST_S, REFERENCE_MEDIAN_S
+        )
         self._latencies = LatencyTracker(LATENCY_WINDOW_S)
         self._tokens = itertools.count(1)
         self.on_silent: typing.Callable[[TargetId], None] = lambda target_id: (
@@ -126,6 +129,19 @@
         """Record the load that a target reported in a reply."""
         self._chooser.reported(target_id, report, now)
 
+    def reported_elsewhere(
+        self, target_id: TargetId, report: LoadReport, taken_at: float
+    ) -> bool:
+        """Record figures that a helper node received at the time taken_at.
+
+        Return False, and ignore them, if this node has newer ones.
+        """
+        return self._chooser.reported_elsewhere(target_id, report, taken_at)
+
+    def load_view(self, target_id: TargetId) -> LoadView | None:
+        """Return a target's newest figures if they include a pace."""
+        return self._chooser.view(target_id)
+
     def record_unreachable(self, target_id: TargetId, now: float) -> None:
         """Record that a target accepts no connection, and avoid it."""
         self._chooser.started(target_id, now)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,7 +26,7 @@
     {'quarantine'},
     {'settings'},
     {'membership', 'configuration'},
-    {'routing', 'bookings'},
+    {'placement', 'routing', 'bookings'},
     {'clients'},
     {'controllers', 'filters'},
     {'interface', 'serving'},
