--- a/sesameward/placement/load_view.py
+++ b/sesameward/placement/load_view.py
@@ -24,14 +24,7 @@
         self._sent_at: collections.deque[float] = collections.deque(
             maxlen=MAX_SENT_TIMES
         )
-        self._set(report, taken_at)
-
-    def update(self, report: LoadReport, taken_at: float) -> bool:
-        """Take over newer figures; return False for older ones."""
-        if taken_at <= self.taken_at:
-            return False
-        self._set(report, taken_at)
-        return True
+        self.update(report, taken_at)
 
     def record_sent(self, now: float) -> None:
         """Count one own sub-request that the figures do not include."""
@@ -42,7 +35,8 @@
         """Return how many own sub-requests the figures do not include."""
         return len(self._sent_at)
 
-    def _set(self, report: LoadReport, taken_at: float) -> None:
+    def update(self, report: LoadReport, taken_at: float) -> None:
+        """Replace the figures by newer ones."""
         self.report = report
         self.load = report.in_flight + report.queued
         self.pace = report.pace / 100.0
--- a/sesameward/routing/estimates.py
+++ b/sesameward/routing/estimates.py
@@ -186,14 +186,17 @@
 
         The pace ends at once if a newer report has none.
         """
-        if self.view is not None and taken_at <= self.view.taken_at:
+        view = self.view
+        if taken_at < self._reported_at or (
+            view is not None and taken_at <= view.taken_at
+        ):
             return False
         if not report.pace:
             self.view = None
-        elif self.view is None:
+        elif view is None:
             self.view = LoadView(report, taken_at)
         else:
-            self.view.update(report, taken_at)
+            view.update(report, taken_at)
         return True
 
     def record_sent(self, now: float) -> None:
--- a/tests/test_even_choice.py
+++ b/tests/test_even_choice.py
@@ -164,6 +164,7 @@
 def test_report_of_three_figures_ends_the_pace(chooser):
     chooser.reported('t0', LoadReport(1, 0, pace=300), 1.0)
     chooser.reported('t0', LoadReport(1, 0), 1.1)
+    assert not chooser.reported_elsewhere('t0', LoadReport(pace=300), 1.05)
     assert chooser.view('t0') is None
 
 
