Choose replicas by aged figures where targets report their pace

Two replicas are now drawn and compared by running and waiting requests, own sub-requests sent since, pace, and the age of the figures. With three figures nothing changes.

--- a/sesameward/placement/even_choice.py
+++ b/sesameward/placement/even_choice.py
@@ -22,20 +22,21 @@
     in_flight: int
     slots: int
 
+    def raised_if_cold_s(self, expected_s: float, now: float) -> float:
+        """Return an expected time, raised if the target is cold."""
+
 
 class EvenChoice:
     """Estimate the time of one more sub-request at each candidate."""
 
-    __slots__ = ('_mean_fill', '_mean_pace', '_now', '_unit_s')
+    __slots__ = ('_mean_fill', '_mean_pace', '_unit_s')
 
     def __init__(
         self,
         candidates: collections.abc.Sequence[Candidate],
         unit_s: float,
-        now: float,
     ):
         self._unit_s = unit_s
-        self._now = now
         fill = pace = 0.0
         count = 0
         for one in candidates:
@@ -47,16 +48,17 @@
         self._mean_fill = fill / count if count else 0.0
         self._mean_pace = pace / count if count else 1.0
 
-    def expected_s(self, one: Candidate) -> float:
+    def expected_s(self, one: Candidate, now: float) -> float:
         """Return the expected time of one more sub-request, in seconds."""
         fill, pace = self._mean_fill, self._mean_pace
         view = one.view
         own = one.in_flight
         if view is not None:
-            age_s = max(self._now - view.taken_at, 0.0)
+            age_s = max(now - view.taken_at, 0.0)
             own = min(view.sent_since, own)
             weight = LOAD_HALF_WEIGHT_S / (LOAD_HALF_WEIGHT_S + age_s)
             fill += weight * (view.load / one.slots - fill)
             weight = PACE_HALF_WEIGHT_S / (PACE_HALF_WEIGHT_S + age_s)
             pace += weight * (view.pace - pace)
-        return self._unit_s * pace * (1.0 + fill + own / one.slots)
+        expected_s = self._unit_s * pace * (1.0 + fill + own / one.slots)
+        return one.raised_if_cold_s(expected_s, now)
--- a/sesameward/routing/replicas.py
+++ b/sesameward/routing/replicas.py
@@ -26,6 +26,7 @@
 
 _Candidates = collections.abc.Sequence[TargetId]
 _Avoid = collections.abc.Collection[TargetId]
+_ExpectedS = collections.abc.Callable[[TargetEstimate, float], float]
 
 
 class ReplicaChooser:
@@ -50,6 +51,9 @@
         self._average = AverageLatency()
         # Latency of a sub-request to an idle target of usual pace.
         self._unit_s = unit_s
+        # Whether any target has reported its pace. Until then the candidates
+        # need not be checked for it.
+        self._reports_pace = False
 
     def declare(self, target: declared.Target) -> None:
         """Add a target or apply its changed declaration."""
@@ -72,6 +76,7 @@
         """Record a target's load report."""
         estimate = self._estimates.get(target_id)
         if estimate is not None:
+            self._reports_pace |= report.pace > 0
             estimate.record_view(report, now)
             estimate.record_report(report, now)
 
@@ -83,7 +88,10 @@
         Return False, and ignore them, if this node has newer ones.
         """
         estimate = self._estimates.get(target_id)
-        return estimate is not None and estimate.record_view(report, taken_at)
+        if estimate is None:
+            return False
+        self._reports_pace |= report.pace > 0
+        return estimate.record_view(report, taken_at)
 
     def view(self, target_id: TargetId) -> LoadView | None:
         """Return a target's newest figures if they include a pace."""
@@ -184,16 +192,14 @@
                 break
         if not usable:
             return None
-        even = None
-        for estimate in usable:
-            if estimate.view is not None:
-                even = EvenChoice(usable, self._unit_s, now)
-                break
+        expected_s: _ExpectedS = TargetEstimate.expected_latency_s
+        if self._reports_pace and any(e.view is not None for e in usable):
+            expected_s = EvenChoice(usable, self._unit_s).expected_s
         same_zone = [e for e in usable if e.local]
-        best, best_s = self._pick_of_two(same_zone or usable, now, even)
+        best, best_s = self._pick_of_two(same_zone or usable, now, expected_s)
         if same_zone and len(same_zone) < len(usable):
             other_zones = [e for e in usable if not e.local]
-            remote, remote_s = self._pick_of_two(other_zones, now, even)
+            remote, remote_s = self._pick_of_two(other_zones, now, expected_s)
             if remote_s + self._zone_cost_s < best_s:
                 return remote.id
         return best.id
@@ -243,23 +249,15 @@
         self,
         usable: list[TargetEstimate],
         now: float,
-        even: EvenChoice | None,
+        expected_s: _ExpectedS,
     ) -> tuple[TargetEstimate, float]:
         count = len(usable)
         index = int(self._rng.random() * count)
         first = usable[index]
-        first_s = _expected_s(first, now, even)
+        first_s = expected_s(first, now)
         if count == 1:
             return first, first_s
         step = 1 + int(self._rng.random() * (count - 1))
         second = usable[(index + step) % count]
-        second_s = _expected_s(second, now, even)
+        second_s = expected_s(second, now)
         return (second, second_s) if second_s < first_s else (first, first_s)
-
-
-def _expected_s(
-    one: TargetEstimate, now: float, even: EvenChoice | None
-) -> float:
-    if even is None:
-        return one.expected_latency_s(now)
-    return one.raised_if_cold_s(even.expected_s(one), now)
