--- a/tests/test_replica_choice.py
+++ b/tests/test_replica_choice.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from sesameward.messages import LoadReport
 from sesameward.routing.estimates import MAX_REST_S
+from sesameward.serving.named_limits import NamedLimits
+from sesameward.serving.node_status import _target_status
 from sesameward.serving.replica_choice import ReplicaSelector
 from sesameward.serving.replica_choice import SILENT_AFTER_S
 from sesameward.serving.replica_choice import SILENT_RETRY_S
@@ -208,3 +211,15 @@
     selector.ended(token, Outcome.CANCELLED, 0.5)
     assert told == []
     assert not selector.silent('a', 0.6)
+
+
+# Operators must see how old the figures are that a choice was based on.
+def test_status_shows_figures_with_a_pace_and_their_age(selector):
+    selector.reported('a', LoadReport(3, 1, pace=250), 1.0)
+    selector.reported('b', LoadReport(3, 1), 1.0)
+    limits = NamedLimits()
+    status = _target_status(make_target('a'), selector, limits, 1.25)
+    assert (status.running, status.waiting, status.pace) == (3, 1, 250)
+    assert status.figures_age_s == 0.25
+    status = _target_status(make_target('b'), selector, limits, 1.25)
+    assert status.pace is status.figures_age_s is None
