--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -57,6 +57,18 @@
     ORGANISATION_HEADER,
 }
 
+# Highest accepted pace in percent. A target at a hundredth of its speed is
+# chosen only if no other is left, so greater values tell nothing more.
+MAX_PACE = 10_000
+
+# The format is "running requests,waiting requests,slots" and, where servers
+# share machines, ",pace". Longer numbers are not meant as such, and the
+# conversion of very long ones fails.
+_LOAD_FIGURES = re.compile(
+    rb'\s*(\d{1,18})\s*,\s*(\d{1,18})\s*,\s*\d{1,18}\s*'
+    rb'(?:,\s*(\d{1,18})\s*)?'
+)
+
 _DECIMAL_NUMBER = re.compile(rb'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
 
 
@@ -259,8 +271,14 @@
 
 
 def _parse_load(value: bytes) -> LoadReport | None:
-    # The format is "in-flight requests,queued requests,slots".
-    numbers = value.split(b',')
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+    match = _LOAD_FIGURES.fullmatch(value)
+    if match is None:
         return None
-    return LoadReport(in_flight=int(numbers[0]), queued=int(numbers[1]))
+    running, waiting, pace = match.groups()
+    if pace is None:
+        return LoadReport(in_flight=int(running), queued=int(waiting))
+    return LoadReport(
+        in_flight=int(running),
+        queued=int(waiting),
+        pace=min(int(pace), MAX_PACE),
+    )
