--- a/sesameward/platform/__main__.py
+++ b/sesameward/platform/__main__.py
@@ -67,6 +67,7 @@
             queries=wire.PlatformEndpointAdapter(),
             routes_kind=objects.ROUTES_KIND,
             targets_kind=objects.TARGETS_KIND,
+            evacuations_kind=objects.EVACUATIONS_KIND,
             read_settings=settings_file.read,
             settings_changed=settings_file.changed,
         ),
--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -26,6 +26,7 @@
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0.0)]
+NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0.0)]
 
 
 class _Listen(msgspec.Struct):
@@ -50,6 +51,9 @@
     drain_ms: PositiveFloat
     grace_s: PositiveFloat
     ttl_max_s: PositiveFloat
+    warmup_overshoot: PositiveFloat | None = None
+    warmup_slack: NonNegativeFloat = 5.0
+    evac_ms: PositiveFloat | None = None
 
 
 class _Boot(msgspec.Struct):
@@ -151,6 +155,9 @@
             registration_ttl_s=HEARTBEATS_UNTIL_REMOVAL
             * boot.heartbeat_ms
             / 1_000,
+            warmup_overshoot=bounds.warmup_overshoot,
+            warmup_slack=bounds.warmup_slack,
+            evac_s=None if bounds.evac_ms is None else bounds.evac_ms / 1_000,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
     )
--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -31,12 +31,14 @@
 ROUTES_KIND = 'config'
 ROUTES_NAME = 'main'
 TARGETS_KIND = 'servers'
+EVACUATIONS_KIND = 'evacuations'
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
 # Integers that fit into the messages between nodes.
 PositiveInt64 = typing.Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
 NonNegativeInt64 = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0)]
 
 # The name of a target is sent to it in a header, and to other nodes in
@@ -110,11 +112,13 @@
     """Hold a service as stored.
 
     max_conns limits the connections that all nodes together open to one target
-    of the service.
+    of the service. warmup_per_s limits the requests that all nodes together
+    send to a cold target in a second; without it, none counts as cold.
     """
 
     name: str
     max_conns: PositiveInt
+    warmup_per_s: NonNegativeFloat | None = None
 
 
 class _CallerLimits(msgspec.Struct):
@@ -175,7 +179,11 @@
             Version(config.version),
             [route.to_route() for route in config.routes],
             [
-                Service(ServiceName(service.name), service.max_conns)
+                Service(
+                    ServiceName(service.name),
+                    service.max_conns,
+                    service.warmup_per_s,
+                )
                 for service in config.services
             ],
             CallerLimits(
@@ -213,6 +221,7 @@
             state=TargetState(server.state),
             warmup_s=server.warmup_left_ms / 1_000,
             started_ms=server.born,
+            seq=server.seq,
         )
 
 
--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -49,6 +49,9 @@
 _REPLACED_HEADERS = frozenset({DEADLINE_HEADER, EXPECT_TARGET_HEADER})
 
 
+# Longest time to stay cold that is accepted, as a number of digits (11 days);
+# the conversion of much longer numbers would take long.
+MAX_WARMUP_DIGITS = 9
 _DECIMAL_NUMBER = re.compile(rb'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
 
 
@@ -128,6 +131,8 @@
                     info.leaving = value.strip() not in (b'', b'0')
                 case b'server-limit' | b'sesameward-server-limit':
                     _add_limits(info, value)
+                case b'sesameward-warmup-ms':
+                    info.warmup_s = _parse_warmup_s(value)
                 case b'content-encoding':
                     info.is_encoded = value.lower() != b'identity'
                 case b'retry-after':
@@ -139,6 +144,7 @@
             info.not_run = True
             info.leaving = False
             info.limit_per_s = None
+            info.warmup_s = None
         if reply.status not in (429, 503):
             info.retry_after_s = 0.0
         return info
@@ -214,6 +220,14 @@
     return number / 1_000 if number > 0.0 else None
 
 
+def _parse_warmup_s(value: bytes) -> float | None:
+    """Convert milliseconds to seconds; None if they are not valid."""
+    text = value.strip()
+    if not text.isdigit() or len(text) > MAX_WARMUP_DIGITS:
+        return None
+    return int(text) / 1_000
+
+
 def _parse_positive(value: bytes) -> float:
     """Return a positive finite number, or 0 for any other value."""
     try:
--- a/sesameward/serving/attempts.py
+++ b/sesameward/serving/attempts.py
@@ -13,6 +13,8 @@
 from ..types import ServiceName
 from ..types import TargetId
 from .budget_window import BudgetWindow
+from .cold_targets import ColdTargets
+from .evacuations import Evacuations
 from .replica_choice import ReplicaSelector
 from .target_limits import TargetLimits
 from .targets import TargetTable
@@ -150,23 +152,67 @@
 
     targets holds the registered targets, selector their load and failures,
     budget limits the repeats of sub-requests to each service, and limits knows
-    which targets limit their request rate.
+    which targets limit their request rate. evacuations has the zones whose
+    targets get nothing, cold the targets that are used only if their service
+    has no others. The defaults of both are empty and never change.
     """
 
     targets: TargetTable
     selector: ReplicaSelector
     budget: BudgetWindow
     limits: TargetLimits
+    evacuations: Evacuations = Evacuations()
+    cold: ColdTargets = ColdTargets()
 
     def may_send(self, target_id: TargetId, now: float) -> bool:
         """Return True if a target may be sent requests now.
 
         It must not be sent any while it drains (before it stops), nor during
-        the time for which it asked, with Retry-After, to be sent nothing.
+        the time for which it asked, with Retry-After, to be sent nothing, nor
+        while its zone is evacuated.
         """
         target = self.targets.get(target_id)
-        leaves = target is not None and target.drain
-        return not leaves and not self.selector.resting(target_id, now)
+        if target is not None and (
+            target.drain or self.evacuations.contains(target.zone)
+        ):
+            return False
+        return not self.selector.resting(target_id, now)
+
+    def _candidates(
+        self, service: ServiceName, priority: int, now: float
+    ) -> tuple[TargetId, ...]:
+        """Return the targets of a service that may get requests.
+
+        Those of evacuated zones are left out, and the cold ones as long as the
+        service has a usable one that is not cold.
+        """
+        candidates = self.targets.candidates(service)
+        if self.evacuations.are_any:
+            candidates = tuple(
+                one for one in candidates if not self._is_evacuated(one)
+            )
+        if not self.cold:
+            return candidates
+        warm = tuple(one for one in candidates if one not in self.cold)
+        if any(self._is_usable(one, priority, now) for one in warm):
+            return warm
+        return candidates
+
+    def _is_evacuated(self, target_id: TargetId) -> bool:
+        target = self.targets.get(target_id)
+        return target is not None and self.evacuations.contains(target.zone)
+
+    def _is_usable(
+        self, target_id: TargetId, priority: int, now: float
+    ) -> bool:
+        """Return False if requests to a target would be refused or fail."""
+        selector = self.selector
+        return not (
+            selector.resting(target_id, now)
+            or selector.silent(target_id, now)
+            or selector.ejected_s(target_id, now) > 0.0
+            or self.limits.wait_s(target_id, priority, now) > 0.0
+        )
 
     def available_in_s(
         self,
@@ -181,12 +227,12 @@
         sent nothing, or have used up the rate to which they limit requests. It
         is None if the service has no usable target besides those in asked.
         """
-        candidates = self.targets.candidates(service)
+        candidates = self._candidates(service, priority, now)
         if asked:
             candidates = tuple(one for one in candidates if one not in asked)
         if not candidates:
             return None
-        if not self.selector.any_resting(now) and not self.limits.named:
+        if not self.selector.any_resting(now) and not self.limits.are_any:
             return 0.0
         return min(
             max(
@@ -214,8 +260,8 @@
         reserve is the number of repeats that must be left in the budget after
         it, priority is that of the route.
         """
-        registered = candidates = self.targets.candidates(service)
-        if self.limits.named:
+        registered = candidates = self._candidates(service, priority, now)
+        if self.limits.are_any:
             candidates = tuple(
                 one
                 for one in registered
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -276,6 +276,10 @@
             target = tools.policy.targets.get(self._target_id)
             if target is not None and reply_or_broken.status != 421:
                 tools.limits.record_reply(target, reply_info.limit_per_s)
+                if reply_info.warmup_s is not None:
+                    tools.policy.cold.on_answer(
+                        target, reply_info.warmup_s, now
+                    )
         else:
             tools.metrics.count('target_breaks', reply_or_broken.value)
             if reply_or_broken in _SIZE_LIMIT_BREAKS and conn is not None:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import functools
+import math
 import os
 import random
 import signal
@@ -22,6 +23,7 @@
 from ..background import keep_running
 from ..background import restart_logger
 from ..background import RunLoop
+from . import evacuations
 from ..exceptions import SettingsError
 from . import kept_routes
 from . import leaving_targets
@@ -35,10 +37,12 @@
 from . import silent_targets
 from ..types import NodeId
 from ..types import TargetId
+from ..types import ZoneName
 from .attempts import AttemptPolicy
 from .budget_window import BudgetWindow
 from .byte_limits import MESSAGE_MEMORY_FRACTION
 from .byte_limits import MessageMemory
+from .cold_targets import ColdTargets
 from .crashes import Crashes
 from .delegate_client import DelegateClient
 from .delegate_server import DelegateHandler
@@ -49,6 +53,8 @@
 from .directory import Directory
 from .endpoints import EndpointAdapter
 from .endpoints import Endpoints
+from .evacuations import Evacuations
+from .evacuations import ZoneChange
 from .exchange import ExchangeDeps
 from .front import Front
 from .http_server import HttpServer
@@ -73,6 +79,7 @@
 from .registration import Registry
 from .replica_choice import ReplicaSelector
 from .restored_targets import RestoredTargets
+from .routes import RouteTable
 from .routing_state import Decoder
 from .routing_state import RoutingState
 from .settings import NodeSettings
@@ -81,6 +88,7 @@
 from .target_limits import TargetLimits
 from .target_links import TargetLinks
 from .targets import DepartureSource
+from .targets import Target
 from .targets import TargetTable
 from .wire import Wire
 
@@ -117,8 +125,9 @@
 class Adapter(typing.NamedTuple):
     """The parts of a node that depend on the deployment's protocols.
 
-    routes_kind and targets_kind name the kinds of store objects that hold
-    the configuration and the registrations of targets.
+    routes_kind, targets_kind and evacuations_kind name the kinds of store
+    objects that hold the configuration, the registrations of targets and the
+    evacuations of zones.
     """
 
     wire: Wire
@@ -130,6 +139,7 @@
     targets_kind: str
     read_settings: typing.Callable[[], NodeSettings]
     settings_changed: typing.Callable[[], bool]
+    evacuations_kind: str = 'evacuations'
 
 
 class Node:
@@ -212,7 +222,7 @@
         self._crashes.is_cut_off = lambda: self.links.is_lost
         self._crashes.is_leaving = self.targets.is_leaving_or_gone
         self._crashes.clock = self._clock
-        self.routing_state.on_target_dropped = self._crashes.forget_target
+        self.routing_state.on_target_dropped = self._on_target_dropped
         self.routes_mirror = self._make_mirror(
             adapter.routes_kind, self.routing_state.update_routes
         )
@@ -221,6 +231,10 @@
         self.targets_mirror = self._make_mirror(
             adapter.targets_kind, self.routing_state.update_targets
         )
+        self.evacuations = Evacuations(is_known=cfg.bounds.evac_s is None)
+        self.evacuations.on_change = self._on_zone_change
+        self._evacuations_due_at = math.inf
+        self.evacuations_mirror = self._make_evacuations_mirror()
         self.routing_state.routes_mirror = self.routes_mirror
         self.routing_state.targets_mirror = self.targets_mirror
         self._departures = Departures(
@@ -230,7 +244,13 @@
         self.selector.on_backoff = self._on_target_rest
         self.limits = TargetLimits(cfg.node, origin, now)
         self.limits.on_change = self._on_limit_change
-        self.routing_state.on_target_added = self.limits.named.on_target_added
+        self.limits.follows_cold = cfg.bounds.warmup_overshoot is not None
+        self.cold = ColdTargets(
+            cfg.bounds.warmup_overshoot, cfg.bounds.warmup_slack
+        )
+        self.cold.on_change = self._on_cold_change
+        self.routing_state.on_routes = self._on_routes
+        self.routing_state.on_target_added = self._on_target_added
         self.metrics.gauge(
             'limits_in_force', lambda: float(len(self.limits.named))
         )
@@ -245,7 +265,12 @@
         tools = ExchangeDeps(
             adapter.wire,
             AttemptPolicy(
-                self.targets, self.selector, self.budget, self.limits
+                self.targets,
+                self.selector,
+                self.budget,
+                self.limits,
+                self.evacuations,
+                self.cold,
             ),
             self.pools,
             self._crashes,
@@ -297,7 +322,33 @@
         self._is_entry_offered = False
         self._tasks: list[asyncio.Task] = []
 
-    def _make_mirror(self, kind: str, on_update: OnUpdate) -> Mirror:
+    def _make_evacuations_mirror(self) -> Mirror | None:
+        """Return the copy of the evacuations; None if there are none."""
+        bounds = self._cfg.bounds
+        if bounds.evac_s is None:
+            return None
+        evacuations_mirror = self._make_mirror(
+            self._adapter.evacuations_kind,
+            lambda update: self.evacuations.update(update, self._clock()),
+            min(bounds.in_force_s, bounds.evac_s),
+        )
+        evacuations_mirror.kept = self.evacuations.kept
+        evacuations_mirror.on_kept = lambda objects: (
+            self.evacuations.apply_kept(objects, self._clock())
+        )
+        return evacuations_mirror
+
+    @property
+    def _mirrors(self) -> tuple[Mirror, ...]:
+        mirrors = (self.routes_mirror, self.targets_mirror)
+        if self.evacuations_mirror is None:
+            return mirrors
+        return (*mirrors, self.evacuations_mirror)
+
+    def _make_mirror(
+        self, kind: str, on_update: OnUpdate, in_force_s: float | None = None
+    ) -> Mirror:
+        in_force_s = in_force_s or self._cfg.bounds.in_force_s
         store_mirror = Mirror(
             kind,
             self._cfg.node,
@@ -306,7 +357,7 @@
             self.peers.members,
             self.peers.publish,
             on_update,
-            Takeover(self._cfg.bounds.in_force_s, self._start_delay_s()),
+            Takeover(in_force_s, self._start_delay_s()),
             self.metrics,
             self._rng,
             self._clock,
@@ -413,12 +464,13 @@
         self._limit_exchange.close()
 
     def _start_mirrors(self) -> None:
-        self.routes_mirror.start()
-        self.targets_mirror.start()
+        self._evacuations_due_at = self._clock() + evacuations.START_TIMEOUT_S
+        for store_mirror in self._mirrors:
+            store_mirror.start()
 
     async def _stop_mirrors(self) -> None:
-        await self.routes_mirror.stop()
-        await self.targets_mirror.stop()
+        for store_mirror in self._mirrors:
+            await store_mirror.stop()
 
     def _start_loops(self) -> None:
         self._upkeep(self._clock())
@@ -453,6 +505,7 @@
             and not (self.ready() and self.routes_mirror.has_pulled)
         ):
             await asyncio.sleep(FIRST_READING_POLL_S)
+            self._check_evacuations_known()
 
     def _on_loop_exception(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
@@ -546,8 +599,8 @@
                 logs.log_event('stood_still', for_s=round(suspended_s, 3))
                 self.limits.reset(now)
                 self.links.reset()
-                self.routes_mirror.refresh()
-                self.targets_mirror.refresh()
+                for store_mirror in self._mirrors:
+                    store_mirror.refresh()
             self._upkeep(now)
             self._flush_logs()
             if now - settings_at >= SETTINGS_CHECK_INTERVAL_S:
@@ -556,6 +609,9 @@
                     self._reload()
 
     def _upkeep(self, now: float) -> None:
+        self._check_evacuations_known()
+        self._settle_evacuations(now)
+        self.cold.settle(now)
         self.routing_state.drop_expired()
         self._link_watch.check_periodically()
         self.limits.named.drop_absent(self.targets, now)
@@ -573,7 +629,7 @@
             sharing_nodes,
             self.peers.cut_off_count(),
         )
-        self.pools.warm(self.delegation.zones())
+        self.pools.warm({*self.delegation.zones(), *self.evacuations.zones()})
         table = self.routing_state.route_table
         if table is not None:
             self.callers.limits = table.limits
@@ -586,6 +642,73 @@
             logs.log_event('ready' if is_ready else 'not_ready')
             self.peers.offer_entry(is_ready)
 
+    def _check_evacuations_known(self) -> None:
+        """Serve as soon as the evacuations are read, or could not be read."""
+        store_mirror = self.evacuations_mirror
+        if self.evacuations.is_known or store_mirror is None:
+            return
+        is_read = store_mirror.was_read or (
+            store_mirror.has_pulled and store_mirror.replica.revision > 0
+        )
+        if is_read or self._clock() >= self._evacuations_due_at:
+            self.evacuations.is_known = True
+            if not is_read:
+                self.metrics.count('evacuations_unknown')
+                logs.log_event(
+                    'evacuations_unknown',
+                    after_s=evacuations.START_TIMEOUT_S,
+                )
+
+    def _settle_evacuations(self, now: float) -> None:
+        if self.evacuations_mirror is not None:
+            self.evacuations.settle(
+                now - self.evacuations_mirror.age_s(now),
+                now - self.targets_mirror.age_s(now),
+                now,
+            )
+
+    def _on_zone_change(self, zone: ZoneName, change: ZoneChange) -> None:
+        count = sum(target.zone == zone for target in self.targets)
+        match change:
+            case ZoneChange.EVACUATED:
+                self.metrics.count('targets_left_out', 'evacuated', count)
+                logs.log_event('zone_evacuated', zone=zone, targets=count)
+            case ZoneChange.BACK:
+                logs.log_event('zone_back', zone=zone, targets=count)
+
+    def _on_routes(self, table: RouteTable) -> None:
+        rates = {
+            service.name: service.warmup_per_s
+            for service in table.services.values()
+            if service.warmup_per_s is not None
+        }
+        self.cold.set_rates(rates, self._clock())
+
+    def _on_target_added(self, target: Target) -> None:
+        self.limits.named.on_target_added(target)
+        self.cold.on_registered(target, self._clock())
+
+    def _on_target_dropped(self, target_id: TargetId) -> None:
+        self._crashes.forget_target(target_id)
+        self.cold.forget(target_id)
+
+    def _on_cold_change(
+        self, target_id: TargetId, limit: float | None, before: float | None
+    ) -> None:
+        self.limits.set_cold_limit(target_id, limit)
+        if limit is None:
+            logs.log_event('target_warm', target=target_id)
+            return
+        if before is None:
+            self.metrics.count('targets_left_out', 'cold')
+        logs.log_event(
+            'target_cold',
+            target=target_id,
+            limit_per_s=limit,
+            before=before,
+            left_s=round(self.cold.left_s(target_id, self._clock()), 3),
+        )
+
     def _on_target_unreachable(self, target_id: TargetId) -> None:
         self._link_watch.when_settled(
             lambda: self._record_unreachable(target_id)
@@ -670,7 +793,7 @@
             )
 
     def _on_reading(self, rumor: Rumor) -> None:
-        for store_mirror in (self.routes_mirror, self.targets_mirror):
+        for store_mirror in self._mirrors:
             if store_mirror.kind == rumor.key:
                 store_mirror.on_rumor(rumor)
 
@@ -714,12 +837,14 @@
     def ready(self) -> bool:
         """Return True if this node should get requests from callers.
 
-        It has routes and at least one target, and is not leaving.
+        It has routes and at least one target, knows which zones are evacuated,
+        and is not leaving.
         """
         return (
             not self._lifecycle.is_stop_requested
             and self.routing_state.route_table is not None
             and len(self.targets) > 0
+            and self.evacuations.is_known
         )
 
     def _status(self) -> node_status.NodeStatus:
@@ -730,11 +855,13 @@
             self.routing_state,
             self.targets,
             self.selector,
-            self.limits.named,
-            (self.routes_mirror, self.targets_mirror),
+            self.limits,
+            self._mirrors,
             self.peers.members(),
             self.links,
             self._clock(),
+            self.cold,
+            self.evacuations,
         )
 
 
--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -13,8 +13,9 @@
 from ..types import StoreEpoch
 from ..types import TargetId
 from ..types import ZoneName
+from .cold_targets import ColdTargets
+from .evacuations import Evacuations
 from .mirror import Mirror
-from .named_limits import NamedLimits
 from .replica_choice import ReplicaSelector
 from .routes import OneService
 from .routes import Route
@@ -22,6 +23,7 @@
 from .routes import Shards
 from .routes import Version
 from .routing_state import RoutingState
+from .target_limits import TargetLimits
 from .target_links import LinkState
 from .target_links import TargetLinks
 from .targets import TargetTable
@@ -66,7 +68,8 @@
     target after failures. rest_s is the time for which the target still wants
     to get no requests. Either time is 0 if it has passed. limit_per_s is the
     number of requests per second to which the target limits all nodes
-    together, or None.
+    together, or None. cold_s is the time for which the target still counts as
+    cold.
     """
 
     target: TargetId
@@ -77,6 +80,7 @@
     ejected_s: float
     rest_s: float
     limit_per_s: float | None
+    cold_s: float = 0.0
 
 
 class RouteStatus(msgspec.Struct, frozen=True):
@@ -102,6 +106,7 @@
     beliefs holds the status of the node's copies of objects in the store.
     links is "up", "suspected" or "lost": the node's connections to targets.
     store_is_behind is True if the routes in force are newer than the store's.
+    evacuated_zones are those whose targets get no requests.
     """
 
     node: NodeId
@@ -114,6 +119,7 @@
     routes: tuple[RouteStatus, ...]
     links: str = LinkState.UP.value
     store_is_behind: bool = False
+    evacuated_zones: tuple[ZoneName, ...] = ()
 
 
 def collect_status(
@@ -123,11 +129,13 @@
     routing_state: RoutingState,
     targets: TargetTable,
     selector: ReplicaSelector,
-    limits: NamedLimits,
+    limits: TargetLimits,
     mirrors: typing.Iterable[Mirror],
     members: typing.Iterable[Member],
     links: TargetLinks,
     now: float,
+    cold: ColdTargets,
+    evacuations: Evacuations,
 ) -> NodeStatus:
     """Return the status of the node at the given time."""
     table = routing_state.route_table
@@ -157,7 +165,8 @@
                 selector.paused(t.id, now),
                 selector.ejected_s(t.id, now),
                 selector.backoff_left_s(t.id, now),
-                limits.get(t.id),
+                limits.limit(t.id),
+                cold.left_s(t.id, now),
             )
             for t in targets
         ),
@@ -166,6 +175,7 @@
         else (),
         links=links.state.value,
         store_is_behind=routing_state.kept_routes.is_store_behind,
+        evacuated_zones=evacuations.zones(),
     )
 
 
--- a/sesameward/serving/routes.py
+++ b/sesameward/serving/routes.py
@@ -100,11 +100,13 @@
     """Define a service and the connection limit of its targets.
 
     max_connections limits the connections of all nodes together to each
-    target.
+    target. warmup_per_s is the number of requests that a cold target may get
+    in a second; None if its targets never count as cold.
     """
 
     name: ServiceName
     max_connections: int
+    warmup_per_s: float | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/sesameward/serving/routing_state.py
+++ b/sesameward/serving/routing_state.py
@@ -60,7 +60,8 @@
     A configuration does not replace one of a higher version, and a target's
     registration does not replace that of a process of the target that started
     later. on_target_dropped is called with each target that is removed because
-    its registration is gone, on_target_added with each added or updated one.
+    its registration is gone, on_target_added with each added or updated one,
+    and on_routes with each route table that comes into force.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
             None
         )
         self.on_target_added: typing.Callable[[Target], None] = lambda _: None
+        self.on_routes: typing.Callable[[RouteTable], None] = lambda _: None
         self.on_target_left: typing.Callable[[TargetId, int], None] = (
             lambda target_id, started_ms: None
         )
@@ -182,6 +184,7 @@
             routes=len(table.routes),
         )
         self.route_table = table
+        self.on_routes(table)
         self.kept_routes.record_in_force(stored, table.version)
         services = {
             name for route in table.routes for name in route.services()
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -23,7 +23,11 @@
     grace_s is the time between SIGTERM and SIGKILL when a node is stopped.
     address_ttl_s is the longest time for which callers may keep the addresses
     of nodes. registration_ttl_s is the time after which the store removes the
-    registration of a target that does not renew it.
+    registration of a target that does not renew it. In any second, a cold
+    target gets at most its rate x warmup_overshoot + warmup_slack requests;
+    without warmup_overshoot no target counts as cold. A zone gets no more
+    requests evac_s after the store accepted its evacuation; without evac_s no
+    evacuations are read.
     """
 
     retry_ratio: float = 0.2
@@ -33,6 +37,9 @@
     grace_s: Seconds = 6.0
     address_ttl_s: Seconds = 5.0
     registration_ttl_s: Seconds = 4.0
+    warmup_overshoot: float | None = None
+    warmup_slack: float = 5.0
+    evac_s: Seconds | None = None
 
 
 # A node's process takes some 40 MB even if it holds no received messages. With
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -114,13 +114,16 @@
 
     named has the limits in force; on_change is called when one of them begins,
     changes or ends. If this node is the coordinator of others, answer() grants
-    them permits.
+    them permits. Cold targets have limits as well, which each node knows by
+    itself; follows_cold is False where no target ever counts as cold.
     """
 
     def __init__(self, node: NodeId, origin: str, now: float):
         self.on_change: OnLimitChange = lambda target_id, limit, before: None
         self.named = NamedLimits()
         self.named.on_change = self._on_change
+        self.follows_cold = False
+        self._cold: dict[TargetId, float] = {}
         self._node = node
         self._origin = origin
         self._started_at = now
@@ -138,6 +141,31 @@
         # Process of the coordinator, and the last change that it sent.
         self._seen: tuple[str, int] = ('', 0)
 
+    def limit(self, target_id: TargetId) -> float | None:
+        """Return a target's limit in requests per second, or None.
+
+        It is the lower one of the limit that the target names and the one that
+        holds while it is cold.
+        """
+        named = self.named.get(target_id)
+        cold = self._cold.get(target_id)
+        if named is None or cold is None:
+            return cold if named is None else named
+        return min(named, cold)
+
+    @property
+    def are_any(self) -> bool:
+        """Return True if any target limits its request rate."""
+        return bool(self.named) or bool(self._cold)
+
+    def set_cold_limit(self, target_id: TargetId, limit: float | None) -> None:
+        """Set the limit of a cold target; None if it is warm."""
+        if limit is None:
+            self._cold.pop(target_id, None)
+        else:
+            self._cold[target_id] = limit
+        self._drop_permits(target_id)
+
     # Permits for this node's requests.
 
     def wait_s(self, target_id: TargetId, priority: int, now: float) -> float:
@@ -145,7 +173,7 @@
 
         The result is 0 if a permit is left or the coordinator can be asked.
         """
-        if self.named.get(target_id) is None:
+        if self.limit(target_id) is None:
             return 0.0
         state = self._targets.get(target_id)
         if state is None or _first_valid(state.stock, now):
@@ -161,7 +189,7 @@
         self, target_id: TargetId, priority: int, now: float
     ) -> Permit | Denial:
         """Acquire a permit for one request, before the request is sent."""
-        limit = self.named.get(target_id)
+        limit = self.limit(target_id)
         if limit is None:
             return Permit(target_id)
         state = self._state(target_id)
@@ -187,7 +215,7 @@
         self, target_id: TargetId, now: float
     ) -> Permit | None:
         """Acquire a permit after the coordinator has been asked for it."""
-        if self.named.get(target_id) is None:
+        if self.limit(target_id) is None:
             return Permit(target_id)
         stock = self._state(target_id).stock
         if not _first_valid(stock, now):
@@ -196,7 +224,7 @@
 
     def is_valid(self, permit: Permit, now: float) -> bool:
         """Return True if a request may be sent with a permit now."""
-        if self.named.get(permit.target_id) is None:
+        if self.limit(permit.target_id) is None:
             return True
         return permit.expires_at is not None and now < permit.expires_at
 
@@ -205,7 +233,7 @@
         if (
             permit.expires_at is not None
             and now < permit.expires_at
-            and self.named.get(permit.target_id) is not None
+            and self.limit(permit.target_id) is not None
         ):
             # It is older than the permits that are left.
             stock = self._state(permit.target_id).stock
@@ -215,7 +243,7 @@
         self, target_id: TargetId, priority: int, wait_s: float, now: float
     ) -> None:
         """Record that permits of this and lower priorities are used up."""
-        if self.named.get(target_id) is not None:
+        if self.limit(target_id) is not None:
             self._state(target_id).none_until[priority] = now + wait_s
 
     def _state(self, target_id: TargetId) -> _TargetPermits:
@@ -239,12 +267,15 @@
     def _on_change(
         self, target_id: TargetId, limit: float | None, before: float | None
     ) -> None:
+        self._drop_permits(target_id)
+        self.on_change(target_id, limit, before)
+
+    def _drop_permits(self, target_id: TargetId) -> None:
         # Permits for a higher limit are void; after a lower one, there are
         # possibly more permits than before.
         self._targets.pop(target_id, None)
-        if limit is None:
+        if self.limit(target_id) is None:
             self._ledger.forget(target_id)
-        self.on_change(target_id, limit, before)
 
     # This node's share, and calls to the coordinator.
 
@@ -259,7 +290,7 @@
 
     def is_active(self, now: float) -> bool:
         """Return True if any target names a limit, as far as known."""
-        return bool(len(self.named)) or now < self._announced_until
+        return self.are_any or now < self._announced_until
 
     def set_nodes(self, nodes: int, now: float) -> None:
         """Set the number of nodes that this node knows."""
@@ -308,7 +339,7 @@
             return None
         items = []
         for target_id, priority, needed in needs:
-            limit = self.named.get(target_id)
+            limit = self.limit(target_id)
             if limit is None:
                 continue
             # Half of what is sent while a permit is valid: less demand than
@@ -400,10 +431,9 @@
     def _grant(
         self, node: NodeId, item: PermitRequest, now: float
     ) -> PermitGrant:
-        limit = self.named.get(item.target_id)
         grant: Grant = self._ledger.grant(
             item.target_id,
-            item.limit if limit is None else limit,
+            self._granted_limit(item),
             node,
             item.needed,
             item.extra,
@@ -414,6 +444,13 @@
             item.target_id, item.priority, grant.permits, grant.wait_s
         )
 
+    def _granted_limit(self, item: PermitRequest) -> float:
+        limit = self.limit(item.target_id)
+        if limit is None:
+            return item.limit
+        # The other node may have read already that the target is cold.
+        return min(limit, item.limit) if self.follows_cold else limit
+
     # Announcement to all nodes.
 
     def announcement_due(self, now: float) -> bool:
--- a/sesameward/serving/targets.py
+++ b/sesameward/serving/targets.py
@@ -49,7 +49,8 @@
     """Registration of one target.
 
     warmup_s is the time for which the target is still slow after its start;
-    started_ms is the Unix time of that start in ms, or 0 if unknown.
+    started_ms is the Unix time of that start in ms, or 0 if unknown. seq rises
+    with each registration that the target writes.
     """
 
     id: TargetId
@@ -61,6 +62,7 @@
     state: TargetState
     warmup_s: float = 0.0
     started_ms: int = 0
+    seq: int = 0
 
     @property
     def drain(self) -> bool:
--- a/sesameward/serving/wire.py
+++ b/sesameward/serving/wire.py
@@ -37,7 +37,8 @@
     caller; a successful reply without a signature or with a content coding is
     treated as a failure. limit_per_s is the number of requests per second that
     the target accepts from all nodes together, None if the reply names no
-    limit; invalid_limits counts the values that are no such number.
+    limit; invalid_limits counts the values that are no such number. warmup_s
+    is the time for which the target stays cold, None if the reply names none.
     """
 
     request_id: RequestId | None = None
@@ -49,6 +50,7 @@
     load: LoadReport | None = None
     limit_per_s: float | None = None
     invalid_limits: int = 0
+    warmup_s: float | None = None
 
 
 class Wire(typing.Protocol):
