--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -7,10 +7,13 @@
 import random
 
 from sesameward.messages import Member
+from sesameward.serving.cold_targets import ColdTargets
 from sesameward.serving.target_limits import Denial
 from sesameward.serving.target_limits import ENTRUST_INTERVAL_S
 from sesameward.serving.target_limits import Permit
 from sesameward.serving.target_limits import TargetLimits
+from sesameward.serving.targets import Target
+from sesameward.serving.targets import TargetState
 
 TARGET = 't'
 # Smallest and largest time of a message between two nodes.
@@ -22,6 +25,10 @@
 DETECTED_S = 2.0
 # Time for which nodes count others that they no longer see.
 ABSENT_S = 30.0
+SERVICE = 's'
+# Settings for cold targets, as documented by the users.
+WARMUP_OVERSHOOT = 1.5
+WARMUP_SLACK = 5.0
 
 
 class SimulatedNode:
@@ -31,6 +38,11 @@
         self.name = name
         self.fleet = fleet
         self.limits = TargetLimits(name, f'{name}:{now}', now)
+        self.limits.follows_cold = True
+        self.cold = ColdTargets(WARMUP_OVERSHOOT, WARMUP_SLACK)
+        self.cold.on_change = lambda target_id, limit, before: (
+            self.limits.set_cold_limit(target_id, limit)
+        )
         self.waiting = []
         self.is_ticking = False
 
@@ -49,6 +61,9 @@
         self.started_ms = 1
         self.named_by = named_by
         self.named_at = None
+        # Registration of the target, which says how long it stays cold.
+        self.registration = None
+        self.cold_rate_per_s = None
         self.arrivals = []
         self.denied = 0
         self.demand = {}
@@ -109,6 +124,7 @@
             self, name, self.now if started_at is None else started_at
         )
         self.nodes[name] = node
+        self._read_registration(node)
         if name not in self.names:
             self.names.append(name)
         self.at(
@@ -118,6 +134,35 @@
             node=name,
         )
 
+    def make_cold(self, rate_per_s, left_s):
+        """Register the target as cold; nodes read this at various times."""
+        seq = self.registration.seq + 1 if self.registration else 1
+        self.cold_rate_per_s = rate_per_s
+        self.registration = Target(
+            TARGET,
+            SERVICE,
+            'h',
+            1,
+            'z',
+            2,
+            TargetState.READY,
+            left_s,
+            self.started_ms,
+            seq,
+        )
+        for node in self.nodes.values():
+            self.at(
+                self.rng.uniform(*RUMOR_S),
+                self._read_registration,
+                node,
+                node=node.name,
+            )
+
+    def _read_registration(self, node):
+        if self.registration is not None:
+            node.cold.set_rates({SERVICE: self.cold_rate_per_s}, self.now)
+            node.cold.on_registered(self.registration, self.now)
+
     def kill(self, name):
         self.down.add(name)
         self.at(DETECTED_S, self._update_views)
@@ -161,6 +206,7 @@
     def _tick(self, node):
         if self.nodes.get(node.name) is not node or node.name in self.down:
             return
+        node.cold.settle(self.now)
         self.call(node)
         self.at(ENTRUST_INTERVAL_S, self._tick, node, node=node.name)
 
