--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -149,7 +149,8 @@
 
     Use it as an asynchronous context manager, which stops exactly the
     processes and listeners that it started. If linked is True, each node
-    reaches the targets through links of its own, which can be cut.
+    reaches the targets through links of its own, which can be cut. bounds and
+    service_fields are added to the settings' bounds and to each service.
     """
 
     def __init__(
@@ -159,7 +160,11 @@
         replicas: int = 2,
         seed: int = 1,
         linked: bool = False,
+        bounds: dict[str, float] | None = None,
+        service_fields: dict[str, float] | None = None,
     ):
+        self._bounds = bounds or {}
+        self._service_fields = service_fields or {}
         self._linked = linked
         self.store = ObjectStore()
         self.rng = random.Random(seed)
@@ -247,6 +252,7 @@
                 'drain_ms': 3_000,
                 'grace_s': GRACE_S,
                 'ttl_max_s': 5,
+                **self._bounds,
             },
             # Nodes must ignore settings that they don't know.
             'something_new': True,
@@ -301,6 +307,26 @@
             'servers', target_id, target.registration(zone, 'draining')
         )
 
+    def evacuate(self, zone: str) -> None:
+        """Ask all nodes to send nothing to the targets of a zone."""
+        self.store.put('evacuations', zone, {'reason': 'test'})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Let the nodes use the targets of a zone again."""
+        self.store.delete('evacuations', zone)
+
+    def make_cold(self, target_id: str, left_ms: int) -> None:
+        """Register a running target as cold."""
+        target = self.targets[target_id]
+        target.seq += 1
+        registration = target.registration(self._zones[target_id])
+        registration['warmup_left_ms'] = left_ms
+        self.store.put('servers', target_id, registration)
+
+    def targets_in(self, zone: str) -> set[str]:
+        """Return the ids of the targets in a zone."""
+        return {one for one, at in self._zones.items() if at == zone}
+
     def crash_on(self, paths: set[str], how: CrashHow) -> None:
         """Crash each target that runs a request for one of these paths."""
         self.crashing_paths = frozenset(paths)
@@ -378,7 +404,12 @@
                 }
             )
         services = [
-            {'name': name, 'max_conns': 26, 'health_path': '/healthz'}
+            {
+                'name': name,
+                'max_conns': 26,
+                'health_path': '/healthz',
+                **self._service_fields,
+            }
             for name in [*shards, 'desk', single_service]
         ]
         self.store.put(
--- a/sesameward/standin/object_store.py
+++ b/sesameward/standin/object_store.py
@@ -55,7 +55,8 @@
 
     calls counts the requests of each client. era is the number that the
     store's answers bear; it rises each time that the store is restored from
-    a copy. With None they bear no such number.
+    a copy. With None they bear no such number. kinds_read has the kinds that
+    were listed or watched; those in unreadable_kinds get 404.
     """
 
     def __init__(self):
@@ -68,6 +69,8 @@
         # when the store has lost them. Those of nodes are not among them.
         self._last_writes: dict[tuple[str, str], object] = {}
         self.calls: collections.Counter[str] = collections.Counter()
+        self.kinds_read: set[str] = set()
+        self.unreadable_kinds: set[str] = set()
         self._events: list[tuple[int, str, dict, bool]] = []
         self._compacted_revision = 0
         self._changed = asyncio.Event()
@@ -219,6 +222,10 @@
     async def _answer(self, req: Request, query: dict[str, str]) -> Answer:
         path = req.path.removeprefix(PREFIX)
         kind, _, name = urllib.parse.unquote(path).partition('/')
+        if req.method == b'GET':
+            self.kinds_read.add(kind)
+        if kind in self.unreadable_kinds:
+            return Answer(404)
         match req.method, bool(name):
             case b'GET', False if 'watch' in query:
                 return await self._watch(kind, query)
--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -160,6 +160,8 @@
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.port = 0
+        # Number of the registration; it rises with each one that differs.
+        self.seq = 1
         self.crashed = False
         self.on_crash: typing.Callable[[ShardTarget], None] = lambda _: None
         self._slots = asyncio.Semaphore(slots)
@@ -223,7 +225,7 @@
             'slots': self._slot_count,
             'state': state,
             'warmup_left_ms': 0,
-            'seq': 1,
+            'seq': self.seq,
         }
 
     def _handle(self, req: Request, responder: Responder) -> None:
