--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -175,6 +175,13 @@
         self.cut = set(names)
         self.at(DETECTED_S, self._update_views)
 
+    def isolate_all(self):
+        """Cut each node from all others."""
+        self.lost = 1.0
+        self._members = {
+            name: (Member(name, 'z', 'h', 1, 2, 3),) for name in self.names
+        }
+
     def freeze(self, name):
         self.frozen.add(name)
         self.at(DETECTED_S, self._update_views)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -235,3 +235,32 @@
         fleet.thaw(name)
         fleet.run(2.5)
     check_bound(fleet, 10.0)
+
+
+# Unused permits add up while nothing is asked for, and are then used at once.
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('rate_per_s', [1.0, 10.0, 60.0, 300.0])
+@pytest.mark.parametrize('nodes', [1, 5, 26, 300])
+def test_bound_holds_for_requests_in_bursts(nodes, rate_per_s, seed):
+    fleet = start_fleet(nodes, rate_per_s, seed)
+    for _ in range(10):
+        for factor in (1.0, 20.0, 0.0):
+            total = max(factor * rate_per_s, factor * MIN_DEMAND_PER_S)
+            fleet.start_demand(dict.fromkeys(fleet.names, total / nodes))
+            fleet.run(0.6)
+    check_bound(fleet, rate_per_s)
+
+
+# No node reaches another one, and each saves up one permit from its own share.
+# With the rate as their limit, 24 nodes sent 24 requests at once.
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('nodes', [18, 20, 22, 24, 26])
+def test_bound_holds_for_nodes_that_are_each_alone(nodes, seed):
+    fleet = start_fleet(nodes, 10.0, seed)
+    fleet.isolate_all()
+    fleet.run(5.0)
+    for _ in range(3):
+        for total in (0.0, 100.0 * nodes):
+            fleet.start_demand(dict.fromkeys(fleet.names, total / nodes))
+            fleet.run(4.0)
+    check_bound(fleet, 10.0)
