--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -49,9 +49,9 @@
 _REPLACED_HEADERS = frozenset({DEADLINE_HEADER, EXPECT_TARGET_HEADER})
 
 
-# Longest time to stay cold that is accepted, as a number of digits (11 days);
-# the conversion of much longer numbers would take long.
-MAX_WARMUP_DIGITS = 9
+# Longest time for which an answer can make its target cold. With a wrong
+# number a target would otherwise stay limited for good.
+MAX_WARMUP_S = 3_600.0
 _DECIMAL_NUMBER = re.compile(rb'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
 
 
@@ -132,7 +132,7 @@
                 case b'server-limit' | b'sesameward-server-limit':
                     _add_limits(info, value)
                 case b'sesameward-warmup-ms':
-                    info.warmup_s = _parse_warmup_s(value)
+                    _add_warmup(info, value)
                 case b'content-encoding':
                     info.is_encoded = value.lower() != b'identity'
                 case b'retry-after':
@@ -220,12 +220,11 @@
     return number / 1_000 if number > 0.0 else None
 
 
-def _parse_warmup_s(value: bytes) -> float | None:
-    """Convert milliseconds to seconds; None if they are not valid."""
-    text = value.strip()
-    if not text.isdigit() or len(text) > MAX_WARMUP_DIGITS:
-        return None
-    return int(text) / 1_000
+def _add_warmup(info: ReplyHeaders, value: bytes) -> None:
+    """Add the time of a header; of several, the longest holds."""
+    if _DECIMAL_NUMBER.fullmatch(value.strip()) is not None:
+        warmup_s = min(float(value) / 1_000, MAX_WARMUP_S)
+        info.warmup_s = max(warmup_s, info.warmup_s or 0.0)
 
 
 def _parse_positive(value: bytes) -> float:
--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesameward.messages import StoredObject
 from sesameward.metrics import Metrics
 from sesameward.platform.wire import PlatformWire
 from sesameward.serving.attempts import AttemptPolicy
@@ -15,9 +16,11 @@
 from sesameward.serving.delegation import BatchItem
 from sesameward.serving.delegation import DelegatedBatch
 from sesameward.serving.delegation import TargetNotice
+from sesameward.serving.evacuations import Evacuations
 from sesameward.serving.exchange import ExchangeDeps
 from sesameward.serving.limit_exchange import LimitExchange
 from sesameward.serving.replica_choice import ReplicaSelector
+from sesameward.serving.store_copy import Changed
 from sesameward.serving.target_connection import Reply
 from sesameward.serving.target_limits import TargetLimits
 from sesameward.serving.targets import Target
@@ -68,7 +71,7 @@
     The scenario gets the batch, the connection to the target and the outbox.
     """
 
-    def run(scenario, cut_off=False, may_send=True, **fields):
+    def run(scenario, cut_off=False, may_send=True, evacuated=False, **fields):
         async def main():
             clock = asyncio.get_running_loop().time
             metrics = Metrics('t')
@@ -79,10 +82,14 @@
             selector.declare(target)
             limits = TargetLimits('me', 'me:1', clock())
             budget = BudgetWindow(0.0, 0.0, 10.0, clock())
+            evacuations = Evacuations()
+            if evacuated:
+                stored = StoredObject('evacuations', 'z', 1, b'{}')
+                evacuations.update(Changed([stored]), clock())
             pools = Pools()
             tools = ExchangeDeps(
                 PlatformWire(),
-                AttemptPolicy(targets, selector, budget, limits),
+                AttemptPolicy(targets, selector, budget, limits, evacuations),
                 pools,
                 Crashes('me', metrics, random.Random(1)),
                 LimitExchange('me', limits, tuple, print, metrics, clock),
@@ -165,6 +172,18 @@
     run_batch(scenario, may_send=False)
 
 
+# A node that does not know of an evacuation, perhaps of an earlier release,
+# asks a helper to send to the zone.
+def test_helper_sends_nothing_to_an_evacuated_zone(run_batch):
+    def scenario(batch, conn, outbox):
+        (item,) = outbox.get_nowait().item_results
+        assert item.end is SubRequestFailure.NOT_SENT
+        assert not item.no_links
+        assert not hasattr(conn, '_on_end')
+
+    run_batch(scenario, evacuated=True)
+
+
 OK = Reply(200, b'OK', [(b'Sesameward-Server-Stamp', b's')], b'b' * 100)
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,6 +24,7 @@
 from sesameward.platform import json_parts
 from sesameward.platform.objects import ObjectDecoder
 from sesameward.platform.store import StoreCalls
+from sesameward.platform.wire import MAX_WARMUP_S
 from sesameward.platform.wire import PlatformEndpointAdapter
 from sesameward.platform.wire import PlatformWire
 from sesameward.serving.directory import Addresses
@@ -82,6 +83,16 @@
     assert [str(seed) for seed in cfg.seeds] == ['10.0.0.2:7000']
     assert cfg.bounds.in_force_s == 2.0
     assert cfg.bounds.retry_slack == 54
+    assert cfg.bounds.evac_s is None
+    assert cfg.bounds.warmup_overshoot is None
+
+
+def test_settings_of_cold_targets_and_evacuations_are_translated():
+    added = {'evac_ms': 5_000, 'warmup_overshoot': 2, 'warmup_slack': 0}
+    cfg = parse_settings(bounds=SETTINGS['bounds'] | added)
+    assert cfg.bounds.evac_s == 5.0
+    assert cfg.bounds.warmup_overshoot == 2.0
+    assert cfg.bounds.warmup_slack == 0.0
 
 
 @pytest.mark.parametrize(
@@ -145,7 +156,10 @@
     spec = {
         'version': 12,
         'routes': [ROUTE | extra],
-        'services': [{'name': 's', 'max_conns': 25}],
+        'services': [
+            {'name': 's', 'max_conns': 25},
+            {'name': 't', 'max_conns': 25, 'warmup_per_s': 0},
+        ],
         'limits': {'idle_timeout_ms': 15_000},
     }
     table = ObjectDecoder().routes(make_stored(spec))
@@ -155,6 +169,8 @@
     assert (route.timeout_s, route.objective_s) == (0.25, 0.044)
     assert route.repeat is Repeat.SAFE
     assert table.services['s'].max_connections == 25
+    assert table.services['s'].warmup_per_s is None
+    assert table.services['t'].warmup_per_s == 0.0
     assert table.limits.idle_timeout_s == 15.0
 
 
@@ -184,6 +200,7 @@
     assert target.state is TargetState.DRAINING
     assert target.drain
     assert target.warmup_s == 1.5
+    assert target.seq == 4
     assert target.started_ms == REGISTRATION['born']
 
 
@@ -823,3 +840,30 @@
 def test_limit_of_another_target_is_ignored():
     reply = Reply(421, b'', [(b'Server-Limit', b'8.5')], b'')
     assert PlatformWire().read_reply(reply).limit_per_s is None
+
+
+@pytest.mark.parametrize(
+    ('values', 'warmup_s'),
+    [
+        (('1500',), 1.5),
+        ((' 0 ',), 0.0),
+        (('0.5',), 0.0005),
+        (('20', '1500'), 1.5),
+        (('x', '1500'), 1.5),
+        (('9' * 400,), MAX_WARMUP_S),
+        (('-1',), None),
+        (('nan',), None),
+        (('',), None),
+        ((), None),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 503])
+def test_time_for_which_a_target_stays_cold_is_read(values, warmup_s, status):
+    headers = [(b'Sesameward-Warmup-Ms', value.encode()) for value in values]
+    info = PlatformWire().read_reply(Reply(status, b'', headers, b''))
+    assert info.warmup_s == warmup_s
+
+
+def test_time_of_another_target_is_ignored():
+    reply = Reply(421, b'', [(b'Sesameward-Warmup-Ms', b'9')], b'')
+    assert PlatformWire().read_reply(reply).warmup_s is None
