--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -26,6 +26,7 @@
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0.0)]
+NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0.0)]
 
 
 class _Listen(msgspec.Struct):
@@ -52,6 +53,9 @@
     ttl_max_s: PositiveFloat
     fail_closed: bool = False
     revoke_ms: PositiveFloat = 5_000.0
+    warmup_overshoot: PositiveFloat | None = None
+    warmup_slack: NonNegativeFloat = 5.0
+    evac_ms: PositiveFloat | None = None
 
 
 class _Boot(msgspec.Struct):
@@ -155,6 +159,9 @@
             / 1_000,
             refuses_stale_keys=bounds.fail_closed,
             max_keys_age_s=bounds.revoke_ms / 1_000,
+            warmup_overshoot=bounds.warmup_overshoot,
+            warmup_slack=bounds.warmup_slack,
+            evac_s=None if bounds.evac_ms is None else bounds.evac_ms / 1_000,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
     )
--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -33,6 +33,7 @@
 ROUTES_KIND = 'config'
 ROUTES_NAME = 'main'
 TARGETS_KIND = 'servers'
+EVACUATIONS_KIND = 'evacuations'
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
@@ -119,11 +120,13 @@
     """Hold a service as stored.
 
     max_conns limits the connections that all nodes together open to one target
-    of the service.
+    of the service. warmup_per_s limits the requests that all nodes together
+    send to a cold target in a second; without it, none counts as cold.
     """
 
     name: str
     max_conns: PositiveInt
+    warmup_per_s: NonNegativeFloat | None = None
 
 
 class _Tenant(msgspec.Struct):
@@ -210,7 +213,11 @@
             Version(config.version),
             [route.to_route() for route in config.routes],
             [
-                Service(ServiceName(service.name), service.max_conns)
+                Service(
+                    ServiceName(service.name),
+                    service.max_conns,
+                    service.warmup_per_s,
+                )
                 for service in config.services
             ],
             CallerLimits(
@@ -251,6 +258,7 @@
             state=TargetState(server.state),
             warmup_s=server.warmup_left_ms / 1_000,
             started_ms=server.born,
+            seq=server.seq,
         )
 
 
--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -69,6 +69,9 @@
     rb'(?:,\s*(\d{1,18})\s*)?'
 )
 
+# Longest time for which an answer can make its target cold. With a wrong
+# number a target would otherwise stay limited for good.
+MAX_WARMUP_S = 3_600.0
 _DECIMAL_NUMBER = re.compile(rb'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
 
 
@@ -164,6 +167,8 @@
                     info.leaving = value.strip() not in (b'', b'0')
                 case b'server-limit' | b'sesameward-server-limit':
                     _add_limits(info, value)
+                case b'sesameward-warmup-ms':
+                    _add_warmup(info, value)
                 case b'content-encoding':
                     info.is_encoded = value.lower() != b'identity'
                 case b'retry-after':
@@ -175,6 +180,7 @@
             info.not_run = True
             info.leaving = False
             info.limit_per_s = None
+            info.warmup_s = None
         if reply.status not in (429, 503):
             info.retry_after_s = 0.0
         return info
@@ -250,6 +256,13 @@
     return number / 1_000 if number > 0.0 else None
 
 
+def _add_warmup(info: ReplyHeaders, value: bytes) -> None:
+    """Add the time of a header; of several, the longest holds."""
+    if _DECIMAL_NUMBER.fullmatch(value.strip()) is not None:
+        warmup_s = min(float(value) / 1_000, MAX_WARMUP_S)
+        info.warmup_s = max(warmup_s, info.warmup_s or 0.0)
+
+
 def _parse_positive(value: bytes) -> float:
     """Return a positive finite number, or 0 for any other value."""
     try:
--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -13,8 +13,9 @@
 from ..types import StoreEpoch
 from ..types import TargetId
 from ..types import ZoneName
+from .cold_targets import ColdTargets
+from .evacuations import Evacuations
 from .mirror import Mirror
-from .named_limits import NamedLimits
 from .replica_choice import ReplicaSelector
 from .routes import OneService
 from .routes import OrganisationName
@@ -23,6 +24,7 @@
 from .routes import Shards
 from .routes import Version
 from .routing_state import RoutingState
+from .target_limits import TargetLimits
 from .target_links import LinkState
 from .target_links import TargetLinks
 from .targets import Target
@@ -68,8 +70,9 @@
     target after failures. rest_s is the time for which the target still wants
     to get no requests. Either time is 0 if it has passed. limit_per_s is the
     number of requests per second to which the target limits all nodes
-    together, or None. The last four are the newest figures of the target's
-    load and their age, or None if the target does not report its pace.
+    together, or None. The next four are the newest figures of the target's
+    load and their age, or None if the target does not report its pace. cold_s
+    is the time for which the target still counts as cold.
     """
 
     target: TargetId
@@ -84,6 +87,7 @@
     waiting: int | None = None
     pace: int | None = None
     figures_age_s: float | None = None
+    cold_s: float = 0.0
 
 
 class RouteStatus(msgspec.Struct, frozen=True):
@@ -122,6 +126,7 @@
     beliefs holds the status of the node's copies of objects in the store.
     links is "up", "suspected" or "lost": the node's connections to targets.
     store_is_behind is True if the routes in force are newer than the store's.
+    evacuated_zones are those whose targets get no requests.
     """
 
     node: NodeId
@@ -135,6 +140,7 @@
     links: str = LinkState.UP.value
     store_is_behind: bool = False
     organisations: tuple[OrganisationStatus, ...] = ()
+    evacuated_zones: tuple[ZoneName, ...] = ()
 
 
 def collect_status(
@@ -144,11 +150,13 @@
     routing_state: RoutingState,
     targets: TargetTable,
     selector: ReplicaSelector,
-    limits: NamedLimits,
+    limits: TargetLimits,
     mirrors: typing.Iterable[Mirror],
     members: typing.Iterable[Member],
     links: TargetLinks,
     now: float,
+    cold: ColdTargets,
+    evacuations: Evacuations,
 ) -> NodeStatus:
     """Return the status of the node at the given time."""
     table = routing_state.route_table
@@ -170,7 +178,7 @@
             for m in members
         ),
         targets=tuple(
-            _target_status(t, selector, limits, now) for t in targets
+            _target_status(t, selector, limits, cold, now) for t in targets
         ),
         routes=tuple(_route_status(route) for route in table.routes)
         if table
@@ -181,6 +189,7 @@
             OrganisationStatus(o.name, o.priority, o.rate_per_s, o.burst)
             for o in (table.organisations if table else None) or ()
         ),
+        evacuated_zones=evacuations.zones(),
     )
 
 
@@ -196,7 +205,11 @@
 
 
 def _target_status(
-    target: Target, selector: ReplicaSelector, limits: NamedLimits, now: float
+    target: Target,
+    selector: ReplicaSelector,
+    limits: TargetLimits,
+    cold: ColdTargets,
+    now: float,
 ) -> TargetStatus:
     status = TargetStatus(
         target.id,
@@ -206,7 +219,8 @@
         selector.paused(target.id, now),
         selector.ejected_s(target.id, now),
         selector.backoff_left_s(target.id, now),
-        limits.get(target.id),
+        limits.limit(target.id),
+        cold_s=cold.left_s(target.id, now),
     )
     view = selector.load_view(target.id)
     if view is None:
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -317,13 +317,17 @@
         reach = await self._connect(pool)
         on_reach(ConnectCheck.UNKNOWN if pool.closed else reach)
 
-    def warm(self, delegated_zones: typing.Collection[ZoneName] = ()) -> None:
+    def warm(
+        self,
+        delegated_zones: typing.Collection[ZoneName] = (),
+        evacuated_zones: typing.Collection[ZoneName] = (),
+    ) -> None:
         """Close expired idle connections; connect to targets without any.
 
         Each call opens at most MAX_WARM_CONNECTS connections, and none to
         draining targets or to targets in delegated_zones, whose requests go
-        through another node. Of a target with relays, only the first one keeps
-        a connection open.
+        through another node, nor to those in evacuated_zones. Of a target with
+        relays, only the first one keeps a connection open.
         """
         now = self._clock()
         remaining = MAX_WARM_CONNECTS if self.may_connect() else 0
@@ -332,6 +336,8 @@
             self._close_expired(pool, role, now)
             if pool.connection_count >= WARM_CONNECTIONS or pool.target.drain:
                 continue
+            if pool.target.zone in evacuated_zones:
+                continue
             match role:
                 case RelayRole.UNRELAYED:
                     if pool.target.zone in delegated_zones:
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -25,7 +25,11 @@
     of nodes. registration_ttl_s is the time after which the store removes the
     registration of a target that does not renew it. If refuses_stale_keys is
     True, requests that need a key are refused while the configuration is not
-    known to be the newest for more than max_keys_age_s.
+    known to be the newest for more than max_keys_age_s. In any second, a cold
+    target gets at most its rate x warmup_overshoot + warmup_slack requests;
+    without warmup_overshoot no target counts as cold. A zone gets no more
+    requests evac_s after the store accepted its evacuation; without evac_s no
+    evacuations are read.
     """
 
     retry_ratio: float = 0.2
@@ -37,6 +41,9 @@
     registration_ttl_s: Seconds = 4.0
     refuses_stale_keys: bool = False
     max_keys_age_s: Seconds = 5.0
+    warmup_overshoot: float | None = None
+    warmup_slack: float = 5.0
+    evac_s: Seconds | None = None
 
 
 # A node's process takes some 40 MB even if it holds no received messages. With
