--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -336,26 +336,30 @@
         because it is a relay of the target, or because no other node is left;
         the role is UNRELAYED in the latter case.
         """
-        for role, node in (
-            (RelayRole.FIRST, relays.first),
-            (RelayRole.SECOND, relays.second),
-        ):
-            if node == self._node:
-                return role, None
-            member = self._usable_relay(node, now)
-            if member is not None:
-                return role, member
+        # This runs for each sub-request, and the first relay is mostly usable.
+        first, second = relays
+        if first == self._node:
+            return RelayRole.FIRST, None
+        member = self._usable_relay(first, now)
+        if member is not None:
+            return RelayRole.FIRST, member
+        if second == self._node:
+            return RelayRole.SECOND, None
+        member = self._usable_relay(second, now)
+        if member is not None:
+            return RelayRole.SECOND, member
         member = self._least_busy((zone,), now)
         role = RelayRole.UNRELAYED if member is None else RelayRole.OTHER
         return role, member
 
     def _usable_relay(self, node: NodeId | None, now: float) -> Member | None:
-        member = None if node is None else self._by_node.get(node)
-        if (
-            member is None
-            or not self._is_usable(member.node, now)
-            or now < self._helper_state(member.node).no_links_until
-        ):
+        if node is None:
+            return None
+        member = self._by_node.get(node)
+        if member is None:
+            return None
+        helper = self._helper_state(node)
+        if now < helper.no_links_until or not self._is_usable(node, now):
             return None
         return member
 
@@ -490,8 +494,10 @@
 
     def _is_usable(self, node: NodeId, now: float) -> bool:
         helper = self._helper_state(node)
-        if now < max(helper.lost_until, helper.quiet_until):
+        if now < helper.lost_until or now < helper.quiet_until:
             return False
+        if not helper.awaited:
+            return True
         self._check_quiet(node, helper, now)
         return now >= helper.quiet_until
 
--- a/tests/test_relays_fleet.py
+++ b/tests/test_relays_fleet.py
@@ -18,6 +18,10 @@
 NODES = 8
 # The nodes may use 0.8 of these connections, which is less than one for each.
 MAX_CONNECTIONS = 9
+# Without relays each of the nodes has a connection to each target. With them
+# the first relay has one, and perhaps the second one and another node for a
+# moment.
+MAX_CALM_CONNECTIONS = 3
 # A query has one sub-request for each shard. Nodes without relays would open a
 # connection for nearly each of them; one for ten is the goal in calm
 # conditions. Here a few more are allowed, for requests that start at once.
@@ -45,6 +49,7 @@
         counted[target.id] = CountedConnections()
         for conn in target._http.connections:
             set.add(counted[target.id], conn)
+        counted[target.id].peak = len(counted[target.id])
         target._http.connections = counted[target.id]
     return counted
 
@@ -111,7 +116,7 @@
     for _ in range(rounds):
         for node in fleet.nodes:
             assert await query_coverage(fleet, node) == SHARDS
-    assert all(one.peak <= MAX_CONNECTIONS for one in counted.values())
+    assert max(one.peak for one in counted.values()) <= MAX_CALM_CONNECTIONS
     opened = sum(one.total for one in counted.values())
     sub_requests = rounds * NODES * SHARDS
     assert opened <= MAX_OPENED_PER_SUB_REQUEST * sub_requests
