Pass evacuations on to starting nodes before a restore is noticed

A node that started after a restore read the restored store, and the node that it asked still had the earlier copy, so it sent requests to the evacuated zone. A zone also comes back only when the registrations are known up to the revision at which its evacuation was removed.

--- a/sesameward/serving/evacuations.py
+++ b/sesameward/serving/evacuations.py
@@ -15,6 +15,7 @@
 import typing
 
 from ..messages import StoredObject
+from ..types import Revision
 from ..types import ZoneName
 from .store_copy import Changed
 from .store_copy import Restored
@@ -28,7 +29,7 @@
 # independently of the evacuations, possibly a moment later.
 BACK_DELAY_S = 0.5
 # Longest wait for a reading of the registrations that is later than the end of
-# an evacuation. If the store fails meanwhile, there is none.
+# an evacuation. If the store fails or is restored meanwhile, there is none.
 MAX_BACK_DELAY_S = 2.0
 # A starting node that can't read the evacuations serves without them after
 # this time. Reading them takes some 20 ms from a store or a node that answers.
@@ -51,15 +52,17 @@
 
     stored is the object that was in force, None if only another node had it.
     missing_since is the time since when a restored store lacks it, ended_at
-    the time at which this node learned that it was removed.
+    the time at which this node learned that it was removed, ended_revision
+    the store's revision of the removal.
     """
 
-    __slots__ = ('ended_at', 'missing_since', 'stored')
+    __slots__ = ('ended_at', 'ended_revision', 'missing_since', 'stored')
 
     def __init__(self, stored: StoredObject | None):
         self.stored = stored
         self.missing_since: float | None = None
         self.ended_at: float | None = None
+        self.ended_revision = Revision(0)
 
 
 class Evacuations:
@@ -114,7 +117,7 @@
             if not stored.deleted:
                 self._begin(zone, stored)
             elif zone in self._zones:
-                self._end(self._zones[zone], now)
+                self._end(self._zones[zone], stored.revision, now)
 
     def _begin(self, zone: ZoneName, stored: StoredObject | None) -> None:
         is_new = zone not in self._zones
@@ -122,22 +125,26 @@
         if is_new:
             self.on_change(zone, ZoneChange.EVACUATED)
 
-    def _end(self, evacuation: _Evacuation, now: float) -> None:
+    def _end(
+        self, evacuation: _Evacuation, revision: Revision, now: float
+    ) -> None:
         if evacuation.ended_at is None:
             evacuation.missing_since = None
             evacuation.ended_at = now
+            evacuation.ended_revision = revision
 
     def kept(self) -> tuple[StoredObject, ...]:
-        """Return the evacuations in force that a restored store lacks.
+        """Return the evacuations in force, for nodes that start.
 
+        This node may not have noticed yet that the store was restored and
+        lacks them, while the starting node has read the restored store.
         Those that this node has only from another one are not among them, so
         that nodes can't keep them for each other without end.
         """
         return tuple(
             evacuation.stored
             for evacuation in self._zones.values()
-            if evacuation.missing_since is not None
-            and evacuation.stored is not None
+            if evacuation.ended_at is None and evacuation.stored is not None
         )
 
     def apply_kept(
@@ -152,27 +159,29 @@
                 self._zones[zone].missing_since = now
 
     def settle(
-        self, read_at: float, targets_read_at: float, now: float
+        self, read_at: float, targets_through: Revision, now: float
     ) -> None:
         """End the evacuations whose time is over.
 
         read_at is the time up to which changes of the evacuations are known,
-        targets_read_at that for the registrations of targets.
+        targets_through the revision of the store up to which the registrations
+        of targets are known.
         """
         for zone, evacuation in tuple(self._zones.items()):
             since = evacuation.missing_since
             if since is not None and read_at >= since + WRITE_AGAIN_S:
-                self._end(evacuation, now)
-            if self._is_over(evacuation, targets_read_at, now):
+                self._end(evacuation, Revision(0), now)
+            if self._is_over(evacuation, targets_through, now):
                 del self._zones[zone]
                 self.on_change(zone, ZoneChange.BACK)
 
     def _is_over(
-        self, evacuation: _Evacuation, targets_read_at: float, now: float
+        self, evacuation: _Evacuation, targets_through: Revision, now: float
     ) -> bool:
         ended_at = evacuation.ended_at
         if ended_at is None or now < ended_at + BACK_DELAY_S:
             return False
         return (
-            targets_read_at >= ended_at or now >= ended_at + MAX_BACK_DELAY_S
+            targets_through >= evacuation.ended_revision
+            or now >= ended_at + MAX_BACK_DELAY_S
         )
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -36,6 +36,7 @@
 from ..settings import Endpoint
 from . import silent_targets
 from ..types import NodeId
+from ..types import Revision
 from ..types import TargetId
 from ..types import ZoneName
 from .attempts import AttemptPolicy
@@ -663,7 +664,7 @@
         if self.evacuations_mirror is not None:
             self.evacuations.settle(
                 now - self.evacuations_mirror.age_s(now),
-                now - self.targets_mirror.age_s(now),
+                self.targets_mirror.copy.complete_through or Revision(0),
                 now,
             )
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -32,6 +32,8 @@
 NOW = 100.0
 KIND = 'evacuations'
 RATE_PER_S = 10.0
+# Revision of the store when an evacuation is removed.
+REMOVED_REVISION = 6
 
 
 def put(zone, value=b'{}'):
@@ -39,7 +41,7 @@
 
 
 def removed(zone):
-    return StoredObject(KIND, zone, 6, b'', deleted=True)
+    return StoredObject(KIND, zone, REMOVED_REVISION, b'', deleted=True)
 
 
 @pytest.fixture
@@ -61,7 +63,7 @@
 
 
 def settle_all(evacuations, now):
-    evacuations.settle(now, now, now)
+    evacuations.settle(now, REMOVED_REVISION, now)
 
 
 def test_evacuation_holds_until_it_is_removed(evacuations, changes):
@@ -90,17 +92,17 @@
 # node has not read that yet.
 def test_zone_is_back_only_after_the_registrations_were_read(evacuated):
     evacuated.update(Changed([removed('z1')]), NOW)
-    evacuated.settle(NOW, NOW + BACK_DELAY_S, NOW + 0.9 * BACK_DELAY_S)
+    evacuated.settle(NOW, REMOVED_REVISION, NOW + 0.9 * BACK_DELAY_S)
     assert evacuated.contains('z1')
-    evacuated.settle(NOW, NOW - 0.1, NOW + 1.1 * BACK_DELAY_S)
+    evacuated.settle(NOW, REMOVED_REVISION - 1, NOW + 1.1 * BACK_DELAY_S)
     assert evacuated.contains('z1')
-    evacuated.settle(NOW, NOW + 0.1, NOW + 1.1 * BACK_DELAY_S)
+    evacuated.settle(NOW, REMOVED_REVISION, NOW + 1.1 * BACK_DELAY_S)
     assert not evacuated.contains('z1')
 
 
 def test_zone_is_back_although_the_store_has_failed(evacuated):
     evacuated.update(Changed([removed('z1')]), NOW)
-    evacuated.settle(NOW, NOW - 1.0, NOW + MAX_BACK_DELAY_S)
+    evacuated.settle(NOW, REMOVED_REVISION - 1, NOW + MAX_BACK_DELAY_S)
     assert not evacuated.contains('z1')
 
 
@@ -116,7 +118,7 @@
 def test_evacuation_that_is_not_written_again_ends(evacuated):
     evacuated.update(Restored([]), NOW)
     # The store is away: it may have the evacuation again.
-    evacuated.settle(NOW + 1.0, NOW + 1.0, NOW + 60.0)
+    evacuated.settle(NOW + 1.0, REMOVED_REVISION, NOW + 60.0)
     assert evacuated.contains('z1')
     settle_all(evacuated, NOW + 60.0)
     settle_all(evacuated, NOW + 60.0 + BACK_DELAY_S)
@@ -132,9 +134,13 @@
 
 # A node that starts after a restore has never seen the evacuation. If nodes
 # passed on what they have from each other, it would never end.
-def test_kept_evacuation_reaches_a_new_node_but_goes_no_further(evacuated):
-    assert evacuated.kept() == ()
-    evacuated.update(Restored([]), NOW)
+@pytest.mark.parametrize('is_noticed', [True, False])
+def test_kept_evacuation_reaches_a_new_node_but_goes_no_further(
+    evacuated, is_noticed
+):
+    # The node that is asked may not have noticed the restore yet.
+    if is_noticed:
+        evacuated.update(Restored([]), NOW)
     new = Evacuations()
     new.apply_kept(evacuated.kept(), NOW + 4.0)
     assert new.contains('z1')
