Measure the time to deliver an answer instead of assuming it

A query is answered with the parts that it has shortly before its objective. The time left for delivery assumed 3 ms one way to the caller and 3 ms to send the answer. Where callers are 1 ms away, queries ended up to 8 ms too early.

The cutoff now uses the round-trip time that the kernel measures for the caller's connection, and the answer's size on the link of the settings.

--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import pathlib
 import typing
@@ -23,6 +24,7 @@
 # The platform removes the registration of a target after this many intervals
 # without a sign of life.
 HEARTBEATS_UNTIL_REMOVAL = 3
+BYTES_PER_MBIT = 125_000
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0.0)]
@@ -39,8 +41,9 @@
     address: str
 
 
-class _MemoryLimits(msgspec.Struct, frozen=True):
+class _VmLimits(msgspec.Struct, frozen=True):
     memory_mb: PositiveInt = 300
+    link_mbps: PositiveFloat = math.inf
 
 
 class _Bounds(msgspec.Struct):
@@ -77,7 +80,7 @@
     platform: _Platform
     bounds: _Bounds
     seeds: tuple[str, ...] = ()
-    limits: _MemoryLimits = _MemoryLimits()
+    limits: _VmLimits = _VmLimits()
     heartbeat_ms: PositiveFloat = 1_200.0
 
 
@@ -164,6 +167,7 @@
             evac_s=None if bounds.evac_ms is None else bounds.evac_ms / 1_000,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
+        link_bytes_per_s=boot.limits.link_mbps * BYTES_PER_MBIT,
     )
 
 
--- a/sesameward/serving/deps.py
+++ b/sesameward/serving/deps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import msgspec
@@ -29,6 +30,8 @@
     delegates: DelegateClient
     splits: Splits
     random: typing.Callable[[], float]
+    # Bandwidth of this node's link, in bytes per second.
+    link_bytes_per_s: float = math.inf
     # One Run for each caller's request in progress; their number is logged at
     # shutdown.
     runs: set = msgspec.field(default_factory=set)
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -30,19 +30,54 @@
 from .gather import Gather
 from .gather import Trial
 from .http_server import Answer
+from .round_trip import round_trip_s
+from .routes import Route
 from .routes import Shards
 from .run import Arrival
 from .topk import Greatest
-
-# Assumed upper bound of the network time for one way between a caller and this
-# node. The actual time is 1 ms in one deployment and 3 ms in the other. The
-# time of all trips is subtracted from the latency objective, so that a partial
-# answer reaches the caller within the objective.
-CALLER_ONE_WAY_S = 0.003
-# Assumed time from the decision to answer until the last byte of the answer is
-# sent. Like the time of the network trips, it is subtracted from the latency
-# objective.
+from .topk import RECORD_BYTES
+
+# Round-trip time between a caller and this node that is assumed if the kernel
+# does not tell it. The time of all trips is subtracted from the latency
+# objective, so that a partial answer reaches the caller within the objective.
+DEFAULT_ROUND_TRIP_S = 0.006
+# Assumed time from the decision to answer until the first byte of the answer
+# is sent. Like the time of the network trips and that of the answer's bytes on
+# this node's link, it is subtracted from the latency objective.
 ANSWER_SEND_S = 0.003
+# Expected size of an answer: its head, and the signature of each shard's
+# reply. With 90 shards on a link of 12.5 Mbit/s it takes 3 ms to send.
+ANSWER_HEAD_BYTES = 200
+SIGNATURE_BYTES = 50
+# At most this part of the objective is subtracted. The round-trip time of a
+# caller on a slow link may be longer than the objective itself.
+MAX_DELIVERY_SHARE = 0.5
+
+
+def delivery_s(
+    route: Route,
+    is_first_on_connection: bool,
+    rtt_s: float | None,
+    link_bytes_per_s: float,
+) -> float:
+    """Return the part of a route's objective, in seconds, spent outside runs.
+
+    This is the time of the network trips between the caller and this node,
+    those of the TCP handshake included, and the time to send the answer.
+    """
+    shards = typing.cast(Shards, route.destination)
+    answer_bytes = (
+        ANSWER_HEAD_BYTES
+        + SIGNATURE_BYTES * len(shards.services)
+        + RECORD_BYTES * shards.top_k
+    )
+    round_trips = 2 if is_first_on_connection else 1
+    spent_s = (
+        round_trips * (DEFAULT_ROUND_TRIP_S if rtt_s is None else rtt_s)
+        + ANSWER_SEND_S
+        + answer_bytes / link_bytes_per_s
+    )
+    return min(spent_s, MAX_DELIVERY_SHARE * route.objective_s)
 
 
 class GatherRun(DelegatingRun):
@@ -54,14 +89,9 @@
         self._shards = typing.cast(Shards, route.destination)
         self._signatures: list[bytes] = []
         self._greatest = Greatest(self._shards.top_k)
-        # Network trips between the caller and this node: the request and the
-        # answer; before the first request of a connection also the two trips
-        # of the TCP handshake.
-        one_way_trips = 4 if req.is_first_on_connection else 2
-        cutoff_s = (
-            route.objective_s
-            - one_way_trips * CALLER_ONE_WAY_S
-            - ANSWER_SEND_S
+        rtt_s = round_trip_s(arrival.responder.raw_transport())
+        cutoff_s = route.objective_s - delivery_s(
+            route, req.is_first_on_connection, rtt_s, deps.link_bytes_per_s
         )
         self._plan = Gather(
             route,
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -306,6 +306,7 @@
                 self._delegates,
                 splits,
                 self._rng.random,
+                cfg.link_bytes_per_s,
             ),
             self.routing_state,
             Identity(
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import msgspec
@@ -57,8 +58,9 @@
     gossip is the UDP address for membership gossip. On peer_port of the same
     host the node serves calls from other nodes. memory_bytes is the memory
     that the VM gives to the process; received messages may take only a
-    fraction of it. seeds are gossip addresses through which a node finds the
-    other nodes. seed initializes the random number generator.
+    fraction of it. link_bytes_per_s is the bandwidth of the VM's link. seeds
+    are gossip addresses through which a node finds the other nodes. seed
+    initializes the random number generator.
     """
 
     node: NodeId
@@ -75,3 +77,4 @@
     bounds: Bounds = Bounds()
     seed: int | None = None
     memory_bytes: MemoryBytes = 300_000_000
+    link_bytes_per_s: float = math.inf
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 
 import pytest
@@ -24,11 +25,13 @@
 from sesameward.serving.delegation import LoadFigures
 from sesameward.serving.deps import Deps
 from sesameward.serving.exchange import ExchangeDeps
+from sesameward.serving.gather_run import delivery_s
 from sesameward.serving.gather_run import GatherRun
 from sesameward.serving.http_server import Answer
 from sesameward.serving.http_server import Request
 from sesameward.serving.limit_exchange import LimitExchange
 from sesameward.serving.replica_choice import ReplicaSelector
+from sesameward.serving.round_trip import round_trip_s
 from sesameward.serving.routes import Repeat
 from sesameward.serving.routes import Route
 from sesameward.serving.routes import Shards
@@ -80,6 +83,9 @@
     def send(self, answer):
         self.answer = answer
 
+    def raw_transport(self):
+        return None
+
 
 @pytest.fixture
 def query():
@@ -335,3 +341,52 @@
         assert query.metrics.value('relayed', 'direct') == 3
 
     query(scenario, 0.0, (), 'z', ('t0', 't1', 't2'))
+
+
+# A caller on a slow path, or a slow link of this node, delays the answer. With
+# the cutoff of a fast path, partial answers come just after the objective.
+@pytest.mark.parametrize(
+    'is_first, rtt_s, link_bytes_per_s, expected_s',
+    [
+        (False, 0.002, math.inf, 0.005),
+        (True, 0.002, math.inf, 0.007),
+        (False, 0.006, 60_000, 0.009 + 0.51 / 60),
+        (False, None, math.inf, 0.009),
+        (True, 0.2, math.inf, 0.05),
+    ],
+)
+def test_time_to_deliver_an_answer(
+    is_first, rtt_s, link_bytes_per_s, expected_s
+):
+    route = Route(
+        'r',
+        'h',
+        '/',
+        Repeat.SAFE,
+        5.0,
+        0.1,
+        1,
+        2,
+        Shards(('s0', 's1', 's2'), 10, 0.5),
+    )
+    spent_s = delivery_s(route, is_first, rtt_s, link_bytes_per_s)
+    assert spent_s == pytest.approx(expected_s)
+
+
+# The kernel measures the path to each caller; without it the cutoff would be
+# right for one deployment only.
+def test_round_trip_time_of_a_connection_is_read():
+    async def main():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(asyncio.Protocol, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        transport, _ = await loop.create_connection(
+            asyncio.Protocol, '127.0.0.1', port
+        )
+        rtt_s = round_trip_s(transport)
+        transport.close()
+        server.close()
+        return rtt_s
+
+    assert 0.0 < asyncio.run(main()) < 1.0
+    assert round_trip_s(None) is None
