Tests of callers without limits and of offers of another protocol

The stand-in target accepts heads of 32 KiB: a node adds headers to a caller's head of 16,384 bytes, so the stand-in answered 431.

--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -149,7 +149,8 @@
 
     Use it as an asynchronous context manager, which stops exactly the
     processes and listeners that it started. If linked is True, each node
-    reaches the targets through links of its own, which can be cut.
+    reaches the targets through links of its own, which can be cut. limits are
+    those in the settings of the nodes.
     """
 
     def __init__(
@@ -159,8 +160,10 @@
         replicas: int = 2,
         seed: int = 1,
         linked: bool = False,
+        limits: dict[str, int] | None = None,
     ):
         self._linked = linked
+        self._limits = limits
         self.store = ObjectStore()
         self.rng = random.Random(seed)
         self.targets: dict[str, ShardTarget] = {}
@@ -251,6 +254,8 @@
             # Nodes must ignore settings that they don't know.
             'something_new': True,
         }
+        if self._limits is not None:
+            settings['limits'] = self._limits
         node.settings.write_bytes(msgspec.json.encode(settings))
 
     # Targets and configuration.
--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -18,11 +18,14 @@
 from ..serving.http_server import encode
 from ..serving.http_server import Request
 from ..serving.http_server import Responder
+from ..serving.routes import CallerLimits
 from ..serving.target_connection import Headers
 from .abrupt_server import AbruptServer
 
 RECORD_BYTES = 16
 RECORDS_PER_REPLY = 20
+# Nodes add headers to a caller's request of up to 16,384 bytes of headers.
+MAX_HEADER_BYTES = 32 * 1_024
 # A request gets 503 if this many others already wait for a slot.
 MAX_QUEUED = 12
 
@@ -99,6 +102,7 @@
     queue_limit: a request gets 503 if this many others wait for a slot.
     copies_refusals: if set, each answer that refuses a request is sent a
     second time, late.
+    body_bytes: if not 0, the size of the body of answers.
     """
 
     work_s: float = 0.003
@@ -116,6 +120,7 @@
     floods: FloodHow | None = None
     queue_limit: int = MAX_QUEUED
     copies_refusals: CopyHow | None = None
+    body_bytes: int = 0
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -173,6 +178,7 @@
         self._http = AbruptServer(
             self._handle, Metrics('target'), time.monotonic
         )
+        self._http.limits = CallerLimits(max_header_bytes=MAX_HEADER_BYTES)
 
     async def start(self, port: int = 0) -> int:
         """Start to listen; return the port, a free one if port is 0."""
@@ -347,7 +353,8 @@
             headers.append((b'Content-Encoding', b'gzip'))
         headers += self._notice_headers()
         status = 500 if self.faults.fails else 200
-        return Answer(status, headers, records(self.service, req.path))
+        body = b'x' * self.faults.body_bytes or records(self.service, req.path)
+        return Answer(status, headers, body)
 
     def _not_executed(self, status: int, request_id: bytes) -> Answer:
         headers = [
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,14 +6,19 @@
 
 import asyncio
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from sesameward.metrics import Metrics
 from sesameward.serving.http_server import Answer
+from sesameward.serving.http_server import CallerConnection
 from sesameward.serving.http_server import HttpServer
 from sesameward.serving.listening import listen
 from sesameward.serving.routes import CallerLimits
 from sesameward.settings import Endpoint
+from tests.test_endless_bytes import feed_in_pieces
+from tests.test_endless_bytes import Transport
 
 GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -271,3 +276,76 @@
         return received
 
     assert asyncio.run(main()).startswith(b'HTTP/1.1 200 OK')
+
+
+OFFER = b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+
+
+@st.composite
+def offered_requests(draw):
+    """Draw a valid request that may offer another protocol, and its body."""
+    body = draw(st.binary(max_size=1_500))
+    lines = [b'Host: h\r\n', OFFER if draw(st.booleans()) else b'X: y\r\n']
+    in_chunks = draw(st.booleans())
+    if in_chunks:
+        lines.append(b'Transfer-Encoding: chunked\r\n')
+        size = draw(st.integers(1, 700))
+        pieces = [body[at : at + size] for at in range(0, len(body), size)]
+        sent = b''.join(b'%x\r\n%s\r\n' % (len(p), p) for p in pieces)
+        sent += b'0\r\n\r\n'
+    else:
+        lines.append(b'Content-Length: %d\r\n' % len(body))
+        sent = body
+    lines = draw(st.permutations(lines))
+    method = draw(st.sampled_from([b'GET', b'POST', b'PUT']))
+    head = b'%s /a HTTP/1.1\r\n%s\r\n' % (method, b''.join(lines))
+    return method, body, head + sent
+
+
+@hypothesis.given(
+    st.lists(offered_requests(), min_size=1, max_size=12),
+    st.lists(st.integers(1, 2_000), min_size=1, max_size=20),
+)
+def test_offer_of_another_protocol_is_ignored(offered, piece_sizes):
+    # Guards against requests that run without their body, because the bytes
+    # after a head with "Connection: Upgrade" were taken for another protocol.
+    requests = []
+
+    def record(req, responder):
+        requests.append((req.method, req.body))
+        responder.send(Answer(200))
+
+    server = HttpServer(record, Metrics('t'), lambda: 0.0)
+    conn = CallerConnection(server)
+    transport = Transport()
+    conn.connection_made(transport)
+    data = b''.join(sent for _, _, sent in offered)
+    feed_in_pieces(conn, transport, data, piece_sizes)
+    assert requests == [(method, body) for method, body, _ in offered]
+    assert transport.written.count(b'HTTP/1.1 200 OK') == len(offered)
+    conn.connection_lost(None)
+    assert server.message_memory.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n' + OFFER + b'\r\n',
+        b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        + OFFER
+        + b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n'
+        + b'0\r\n\r\n',
+        b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        + OFFER
+        + b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+        b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        + OFFER
+        + b'Transfer-Encoding: chunked\r\n\r\nxyz\r\n\r\n',
+    ],
+)
+def test_offer_of_another_protocol_hides_no_fault(run_with_server, data):
+    (received, closed), requests = run_with_server(send_scenario(data + GET))
+    assert received.startswith(b'HTTP/1.1 400 ')
+    assert received.count(b'HTTP/1.1') == 1
+    assert closed
+    assert requests == []
