Count what callers hold in one account; ignore offers of another protocol

Requests are parsed in pieces of 512 bytes up to MAX_PIPELINED; the rest waits unparsed. Bodies are joined as they arrive. Connections are limited by max_fds and by memory.

--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -10,6 +10,7 @@
 
 from . import addresses
 from ..exceptions import SettingsError
+from ..serving.caller_memory import DEFAULT_MAX_FDS
 from ..serving.settings import Bounds
 from ..serving.settings import NodeSettings
 from ..settings import Endpoint
@@ -38,8 +39,9 @@
     address: str
 
 
-class _MemoryLimits(msgspec.Struct, frozen=True):
+class _Limits(msgspec.Struct, frozen=True):
     memory_mb: PositiveInt = 300
+    max_fds: PositiveInt = DEFAULT_MAX_FDS
 
 
 class _Bounds(msgspec.Struct):
@@ -71,7 +73,7 @@
     platform: _Platform
     bounds: _Bounds
     seeds: tuple[str, ...] = ()
-    limits: _MemoryLimits = _MemoryLimits()
+    limits: _Limits = _Limits()
     heartbeat_ms: PositiveFloat = 1_200.0
 
 
@@ -153,6 +155,7 @@
             / 1_000,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
+        max_fds=boot.limits.max_fds,
     )
 
 
--- a/sesameward/serving/byte_limits.py
+++ b/sesameward/serving/byte_limits.py
@@ -20,6 +20,8 @@
 
 import msgspec
 
+from .caller_memory import CallerMemory
+from .caller_memory import DEFAULT_MAX_FDS
 from .topk import RECORD_BYTES
 
 # Bytes allowed for the first line of a request and for line ends, in addition
@@ -52,8 +54,12 @@
 # without a limit: MESSAGE_MEMORY_FRACTION of the memory of the smallest VM
 # (300 MB).
 DEFAULT_MESSAGE_BYTES = 75_000_000
-# Messages smaller than this don't count toward the node's limit, because their
-# memory is bounded by the number of connections.
+# Fraction of the memory for messages that callers' connections may take. The
+# rest is for replies of targets.
+CALLERS_FRACTION = 0.6
+# Replies of targets smaller than this don't count toward the node's limit,
+# because their memory is bounded by the number of connections to targets. What
+# callers send counts from the first byte.
 MIN_COUNTED_BYTES = 16 * 1024
 
 
@@ -96,6 +102,23 @@
     )
 
 
+def exceeded_limit(
+    limits: MessageLimits, received: int, body: int, has_head: bool
+) -> ExceededLimit | None:
+    """Return which limit a message exceeds, or None.
+
+    received counts all bytes of the message, body those of its body.
+    """
+    if body > limits.max_body_bytes:
+        return ExceededLimit.BODY
+    max_other_bytes = (
+        limits.max_head_bytes + FRAMING_BYTES_PER_BODY_BYTE * body
+    )
+    if received - body > max_other_bytes:
+        return ExceededLimit.FRAMING if has_head else ExceededLimit.HEAD
+    return None
+
+
 class MessageMeter:
     """Counter of the bytes of one message, which are counted on arrival.
 
@@ -153,38 +176,43 @@
 
     def exceeded_limit(self, has_head: bool) -> ExceededLimit | None:
         """Return which limit the message exceeds, or None."""
-        if self.body > self.limits.max_body_bytes:
-            return ExceededLimit.BODY
-        max_other_bytes = (
-            self.limits.max_head_bytes
-            + FRAMING_BYTES_PER_BODY_BYTE * self.body
-        )
-        if self.received - self.body > max_other_bytes:
-            return ExceededLimit.FRAMING if has_head else ExceededLimit.HEAD
-        return None
+        return exceeded_limit(self.limits, self.received, self.body, has_head)
 
 
 class MessageMemory:
-    """Limit on the memory that the large messages of a node take together.
+    """Account of the memory that others can make a node hold.
 
-    Messages of at least MIN_COUNTED_BYTES are large. When the limit is
-    exceeded, large messages are dropped.
+    Replies of targets of at least MIN_COUNTED_BYTES are large. When the limit
+    is exceeded, large replies are dropped. What callers hold is counted in
+    callers, which has a part of the limit.
     """
 
-    def __init__(self, limit_bytes: int = DEFAULT_MESSAGE_BYTES):
+    def __init__(
+        self,
+        limit_bytes: int = DEFAULT_MESSAGE_BYTES,
+        max_fds: int = DEFAULT_MAX_FDS,
+    ):
         self.limit_bytes = limit_bytes
-        # Bytes that all large messages take at present.
-        self.held_bytes = 0
+        self.callers = CallerMemory(
+            int(limit_bytes * CALLERS_FRACTION), max_fds
+        )
+        # Bytes that all large replies take at present.
+        self._reply_bytes = 0
         # Used as an ordered set: the message that first reached
         # MIN_COUNTED_BYTES comes first.
         self._large: dict[MessageMeter, None] = {}
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that replies and callers take at present."""
+        return self._reply_bytes + self.callers.held_bytes
+
     def record_growth(self, meter: MessageMeter) -> None:
         """Count the bytes of a large message that are not counted yet.
 
         Large messages are dropped until all together are within the limit.
         """
-        self.held_bytes += meter.received - meter.held
+        self._reply_bytes += meter.received - meter.held
         meter.held = meter.received
         self._large.setdefault(meter)
         while self.held_bytes > self.limit_bytes and self._large:
@@ -192,7 +220,7 @@
 
     def release(self, meter: MessageMeter) -> None:
         """Stop counting the bytes of a message toward the node's limit."""
-        self.held_bytes -= meter.held
+        self._reply_bytes -= meter.held
         meter.held = 0
         self._large.pop(meter, None)
 
--- /dev/null
+++ b/sesameward/serving/caller_memory.py
@@ -0,0 +1,155 @@
+"""Limit the memory and the connections that callers take on a node.
+
+All connections that others open to a node's HTTP servers (callers, directory,
+readiness, operators) share one account. It counts each connection, bytes that
+were read and not parsed, requests that were not answered, and answers that
+were not read. When the account is exceeded, connections are closed: those
+first that hold most for the longest time. docs/design/unbounded-callers.md has
+the reasons.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from .. import logs
+
+# Memory that an open connection takes in the process and in the kernel while
+# it holds nothing else: 600 connections that sent nothing took 1.4 MB of the
+# process; the kernel's socket takes some 3 KB.
+CONNECTION_BYTES = 6 * 1_024
+# Memory that a parsed request takes in addition to its bytes, and that each of
+# its headers does (a tuple of two bytes objects).
+REQUEST_BYTES = 1_024
+HEADER_BYTES = 192
+# Descriptors that the platform reserves for files.
+RESERVED_FDS = 200
+# Fraction of the other descriptors that callers' connections may take. The
+# rest is for connections to targets and to other nodes.
+CALLERS_FD_FRACTION = 0.5
+# max_fds of settings that don't name it.
+DEFAULT_MAX_FDS = 4_100
+# When a limit is exceeded, connections are closed until this fraction of it is
+# left, so that the connections are not compared again for each further byte.
+LOW_WATER_FRACTION = 0.9
+# Above this fraction of the limit, large requests are refused.
+SHORT_FRACTION = 0.75
+# Requests up to this size are served even if memory is short, because most of
+# the ordinary requests are that small.
+SMALL_REQUEST_BYTES = 16 * 1_024
+# A log line counts all connections that were closed in this time.
+LOG_PERIOD_S = 1.0
+
+
+class Connection(typing.Protocol):
+    """Interface to one connection of a caller."""
+
+    held_bytes: int
+
+    def waits_since(self) -> float | None:
+        """Return since when the node waits for the caller.
+
+        Return None if the caller waits for the answer to a complete request.
+        """
+
+    def close_for_memory(self) -> None:
+        """Close the connection at once and free what it holds."""
+
+    def close_for_descriptors(self) -> None:
+        """Close the connection at once, because there are too many."""
+
+
+class CallerMemory:
+    """Account of the memory that callers' connections take together."""
+
+    def __init__(self, limit_bytes: int, max_fds: int = DEFAULT_MAX_FDS):
+        self.limit_bytes = limit_bytes
+        by_fds = (max_fds - RESERVED_FDS) * CALLERS_FD_FRACTION
+        by_memory = limit_bytes // CONNECTION_BYTES
+        self.max_connections = max(1, min(int(by_fds), by_memory))
+        self.held_bytes = 0
+        self._connections: dict[Connection, None] = {}
+        self._unlogged: dict[str, int] = {}
+        self._logged_at: dict[str, float] = {}
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    @property
+    def is_short(self) -> bool:
+        """Return True if large requests are to be refused."""
+        return self.held_bytes > SHORT_FRACTION * self.limit_bytes
+
+    def add(self, conn: Connection, now: float) -> None:
+        """Count a new connection; close others if there are too many."""
+        self._connections[conn] = None
+        self.set_held(conn, CONNECTION_BYTES, now)
+        if len(self._connections) > self.max_connections:
+            self._close_longest_waiting(now)
+
+    def remove(self, conn: Connection) -> None:
+        """Stop counting a connection and what it holds."""
+        if conn in self._connections:
+            del self._connections[conn]
+            self.held_bytes -= conn.held_bytes
+        conn.held_bytes = 0
+
+    def set_held(self, conn: Connection, size_bytes: int, now: float) -> None:
+        """Set what a connection holds; close some if all exceed the limit."""
+        if conn not in self._connections:
+            return
+        self.held_bytes += size_bytes - conn.held_bytes
+        conn.held_bytes = size_bytes
+        if self.held_bytes > self.limit_bytes:
+            self._close_heaviest(now)
+
+    def log_closed(self, event: str, now: float) -> None:
+        """Log how many connections were closed, once in LOG_PERIOD_S."""
+        count = self._unlogged[event] = self._unlogged.get(event, 0) + 1
+        if now - self._logged_at.get(event, -LOG_PERIOD_S) >= LOG_PERIOD_S:
+            self._logged_at[event] = now
+            self._unlogged[event] = 0
+            logs.log_event(
+                event,
+                closed=count,
+                held_bytes=self.held_bytes,
+                connections=len(self._connections),
+            )
+
+    def _close_heaviest(self, now: float) -> None:
+        """Close connections, those first that hold most for longest."""
+
+        def weight(conn: Connection) -> float:
+            since = conn.waits_since()
+            waited_s = 0.0 if since is None else max(0.0, now - since)
+            return conn.held_bytes * (1.0 + waited_s)
+
+        low = LOW_WATER_FRACTION * self.limit_bytes
+        for conn in sorted(self._connections, key=weight, reverse=True):
+            if self.held_bytes <= low:
+                return
+            self.remove(conn)
+            conn.close_for_memory()
+            self.log_closed('caller_cut', now)
+
+    def _close_longest_waiting(self, now: float) -> None:
+        """Close connections on which the node waits, the longest first.
+
+        If the callers of all connections wait for answers, the newest
+        connections are closed.
+        """
+
+        def order(entry: tuple[int, Connection]) -> tuple[bool, float]:
+            number, conn = entry
+            since = conn.waits_since()
+            return (True, -number) if since is None else (False, since)
+
+        low = int(LOW_WATER_FRACTION * self.max_connections)
+        surplus = len(self._connections) - low
+        numbered = sorted(enumerate(self._connections), key=order)
+        for _, conn in numbered[:surplus]:
+            self.remove(conn)
+            conn.close_for_descriptors()
+            self.log_closed('caller_connections_closed', now)
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import enum
+import random
 import socket
 import typing
 
@@ -20,18 +21,40 @@
 from . import listening
 from ..metrics import Metrics
 from ..settings import Endpoint
+from .byte_limits import exceeded_limit
 from .byte_limits import ExceededLimit
 from .byte_limits import FIRST_LINE_BYTES
 from .byte_limits import MessageLimits
 from .byte_limits import MessageMemory
-from .byte_limits import MessageMeter
+from .caller_memory import CONNECTION_BYTES
+from .caller_memory import HEADER_BYTES
+from .caller_memory import REQUEST_BYTES
+from .caller_memory import SMALL_REQUEST_BYTES
 from .routes import CallerLimits
 from .target_connection import Headers
 from .target_connection import set_dead_peer_timeout
 
-# Number of pipelined requests queued on one connection at which the server
-# stops reading from the connection until a request is answered.
+# Number of pipelined requests queued on one connection, and of bytes that they
+# take, at which the server stops parsing and reading from the connection until
+# a request is answered.
 MAX_PIPELINED = 8
+MAX_PIPELINED_BYTES = 64 * 1_024
+# Bytes parsed at once unless a body of known length follows. The smallest
+# requests have 25 bytes, so a piece contains at most 20 of them.
+PIECE_BYTES = 512
+# Bytes read at once from a connection. The rest stays in the kernel, where the
+# caller is slowed down, until they are parsed.
+READ_BYTES = 32 * 1_024
+# SO_RCVBUF and SO_SNDBUF of callers' connections, of which the kernel reserves
+# twice as much. Without them it lets a connection that is not read grow to
+# 6 MB, and 4 MB of an answer that the caller does not read.
+RECEIVE_BUFFER_BYTES = 64 * 1_024
+SEND_BUFFER_BYTES = 128 * 1_024
+# Bodies from this size are written without a copy of head and body together.
+MIN_SEPARATE_BODY_BYTES = 64 * 1_024
+# Lower bound of Retry-After, in seconds, if memory is short; the upper bound
+# is twice as much, so that not all callers repeat their requests at once.
+MEMORY_RETRY_AFTER_S = 1.0
 # TCP_USER_TIMEOUT: the kernel breaks a caller's connection whose bytes stay
 # unacknowledged for this time.
 TCP_USER_TIMEOUT_S = 10.0
@@ -138,37 +161,41 @@
     HEADER_TOO_LARGE = 431
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """Server side of one connection, which answers its requests in order."""
 
     def __init__(self, server: HttpServer):
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queued: collections.deque[tuple[Request, bool]] = (
+        # Complete requests, whether each keeps the connection open, and the
+        # memory that each takes.
+        self._queued: collections.deque[tuple[Request, bool, int]] = (
             collections.deque()
         )
+        self._queued_bytes = 0
         self._current: Responder | None = None
+        self._current_bytes = 0
+        # Bytes that were read, but wait until earlier requests are answered.
+        self._unparsed = b''
+        self._is_paused = False
+        self._is_advancing = False
         self._keep_alive = True
         self._fault: _Fault | None = None
         self._request_count = 0
         self._closing = False
         self.last_written_at = server.now()
         self._request_started_at: float | None = None
-        self._has_head = False
-        self._meter = MessageMeter(
-            server.message_memory, self._abort_without_memory
-        )
-        # Counts the bytes of complete requests that are not answered yet.
-        self._queued_meter = MessageMeter(
-            server.message_memory, self._abort_without_memory
-        )
-        # Counts the bytes of an answer that the caller has not read yet.
-        self._unread_meter = MessageMeter(
-            server.message_memory, self._abort_without_memory
-        )
+        self._memory = server.message_memory.callers
+        # What this connection holds according to the account of callers.
+        self.held_bytes = 0
+        # Bytes of the request that is being received, also those of its body.
+        self._received = 0
         self._unread_bytes = 0
         self._unread_since: float | None = None
+        # True while a new parser is fed a head that was already parsed.
+        self._is_replaying = False
+        self._offers_protocol = False
         self._reset_request()
 
     @property
@@ -176,42 +203,41 @@
         """Return the transport, or None after the connection was lost."""
         return self._transport
 
-    # Callbacks of asyncio.Protocol.
+    # Callbacks of asyncio.BufferedProtocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set timeouts and flow control; add the connection to the server."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        set_dead_peer_timeout(
-            transport.get_extra_info('socket'), TCP_USER_TIMEOUT_S
-        )
+        sock = transport.get_extra_info('socket')
+        set_dead_peer_timeout(sock, TCP_USER_TIMEOUT_S)
+        if sock is not None:
+            level = socket.SOL_SOCKET
+            sock.setsockopt(level, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            sock.setsockopt(level, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         # With a high-water mark of 0, asyncio calls pause_writing() while any
         # byte of an answer is unsent. The next request waits until all are
         # sent, so that at most one answer is buffered for a slow caller.
         self._transport.set_write_buffer_limits(high=0)
         self._server.connections.add(self)
+        self._memory.add(self, self._server.now())
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share.
+
+        buffer_updated() is called before anything else is read.
+        """
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Copy the bytes that were read out of the shared buffer."""
+        self.data_received(bytes(self._server.read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parse requests; answer invalid ones with an error and close."""
         if self._fault is not None or self._closing:
             return
-        if self._request_started_at is None:
-            self._request_started_at = self._server.now()
-        self._meter.count(len(data))
-        if self._transport is None or self._transport.is_closing():
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The caller asked for another protocol, which is not supported.
-            # Bytes after this request can't be parsed, so the connection is
-            # closed once the request is answered.
-            self._keep_alive = False
-        except httptools.HttpParserError:
-            self._set_fault(_Fault.BAD_REQUEST)
-        self._check_limits()
-        if len(self._queued) >= MAX_PIPELINED and self._transport is not None:
-            self._transport.pause_reading()
-        self._serve_next()
+        self._unparsed += data
+        self._advance()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller has closed its side."""
@@ -221,10 +247,8 @@
         """Free the memory; tell the request's handler of the disconnect."""
         self._transport = None
         self._server.connections.discard(self)
-        self._meter.reset()
-        self._queued_meter.reset()
-        self._unread_meter.reset()
-        self._queued.clear()
+        self._memory.remove(self)
+        self._drop_received()
         if self._current is not None:
             current, self._current = self._current, None
             current.caller_gone()
@@ -233,26 +257,116 @@
         """Start no further request until the answer is fully written."""
         self._unread_bytes = self._transport.get_write_buffer_size()
         self._unread_since = self._server.now()
-        self._unread_meter.count(self._unread_bytes)
+        self._count_held()
 
     def resume_writing(self) -> None:
         """Handle the next request, now that the answer is fully written."""
         self._unread_since = None
-        self._unread_meter.reset()
-        self._serve_next()
+        self._unread_bytes = 0
+        self._advance()
+
+    # Methods that parse and serve requests in turn.
+
+    def _advance(self) -> None:
+        """Parse and serve requests until the connection has to wait."""
+        if self._is_advancing:
+            # Called by a handler that answers at once; the loop goes on.
+            return
+        self._is_advancing = True
+        try:
+            while self._parse_piece() or self._serve_next():
+                pass
+        finally:
+            self._is_advancing = False
+        self._count_held()
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if bool(self._unparsed) is not self._is_paused:
+            self._is_paused = not self._is_paused
+            if self._is_paused:
+                transport.pause_reading()
+            else:
+                transport.resume_reading()
+
+    def _parse_piece(self) -> bool:
+        """Parse the next bytes; return False if parsing has to wait.
+
+        Small pieces are parsed, because a few bytes can contain a request,
+        and all requests of a piece are queued.
+        """
+        if not self._unparsed:
+            return False
+        if self._transport is None or self._transport.is_closing():
+            self._unparsed = b''
+            return False
+        if self._queued and (
+            len(self._queued) >= MAX_PIPELINED
+            or self._queued_bytes >= MAX_PIPELINED_BYTES
+        ):
+            return False
+        if self._request_started_at is None:
+            self._request_started_at = self._server.now()
+        size = max(PIECE_BYTES, self._length_left)
+        piece, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+        self._received += len(piece)
+        try:
+            self._feed(piece)
+        except httptools.HttpParserError:
+            self._set_fault(_Fault.BAD_REQUEST)
+        self._check_limits()
+        if self._fault is not None:
+            self._unparsed = b''
+        return True
+
+    def _feed(self, piece: bytes) -> None:
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade as exc:
+            if not self._offers_protocol or self._fault is not None:
+                # CONNECT. Bytes after this request can't be parsed.
+                self._keep_alive = False
+                self._unparsed = b''
+                return
+            self._parser = self._make_parser_without_offer()
+            rest = piece[exc.args[0] :]
+            if rest:
+                self._feed(rest)
+
+    def _make_parser_without_offer(self) -> httptools.HttpRequestParser:
+        """Return a parser that expects the body of the current request.
+
+        For a request that offers another protocol, the parser takes the bytes
+        after the head for that protocol. The offer is ignored, as RFC 9110,
+        7.8, allows: another parser gets the same head without the offer.
+        """
+        method, version = (
+            self._parser.get_method(),
+            self._parser.get_http_version().encode(),
+        )
+        lines = [b'%s / HTTP/%s\r\n' % (method, version)]
+        for name, value in self._headers:
+            if name.lower() != b'upgrade':
+                lines.append(b'%s: %s\r\n' % (name, value))
+        lines.append(b'\r\n')
+        self._offers_protocol = False
+        self._is_replaying = True
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b''.join(lines))
+        return self._parser
 
     def _check_limits(self) -> None:
         limits = self._server.limits
         max_head_bytes = limits.max_header_bytes + FIRST_LINE_BYTES
-        if self._meter.received <= max_head_bytes:
+        if self._received <= max_head_bytes:
             # The bytes received, body included, are within the limit for the
             # head and the chunk framing, so neither can exceed it. on_body()
             # checks the limit for the body.
             return
-        self._meter.limits = MessageLimits(
-            max_head_bytes, limits.max_body_bytes
-        )
-        match self._meter.exceeded_limit(self._has_head):
+        message_limits = MessageLimits(max_head_bytes, limits.max_body_bytes)
+        match exceeded_limit(
+            message_limits, self._received, self._body_bytes, self._has_head
+        ):
             case None:
                 return
             case ExceededLimit.HEAD:
@@ -262,20 +376,64 @@
             case _:
                 self._set_fault(_Fault.BAD_REQUEST)
 
-    def _abort_without_memory(self) -> None:
-        """Abort the connection: messages exceed the node's memory limit."""
+    # Methods for the account of callers' memory.
+
+    def _count_held(self) -> None:
+        """Tell the account how much memory this connection takes."""
+        held = (
+            CONNECTION_BYTES
+            + len(self._unparsed)
+            + self._header_bytes
+            + HEADER_BYTES * len(self._headers)
+            + len(self._body)
+            + self._queued_bytes
+            + self._current_bytes
+        )
+        if self._is_paused:
+            # More bytes possibly wait in the kernel.
+            held += RECEIVE_BUFFER_BYTES
+        if self._unread_since is not None:
+            held += self._unread_bytes + SEND_BUFFER_BYTES
+        self._memory.set_held(self, held, self._server.now())
+
+    def waits_since(self) -> float | None:
+        """Return since when the node waits for the caller, or None."""
+        if self._unread_since is not None:
+            return self._unread_since
+        if self._current is not None or self._queued:
+            return None
+        return self._request_started_at or self.last_written_at
+
+    def close_for_memory(self) -> None:
+        """Abort the connection: callers exceed their part of the memory."""
         self._server.metrics.count('messages_cut', 'caller')
-        logs.log_event('caller_cut', unread_bytes=self._unread_bytes)
-        self._body.clear()
-        self._queued.clear()
+        self._drop_received()
+        self.abort()
+
+    def close_for_descriptors(self) -> None:
+        """Abort the connection: callers have too many connections."""
+        self._server.metrics.count('callers_disconnected', 'too_many')
+        self._drop_received()
         self.abort()
 
+    def _drop_received(self) -> None:
+        self._unparsed = b''
+        self._queued.clear()
+        self._queued_bytes = 0
+        self._current_bytes = 0
+        self._unread_bytes = 0
+        self._reset_request()
+
     # Callbacks of the httptools parser.
 
     def _reset_request(self) -> None:
         self._request_target = b''
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # A list of the pieces would take up to 60 times their size.
+        self._body = bytearray()
+        self._body_bytes = 0
+        # Bytes of the body still to come, if the request states its length.
+        self._length_left = 0
         self._header_bytes = 0
         self._host: bytes | None = None
         self._is_invalid = False
@@ -283,15 +441,23 @@
 
     def on_message_begin(self) -> None:
         """Clear the headers and body collected for the previous request."""
+        if self._is_replaying:
+            return
+        if self._request_started_at is None:
+            self._request_started_at = self._server.now()
         self._reset_request()
 
     def on_url(self, url: bytes) -> None:
         """Collect a piece of the request target."""
+        if self._is_replaying:
+            return
         self._request_target += url
         self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; handle Host and Expect."""
+        """Collect a header; handle Host, Expect and Content-Length."""
+        if self._is_replaying:
+            return
         self._headers.append((name, value))
         self._count_header(len(name) + len(value) + 4)
         lower_name = name.lower()
@@ -300,10 +466,19 @@
             self._host = value
         elif lower_name == b'expect':
             self._handle_expect(value)
+        elif lower_name == b'content-length' and not self._has_head:
+            # Nine digits are more than any limit for bodies.
+            length = value[:9]
+            self._length_left = int(length) if length.isdigit() else 0
 
     def on_headers_complete(self) -> None:
         """Check the request target and the Host header."""
+        if self._is_replaying:
+            self._is_replaying = False
+            return
         self._has_head = True
+        if self._parser.should_upgrade():
+            self._offers_protocol = self._parser.get_method() != b'CONNECT'
         if not self._request_target.startswith(b'/') or not self._host:
             self._is_invalid = True
         if self._is_invalid:
@@ -311,17 +486,20 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of the body; reject a body above its size limit."""
-        self._meter.body += len(body)
-        if self._meter.body > self._server.limits.max_body_bytes:
+        self._body_bytes += len(body)
+        self._length_left = max(0, self._length_left - len(body))
+        if self._body_bytes > self._server.limits.max_body_bytes:
             self._set_fault(_Fault.BODY_TOO_LARGE)
         else:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Queue the complete request until the earlier ones are answered."""
+        if self._offers_protocol and self._fault is None:
+            # This is the end of the head only; see _feed().
+            return
         self._request_started_at = None
-        self._queued_meter.count(self._header_bytes + self._meter.body)
-        self._meter.reset()
+        self._received = 0
         self._has_head = False
         if self._fault is not None:
             return
@@ -333,12 +511,22 @@
             query,
             typing.cast(bytes, self._host).decode('latin-1'),
             self._headers,
-            b''.join(self._body),
+            bytes(self._body),
             self._server.now(),
             self._request_count == 0,
         )
         self._request_count += 1
-        self._queued.append((req, self._parser.should_keep_alive()))
+        size_bytes = (
+            REQUEST_BYTES
+            + HEADER_BYTES * len(self._headers)
+            + self._header_bytes
+            + len(self._body)
+        )
+        self._queued.append(
+            (req, self._parser.should_keep_alive(), size_bytes)
+        )
+        self._queued_bytes += size_bytes
+        self._reset_request()
 
     def _handle_expect(self, value: bytes) -> None:
         transport = self._transport
@@ -357,32 +545,44 @@
 
     # Methods that answer the queued requests in the order of their arrival.
 
-    def _serve_next(self) -> None:
+    def _serve_next(self) -> bool:
+        """Serve the next request; return False if it has to wait."""
         if self._current is not None or self._transport is None:
-            return
-        if self._unread_since is not None:
-            return
-        if self._queued and not self._closing:
-            req, keep_alive = self._queued.popleft()
+            return False
+        if self._unread_since is not None or self._closing:
+            return False
+        if self._queued:
+            req, keep_alive, size_bytes = self._queued.popleft()
+            self._queued_bytes -= size_bytes
+            self._current_bytes = size_bytes
             self._keep_alive = keep_alive and self._keep_alive
             self._current = Responder(self)
-            self._server.dispatch(req, self._current)
-        elif self._fault is not None and not self._closing:
+            if size_bytes > SMALL_REQUEST_BYTES and self._memory.is_short:
+                self._refuse_without_memory(self._current)
+            else:
+                self._server.dispatch(req, self._current)
+            return True
+        if self._fault is not None:
             self._server.metrics.count('bad_requests', self._fault.name)
             self._keep_alive = False
             self._write(Answer(self._fault.value))
+        return False
+
+    def _refuse_without_memory(self, responder: Responder) -> None:
+        """Refuse a complete request that has not run and never will."""
+        self._server.metrics.count('refused', 'no_memory')
+        self._memory.log_closed('caller_refused', self._server.now())
+        wait_s = MEMORY_RETRY_AFTER_S * (1.0 + random.random())
+        responder.send(Answer(503, [(b'Retry-After', b'%.2f' % wait_s)]))
 
     def write_answer(self, responder: Responder, answer: Answer) -> None:
         """Write the answer to the current request; handle the next one."""
         if responder is not self._current:
             return
         self._current = None
+        self._current_bytes = 0
         self._write(answer)
-        if self._transport is not None and not self._closing:
-            if not self._queued:
-                self._queued_meter.reset()
-            self._transport.resume_reading()
-            self._serve_next()
+        self._advance()
 
     def _write(self, answer: Answer) -> None:
         transport = self._transport
@@ -393,7 +593,14 @@
             # Even if the server is stopping, the complete requests in the
             # queue are answered before the connection closes.
             keep_alive = self._keep_alive
-        transport.write(encode(answer, keep_alive))
+        if len(answer.body) < MIN_SEPARATE_BODY_BYTES:
+            transport.write(encode(answer, keep_alive))
+        else:
+            transport.write(encode_head(answer, keep_alive))
+            transport.write(answer.body)
+            if self._unread_since is not None:
+                # pause_writing() has possibly counted the head only.
+                self._unread_bytes = transport.get_write_buffer_size()
         self.last_written_at = self._server.now()
         if not keep_alive:
             self._closing = True
@@ -416,7 +623,8 @@
         if self._request_started_at is not None:
             if now - self._request_started_at > limits.header_timeout_s:
                 self._set_fault(_Fault.TIMEOUT)
-                self._serve_next()
+                self._unparsed = b''
+                self._advance()
         elif now - self.last_written_at > limits.idle_timeout_s:
             self._closing = True
             self._transport.close()
@@ -433,6 +641,7 @@
             transport.abort()
             return
         self._unread_bytes, self._unread_since = unread_bytes, now
+        self._count_held()
 
     def close_if_idle(self) -> bool:
         """Close the connection if idle; return whether no answer is pending.
@@ -467,6 +676,11 @@
 
 def encode(answer: Answer, keep_alive: bool) -> bytes:
     """Serialize an answer; add Content-Length and Connection headers."""
+    return encode_head(answer, keep_alive) + answer.body
+
+
+def encode_head(answer: Answer, keep_alive: bool) -> bytes:
+    """Serialize the head of an answer with the headers that encode() adds."""
     reason = answer.reason or _REASONS.get(answer.status, b'Answer')
     lines = [b'HTTP/1.1 %d %s\r\n' % (answer.status, reason)]
     for name, value in answer.headers:
@@ -476,7 +690,6 @@
     if not keep_alive:
         lines.append(b'Connection: close\r\n')
     lines.append(b'\r\n')
-    lines.append(answer.body)
     return b''.join(lines)
 
 
@@ -500,6 +713,7 @@
         self.message_memory = message_memory or MessageMemory()
         self.leaving = False
         self.connections: set[CallerConnection] = set()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task | None = None
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -157,7 +157,11 @@
             now,
         )
         self._message_memory = MessageMemory(
-            int(cfg.memory_bytes * MESSAGE_MEMORY_FRACTION)
+            int(cfg.memory_bytes * MESSAGE_MEMORY_FRACTION), cfg.max_fds
+        )
+        self.metrics.gauge(
+            'caller_connections',
+            lambda: float(self._message_memory.callers.connection_count),
         )
         self.metrics.gauge(
             'message_bytes', lambda: float(self._message_memory.held_bytes)
--- a/sesameward/serving/relay_run.py
+++ b/sesameward/serving/relay_run.py
@@ -116,6 +116,9 @@
             target=self._target_id,
             helper=self._helper,
         )
+        # The run is part of reference cycles, which would keep the reply until
+        # the garbage collector finds them.
+        self._reply = None
 
     def _report_success(self) -> None:
         reply = typing.cast(Reply, self._reply)
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -12,6 +12,7 @@
 from ..settings import Seconds
 from ..types import NodeId
 from ..types import ZoneName
+from .caller_memory import DEFAULT_MAX_FDS
 
 
 class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -38,6 +39,9 @@
 # A node's process takes some 40 MB even if it holds no received messages. With
 # less than this minimum, too little memory would remain for messages.
 MemoryBytes = typing.Annotated[int, msgspec.Meta(ge=64_000_000)]
+# The platform reserves 200 descriptors for files; with less than this minimum,
+# too few would remain for callers and targets.
+MaxDescriptors = typing.Annotated[int, msgspec.Meta(ge=256)]
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -46,7 +50,8 @@
     gossip is the UDP address for membership gossip. On peer_port of the same
     host the node serves calls from other nodes. memory_bytes is the memory
     that the VM gives to the process; received messages may take only a
-    fraction of it. seeds are gossip addresses through which a node finds the
+    fraction of it. max_fds is the number of descriptors that the process may
+    have open. seeds are gossip addresses through which a node finds the
     other nodes. seed initializes the random number generator.
     """
 
@@ -64,3 +69,4 @@
     bounds: Bounds = Bounds()
     seed: int | None = None
     memory_bytes: MemoryBytes = 300_000_000
+    max_fds: MaxDescriptors = DEFAULT_MAX_FDS
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -114,7 +114,8 @@
         self._status = 0
         self._reason = b''
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # A list of small pieces would take up to 60 times their size.
+        self._body = bytearray()
         self._has_head = False
         self._complete_reply: Reply | None = None
         self._is_delimited = False
@@ -255,7 +256,7 @@
             # is not used for another one.
             self._usable = False
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._reason = b''
         self._has_head = False
         self._is_delimited = False
@@ -290,7 +291,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of the body."""
-        self._body.append(body)
+        self._body += body
         self._meter.body += len(body)
 
     def on_message_complete(self) -> None:
@@ -302,8 +303,10 @@
         if self._on_end is None or self._complete_reply is not None:
             return
         reply = Reply(
-            self._status, self._reason, self._headers, b''.join(self._body)
+            self._status, self._reason, self._headers, bytes(self._body)
         )
+        # An idle connection must not keep the body of its last reply.
+        self._body = bytearray()
         if not self._is_own(reply):
             # Skip a late reply to an earlier request; the reply to the current
             # request can still follow.
