Free large replies at once, so that long answers stay within the account

A connection to a target kept the body of its last or failed reply, a run its reply, and glibc the heap that large blocks had used.

--- a/sesameward/serving/byte_limits.py
+++ b/sesameward/serving/byte_limits.py
@@ -205,7 +205,8 @@
     @property
     def held_bytes(self) -> int:
         """Return the bytes that replies and callers take at present."""
-        return self._reply_bytes + self.callers.held_bytes
+        callers = self.callers
+        return self._reply_bytes + callers.held_bytes + callers.closing_bytes
 
     def record_growth(self, meter: MessageMeter) -> None:
         """Count the bytes of a large message that are not counted yet.
--- a/sesameward/serving/caller_memory.py
+++ b/sesameward/serving/caller_memory.py
@@ -68,6 +68,10 @@
         by_memory = limit_bytes // CONNECTION_BYTES
         self.max_connections = max(1, min(int(by_fds), by_memory))
         self.held_bytes = 0
+        # Bytes of connections that were closed here, whose buffers are freed
+        # only when the event loop has run.
+        self.closing_bytes = 0
+        self._closing: dict[Connection, int] = {}
         self._connections: dict[Connection, None] = {}
         self._unlogged: dict[str, int] = {}
         self._logged_at: dict[str, float] = {}
@@ -95,6 +99,7 @@
             del self._connections[conn]
             self.held_bytes -= conn.held_bytes
         conn.held_bytes = 0
+        self.closing_bytes -= self._closing.pop(conn, 0)
 
     def set_held(self, conn: Connection, size_bytes: int, now: float) -> None:
         """Set what a connection holds; close some if all exceed the limit."""
@@ -105,6 +110,12 @@
         if self.held_bytes > self.limit_bytes:
             self._close_heaviest(now)
 
+    def _begin_close(self, conn: Connection) -> None:
+        size_bytes = conn.held_bytes
+        self.remove(conn)
+        self._closing[conn] = size_bytes
+        self.closing_bytes += size_bytes
+
     def log_closed(self, event: str, now: float) -> None:
         """Log how many connections were closed, once in LOG_PERIOD_S."""
         count = self._unlogged[event] = self._unlogged.get(event, 0) + 1
@@ -130,7 +141,7 @@
         for conn in sorted(self._connections, key=weight, reverse=True):
             if self.held_bytes <= low:
                 return
-            self.remove(conn)
+            self._begin_close(conn)
             conn.close_for_memory()
             self.log_closed('caller_cut', now)
 
@@ -150,6 +161,6 @@
         surplus = len(self._connections) - low
         numbered = sorted(enumerate(self._connections), key=order)
         for _, conn in numbered[:surplus]:
-            self.remove(conn)
+            self._begin_close(conn)
             conn.close_for_descriptors()
             self.log_closed('caller_connections_closed', now)
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -69,6 +69,7 @@
 from .pools import ConnectCheck
 from .pools import Pools
 from .pools import WARM_PERIOD_S
+from .process_memory import return_large_blocks
 from .registration import Registration
 from .registration import Registry
 from .replica_choice import ReplicaSelector
@@ -754,6 +755,7 @@
     """
     writer = LineWriter(sys.stdout.fileno(), cfg.node)
     logs.set_sink(writer.write)
+    return_large_blocks()
     uvloop.run(_run(cfg, adapter, callers, writer))
 
 
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -225,8 +225,6 @@
 
     def _fail_without_memory(self) -> None:
         """Fail the exchange: messages exceed the node's memory limit."""
-        self._body.clear()
-        self._headers.clear()
         self._fail(ExchangeFailure.NO_MEMORY)
 
     def eof_received(self) -> bool:
@@ -341,6 +339,10 @@
         on_end, self._on_end = self._on_end, None
         self.received_bytes = self._meter.received
         self._meter.reset()
+        # The connection and its parser refer to each other, which would keep
+        # the body until the garbage collector finds them.
+        self._headers = []
+        self._body = bytearray()
         if self._transport is not None:
             self._transport.abort()
         if on_end is not None:
