--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -16,6 +16,7 @@
 from .. import logs
 from .attempts import NOTHING_SENT
 from .attempts import SubRequestFailure
+from .byte_limits import MessageMemory
 from .byte_limits import part_limits
 from .byte_limits import REPLY_LIMITS
 from .crashes import RequestIdentity
@@ -36,6 +37,7 @@
 from .exchange import Result
 from .exchange import SubRequest
 from .exchange import SubRequestExchange
+from .result_outbox import ResultOutbox
 from .topk import Greatest
 from .topk import records_above
 
@@ -55,7 +57,7 @@
         self,
         tools: ExchangeDeps,
         batch: DelegatedBatch,
-        outbox: asyncio.Queue[BatchResults],
+        outbox: ResultOutbox,
         may_send: bool = True,
     ):
         self._tools = tools
@@ -271,8 +273,11 @@
 class DelegateHandler:
     """gRPC handler of the streams on which other nodes send batches."""
 
-    def __init__(self, tools: ExchangeDeps):
+    def __init__(
+        self, tools: ExchangeDeps, memory: MessageMemory | None = None
+    ):
         self._tools = tools
+        self._memory = memory or MessageMemory()
         self._is_closed = False
         # The batches of each open stream.
         self._streams: list[dict[BatchNo, _Batch]] = []
@@ -302,7 +307,7 @@
         }
 
     async def _serve(self, stream: server.Stream) -> None:
-        outbox: asyncio.Queue[BatchResults] = asyncio.Queue()
+        outbox = ResultOutbox(self._memory, self._tools.metrics)
         batches: dict[BatchNo, _Batch] = {}
         self._streams.append(batches)
         sender = asyncio.ensure_future(_send_all(stream, outbox))
@@ -316,12 +321,13 @@
             self._streams.remove(batches)
             for batch in batches.values():
                 batch.cancel()
+            outbox.close()
 
     def _on_message(
         self,
         message: object,
         batches: dict[BatchNo, _Batch],
-        outbox: asyncio.Queue[BatchResults],
+        outbox: ResultOutbox,
     ) -> None:
         match message:
             case DelegatedBatch(batch_no=batch_no):
@@ -339,8 +345,6 @@
                     batches[batch_no].cancel()
 
 
-async def _send_all(
-    stream: server.Stream, outbox: asyncio.Queue[BatchResults]
-) -> None:
+async def _send_all(stream: server.Stream, outbox: ResultOutbox) -> None:
     while True:
         await stream.send_message(await outbox.get())
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -269,7 +269,7 @@
             self.delegation, self.metrics, self._clock
         )
         self._delegates.on_notice = self._on_helper_notice
-        self._delegate_handler = DelegateHandler(tools)
+        self._delegate_handler = DelegateHandler(tools, self._message_memory)
         self.peers.add_handler(self._delegate_handler)
         self.peers.add_handler(LimitHandler(self.limits, self._clock))
         self.front = Front(
--- /dev/null
+++ b/sesameward/serving/result_outbox.py
@@ -0,0 +1,95 @@
+"""Queue of the results that a helper node sends to another node.
+
+Load pattern: the other node reads slowly while targets reply to it. The
+replies count toward the memory for messages. When they exceed it, the largest
+are dropped and their sub-requests reported as failed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from ..metrics import Metrics
+from .attempts import SubRequestFailure
+from .byte_limits import MessageMemory
+from .byte_limits import MessageMeter
+from .delegation import BatchResults
+from .delegation import ItemResult
+
+
+class _Entry:
+    """One message that waits, with the meter of its size."""
+
+    def __init__(
+        self, message: BatchResults, memory: MessageMemory, metrics: Metrics
+    ):
+        self.message = message
+        self.meter = MessageMeter(memory, self._drop_replies)
+        self._metrics = metrics
+
+    def _drop_replies(self) -> None:
+        """Report the sub-requests of this message as failed.
+
+        FAILED says that the targets possibly ran them.
+        """
+        self._metrics.count('messages_cut', 'helper')
+        self.message = msgspec.structs.replace(
+            self.message,
+            item_results=tuple(
+                ItemResult(
+                    item.no,
+                    item.end or SubRequestFailure.FAILED,
+                    leaving=item.leaving,
+                    rest_s=item.rest_s,
+                    no_permit_s=item.no_permit_s,
+                    no_links=item.no_links,
+                )
+                for item in self.message.item_results
+            ),
+            records=b'',
+        )
+
+
+class ResultOutbox:
+    """Results for one node, which wait until it has read earlier ones."""
+
+    def __init__(self, memory: MessageMemory, metrics: Metrics):
+        self._memory = memory
+        self._metrics = metrics
+        self._queue: asyncio.Queue[_Entry] = asyncio.Queue()
+        # The entry whose message is being sent.
+        self._sent: _Entry | None = None
+
+    def put_nowait(self, message: BatchResults) -> None:
+        """Queue a message and count its size."""
+        entry = _Entry(message, self._memory, self._metrics)
+        entry.meter.count(_size_bytes(message))
+        self._queue.put_nowait(entry)
+
+    async def get(self) -> BatchResults:
+        """Return the next message; it counts until the next call."""
+        self._release_sent()
+        self._sent = await self._queue.get()
+        return self._sent.message
+
+    def close(self) -> None:
+        """Drop all messages, because the other node is gone."""
+        self._release_sent()
+        while not self._queue.empty():
+            self._queue.get_nowait().meter.reset()
+
+    def _release_sent(self) -> None:
+        if self._sent is not None:
+            self._sent.meter.reset()
+            self._sent = None
+
+
+def _size_bytes(message: BatchResults) -> int:
+    size = len(message.records)
+    for item in message.item_results:
+        size += len(item.whole or b'')
+        if item.reply is not None:
+            size += len(item.reply.body)
+    return size
