--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import resource
 import typing
 
 import msgspec
@@ -155,10 +156,16 @@
             / 1_000,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
-        max_fds=boot.limits.max_fds,
+        max_fds=min(boot.limits.max_fds, _process_fds()),
     )
 
 
+def _process_fds() -> int:
+    """Return how many descriptors the system lets this process open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return DEFAULT_MAX_FDS if soft == resource.RLIM_INFINITY else soft
+
+
 def _parse_endpoint(path: str, field: str, text: str) -> Endpoint:
     try:
         return addresses.parse(text)
--- a/sesameward/serving/caller_memory.py
+++ b/sesameward/serving/caller_memory.py
@@ -27,8 +27,9 @@
 # Fraction of the other descriptors that callers' connections may take. The
 # rest is for connections to targets and to other nodes.
 CALLERS_FD_FRACTION = 0.5
-# max_fds of settings that don't name it.
-DEFAULT_MAX_FDS = 4_100
+# max_fds of settings that don't name it, unless the process has a lower limit.
+# Below 400 MB of memory, callers' connections are then limited by memory.
+DEFAULT_MAX_FDS = 20_000
 # When a limit is exceeded, connections are closed until this fraction of it is
 # left, so that the connections are not compared again for each further byte.
 LOW_WATER_FRACTION = 0.9
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -323,8 +323,10 @@
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade as exc:
-            if not self._offers_protocol or self._fault is not None:
-                # CONNECT. Bytes after this request can't be parsed.
+            if self._fault is not None:
+                return
+            if not self._offers_protocol:
+                # Bytes after this request can't be parsed.
                 self._keep_alive = False
                 self._unparsed = b''
                 return
--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -14,6 +14,7 @@
 
 from .. import logs
 from ..metrics import Metrics
+from ..serving.byte_limits import MessageMemory
 from ..serving.http_server import Answer
 from ..serving.http_server import encode
 from ..serving.http_server import Request
@@ -26,6 +27,9 @@
 RECORDS_PER_REPLY = 20
 # Nodes add headers to a caller's request of up to 16,384 bytes of headers.
 MAX_HEADER_BYTES = 32 * 1_024
+# Limits that no test reaches: targets don't close connections of nodes.
+MEMORY_BYTES = 4_000_000_000
+MAX_FDS = 100_000
 # A request gets 503 if this many others already wait for a slot.
 MAX_QUEUED = 12
 
@@ -176,7 +180,10 @@
         # Refusals to be sent a second time, by where that happens.
         self._copies: dict[object, bytes] = {}
         self._http = AbruptServer(
-            self._handle, Metrics('target'), time.monotonic
+            self._handle,
+            Metrics('target'),
+            time.monotonic,
+            MessageMemory(MEMORY_BYTES, MAX_FDS),
         )
         self._http.limits = CallerLimits(max_header_bytes=MAX_HEADER_BYTES)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -327,6 +327,50 @@
     assert server.message_memory.held_bytes == 0
 
 
+FAULTS = {
+    'both_framings': b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+    'framings_reversed': (
+        b'Transfer-Encoding: chunked\r\nContent-Length: 3\r\n'
+    ),
+    'two_lengths': b'Content-Length: 3\r\nContent-Length: 4\r\n',
+    'no_length': b'Content-Length: +3\r\n',
+    'unknown_coding': b'Transfer-Encoding: gzip\r\n',
+    'two_hosts': b'Host: i\r\n',
+}
+
+
+@hypothesis.given(
+    offered_requests(),
+    st.sampled_from(sorted(FAULTS)),
+    st.sampled_from([b'POST /a', b'GET /a', b'CONNECT h:1']),
+    st.booleans(),
+    st.binary(max_size=60),
+    st.lists(st.integers(1, 300), min_size=1, max_size=20),
+)
+def test_faulty_request_with_an_offer_runs_nothing(
+    offered, fault, line, offer_first, rest, piece_sizes
+):
+    # Guards against requests smuggled in the body of one whose framing is
+    # ambiguous, because the head was parsed again without the offer.
+    requests = []
+
+    def record(req, responder):
+        requests.append((req.method, req.body))
+        responder.send(Answer(200))
+
+    conn = CallerConnection(HttpServer(record, Metrics('t'), lambda: 0.0))
+    transport = Transport()
+    conn.connection_made(transport)
+    method, body, good = offered
+    lines = [OFFER, FAULTS[fault]] if offer_first else [FAULTS[fault], OFFER]
+    bad = line + b' HTTP/1.1\r\nHost: h\r\n' + b''.join(lines) + b'\r\n'
+    data = good + bad + rest + GET
+    feed_in_pieces(conn, transport, data, piece_sizes)
+    assert requests == [(method, body)]
+    assert transport.written.count(b'HTTP/1.1 4') == 1
+    assert transport.closed
+
+
 @pytest.mark.parametrize(
     'data',
     [
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import resource
 import os
 import socket
 import subprocess
@@ -84,6 +85,14 @@
     assert cfg.bounds.retry_slack == 54
 
 
+def test_limits_are_read_and_never_above_those_of_the_process():
+    cfg = parse_settings(limits={'memory_mb': 200, 'max_fds': 500})
+    assert (cfg.memory_bytes, cfg.max_fds) == (200_000_000, 500)
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    assert parse_settings().max_fds <= soft
+    assert parse_settings(limits={'max_fds': 10**9}).max_fds <= soft
+
+
 @pytest.mark.parametrize(
     ('changes', 'field'),
     [
