--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -393,3 +393,51 @@
     assert received.count(b'HTTP/1.1') == 1
     assert closed
     assert requests == []
+
+
+def test_large_request_is_refused_while_memory_is_short(run_with_server):
+    # Guards against a refusal of a request that runs all the same, and against
+    # refusing the small requests of ordinary callers.
+    large = (
+        b'POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n'
+        + b'x' * 20_000
+    )
+
+    async def scenario(server):
+        memory = server.message_memory.callers
+        holder = CallerConnection(server)
+        memory.add(holder, server.now())
+        memory.set_held(holder, int(0.8 * memory.limit_bytes), server.now())
+        received = await exchange(server, large + GET)
+        memory.remove(holder)
+        return received, await exchange(server, large)
+
+    answers, requests = run_with_server(scenario)
+    (refused, _), (served, _) = answers
+    assert refused.startswith(b'HTTP/1.1 503 ')
+    assert b'\r\nRetry-After: ' in refused
+    assert b'HTTP/1.1 200 OK' in refused
+    assert served.startswith(b'HTTP/1.1 200 OK')
+    assert [req.path for req in requests] == ['/a', '/large']
+
+
+def test_queue_of_requests_is_bounded_in_number_and_bytes(run_with_server):
+    # Guards against thousands of small requests that are parsed and queued
+    # from one read while the first of them is not answered.
+    responders = []
+
+    async def scenario(server):
+        _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(GET * 5_000)
+        await asyncio.sleep(0.3)
+        (conn,) = server.connections
+        found = len(conn._queued), server.message_memory.held_bytes
+        writer.close()
+        return found
+
+    (queued, held), requests = run_with_server(
+        scenario, lambda req, responder: responders.append(responder)
+    )
+    assert len(requests) == 1
+    assert 8 <= queued <= 28
+    assert held < 300_000
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import json
-import resource
 import os
+import resource
 import socket
 import subprocess
 import sys
