--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -5,12 +5,14 @@
 import math
 import os
 import pathlib
+import resource
 import typing
 
 import msgspec
 
 from . import addresses
 from ..exceptions import SettingsError
+from ..serving.caller_memory import DEFAULT_MAX_FDS
 from ..serving.settings import Bounds
 from ..serving.settings import NodeSettings
 from ..settings import Endpoint
@@ -44,6 +46,7 @@
 class _VmLimits(msgspec.Struct, frozen=True):
     memory_mb: PositiveInt = 300
     link_mbps: PositiveFloat = math.inf
+    max_fds: PositiveInt = DEFAULT_MAX_FDS
 
 
 class _Bounds(msgspec.Struct):
@@ -168,9 +171,16 @@
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
         link_bytes_per_s=boot.limits.link_mbps * BYTES_PER_MBIT,
+        max_fds=min(boot.limits.max_fds, _process_fds()),
     )
 
 
+def _process_fds() -> int:
+    """Return how many descriptors the system lets this process open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return DEFAULT_MAX_FDS if soft == resource.RLIM_INFINITY else soft
+
+
 def _parse_endpoint(path: str, field: str, text: str) -> Endpoint:
     try:
         return addresses.parse(text)
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -78,6 +78,7 @@
 from .pools import ConnectCheck
 from .pools import Pools
 from .pools import WARM_PERIOD_S
+from .process_memory import return_large_blocks
 from .registration import Registration
 from .registration import Registry
 from .replica_choice import ReplicaSelector
@@ -170,7 +171,11 @@
             now,
         )
         self._message_memory = MessageMemory(
-            int(cfg.memory_bytes * MESSAGE_MEMORY_FRACTION)
+            int(cfg.memory_bytes * MESSAGE_MEMORY_FRACTION), cfg.max_fds
+        )
+        self.metrics.gauge(
+            'caller_connections',
+            lambda: float(self._message_memory.callers.connection_count),
         )
         self.metrics.gauge(
             'message_bytes', lambda: float(self._message_memory.held_bytes)
@@ -296,7 +301,7 @@
             self.delegation, self.metrics, self._clock
         )
         self._delegates.on_notice = self._on_helper_notice
-        self._delegate_handler = DelegateHandler(tools)
+        self._delegate_handler = DelegateHandler(tools, self._message_memory)
         self.peers.add_handler(self._delegate_handler)
         self.peers.add_handler(LimitHandler(self.limits, self._clock))
         self.front = Front(
@@ -915,6 +920,7 @@
     """
     writer = LineWriter(sys.stdout.fileno(), cfg.node)
     logs.set_sink(writer.write)
+    return_large_blocks()
     uvloop.run(_run(cfg, adapter, callers, writer))
 
 
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -120,7 +120,8 @@
         self._has_unknown_status = False
         self._reason = b''
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # A list of small pieces would take up to 60 times their size.
+        self._body = bytearray()
         self._has_head = False
         self._complete_reply: Reply | None = None
         self._is_delimited = False
@@ -233,8 +234,6 @@
 
     def _fail_without_memory(self) -> None:
         """Fail the exchange: messages exceed the node's memory limit."""
-        self._body.clear()
-        self._headers.clear()
         self._fail(ExchangeFailure.NO_MEMORY)
 
     def eof_received(self) -> bool:
@@ -264,7 +263,7 @@
             # is not used for another one.
             self._usable = False
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._reason = b''
         self._has_head = False
         self._is_delimited = False
@@ -302,7 +301,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of the body."""
-        self._body.append(body)
+        self._body += body
         self._meter.body += len(body)
 
     def on_message_complete(self) -> None:
@@ -314,8 +313,10 @@
         if self._on_end is None or self._complete_reply is not None:
             return
         reply = Reply(
-            self._status, self._reason, self._headers, b''.join(self._body)
+            self._status, self._reason, self._headers, bytes(self._body)
         )
+        # An idle connection must not keep the body of its last reply.
+        self._body = bytearray()
         if not self._is_own(reply):
             # Skip a late reply to an earlier request; the reply to the current
             # request can still follow.
@@ -350,6 +351,10 @@
         on_end, self._on_end = self._on_end, None
         self.received_bytes = self._meter.received
         self._meter.reset()
+        # The connection and its parser refer to each other, which would keep
+        # the body until the garbage collector finds them.
+        self._headers = []
+        self._body = bytearray()
         if self._transport is not None:
             self._transport.abort()
         if on_end is not None:
--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -151,7 +151,8 @@
     processes and listeners that it started. If linked is True, each node
     reaches the targets through links of its own, which can be cut. bounds and
     service_fields are added to the settings' bounds and to each service.
-    max_connections is the limit of connections to each target.
+    max_connections is the limit of connections to each target, limits are
+    those in the settings of the nodes.
     """
 
     def __init__(
@@ -164,11 +165,13 @@
         bounds: dict[str, object] | None = None,
         max_connections: int = 26,
         service_fields: dict[str, float] | None = None,
+        limits: dict[str, int] | None = None,
     ):
         self._service_fields = service_fields or {}
         self._linked = linked
         self._bounds = bounds or {}
         self._max_connections = max_connections
+        self._limits = limits
         self.store = ObjectStore()
         self.rng = random.Random(seed)
         self.targets: dict[str, ShardTarget] = {}
@@ -260,6 +263,8 @@
             # Nodes must ignore settings that they don't know.
             'something_new': True,
         }
+        if self._limits is not None:
+            settings['limits'] = self._limits
         node.settings.write_bytes(msgspec.json.encode(settings))
 
     # Targets and configuration.
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,14 +6,19 @@
 
 import asyncio
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from sesameward.metrics import Metrics
 from sesameward.serving.http_server import Answer
+from sesameward.serving.http_server import CallerConnection
 from sesameward.serving.http_server import HttpServer
 from sesameward.serving.listening import listen
 from sesameward.serving.routes import CallerLimits
 from sesameward.settings import Endpoint
+from tests.test_endless_bytes import feed_in_pieces
+from tests.test_endless_bytes import Transport
 
 GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -271,3 +276,168 @@
         return received
 
     assert asyncio.run(main()).startswith(b'HTTP/1.1 200 OK')
+
+
+OFFER = b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+
+
+@st.composite
+def offered_requests(draw):
+    """Draw a valid request that may offer another protocol, and its body."""
+    body = draw(st.binary(max_size=1_500))
+    lines = [b'Host: h\r\n', OFFER if draw(st.booleans()) else b'X: y\r\n']
+    in_chunks = draw(st.booleans())
+    if in_chunks:
+        lines.append(b'Transfer-Encoding: chunked\r\n')
+        size = draw(st.integers(1, 700))
+        pieces = [body[at : at + size] for at in range(0, len(body), size)]
+        sent = b''.join(b'%x\r\n%s\r\n' % (len(p), p) for p in pieces)
+        sent += b'0\r\n\r\n'
+    else:
+        lines.append(b'Content-Length: %d\r\n' % len(body))
+        sent = body
+    lines = draw(st.permutations(lines))
+    method = draw(st.sampled_from([b'GET', b'POST', b'PUT']))
+    head = b'%s /a HTTP/1.1\r\n%s\r\n' % (method, b''.join(lines))
+    return method, body, head + sent
+
+
+@hypothesis.given(
+    st.lists(offered_requests(), min_size=1, max_size=12),
+    st.lists(st.integers(1, 2_000), min_size=1, max_size=20),
+)
+def test_offer_of_another_protocol_is_ignored(offered, piece_sizes):
+    # Guards against requests that run without their body, because the bytes
+    # after a head with "Connection: Upgrade" were taken for another protocol.
+    requests = []
+
+    def record(req, responder):
+        requests.append((req.method, req.body))
+        responder.send(Answer(200))
+
+    server = HttpServer(record, Metrics('t'), lambda: 0.0)
+    conn = CallerConnection(server)
+    transport = Transport()
+    conn.connection_made(transport)
+    data = b''.join(sent for _, _, sent in offered)
+    feed_in_pieces(conn, transport, data, piece_sizes)
+    assert requests == [(method, body) for method, body, _ in offered]
+    assert transport.written.count(b'HTTP/1.1 200 OK') == len(offered)
+    conn.connection_lost(None)
+    assert server.message_memory.held_bytes == 0
+
+
+FAULTS = {
+    'both_framings': b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+    'framings_reversed': (
+        b'Transfer-Encoding: chunked\r\nContent-Length: 3\r\n'
+    ),
+    'two_lengths': b'Content-Length: 3\r\nContent-Length: 4\r\n',
+    'no_length': b'Content-Length: +3\r\n',
+    'unknown_coding': b'Transfer-Encoding: gzip\r\n',
+    'two_hosts': b'Host: i\r\n',
+}
+
+
+@hypothesis.given(
+    offered_requests(),
+    st.sampled_from(sorted(FAULTS)),
+    st.sampled_from([b'POST /a', b'GET /a', b'CONNECT h:1']),
+    st.booleans(),
+    st.binary(max_size=60),
+    st.lists(st.integers(1, 300), min_size=1, max_size=20),
+)
+def test_faulty_request_with_an_offer_runs_nothing(
+    offered, fault, line, offer_first, rest, piece_sizes
+):
+    # Guards against requests smuggled in the body of one whose framing is
+    # ambiguous, because the head was parsed again without the offer.
+    requests = []
+
+    def record(req, responder):
+        requests.append((req.method, req.body))
+        responder.send(Answer(200))
+
+    conn = CallerConnection(HttpServer(record, Metrics('t'), lambda: 0.0))
+    transport = Transport()
+    conn.connection_made(transport)
+    method, body, good = offered
+    lines = [OFFER, FAULTS[fault]] if offer_first else [FAULTS[fault], OFFER]
+    bad = line + b' HTTP/1.1\r\nHost: h\r\n' + b''.join(lines) + b'\r\n'
+    data = good + bad + rest + GET
+    feed_in_pieces(conn, transport, data, piece_sizes)
+    assert requests == [(method, body)]
+    assert transport.written.count(b'HTTP/1.1 4') == 1
+    assert transport.closed
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n' + OFFER + b'\r\n',
+        b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        + OFFER
+        + b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n'
+        + b'0\r\n\r\n',
+        b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        + OFFER
+        + b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+        b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        + OFFER
+        + b'Transfer-Encoding: chunked\r\n\r\nxyz\r\n\r\n',
+    ],
+)
+def test_offer_of_another_protocol_hides_no_fault(run_with_server, data):
+    (received, closed), requests = run_with_server(send_scenario(data + GET))
+    assert received.startswith(b'HTTP/1.1 400 ')
+    assert received.count(b'HTTP/1.1') == 1
+    assert closed
+    assert requests == []
+
+
+def test_large_request_is_refused_while_memory_is_short(run_with_server):
+    # Guards against a refusal of a request that runs all the same, and against
+    # refusing the small requests of ordinary callers.
+    large = (
+        b'POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n'
+        + b'x' * 20_000
+    )
+
+    async def scenario(server):
+        memory = server.message_memory.callers
+        holder = CallerConnection(server)
+        memory.add(holder, server.now())
+        memory.set_held(holder, int(0.8 * memory.limit_bytes), server.now())
+        received = await exchange(server, large + GET)
+        memory.remove(holder)
+        return received, await exchange(server, large)
+
+    answers, requests = run_with_server(scenario)
+    (refused, _), (served, _) = answers
+    assert refused.startswith(b'HTTP/1.1 503 ')
+    assert b'\r\nRetry-After: ' in refused
+    assert b'HTTP/1.1 200 OK' in refused
+    assert served.startswith(b'HTTP/1.1 200 OK')
+    assert [req.path for req in requests] == ['/a', '/large']
+
+
+def test_queue_of_requests_is_bounded_in_number_and_bytes(run_with_server):
+    # Guards against thousands of small requests that are parsed and queued
+    # from one read while the first of them is not answered.
+    responders = []
+
+    async def scenario(server):
+        _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(GET * 5_000)
+        await asyncio.sleep(0.3)
+        (conn,) = server.connections
+        found = len(conn._queued), server.message_memory.held_bytes
+        writer.close()
+        return found
+
+    (queued, held), requests = run_with_server(
+        scenario, lambda req, responder: responders.append(responder)
+    )
+    assert len(requests) == 1
+    assert 8 <= queued <= 28
+    assert held < 300_000
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import socket
 import subprocess
 import sys
@@ -95,6 +96,14 @@
     assert cfg.bounds.warmup_slack == 0.0
 
 
+def test_limits_are_read_and_never_above_those_of_the_process():
+    cfg = parse_settings(limits={'memory_mb': 200, 'max_fds': 500})
+    assert (cfg.memory_bytes, cfg.max_fds) == (200_000_000, 500)
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    assert parse_settings().max_fds <= soft
+    assert parse_settings(limits={'max_fds': 10**9}).max_fds <= soft
+
+
 @pytest.mark.parametrize(
     ('changes', 'field'),
     [
