--- /dev/null
+++ b/sesameward/organisations/quotas.py
@@ -0,0 +1,153 @@
+"""Keep to the request rates of organisations, together with all nodes.
+
+Each request of an organisation with a limit needs one permit, whatever it is
+sent to and however often. Shares, leases and the choice of a coordinator are
+those of the limits of targets (serving/target_limits.py).
+"""
+
+from __future__ import annotations
+
+import typing
+
+from ..messages import Member
+from ..serving.limit_exchange import LimitKind
+from ..serving.limit_messages import LimitChange
+from ..serving.limit_messages import LimitEvidence
+from ..serving.named_limits import OnLimitChange
+from ..serving.routes import Organisation
+from ..serving.routes import OrganisationName
+from ..serving.routes import RouteTable
+from ..serving.target_limits import Call
+from ..serving.target_limits import SharedLimits
+from ..types import NodeId
+from .quota_ledger import QUOTA_SHARE_TTL_S
+from .quota_ledger import QuotaLedger
+
+# Interval at which a node entrusts its share again while any organisation has
+# a limit. Two attempts fit into QUOTA_SHARE_TTL_S.
+QUOTA_ENTRUST_INTERVAL_S = 0.8
+# A permit is for a request that waits for it, so all have the same priority.
+PRIORITY = 0
+
+ORGANISATION_LIMITS = LimitKind(
+    '/sesameward.Peer/OrganisationLimits',
+    'organisation_permits',
+    'organisation_coordinator',
+    QUOTA_ENTRUST_INTERVAL_S,
+)
+
+
+class ConfiguredLimits:
+    """Hold the limits of the configuration in force.
+
+    All nodes read them from the store, so none are exchanged.
+    """
+
+    change_no = 0
+
+    def __init__(self):
+        self.on_change: OnLimitChange = lambda name, limit, before: None
+        self._limited: dict[OrganisationName, Organisation] = {}
+
+    def __len__(self) -> int:
+        return len(self._limited)
+
+    def get(self, name: OrganisationName) -> float | None:
+        """Return an organisation's limit in requests per second, or None."""
+        organisation = self._limited.get(name)
+        return None if organisation is None else organisation.rate_per_s
+
+    def burst(self, name: OrganisationName) -> float:
+        """Return how many requests of an organisation may run at once."""
+        organisation = self._limited.get(name)
+        return 0.0 if organisation is None else organisation.burst
+
+    def apply_table(self, table: RouteTable) -> None:
+        """Use the limits of a configuration from now on."""
+        before = self._limited
+        self._limited = {}
+        for organisation in table.organisations or ():
+            if organisation.rate_per_s > 0.0:
+                # Of two organisations of a name, the first one counts.
+                self._limited.setdefault(organisation.name, organisation)
+        for name in before.keys() | self._limited.keys():
+            old, new = before.get(name), self._limited.get(name)
+            if _limit_of(old) != _limit_of(new):
+                self.on_change(
+                    name,
+                    None if new is None else new.rate_per_s,
+                    None if old is None else old.rate_per_s,
+                )
+
+    def end_unnamed(self, now: float) -> None:
+        """Do nothing: limits end with a configuration."""
+
+    def unreported(self, now: float) -> tuple[LimitEvidence, ...]:
+        """Return nothing: other nodes read the store themselves."""
+        return ()
+
+    def report_again(self) -> None:
+        """Do nothing: other nodes read the store themselves."""
+
+    def merge(
+        self, evidence: typing.Iterable[LimitEvidence], now: float
+    ) -> None:
+        """Do nothing: limits come from the store alone."""
+
+    def changes_since(self, change_no: int) -> tuple[LimitChange, ...]:
+        """Return nothing: other nodes read the store themselves."""
+        return ()
+
+    def apply(
+        self, changes: typing.Iterable[LimitChange], requested_at: float
+    ) -> None:
+        """Do nothing: limits come from the store alone."""
+
+
+def _limit_of(organisation: Organisation | None) -> tuple[float, float]:
+    if organisation is None:
+        return 0.0, 0.0
+    return organisation.rate_per_s, organisation.burst
+
+
+class OrganisationLimits(SharedLimits):
+    """Take and grant permits for requests of organisations with a limit.
+
+    configured has the limits in force. All times are those of a clock that
+    counts the time for which the machine is suspended, so that shares and
+    permits expire meanwhile.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        origin: str,
+        overshoot: float,
+        slack: float,
+        now: float,
+    ):
+        self.configured = ConfiguredLimits()
+        ledger = QuotaLedger(overshoot, slack, self.configured.burst)
+        super().__init__(
+            node, origin, self.configured, ledger, QUOTA_SHARE_TTL_S, now
+        )
+
+    def next_call(
+        self, members: typing.Sequence[Member], now: float
+    ) -> Call | None:
+        """Return the periodic call to the coordinator, if one is due."""
+        coordinator = self.coordinator
+        call = super().next_call(members, now)
+        if self.coordinator != coordinator:
+            # The former coordinator had no permits; this one may have some.
+            for state in self._targets.values():
+                state.none_until.clear()
+        return call
+
+    def expected_extra(self, name: OrganisationName, now: float) -> int:
+        """Return 0: permits that are not used would be missing elsewhere."""
+        return 0
+
+    def announcement_due(self, now: float) -> bool:
+        """Return False: all nodes read in the store that limits exist."""
+        return False
--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -25,6 +25,7 @@
 HEARTBEATS_UNTIL_REMOVAL = 3
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
+NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0.0)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0.0)]
 
 
@@ -52,6 +53,8 @@
     ttl_max_s: PositiveFloat
     fail_closed: bool = False
     revoke_ms: PositiveFloat = 5_000.0
+    quota_overshoot: NonNegativeFloat = 0.1
+    quota_slack: NonNegativeFloat = 20.0
 
 
 class _Boot(msgspec.Struct):
@@ -155,6 +158,8 @@
             / 1_000,
             refuses_stale_keys=bounds.fail_closed,
             max_keys_age_s=bounds.revoke_ms / 1_000,
+            quota_overshoot=bounds.quota_overshoot,
+            quota_slack=bounds.quota_slack,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
     )
--- a/sesameward/serving/coordinator_choice.py
+++ b/sesameward/serving/coordinator_choice.py
@@ -48,10 +48,11 @@
     from the first attempt to take the share back until it has moved.
     """
 
-    def __init__(self, node: NodeId):
+    def __init__(self, node: NodeId, share_ttl_s: float = SHARE_TTL_S):
         self.holder = node
         self.is_withdrawing = False
         self._node = node
+        self._share_ttl_s = share_ttl_s
         self._entrusted_until = -math.inf
         self._failed_calls = 0
         self._retry_s: dict[NodeId, float] = {}
@@ -94,7 +95,7 @@
     def record_call(self, now: float) -> None:
         """Record that the share is entrusted to the holder by a call."""
         if not self.is_withdrawing:
-            self._entrusted_until = now + CALL_TIMEOUT_S + SHARE_TTL_S
+            self._entrusted_until = now + CALL_TIMEOUT_S + self._share_ttl_s
 
     def record_answer(self, is_held: bool, now: float) -> None:
         """Record the holder's answer; is_held is False if it has no share."""
@@ -118,7 +119,7 @@
     def reset(self, now: float) -> None:
         """Distrust the times recorded before this process was suspended."""
         if not self.is_own:
-            self._entrusted_until = now + CALL_TIMEOUT_S + SHARE_TTL_S
+            self._entrusted_until = now + CALL_TIMEOUT_S + self._share_ttl_s
 
     def _preferred(
         self, members: typing.Sequence[Member], now: float
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import msgspec
@@ -9,6 +10,7 @@
 from .. import logs
 from ..organisations.identity import Identity
 from ..organisations.identity import KeyRefusal
+from ..organisations.quotas import PRIORITY
 from ..quarantine.quarantine import Canary
 from ..quarantine.quarantine import Refuse
 from .deps import add_retry_after
@@ -17,14 +19,19 @@
 from .http_server import Answer
 from .http_server import Request
 from .http_server import Responder
+from .limit_exchange import PermitExchange
 from .relay_run import RelayRun
 from .routes import OneService
+from .routes import OrganisationName
+from .routes import Route
 from .routes import RouteTable
 from .routes import Shards
 from .routes import Split
+from .routes import Version
 from .run import Arrival
 from .run import identity_of
 from .run import Run
+from .target_limits import Permit
 from .wire import RequestHeaders
 
 # A request without a route is answered 404 only if the node's routes were
@@ -36,6 +43,26 @@
 LINKS_RETRY_AFTER_S = 1.0
 
 
+# An organisation over its limit gets thousands of refusals; one line in this
+# time is logged, the counter has them all.
+OVER_LIMIT_LOG_INTERVAL_S = 1.0
+
+
+class _Checked(msgspec.Struct):
+    """Hold a request that has a route and a known key, if it needs one.
+
+    is_gone is True if the caller disconnected while a permit was awaited.
+    """
+
+    req: Request
+    responder: Responder
+    asked: RequestHeaders
+    route: Route
+    version: Version
+    organisation: OrganisationName | None = None
+    is_gone: bool = False
+
+
 class KnownConfiguration(typing.Protocol):
     """Interface to the routes that the node knows, which may be outdated."""
 
@@ -61,9 +88,13 @@
         deps: Deps,
         configuration: KnownConfiguration,
         identity: Identity,
+        quotas: PermitExchange,
     ):
         self.deps = deps
         self._identity = identity
+        self._quotas = quotas
+        # Time of the last log line about an organisation over its limit.
+        self._over_limit_logged_at: dict[OrganisationName, float] = {}
         self._configuration = configuration
 
     def handle(self, req: Request, responder: Responder) -> None:
@@ -114,6 +145,72 @@
                 req, responder, 503, 'no_links', asked, LINKS_RETRY_AFTER_S
             )
             return
+        checked = _Checked(req, responder, asked, route, route_table.version)
+        if organisation is None:
+            self._start_run(checked)
+            return
+        checked.organisation = organisation.name
+        if self._quotas.limits.is_limited(organisation.name):
+            # The caller may disconnect while the permit is awaited. A run
+            # replaces this function.
+            responder.on_gone = lambda: self._on_caller_disconnect(checked)
+        self._quotas.acquire(
+            organisation.name,
+            PRIORITY,
+            lambda permit: self._on_permit(checked, permit),
+        )
+
+    def _on_permit(self, checked: _Checked, permit: Permit | None) -> None:
+        limits = self._quotas.limits
+        now = self._quotas.clock()
+        if checked.is_gone:
+            if permit is not None:
+                limits.give_back(permit, now)
+            return
+        if permit is None or not limits.is_valid(permit, now):
+            self._refuse_over_limit(checked, now)
+            return
+        if not self._start_run(checked):
+            limits.give_back(permit, now)
+
+    def _on_caller_disconnect(self, checked: _Checked) -> None:
+        checked.is_gone = True
+        self.deps.tools.metrics.count('callers_gone')
+        logs.log_event(
+            'caller_gone',
+            request=checked.asked.request_id,
+            route=checked.route.name,
+            running=0,
+        )
+
+    def _refuse_over_limit(self, checked: _Checked, now: float) -> None:
+        name = checked.organisation
+        wait_s = self._quotas.limits.wait_s(name, PRIORITY, now)
+        logged_at = self._over_limit_logged_at.get(name, -math.inf)
+        if now - logged_at < OVER_LIMIT_LOG_INTERVAL_S:
+            self.deps.tools.metrics.count('refused', 'over_limit')
+            answer = Answer(429)
+            add_retry_after(self.deps, answer, wait_s)
+            checked.responder.send(answer)
+            return
+        self._over_limit_logged_at[name] = now
+        self._refuse(
+            checked.req,
+            checked.responder,
+            429,
+            'over_limit',
+            checked.asked,
+            wait_s,
+            version=checked.version,
+            organisation=name,
+            wait_s=round(wait_s, 3),
+        )
+
+    def _start_run(self, checked: _Checked) -> bool:
+        """Run a request, unless it is in quarantine; return if it runs."""
+        deps = self.deps
+        now = deps.tools.clock()
+        req, responder, asked = checked.req, checked.responder, checked.asked
         identity = identity_of(req)
         match deps.tools.crashes.admit(identity, now):
             case Refuse(retry_after_s):
@@ -127,23 +224,24 @@
                     fingerprint=identity.fingerprint,
                     for_s=round(retry_after_s, 3),
                 )
-                return
+                return False
             case admission:
                 on_trial = isinstance(admission, Canary)
         run = self._make_run(
             Arrival(
                 req,
                 asked,
-                route,
-                route_table.version,
+                checked.route,
+                checked.version,
                 responder,
                 identity,
                 on_trial,
-                None if organisation is None else organisation.name,
+                checked.organisation,
             )
         )
         deps.runs.add(run)
         run.start(now)
+        return True
 
     def _may_be_outdated(self, now: float) -> bool:
         """Return True if a newer configuration may be in force elsewhere."""
@@ -208,6 +306,6 @@
             **fields,
         )
         answer = Answer(status)
-        if status == 503:
+        if status in (429, 503):
             add_retry_after(deps, answer, retry_after_s)
         responder.send(answer)
--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -31,18 +31,39 @@
 from .target_limits import Denial
 from .target_limits import ENTRUST_INTERVAL_S
 from .target_limits import Permit
+from .target_limits import SharedLimits
 from .target_limits import TargetLimits
 from .targets import Target
 
 # What changes within this time is sent to the coordinator in one call.
 CALL_DELAY_S = 0.02
 
-METHOD = '/sesameward.Peer/Limits'
 TOPIC = 'limits'
 
 OnPermit = typing.Callable[[Permit | None], None]
 
 
+class LimitKind(typing.NamedTuple):
+    """What differs between kinds of limits: names, and the call interval.
+
+    method is the gRPC method of the coordinator, permits_metric counts the
+    permits, and coordinator_event is logged when the coordinator changes.
+    """
+
+    method: str
+    permits_metric: str
+    coordinator_event: str
+    entrust_interval_s: float
+
+
+TARGET_LIMITS = LimitKind(
+    '/sesameward.Peer/Limits',
+    'permits',
+    'limit_coordinator',
+    ENTRUST_INTERVAL_S,
+)
+
+
 class _Waiting(typing.NamedTuple):
     """One request that waits for a permit."""
 
@@ -54,14 +75,20 @@
 class LimitHandler:
     """Answer the calls of nodes for which this node is the coordinator."""
 
-    def __init__(self, limits: TargetLimits, clock: Clock):
+    def __init__(
+        self,
+        limits: SharedLimits,
+        clock: Clock,
+        kind: LimitKind = TARGET_LIMITS,
+    ):
         self._limits = limits
+        self._method = kind.method
         self._clock = clock
 
     def __mapping__(self) -> dict[str, const.Handler]:
         """Return the methods for grpclib's Server."""
         return {
-            METHOD: const.Handler(
+            self._method: const.Handler(
                 self._serve,
                 const.Cardinality.UNARY_UNARY,
                 LimitRequest,
@@ -76,24 +103,26 @@
             await stream.send_message(answer)
 
 
-class LimitExchange:
+class PermitExchange:
     """Get permits for requests, and call the coordinator of the limits."""
 
     def __init__(
         self,
         node: NodeId,
-        limits: TargetLimits,
+        limits: SharedLimits,
         members: typing.Callable[[], typing.Sequence[Member]],
         publish: typing.Callable[[Rumor], None],
         metrics: Metrics,
         clock: Clock,
+        kind: LimitKind = TARGET_LIMITS,
     ):
         self.limits = limits
+        self._kind = kind
         self._node = node
         self._members = members
         self._publish = publish
         self._metrics = metrics
-        self._clock = clock
+        self.clock = clock
         self._channels = Channels()
         self._waiting: list[_Waiting] = []
         self._announcement_no = 0
@@ -106,13 +135,13 @@
 
         If the coordinator has to be asked, on_permit is called later.
         """
-        match self.limits.acquire(target_id, priority, self._clock()):
+        match self.limits.acquire(target_id, priority, self.clock()):
             case Permit() as permit:
                 if permit.expires_at is not None:
-                    self._metrics.count('permits', 'granted')
+                    self._metrics.count(self._kind.permits_metric, 'granted')
                 on_permit(permit)
             case Denial.NONE_LEFT:
-                self._metrics.count('permits', 'denied')
+                self._metrics.count(self._kind.permits_metric, 'denied')
                 on_permit(None)
             case Denial.REMOTE:
                 if not self._waiting:
@@ -120,22 +149,16 @@
                     loop.call_soon(self._send_waiting)
                 self._waiting.append(_Waiting(target_id, priority, on_permit))
 
-    def record_reply(self, target: Target, limit: float | None) -> None:
-        """Record whether a target's reply named a limit."""
-        now = self._clock()
-        if self.limits.record_reply(target.id, target.started_ms, limit, now):
-            self._call_now.set()
-
     async def run(self) -> None:
-        """Call the coordinator periodically while targets name limits."""
+        """Call the coordinator periodically while there are limits."""
         while True:
-            now = self._clock()
+            now = self.clock()
             if self.limits.is_active(now):
                 coordinator = self.limits.coordinator
                 call = self.limits.next_call(self._members(), now)
                 if self.limits.coordinator != coordinator:
                     logs.log_event(
-                        'limit_coordinator',
+                        self._kind.coordinator_event,
                         coordinator=self.limits.coordinator,
                         before=coordinator,
                     )
@@ -144,7 +167,7 @@
                 if call is not None:
                     await self._call(call)
             try:
-                async with asyncio.timeout(ENTRUST_INTERVAL_S):
+                async with asyncio.timeout(self._kind.entrust_interval_s):
                     await self._call_now.wait()
                     await asyncio.sleep(CALL_DELAY_S)
             except TimeoutError:
@@ -154,7 +177,7 @@
 
     def on_rumor(self, rumor: Rumor) -> None:
         """Start to call the coordinator, as another node announced."""
-        self.limits.on_announcement(rumor.ttl_s, self._clock())
+        self.limits.on_announcement(rumor.ttl_s, self.clock())
         self._call_now.set()
 
     def close(self) -> None:
@@ -186,7 +209,7 @@
             key = one.target_id, one.priority
             counts[key] = counts.get(key, 0) + 1
         call = self.limits.permit_call(
-            [(*key, count) for key, count in counts.items()], self._clock()
+            [(*key, count) for key, count in counts.items()], self.clock()
         )
         task = asyncio.ensure_future(self._request_permits(call, waiting))
         logs.log_failure(task)
@@ -197,8 +220,10 @@
         if call is not None:
             await self._call(call)
         for one in waiting:
-            permit = self.limits.acquire_granted(one.target_id, self._clock())
-            self._metrics.count('permits', 'granted' if permit else 'denied')
+            permit = self.limits.acquire_granted(one.target_id, self.clock())
+            self._metrics.count(
+                self._kind.permits_metric, 'granted' if permit else 'denied'
+            )
             one.on_permit(permit)
 
     async def _call(self, call: Call) -> None:
@@ -206,10 +231,13 @@
             (m for m in self._members() if m.node == call.coordinator), None
         )
         if member is None:
-            self.limits.on_failure(call, self._clock())
+            self.limits.on_failure(call, self.clock())
             return
         method = client.UnaryUnaryMethod(
-            self._channels.get(member), METHOD, LimitRequest, LimitAnswer
+            self._channels.get(member),
+            self._kind.method,
+            LimitRequest,
+            LimitAnswer,
         )
         try:
             answer = await method(call.request, timeout=CALL_TIMEOUT_S)
@@ -222,8 +250,20 @@
                 coordinator=call.coordinator,
                 error=repr(exc),
             )
-            self.limits.on_failure(call, self._clock())
+            self.limits.on_failure(call, self.clock())
             return
-        self.limits.on_answer(call, answer, self._clock())
+        self.limits.on_answer(call, answer, self.clock())
         if not answer.is_held:
             self._call_now.set()
+
+
+class LimitExchange(PermitExchange):
+    """Exchange permits for requests to targets that limit their rate."""
+
+    limits: TargetLimits
+
+    def record_reply(self, target: Target, limit: float | None) -> None:
+        """Record whether a target's reply named a limit."""
+        now = self.clock()
+        if self.limits.record_reply(target.id, target.started_ms, limit, now):
+            self._call_now.set()
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -32,6 +32,8 @@
 from . import mirror
 from . import node_status
 from ..organisations.identity import Identity
+from ..organisations.quotas import ORGANISATION_LIMITS
+from ..organisations.quotas import OrganisationLimits
 from ..quarantine.quarantine import TOPIC as QUARANTINE_TOPIC
 from ..settings import Endpoint
 from . import silent_targets
@@ -63,6 +65,7 @@
 from .lifecycle import Part
 from .limit_exchange import LimitExchange
 from .limit_exchange import LimitHandler
+from .limit_exchange import PermitExchange
 from .lines import LineWriter
 from .link_watch import LinkWatch
 from .mirror import Mirror
@@ -244,6 +247,25 @@
             self.metrics,
             self._clock,
         )
+        self.organisation_limits = OrganisationLimits(
+            cfg.node,
+            origin,
+            cfg.bounds.quota_overshoot,
+            cfg.bounds.quota_slack,
+            _since_boot_s(),
+        )
+        self.routing_state.on_routes = (
+            self.organisation_limits.configured.apply_table
+        )
+        self._quotas = PermitExchange(
+            cfg.node,
+            self.organisation_limits,
+            self.peers.members,
+            self.peers.publish,
+            self.metrics,
+            _since_boot_s,
+            ORGANISATION_LIMITS,
+        )
         tools = ExchangeDeps(
             adapter.wire,
             AttemptPolicy(
@@ -269,6 +291,11 @@
         self._delegate_handler = DelegateHandler(tools)
         self.peers.add_handler(self._delegate_handler)
         self.peers.add_handler(LimitHandler(self.limits, self._clock))
+        self.peers.add_handler(
+            LimitHandler(
+                self.organisation_limits, _since_boot_s, ORGANISATION_LIMITS
+            )
+        )
         self.front = Front(
             Deps(
                 tools,
@@ -283,6 +310,7 @@
                 if cfg.bounds.refuses_stale_keys
                 else math.inf
             ),
+            self._quotas,
         )
         self.callers = self._make_server(self.front.handle)
         endpoints = Endpoints(
@@ -418,6 +446,7 @@
     def _close_calls(self) -> None:
         self._delegates.close()
         self._limit_exchange.close()
+        self._quotas.close()
 
     def _start_mirrors(self) -> None:
         self.routes_mirror.start()
@@ -440,6 +469,7 @@
             ('upkeep', self._run_upkeep),
             ('registration', registration.run),
             ('limits', self._limit_exchange.run),
+            ('organisation limits', self._quotas.run),
         ):
             self._spawn_loop(name, run_loop)
 
@@ -493,6 +523,7 @@
     def _announce_leaving(self) -> None:
         if self._lifecycle.has_started(PEERS):
             self.limits.stop()
+            self.organisation_limits.stop()
             self.peers.announce_leaving()
 
     async def _finish_requests(self) -> None:
@@ -575,6 +606,9 @@
         sharing_nodes = self.peers.sharing_nodes(now)
         self.budget.set_nodes(sharing_nodes)
         self.limits.set_nodes(sharing_nodes, now)
+        self.organisation_limits.set_nodes(
+            self.peers.unproven_nodes(now), _since_boot_s()
+        )
         self.pools.set_limits(
             self.routing_state.max_connections,
             sharing_nodes,
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -33,6 +33,9 @@
 # requests to targets. So its share of the limits that apply to all nodes
 # together, such as connections and retries, stays reserved for this time.
 ABSENT_MEMBER_TTL_S = 30.0
+# A leaving node gets SIGKILL at the end of its grace period, which may begin
+# before others hear that it leaves, and be late on a busy machine.
+LEAVING_MARGIN_S = 5.0
 PULL_TIMEOUT_S = 0.5
 
 PullAnswerer = typing.Callable[[Pull], Delta]
@@ -52,6 +55,8 @@
         self._metrics = metrics
         self._clock = clock
         self._last_seen: dict[NodeId, float] = {}
+        # When each member was first seen to leave; None if it was not.
+        self._leaving_since: dict[NodeId, float | None] = {}
         self._pull_answerers: dict[str, PullAnswerer] = {}
         self._pull_client = PullClient(metrics, PULL_TIMEOUT_S)
         own_member = Member(
@@ -130,6 +135,31 @@
                 del self._last_seen[node]
         return max(len(self._last_seen), len(self._cfg.seeds), 1)
 
+    def unproven_nodes(self, now: float) -> int:
+        """Return the number of nodes that may be running.
+
+        Counts all nodes that were ever seen, but for those that said that they
+        leave and whose time to do so has passed: a node that is just not seen
+        may be on the other side of a partition, whose nodes see fewer as well.
+        """
+        members = {member.node: member for member in self.gossip.members()}
+        for node, member in members.items():
+            since = self._leaving_since.get(node)
+            if not member.leaving:
+                since = None
+            elif since is None:
+                since = now
+            self._leaving_since[node] = since
+        left_before = now - self._cfg.bounds.grace_s - LEAVING_MARGIN_S
+        for node, since in tuple(self._leaving_since.items()):
+            if (
+                node not in members
+                and since is not None
+                and since < left_before
+            ):
+                del self._leaving_since[node]
+        return max(len(self._leaving_since), len(self._cfg.seeds), 1)
+
     def cut_off_count(self) -> int:
         """Return how many nodes have no connections to targets."""
         return sum(
--- a/sesameward/serving/permit_ledger.py
+++ b/sesameward/serving/permit_ledger.py
@@ -60,29 +60,28 @@
         self.priority_at: dict[int, float] = {}
 
 
-class PermitLedger:
-    """Hold the shares that nodes entrust to this node, and grant permits.
+class HeldShares:
+    """Hold the shares of all limits that nodes entrust to this node.
 
-    Each node has the same share of each limit. The ledger grants permits at
-    the rate of the shares that it holds at the time.
+    Each node has the same share of each limit.
     """
 
-    def __init__(self):
+    def __init__(self, ttl_s: float = SHARE_TTL_S):
+        self._ttl_s = ttl_s
         self._nodes = 1
         # For each node the weight of its share, and until when it is held.
         self._shares: dict[NodeId, tuple[float, float]] = {}
         self._total_weight = 0.0
         self._next_expiry_at = math.inf
-        self._buckets: dict[TargetId, _Bucket] = {}
 
     def set_nodes(self, nodes: int) -> None:
         """Set the number of nodes among which each limit is divided."""
         self._nodes = max(nodes, 1)
 
     def entrust(self, node: NodeId, weight: float, now: float) -> None:
-        """Hold a node's share for SHARE_TTL_S; weight is from 0 to 1."""
+        """Hold a node's share for the TTL; weight is from 0 to 1."""
         self.withdraw(node)
-        until = now + SHARE_TTL_S
+        until = now + self._ttl_s
         self._shares[node] = weight, until
         self._total_weight += weight
         self._next_expiry_at = min(self._next_expiry_at, until)
@@ -97,7 +96,6 @@
         """Drop all shares and permits, after this process was suspended."""
         self._shares.clear()
         self._total_weight = 0.0
-        self._buckets.clear()
 
     def part(self, now: float) -> float:
         """Return the part of each limit that this ledger may grant."""
@@ -114,6 +112,23 @@
             )
         return min(1.0, max(0.0, self._total_weight / self._nodes))
 
+
+class PermitLedger(HeldShares):
+    """Hold the shares that nodes entrust to this node, and grant permits.
+
+    The ledger grants permits at the rate of the shares that it holds at the
+    time.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._buckets: dict[TargetId, _Bucket] = {}
+
+    def clear(self) -> None:
+        """Drop all shares and permits, after this process was suspended."""
+        super().clear()
+        self._buckets.clear()
+
     def grant(
         self,
         target_id: TargetId,
--- a/sesameward/serving/routing_state.py
+++ b/sesameward/serving/routing_state.py
@@ -59,8 +59,9 @@
 
     A configuration does not replace one of a higher version, and a target's
     registration does not replace that of a process of the target that started
-    later. on_target_dropped is called with each target that is removed because
-    its registration is gone, on_target_added with each added or updated one.
+    later. on_routes is called with each route table that comes into force,
+    on_target_dropped with each target that is removed because its registration
+    is gone, on_target_added with each added or updated one.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self._restored_targets = restored_targets
         self._routes_doubtful_until = clock()
         self._routed_services: frozenset[ServiceName] = frozenset()
+        self.on_routes: typing.Callable[[RouteTable], None] = lambda _: None
         self.on_target_dropped: typing.Callable[[TargetId], None] = lambda _: (
             None
         )
@@ -182,6 +184,7 @@
             routes=len(table.routes),
         )
         self.route_table = table
+        self.on_routes(table)
         self.kept_routes.record_in_force(stored, table.version)
         services = {
             name for route in table.routes for name in route.services()
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -79,7 +79,11 @@
         self._route = route
         self._responder = arrival.responder
         self._version = arrival.version
-        self._organisation = arrival.organisation
+        self._organisation_field = (
+            {}
+            if arrival.organisation is None
+            else {'organisation': arrival.organisation}
+        )
         self._exchanges: set[SubRequestExchange] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_over = False
@@ -192,7 +196,7 @@
             request=self._asked.request_id,
             route=self._route.name,
             version=self._version,
-            organisation=self._organisation,
+            **self._organisation_field,
             ending=ending,
             status=answer.status,
             took_ms=round(took_s * 1_000, 2),
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -25,7 +25,9 @@
     of nodes. registration_ttl_s is the time after which the store removes the
     registration of a target that does not renew it. If refuses_stale_keys is
     True, requests that need a key are refused while the configuration is not
-    known to be the newest for more than max_keys_age_s.
+    known to be the newest for more than max_keys_age_s. In any period of
+    w seconds, at most (rate x w + burst) x (1 + quota_overshoot) + quota_slack
+    requests of an organisation run.
     """
 
     retry_ratio: float = 0.2
@@ -37,6 +39,8 @@
     registration_ttl_s: Seconds = 4.0
     refuses_stale_keys: bool = False
     max_keys_age_s: Seconds = 5.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
 
 
 # A node's process takes some 40 MB even if it holds no received messages. With
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -22,6 +22,8 @@
 from .coordinator_choice import CoordinatorChoice
 from .coordinator_choice import Step
 from .limit_messages import LimitAnswer
+from .limit_messages import LimitChange
+from .limit_messages import LimitEvidence
 from .limit_messages import LimitRequest
 from .limit_messages import PermitGrant
 from .limit_messages import PermitRequest
@@ -81,6 +83,77 @@
     at: float
 
 
+class LimitSource(typing.Protocol):
+    """Interface to the limits in force; None from get means no limit.
+
+    The other methods exchange what is known of the limits with other nodes.
+    """
+
+    on_change: OnLimitChange
+
+    @property
+    def change_no(self) -> int:
+        """Return the number of the last change."""
+
+    def __len__(self) -> int:
+        """Return the number of limits in force."""
+
+    def get(self, target_id: TargetId) -> float | None:
+        """Return the limit in requests per second, or None."""
+
+    def end_unnamed(self, now: float) -> None:
+        """End the limits that are no longer named."""
+
+    def unreported(self, now: float) -> tuple[LimitEvidence, ...]:
+        """Return the evidence since the last call of this method."""
+
+    def report_again(self) -> None:
+        """Include all limits in the next evidence."""
+
+    def merge(
+        self, evidence: typing.Iterable[LimitEvidence], now: float
+    ) -> None:
+        """Apply the evidence of another node."""
+
+    def changes_since(self, change_no: int) -> tuple[LimitChange, ...]:
+        """Return the changes after the one with this number."""
+
+    def apply(
+        self, changes: typing.Iterable[LimitChange], requested_at: float
+    ) -> None:
+        """Apply changes that the coordinator decided."""
+
+
+class Ledger(typing.Protocol):
+    """Interface to a node's own shares and those that others entrust to it.
+
+    See HeldShares and PermitLedger.
+    """
+
+    def set_nodes(self, nodes: int) -> None: ...
+
+    def entrust(self, node: NodeId, weight: float, now: float) -> None: ...
+
+    def withdraw(self, node: NodeId) -> None: ...
+
+    def clear(self) -> None: ...
+
+    def part(self, now: float) -> float: ...
+
+    def forget(self, target_id: TargetId) -> None: ...
+
+    def grant(
+        self,
+        target_id: TargetId,
+        limit: float,
+        node: NodeId,
+        needed: int,
+        extra: int,
+        priority: int,
+        now: float,
+    ) -> Grant: ...
+
+
 class _RecentLargest:
     """Keep the largest of the numbers added within some time."""
 
@@ -109,32 +182,40 @@
         self.demand = SlidingCounter(DEMAND_WINDOW_S)
 
 
-class TargetLimits:
-    """Take and grant permits for requests to targets that limit their rate.
+class SharedLimits:
+    """Take and grant permits for requests that shared limits apply to.
 
-    named has the limits in force; on_change is called when one of them begins,
-    changes or ends. If this node is the coordinator of others, answer() grants
-    them permits.
+    Each limit is named by an id, that of a target by default. If this node is
+    the coordinator of others, answer() grants them permits. A limit change is
+    passed to on_change.
     """
 
-    def __init__(self, node: NodeId, origin: str, now: float):
+    def __init__(
+        self,
+        node: NodeId,
+        origin: str,
+        source: LimitSource,
+        ledger: Ledger,
+        share_ttl_s: float,
+        now: float,
+    ):
         self.on_change: OnLimitChange = lambda target_id, limit, before: None
-        self.named = NamedLimits()
-        self.named.on_change = self._on_change
+        self._source = source
+        source.on_change = self._on_change
         self._node = node
         self._origin = origin
         self._started_at = now
-        self._ledger = PermitLedger()
+        self._ledger = ledger
         self._targets: dict[TargetId, _TargetPermits] = {}
         self._nodes = 1
         # Largest numbers of nodes: as the callers of this node know it, and as
         # this node or its coordinator knew it lately.
-        self._called_nodes = _RecentLargest(SHARE_TTL_S)
+        self._called_nodes = _RecentLargest(share_ttl_s)
         self._most_nodes = _RecentLargest(NODES_KEEP_S)
         self._is_stopping = False
         self._announced_until = -math.inf
         self._announce_at = -math.inf
-        self._choice = CoordinatorChoice(node)
+        self._choice = CoordinatorChoice(node, share_ttl_s)
         # Process of the coordinator, and the last change that it sent.
         self._seen: tuple[str, int] = ('', 0)
 
@@ -145,7 +226,7 @@
 
         The result is 0 if a permit is left or the coordinator can be asked.
         """
-        if self.named.get(target_id) is None:
+        if self._source.get(target_id) is None:
             return 0.0
         state = self._targets.get(target_id)
         if state is None or _first_valid(state.stock, now):
@@ -157,11 +238,15 @@
         )
         return max(0.0, max(waits_s, default=0.0))
 
+    def is_limited(self, target_id: TargetId) -> bool:
+        """Return True if requests need permits."""
+        return self._source.get(target_id) is not None
+
     def acquire(
         self, target_id: TargetId, priority: int, now: float
     ) -> Permit | Denial:
         """Acquire a permit for one request, before the request is sent."""
-        limit = self.named.get(target_id)
+        limit = self._source.get(target_id)
         if limit is None:
             return Permit(target_id)
         state = self._state(target_id)
@@ -187,7 +272,7 @@
         self, target_id: TargetId, now: float
     ) -> Permit | None:
         """Acquire a permit after the coordinator has been asked for it."""
-        if self.named.get(target_id) is None:
+        if self._source.get(target_id) is None:
             return Permit(target_id)
         stock = self._state(target_id).stock
         if not _first_valid(stock, now):
@@ -196,7 +281,7 @@
 
     def is_valid(self, permit: Permit, now: float) -> bool:
         """Return True if a request may be sent with a permit now."""
-        if self.named.get(permit.target_id) is None:
+        if self._source.get(permit.target_id) is None:
             return True
         return permit.expires_at is not None and now < permit.expires_at
 
@@ -205,7 +290,7 @@
         if (
             permit.expires_at is not None
             and now < permit.expires_at
-            and self.named.get(permit.target_id) is not None
+            and self._source.get(permit.target_id) is not None
         ):
             # It is older than the permits that are left.
             stock = self._state(permit.target_id).stock
@@ -215,7 +300,7 @@
         self, target_id: TargetId, priority: int, wait_s: float, now: float
     ) -> None:
         """Record that permits of this and lower priorities are used up."""
-        if self.named.get(target_id) is not None:
+        if self._source.get(target_id) is not None:
             self._state(target_id).none_until[priority] = now + wait_s
 
     def _state(self, target_id: TargetId) -> _TargetPermits:
@@ -224,18 +309,6 @@
             state = self._targets[target_id] = _TargetPermits()
         return state
 
-    # Evidence from replies.
-
-    def record_reply(
-        self,
-        target_id: TargetId,
-        started_ms: int,
-        limit: float | None,
-        now: float,
-    ) -> bool:
-        """Record a reply; return True if the coordinator must know at once."""
-        return self.named.record_reply(target_id, started_ms, limit, now)
-
     def _on_change(
         self, target_id: TargetId, limit: float | None, before: float | None
     ) -> None:
@@ -259,7 +332,7 @@
 
     def is_active(self, now: float) -> bool:
         """Return True if any target names a limit, as far as known."""
-        return bool(len(self.named)) or now < self._announced_until
+        return bool(len(self._source)) or now < self._announced_until
 
     def set_nodes(self, nodes: int, now: float) -> None:
         """Set the number of nodes that this node knows."""
@@ -287,13 +360,13 @@
         step = self._choice.next_step(members, now)
         if self._choice.holder != holder:
             self._ledger.withdraw(self._node)
-            self.named.report_again()
+            self._source.report_again()
         if step is Step.WAIT:
             return None
         if not self._choice.is_own:
             return self._call((), now)
         self._ledger.entrust(self._node, self._weight(now), now)
-        self.named.end_unnamed(now)
+        self._source.end_unnamed(now)
         return None
 
     def permit_call(
@@ -308,21 +381,23 @@
             return None
         items = []
         for target_id, priority, needed in needs:
-            limit = self.named.get(target_id)
+            limit = self._source.get(target_id)
             if limit is None:
                 continue
-            # Half of what is sent while a permit is valid: less demand than
-            # predicted would leave permits unused.
-            demand = self._state(target_id).demand
-            demand.trim(now)
-            expected = demand.total * PERMIT_TTL_S / DEMAND_WINDOW_S / 2
+            extra = self.expected_extra(target_id, now)
             items.append(
-                PermitRequest(
-                    target_id, priority, limit, needed, int(expected)
-                )
+                PermitRequest(target_id, priority, limit, needed, extra)
             )
         return self._call(tuple(items), now)
 
+    def expected_extra(self, target_id: TargetId, now: float) -> int:
+        """Return how many permits to ask for beyond those needed now."""
+        # Half of what is sent while a permit is valid: less demand than
+        # predicted would leave permits unused.
+        demand = self._state(target_id).demand
+        demand.trim(now)
+        return int(demand.total * PERMIT_TTL_S / DEMAND_WINDOW_S / 2)
+
     def _call(
         self, permit_requests: tuple[PermitRequest, ...], now: float
     ) -> Call:
@@ -333,7 +408,7 @@
             self._choice.is_withdrawing,
             self._nodes,
             *self._seen,
-            self.named.unreported(now),
+            self._source.unreported(now),
             permit_requests,
         )
         return Call(self._choice.holder, request, now)
@@ -347,10 +422,10 @@
             self._choice.record_answer(answer.is_held, now)
             if answer.origin != self._seen[0]:
                 # Another process than before, which knows nothing yet.
-                self.named.report_again()
+                self._source.report_again()
             self._seen = answer.origin, answer.change_no
         self._count_nodes(answer.nodes, now)
-        self.named.apply(answer.changes, call.at)
+        self._source.apply(answer.changes, call.at)
         needed = {
             (item.target_id, item.priority): item.needed
             for item in call.request.permit_requests
@@ -364,7 +439,7 @@
 
     def on_failure(self, call: Call, now: float) -> None:
         """Record that a coordinator did not answer a call."""
-        self.named.report_again()
+        self._source.report_again()
         for item in call.request.permit_requests:
             self.record_none_left(
                 item.target_id, item.priority, NO_ANSWER_WAIT_S, now
@@ -378,7 +453,7 @@
         """Answer another node's request; grant it permits."""
         nodes = self._called_nodes.add(max(request.nodes, self._nodes), now)
         self._count_nodes(nodes, now)
-        self.named.merge(request.evidence, now)
+        self._source.merge(request.evidence, now)
         is_held = not (request.is_last or self._is_stopping)
         if is_held:
             self._ledger.entrust(request.node, request.weight, now)
@@ -389,8 +464,8 @@
             is_held,
             nodes,
             self._origin,
-            self.named.change_no,
-            self.named.changes_since(since),
+            self._source.change_no,
+            self._source.changes_since(since),
             tuple(
                 self._grant(request.node, item, now)
                 for item in request.permit_requests
@@ -400,7 +475,7 @@
     def _grant(
         self, node: NodeId, item: PermitRequest, now: float
     ) -> PermitGrant:
-        limit = self.named.get(item.target_id)
+        limit = self._source.get(item.target_id)
         grant: Grant = self._ledger.grant(
             item.target_id,
             item.limit if limit is None else limit,
@@ -420,7 +495,7 @@
         """Return True if this node must tell all others that limits exist."""
         if (
             not self._choice.is_own
-            or not len(self.named)
+            or not len(self._source)
             or now < self._announce_at
         ):
             return False
@@ -432,6 +507,29 @@
         self._announced_until = max(self._announced_until, now + ttl_s)
 
 
+class TargetLimits(SharedLimits):
+    """Take and grant permits for requests to targets that limit their rate.
+
+    named has the limits in force, as replies of the targets name them.
+    """
+
+    def __init__(self, node: NodeId, origin: str, now: float):
+        self.named = NamedLimits()
+        super().__init__(
+            node, origin, self.named, PermitLedger(), SHARE_TTL_S, now
+        )
+
+    def record_reply(
+        self,
+        target_id: TargetId,
+        started_ms: int,
+        limit: float | None,
+        now: float,
+    ) -> bool:
+        """Record a reply; return True if the coordinator must know at once."""
+        return self.named.record_reply(target_id, started_ms, limit, now)
+
+
 def _first_valid(stock: collections.deque[float], now: float) -> bool:
     """Drop the expired permits; return True if any is left."""
     while stock and stock[0] <= now:
