--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -42,6 +42,8 @@
     sent by the nodes at the rates in demand.
     """
 
+    entrust_interval_s = ENTRUST_INTERVAL_S
+
     def __init__(self, nodes, limit, seed=1, named_by=1.0):
         self.rng = random.Random(seed)
         self.now = 100.0
@@ -105,19 +107,22 @@
 
     def start_node(self, name, started_at=None):
         self.down.discard(name)
-        node = SimulatedNode(
-            self, name, self.now if started_at is None else started_at
+        node = self.make_node(
+            name, self.now if started_at is None else started_at
         )
         self.nodes[name] = node
         if name not in self.names:
             self.names.append(name)
         self.at(
-            self.rng.uniform(0, ENTRUST_INTERVAL_S),
+            self.rng.uniform(0, self.entrust_interval_s),
             self._tick,
             node,
             node=name,
         )
 
+    def make_node(self, name, started_at):
+        return SimulatedNode(self, name, started_at)
+
     def kill(self, name):
         self.down.add(name)
         self.at(DETECTED_S, self._update_views)
@@ -162,7 +167,7 @@
         if self.nodes.get(node.name) is not node or node.name in self.down:
             return
         self.call(node)
-        self.at(ENTRUST_INTERVAL_S, self._tick, node, node=node.name)
+        self.at(self.entrust_interval_s, self._tick, node, node=node.name)
 
     def call(self, node):
         limits = node.limits
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,198 @@
+"""Test the limits of organisations over many nodes, without a network.
+
+Each test measures both sides: what runs in any window, and what is refused
+that one token bucket of the whole limit would admit.
+"""
+
+import pytest
+
+from tests.quota_fleet import QuotaFleet
+
+NODES = [1, 5, 26, 300]
+SMALL = 9.0, 9.0
+LARGE = 120.0, 60.0
+LIMITS = [SMALL, LARGE]
+# Time within which a fleet that has just started has all shares in one place.
+SETTLED_S = 8.0
+
+
+def make_fleet(nodes, limit, seed=1):
+    fleet = QuotaFleet(nodes, *limit, seed=seed)
+    fleet.run(SETTLED_S)
+    return fleet
+
+
+def demand(fleet, factor, names=None):
+    names = fleet.names if names is None else names
+    rate_per_s = factor * fleet.organisation.rate_per_s / len(names)
+    fleet.start_demand(dict.fromkeys(names, rate_per_s))
+
+
+# Guards against limits that are divided among nodes in advance, of which each
+# node has less than a request.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', NODES)
+@pytest.mark.parametrize('factor', [0.6, 1.0, 9.0])
+def test_in_calm_conditions_nothing_below_the_limit_is_refused(
+    nodes, limit, factor, seed
+):
+    fleet = make_fleet(nodes, limit, seed)
+    fleet.is_shaped = True
+    demand(fleet, factor)
+    fleet.run(20.0)
+    fleet.check_bound()
+    assert len(fleet.requests) > 0.5 * min(factor, 1.0) * limit[0] * 20.0
+    assert fleet.refused() == []
+
+
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', NODES)
+def test_far_above_the_limit_it_is_used_whole(nodes, limit):
+    fleet = make_fleet(nodes, limit)
+    demand(fleet, 9.0)
+    fleet.run(20.0)
+    fleet.check_bound()
+    assert len(fleet.arrivals) >= 0.97 * (limit[0] * 20.0 + limit[1])
+
+
+# Guards against requests that one node gets alone being held to its share.
+@pytest.mark.parametrize('nodes', NODES)
+def test_one_node_may_use_the_whole_limit(nodes):
+    fleet = make_fleet(nodes, SMALL)
+    fleet.is_shaped = True
+    demand(fleet, 2.0, fleet.names[-1:])
+    fleet.run(20.0)
+    fleet.check_bound()
+    assert fleet.refused() == []
+
+
+def burst_of_requests(fleet, count):
+    for n in range(count):
+        fleet.request(fleet.nodes[fleet.names[n % len(fleet.names)]], 1)
+    fleet.run(1.0)
+
+
+@pytest.mark.parametrize('nodes', NODES)
+def test_burst_is_admitted_whole_after_a_pause(nodes):
+    fleet = make_fleet(nodes, LARGE)
+    burst_of_requests(fleet, 60)
+    assert len(fleet.arrivals) == 60
+
+
+# Guards against a raised limit that takes effect late, and a lowered one that
+# is exceeded on the strength of what was saved up before.
+@pytest.mark.parametrize('nodes', NODES)
+def test_changed_limit_is_followed(nodes):
+    fleet = make_fleet(nodes, SMALL)
+    demand(fleet, 50.0)
+    fleet.run(10.0)
+    fleet.check_bound()
+    fleet.set_limit(60.0, 20.0)
+    fleet.run(2.0)
+    since = fleet.now
+    fleet.run(10.0)
+    fleet.check_bound()
+    assert fleet.used_per_s(since, fleet.now) > 0.95 * 60.0
+    fleet.set_limit(5.0, 5.0)
+    fleet.run(1.0)
+    since = fleet.now
+    fleet.run(12.0)
+    # The window that begins with the change has what was admitted before it.
+    fleet.check_bound(since)
+    assert fleet.used_per_s(since, fleet.now) > 0.9 * 5.0
+
+
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [2, 5, 26, 300])
+def test_bound_holds_across_a_partition_and_after_it(nodes, limit):
+    fleet = make_fleet(nodes, limit)
+    demand(fleet, 9.0)
+    fleet.run(6.0)
+    fleet.set_cut(fleet.names[: nodes // 2])
+    fleet.run(15.0)
+    since = fleet.now
+    fleet.run(5.0)
+    # Both halves together use the limit, as far as it can be divided.
+    assert fleet.used_per_s(since, fleet.now) > 0.9 * limit[0]
+    fleet.set_cut(())
+    fleet.run(15.0)
+    fleet.check_bound()
+    assert fleet.used_per_s(fleet.now - 5.0, fleet.now) > 0.95 * limit[0]
+
+
+# Guards against nodes that each admit a request of their own when that is more
+# than the slack.
+@pytest.mark.parametrize('nodes', [5, 26, 29, 30, 91])
+def test_bound_holds_while_no_node_reaches_another(nodes):
+    fleet = make_fleet(nodes, SMALL)
+    demand(fleet, 9.0)
+    fleet.run(5.0)
+    fleet.lost = 1.0
+    for _ in range(3):
+        fleet.run(10.0)
+        fleet.start_demand({})
+        fleet.run(6.0)
+        demand(fleet, 9.0)
+    fleet.lost = 0.0
+    fleet.run(10.0)
+    fleet.check_bound()
+
+
+# Guards against a share that is used in two places when the coordinator dies,
+# pauses or restarts, and against limits that stay unused after that.
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [5, 26, 300])
+def test_bound_holds_while_coordinators_die_pause_and_restart(
+    nodes, limit, seed
+):
+    fleet = make_fleet(nodes, limit, seed)
+    demand(fleet, 9.0)
+    fleet.run(5.0)
+    for _ in range(4):
+        coordinator = fleet.nodes[fleet.names[-1]].limits.coordinator
+        fleet.kill(coordinator)
+        fleet.run(1.0)
+        fleet.restart(coordinator)
+        fleet.run(4.0)
+        coordinator = fleet.nodes[fleet.names[-1]].limits.coordinator
+        fleet.freeze(coordinator)
+        fleet.run(3.0)
+        fleet.thaw(coordinator)
+        fleet.run(4.0)
+    fleet.check_bound()
+    fleet.run(10.0)
+    assert fleet.used_per_s(fleet.now - 5.0, fleet.now) > 0.95 * limit[0]
+
+
+# Guards against new processes that use up a share again that their
+# predecessors have used.
+@pytest.mark.parametrize('nodes', [1, 5, 26])
+def test_bound_holds_while_all_nodes_restart_again_and_again(nodes):
+    fleet = make_fleet(nodes, LARGE)
+    demand(fleet, 9.0)
+    fleet.run(5.0)
+    for _ in range(4):
+        for name in fleet.names:
+            fleet.kill(name)
+        fleet.run(0.3)
+        for name in fleet.names:
+            fleet.restart(name)
+        fleet.run(2.0)
+    fleet.check_bound()
+
+
+# Guards against a killed node whose part is missing for as long as it counts.
+def test_one_killed_node_costs_nothing_of_the_limit():
+    fleet = make_fleet(26, LARGE)
+    others = fleet.names[1:]
+    coordinator = fleet.nodes[others[0]].limits.coordinator
+    killed = next(n for n in fleet.names if n != coordinator)
+    fleet.kill(killed)
+    fleet.run(4.0)
+    fleet.is_shaped = True
+    demand(fleet, 2.0, [n for n in fleet.names if n != killed])
+    fleet.run(20.0)
+    fleet.check_bound()
+    assert fleet.refused() == []
