--- a/tests/test_organisation_node.py
+++ b/tests/test_organisation_node.py
@@ -1,6 +1,8 @@
 """Test organisations with real node processes and simulated targets."""
 
+import asyncio
 import signal
+import time
 
 import pytest
 
@@ -175,3 +177,73 @@
 def test_settings_file_without_the_new_bounds_serves_known_keys():
     bounds = boot._Bounds(0.2, 50, 10, 3_000, 2_000, 6, 5)
     assert (bounds.fail_closed, bounds.revoke_ms) == (False, 5_000)
+
+
+WINDOW_S = 5.0
+RATE_PER_S = 6.0
+BURST = 6.0
+
+
+async def count_over_limit(fleet, interval_s, length_s):
+    """Send requests to all nodes in turn; check refusals; return both counts.
+
+    A refused request must not have run at any target.
+    """
+    tasks = []
+
+    async def send(node):
+        request_id = fleet.request_id()
+        reply = await ask(fleet, node, '/once/1', KEY, request_id=request_id)
+        assert reply.status in (200, 429)
+        if reply.status == 429:
+            names = {name.lower() for name, _ in reply.headers}
+            assert b'retry-after' in names
+            assert promises.runs_of(fleet, request_id) == []
+        return reply.status
+
+    for n in range(int(length_s / interval_s)):
+        node = fleet.nodes[n % len(fleet.nodes)]
+        tasks.append(asyncio.create_task(send(node)))
+        await asyncio.sleep(interval_s)
+    statuses = await asyncio.gather(*tasks)
+    return statuses.count(200), statuses.count(429)
+
+
+# Guards against each node allowing the whole limit, or only its own part.
+@with_fleet()
+async def test_limit_is_kept_over_three_nodes_and_used(fleet):
+    await put_tenants(fleet, tenant(rate_per_s=RATE_PER_S, burst=BURST))
+    # New nodes take over their shares within some seconds.
+    await asyncio.sleep(6.0)
+    assert await count_over_limit(fleet, 1 / 5.0, 4.0) == (20, 0)
+    for target in fleet.targets.values():
+        target.runs.clear()
+    began_at = time.time()
+    admitted, refused = await count_over_limit(fleet, 1 / 54.0, 8.0)
+    assert refused > admitted
+    assert admitted >= 0.9 * RATE_PER_S * 8.0
+    times = sorted(
+        run.at for target in fleet.targets.values() for run in target.runs
+    )
+    bound = (RATE_PER_S * WINDOW_S + BURST) * 1.1 + 20.0
+    for at in times:
+        assert sum(at <= other < at + WINDOW_S for other in times) <= bound
+    lines = [line for n in fleet.nodes for line in n.lines('refused')]
+    over = [
+        line
+        for line in lines
+        if line['reason'] == 'over_limit' and line['at'] >= began_at
+    ]
+    # One line a second for each node at most.
+    assert 0 < len(over) <= 3 * 9
+    assert over[0]['organisation'] == 'acme'
+
+
+# Guards against messages between nodes for limits that nobody has.
+@with_fleet()
+async def test_nothing_is_exchanged_without_a_limit(fleet):
+    await put_tenants(fleet, tenant())
+    await asyncio.sleep(2.0)
+    for node in fleet.nodes:
+        assert (await ask(fleet, node, '/safe/1', KEY)).status == 200
+        assert node.lines('organisation_coordinator') == []
