--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -62,6 +62,8 @@
     warmup_overshoot: PositiveFloat | None = None
     warmup_slack: NonNegativeFloat = 5.0
     evac_ms: PositiveFloat | None = None
+    quota_overshoot: NonNegativeFloat = 0.1
+    quota_slack: NonNegativeFloat = 20.0
 
 
 class _Boot(msgspec.Struct):
@@ -168,6 +170,8 @@
             warmup_overshoot=bounds.warmup_overshoot,
             warmup_slack=bounds.warmup_slack,
             evac_s=None if bounds.evac_ms is None else bounds.evac_ms / 1_000,
+            quota_overshoot=bounds.quota_overshoot,
+            quota_slack=bounds.quota_slack,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
         link_bytes_per_s=boot.limits.link_mbps * BYTES_PER_MBIT,
--- a/sesameward/serving/routing_state.py
+++ b/sesameward/serving/routing_state.py
@@ -92,11 +92,11 @@
         self._restored_targets = restored_targets
         self._routes_doubtful_until = clock()
         self._routed_services: frozenset[ServiceName] = frozenset()
+        self.on_routes: typing.Callable[[RouteTable], None] = lambda _: None
         self.on_target_dropped: typing.Callable[[TargetId], None] = lambda _: (
             None
         )
         self.on_target_added: typing.Callable[[Target], None] = lambda _: None
-        self.on_routes: typing.Callable[[RouteTable], None] = lambda _: None
         self.on_target_left: typing.Callable[[TargetId, int], None] = (
             lambda target_id, started_ms: None
         )
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -22,6 +22,8 @@
 from .coordinator_choice import CoordinatorChoice
 from .coordinator_choice import Step
 from .limit_messages import LimitAnswer
+from .limit_messages import LimitChange
+from .limit_messages import LimitEvidence
 from .limit_messages import LimitRequest
 from .limit_messages import PermitGrant
 from .limit_messages import PermitRequest
@@ -81,6 +83,77 @@
     at: float
 
 
+class LimitSource(typing.Protocol):
+    """Interface to the limits in force; None from get means no limit.
+
+    The other methods exchange what is known of the limits with other nodes.
+    """
+
+    on_change: OnLimitChange
+
+    @property
+    def change_no(self) -> int:
+        """Return the number of the last change."""
+
+    def __len__(self) -> int:
+        """Return the number of limits in force."""
+
+    def get(self, target_id: TargetId) -> float | None:
+        """Return the limit in requests per second, or None."""
+
+    def end_unnamed(self, now: float) -> None:
+        """End the limits that are no longer named."""
+
+    def unreported(self, now: float) -> tuple[LimitEvidence, ...]:
+        """Return the evidence since the last call of this method."""
+
+    def report_again(self) -> None:
+        """Include all limits in the next evidence."""
+
+    def merge(
+        self, evidence: typing.Iterable[LimitEvidence], now: float
+    ) -> None:
+        """Apply the evidence of another node."""
+
+    def changes_since(self, change_no: int) -> tuple[LimitChange, ...]:
+        """Return the changes after the one with this number."""
+
+    def apply(
+        self, changes: typing.Iterable[LimitChange], requested_at: float
+    ) -> None:
+        """Apply changes that the coordinator decided."""
+
+
+class Ledger(typing.Protocol):
+    """Interface to a node's own shares and those that others entrust to it.
+
+    See HeldShares and PermitLedger.
+    """
+
+    def set_nodes(self, nodes: int) -> None: ...
+
+    def entrust(self, node: NodeId, weight: float, now: float) -> None: ...
+
+    def withdraw(self, node: NodeId) -> None: ...
+
+    def clear(self) -> None: ...
+
+    def part(self, now: float) -> float: ...
+
+    def forget(self, target_id: TargetId) -> None: ...
+
+    def grant(
+        self,
+        target_id: TargetId,
+        limit: float,
+        node: NodeId,
+        needed: int,
+        extra: int,
+        priority: int,
+        now: float,
+    ) -> Grant: ...
+
+
 class _RecentLargest:
     """Keep the largest of the numbers added within some time."""
 
@@ -109,62 +182,51 @@
         self.demand = SlidingCounter(DEMAND_WINDOW_S)
 
 
-class TargetLimits:
-    """Take and grant permits for requests to targets that limit their rate.
+class SharedLimits:
+    """Take and grant permits for requests that shared limits apply to.
 
-    named has the limits in force; on_change is called when one of them begins,
-    changes or ends. If this node is the coordinator of others, answer() grants
-    them permits. Cold targets have limits as well, which each node knows by
-    itself; follows_cold is False where no target ever counts as cold.
+    named has the limits in force, each with an id, such as that of a target.
+    If this node is the coordinator of others, answer() grants them permits.
+    on_change is called when a limit begins, changes or ends.
     """
 
-    def __init__(self, node: NodeId, origin: str, now: float):
+    def __init__(
+        self,
+        node: NodeId,
+        origin: str,
+        source: LimitSource,
+        ledger: Ledger,
+        share_ttl_s: float,
+        now: float,
+    ):
         self.on_change: OnLimitChange = lambda target_id, limit, before: None
-        self.named = NamedLimits()
+        self.named = source
         self.named.on_change = self._on_change
-        self.follows_cold = False
-        self._cold: dict[TargetId, float] = {}
         self._node = node
         self._origin = origin
         self._started_at = now
-        self._ledger = PermitLedger()
+        self._ledger = ledger
         self._targets: dict[TargetId, _TargetPermits] = {}
         self._nodes = 1
         # Largest numbers of nodes: as the callers of this node know it, and as
         # this node or its coordinator knew it lately.
-        self._called_nodes = _RecentLargest(SHARE_TTL_S)
+        self._called_nodes = _RecentLargest(share_ttl_s)
         self._most_nodes = _RecentLargest(NODES_KEEP_S)
         self._is_stopping = False
         self._announced_until = -math.inf
         self._announce_at = -math.inf
-        self._choice = CoordinatorChoice(node)
+        self._choice = CoordinatorChoice(node, share_ttl_s)
         # Process of the coordinator, and the last change that it sent.
         self._seen: tuple[str, int] = ('', 0)
 
     def limit(self, target_id: TargetId) -> float | None:
-        """Return a target's limit in requests per second, or None.
-
-        It is the lower one of the limit that the target names and the one that
-        holds while it is cold.
-        """
-        named = self.named.get(target_id)
-        cold = self._cold.get(target_id)
-        if named is None or cold is None:
-            return cold if named is None else named
-        return min(named, cold)
+        """Return a limit in requests per second, or None."""
+        return self.named.get(target_id)
 
     @property
     def are_any(self) -> bool:
-        """Return True if any target limits its request rate."""
-        return bool(self.named) or bool(self._cold)
-
-    def set_cold_limit(self, target_id: TargetId, limit: float | None) -> None:
-        """Set the limit of a cold target; None if it is warm."""
-        if limit is None:
-            self._cold.pop(target_id, None)
-        else:
-            self._cold[target_id] = limit
-        self._drop_permits(target_id)
+        """Return True if any limit is in force."""
+        return bool(len(self.named))
 
     # Permits for this node's requests.
 
@@ -185,6 +247,10 @@
         )
         return max(0.0, max(waits_s, default=0.0))
 
+    def is_limited(self, target_id: TargetId) -> bool:
+        """Return True if requests need permits."""
+        return self.limit(target_id) is not None
+
     def acquire(
         self, target_id: TargetId, priority: int, now: float
     ) -> Permit | Denial:
@@ -252,18 +318,6 @@
             state = self._targets[target_id] = _TargetPermits()
         return state
 
-    # Evidence from replies.
-
-    def record_reply(
-        self,
-        target_id: TargetId,
-        started_ms: int,
-        limit: float | None,
-        now: float,
-    ) -> bool:
-        """Record a reply; return True if the coordinator must know at once."""
-        return self.named.record_reply(target_id, started_ms, limit, now)
-
     def _on_change(
         self, target_id: TargetId, limit: float | None, before: float | None
     ) -> None:
@@ -342,18 +396,20 @@
             limit = self.limit(target_id)
             if limit is None:
                 continue
-            # Half of what is sent while a permit is valid: less demand than
-            # predicted would leave permits unused.
-            demand = self._state(target_id).demand
-            demand.trim(now)
-            expected = demand.total * PERMIT_TTL_S / DEMAND_WINDOW_S / 2
+            extra = self.expected_extra(target_id, now)
             items.append(
-                PermitRequest(
-                    target_id, priority, limit, needed, int(expected)
-                )
+                PermitRequest(target_id, priority, limit, needed, extra)
             )
         return self._call(tuple(items), now)
 
+    def expected_extra(self, target_id: TargetId, now: float) -> int:
+        """Return how many permits to ask for beyond those needed now."""
+        # Half of what is sent while a permit is valid: less demand than
+        # predicted would leave permits unused.
+        demand = self._state(target_id).demand
+        demand.trim(now)
+        return int(demand.total * PERMIT_TTL_S / DEMAND_WINDOW_S / 2)
+
     def _call(
         self, permit_requests: tuple[PermitRequest, ...], now: float
     ) -> Call:
@@ -446,10 +502,7 @@
 
     def _granted_limit(self, item: PermitRequest) -> float:
         limit = self.limit(item.target_id)
-        if limit is None:
-            return item.limit
-        # The other node may have read already that the target is cold.
-        return min(limit, item.limit) if self.follows_cold else limit
+        return item.limit if limit is None else limit
 
     # Announcement to all nodes.
 
@@ -469,6 +522,65 @@
         self._announced_until = max(self._announced_until, now + ttl_s)
 
 
+class TargetLimits(SharedLimits):
+    """Take and grant permits for requests to targets that limit their rate.
+
+    named has the limits that replies of the targets name. Cold targets have
+    limits as well, which each node knows by itself; follows_cold is False
+    where no target ever counts as cold.
+    """
+
+    def __init__(self, node: NodeId, origin: str, now: float):
+        self.named = NamedLimits()
+        self.follows_cold = False
+        self._cold: dict[TargetId, float] = {}
+        super().__init__(
+            node, origin, self.named, PermitLedger(), SHARE_TTL_S, now
+        )
+
+    def limit(self, target_id: TargetId) -> float | None:
+        """Return a target's limit in requests per second, or None.
+
+        It is the lower one of the limit that the target names and the one that
+        holds while it is cold.
+        """
+        named = self.named.get(target_id)
+        cold = self._cold.get(target_id)
+        if named is None or cold is None:
+            return cold if named is None else named
+        return min(named, cold)
+
+    @property
+    def are_any(self) -> bool:
+        """Return True if any target limits its request rate."""
+        return bool(self.named) or bool(self._cold)
+
+    def set_cold_limit(self, target_id: TargetId, limit: float | None) -> None:
+        """Set the limit of a cold target; None if it is warm."""
+        if limit is None:
+            self._cold.pop(target_id, None)
+        else:
+            self._cold[target_id] = limit
+        self._drop_permits(target_id)
+
+    def _granted_limit(self, item: PermitRequest) -> float:
+        limit = self.limit(item.target_id)
+        if limit is not None and self.follows_cold:
+            # The other node may have read already that the target is cold.
+            return min(limit, item.limit)
+        return super()._granted_limit(item)
+
+    def record_reply(
+        self,
+        target_id: TargetId,
+        started_ms: int,
+        limit: float | None,
+        now: float,
+    ) -> bool:
+        """Record a reply; return True if the coordinator must know at once."""
+        return self.named.record_reply(target_id, started_ms, limit, now)
+
+
 def _first_valid(stock: collections.deque[float], now: float) -> bool:
     """Drop the expired permits; return True if any is left."""
     while stock and stock[0] <= now:
