--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -55,8 +55,9 @@
         self._metrics = metrics
         self._clock = clock
         self._last_seen: dict[NodeId, float] = {}
-        # When each member was first seen to leave; None if it was not.
-        self._leaving_since: dict[NodeId, float | None] = {}
+        # When the member at each address was first seen to leave; None if it
+        # was not.
+        self._leaving_since: dict[Endpoint, float | None] = {}
         self._pull_answerers: dict[str, PullAnswerer] = {}
         self._pull_client = PullClient(metrics, PULL_TIMEOUT_S)
         own_member = Member(
@@ -138,26 +139,31 @@
     def unproven_nodes(self, now: float) -> int:
         """Return the number of nodes that may be running.
 
-        Counts all nodes that were ever seen, but for those that said that they
-        leave and whose time to do so has passed: a node that is just not seen
-        may be on the other side of a partition, whose nodes see fewer as well.
+        Counts the addresses of all nodes that were ever seen, but for those
+        that said that they leave and whose time to do so has passed: a node
+        that is just not seen may be on the other side of a partition, whose
+        nodes see fewer as well. A node that took over the address of another
+        one proves that the latter has ended.
         """
-        members = {member.node: member for member in self.gossip.members()}
-        for node, member in members.items():
-            since = self._leaving_since.get(node)
+        members = {
+            Endpoint(member.host, member.gossip_port): member
+            for member in self.gossip.members()
+        }
+        for address, member in members.items():
+            since = self._leaving_since.get(address)
             if not member.leaving:
                 since = None
             elif since is None:
                 since = now
-            self._leaving_since[node] = since
+            self._leaving_since[address] = since
         left_before = now - self._cfg.bounds.grace_s - LEAVING_MARGIN_S
-        for node, since in tuple(self._leaving_since.items()):
+        for address, since in tuple(self._leaving_since.items()):
             if (
-                node not in members
+                address not in members
                 and since is not None
                 and since < left_before
             ):
-                del self._leaving_since[node]
+                del self._leaving_since[address]
         return max(len(self._leaving_since), len(self._cfg.seeds), 1)
 
     def cut_off_count(self) -> int:
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -185,9 +185,9 @@
 class SharedLimits:
     """Take and grant permits for requests that shared limits apply to.
 
-    Each limit is named by an id, that of a target by default. If this node is
-    the coordinator of others, answer() grants them permits. A limit change is
-    passed to on_change.
+    named has the limits in force, each with an id, such as that of a target.
+    If this node is the coordinator of others, answer() grants them permits.
+    on_change is called when a limit begins, changes or ends.
     """
 
     def __init__(
@@ -200,8 +200,8 @@
         now: float,
     ):
         self.on_change: OnLimitChange = lambda target_id, limit, before: None
-        self._source = source
-        source.on_change = self._on_change
+        self.named = source
+        self.named.on_change = self._on_change
         self._node = node
         self._origin = origin
         self._started_at = now
@@ -226,7 +226,7 @@
 
         The result is 0 if a permit is left or the coordinator can be asked.
         """
-        if self._source.get(target_id) is None:
+        if self.named.get(target_id) is None:
             return 0.0
         state = self._targets.get(target_id)
         if state is None or _first_valid(state.stock, now):
@@ -240,13 +240,13 @@
 
     def is_limited(self, target_id: TargetId) -> bool:
         """Return True if requests need permits."""
-        return self._source.get(target_id) is not None
+        return self.named.get(target_id) is not None
 
     def acquire(
         self, target_id: TargetId, priority: int, now: float
     ) -> Permit | Denial:
         """Acquire a permit for one request, before the request is sent."""
-        limit = self._source.get(target_id)
+        limit = self.named.get(target_id)
         if limit is None:
             return Permit(target_id)
         state = self._state(target_id)
@@ -272,7 +272,7 @@
         self, target_id: TargetId, now: float
     ) -> Permit | None:
         """Acquire a permit after the coordinator has been asked for it."""
-        if self._source.get(target_id) is None:
+        if self.named.get(target_id) is None:
             return Permit(target_id)
         stock = self._state(target_id).stock
         if not _first_valid(stock, now):
@@ -281,7 +281,7 @@
 
     def is_valid(self, permit: Permit, now: float) -> bool:
         """Return True if a request may be sent with a permit now."""
-        if self._source.get(permit.target_id) is None:
+        if self.named.get(permit.target_id) is None:
             return True
         return permit.expires_at is not None and now < permit.expires_at
 
@@ -290,7 +290,7 @@
         if (
             permit.expires_at is not None
             and now < permit.expires_at
-            and self._source.get(permit.target_id) is not None
+            and self.named.get(permit.target_id) is not None
         ):
             # It is older than the permits that are left.
             stock = self._state(permit.target_id).stock
@@ -300,7 +300,7 @@
         self, target_id: TargetId, priority: int, wait_s: float, now: float
     ) -> None:
         """Record that permits of this and lower priorities are used up."""
-        if self._source.get(target_id) is not None:
+        if self.named.get(target_id) is not None:
             self._state(target_id).none_until[priority] = now + wait_s
 
     def _state(self, target_id: TargetId) -> _TargetPermits:
@@ -332,7 +332,7 @@
 
     def is_active(self, now: float) -> bool:
         """Return True if any target names a limit, as far as known."""
-        return bool(len(self._source)) or now < self._announced_until
+        return bool(len(self.named)) or now < self._announced_until
 
     def set_nodes(self, nodes: int, now: float) -> None:
         """Set the number of nodes that this node knows."""
@@ -360,13 +360,13 @@
         step = self._choice.next_step(members, now)
         if self._choice.holder != holder:
             self._ledger.withdraw(self._node)
-            self._source.report_again()
+            self.named.report_again()
         if step is Step.WAIT:
             return None
         if not self._choice.is_own:
             return self._call((), now)
         self._ledger.entrust(self._node, self._weight(now), now)
-        self._source.end_unnamed(now)
+        self.named.end_unnamed(now)
         return None
 
     def permit_call(
@@ -381,7 +381,7 @@
             return None
         items = []
         for target_id, priority, needed in needs:
-            limit = self._source.get(target_id)
+            limit = self.named.get(target_id)
             if limit is None:
                 continue
             extra = self.expected_extra(target_id, now)
@@ -408,7 +408,7 @@
             self._choice.is_withdrawing,
             self._nodes,
             *self._seen,
-            self._source.unreported(now),
+            self.named.unreported(now),
             permit_requests,
         )
         return Call(self._choice.holder, request, now)
@@ -422,10 +422,10 @@
             self._choice.record_answer(answer.is_held, now)
             if answer.origin != self._seen[0]:
                 # Another process than before, which knows nothing yet.
-                self._source.report_again()
+                self.named.report_again()
             self._seen = answer.origin, answer.change_no
         self._count_nodes(answer.nodes, now)
-        self._source.apply(answer.changes, call.at)
+        self.named.apply(answer.changes, call.at)
         needed = {
             (item.target_id, item.priority): item.needed
             for item in call.request.permit_requests
@@ -439,7 +439,7 @@
 
     def on_failure(self, call: Call, now: float) -> None:
         """Record that a coordinator did not answer a call."""
-        self._source.report_again()
+        self.named.report_again()
         for item in call.request.permit_requests:
             self.record_none_left(
                 item.target_id, item.priority, NO_ANSWER_WAIT_S, now
@@ -453,7 +453,7 @@
         """Answer another node's request; grant it permits."""
         nodes = self._called_nodes.add(max(request.nodes, self._nodes), now)
         self._count_nodes(nodes, now)
-        self._source.merge(request.evidence, now)
+        self.named.merge(request.evidence, now)
         is_held = not (request.is_last or self._is_stopping)
         if is_held:
             self._ledger.entrust(request.node, request.weight, now)
@@ -464,8 +464,8 @@
             is_held,
             nodes,
             self._origin,
-            self._source.change_no,
-            self._source.changes_since(since),
+            self.named.change_no,
+            self.named.changes_since(since),
             tuple(
                 self._grant(request.node, item, now)
                 for item in request.permit_requests
@@ -475,7 +475,7 @@
     def _grant(
         self, node: NodeId, item: PermitRequest, now: float
     ) -> PermitGrant:
-        limit = self._source.get(item.target_id)
+        limit = self.named.get(item.target_id)
         grant: Grant = self._ledger.grant(
             item.target_id,
             item.limit if limit is None else limit,
@@ -495,7 +495,7 @@
         """Return True if this node must tell all others that limits exist."""
         if (
             not self._choice.is_own
-            or not len(self._source)
+            or not len(self.named)
             or now < self._announce_at
         ):
             return False
@@ -513,10 +513,11 @@
     named has the limits in force, as replies of the targets name them.
     """
 
+    named: NamedLimits
+
     def __init__(self, node: NodeId, origin: str, now: float):
-        self.named = NamedLimits()
         super().__init__(
-            node, origin, self.named, PermitLedger(), SHARE_TTL_S, now
+            node, origin, NamedLimits(), PermitLedger(), SHARE_TTL_S, now
         )
 
     def record_reply(
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from sesameward.serving.routes import CallerLimits
+from sesameward.serving.routes import RouteTable
 from tests.quota_fleet import QuotaFleet
 
 NODES = [1, 5, 26, 300]
@@ -196,3 +198,48 @@
     fleet.run(20.0)
     fleet.check_bound()
     assert fleet.refused() == []
+
+
+# Guards against a bound that is exceeded because nodes that are cut from the
+# store, among them possibly the coordinator, know an earlier limit.
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+@pytest.mark.parametrize('nodes', [5, 26])
+def test_bound_holds_while_half_of_the_nodes_know_an_earlier_limit(
+    nodes, seed
+):
+    fleet = make_fleet(nodes, SMALL, seed)
+    demand(fleet, 50.0)
+    fleet.run(6.0)
+    former = fleet.organisation
+    fleet.set_limit(60.0, 20.0)
+    cut_off = fleet.names[::2]
+    for name in cut_off:
+        fleet.at(1.0, fleet.nodes[name].apply, former)
+    fleet.run(10.0)
+    # The higher limit is in force as a whole; it is only not used everywhere.
+    fleet.check_bound()
+    fleet.set_cut(cut_off)
+    fleet.run(10.0)
+    fleet.check_bound()
+    fleet.set_cut(())
+    fleet.set_limit(*SMALL)
+    fleet.run(1.0)
+    since = fleet.now
+    fleet.run(10.0)
+    fleet.check_bound(since)
+
+
+# Guards against limits of an organisation that outlast the configuration.
+def test_limit_that_is_removed_admits_everything():
+    fleet = make_fleet(5, SMALL)
+    demand(fleet, 9.0)
+    fleet.run(3.0)
+    for node in fleet.nodes.values():
+        node.limits.configured.apply_table(
+            RouteTable(2, (), (), CallerLimits(), [])
+        )
+        assert not node.limits.is_active(fleet.now)
+    fleet.run(0.5)
+    since = fleet.now
+    fleet.run(5.0)
+    assert [at for at in fleet.refused() if at >= since] == []
