--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -530,13 +530,14 @@
     where no target ever counts as cold.
     """
 
+    named: NamedLimits
+
     def __init__(self, node: NodeId, origin: str, now: float):
-        self.named = NamedLimits()
-        self.follows_cold = False
-        self._cold: dict[TargetId, float] = {}
         super().__init__(
-            node, origin, self.named, PermitLedger(), SHARE_TTL_S, now
+            node, origin, NamedLimits(), PermitLedger(), SHARE_TTL_S, now
         )
+        self.follows_cold = False
+        self._cold: dict[TargetId, float] = {}
 
     def limit(self, target_id: TargetId) -> float | None:
         """Return a target's limit in requests per second, or None.
