--- a/sesameward/cmdline.py
+++ b/sesameward/cmdline.py
@@ -588,10 +588,16 @@
     return yaml.safe_dump({'kind': kind, **fields}, sort_keys=False)
 
 
-def main(argv: list[str] | None = None) -> None:
-    """Run the command that the arguments name; exit with its code."""
-    code = defopt.run(COMMANDS, argv=argv, short={'output': 'o'})
-    sys.exit(code)
+def main(
+    argv: list[str] | None = None,
+    more_commands: dict[str, collections.abc.Callable] | None = None,
+) -> None:
+    """Run the command that the arguments name; exit with its code.
+
+    more_commands are commands of modules that this one may not import.
+    """
+    commands = COMMANDS | (more_commands or {})
+    sys.exit(defopt.run(commands, argv=argv, short={'output': 'o'}))
 
 
 if __name__ == '__main__':
--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -154,18 +154,24 @@
         )
 
 
-class _CallerLimits(msgspec.Struct):
+class CallerLimitFields(msgspec.Struct):
+    """Hold the limits of callers as stored."""
+
     max_header_bytes: PositiveInt = 16_384
     max_body_bytes: PositiveInt = 262_144
     header_timeout_ms: Milliseconds = 3_000
     idle_timeout_ms: Milliseconds = 15_000
 
 
-class _Config(msgspec.Struct):
+class StoredConfig(msgspec.Struct):
+    """Hold the configuration as stored."""
+
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
-    limits: _CallerLimits = msgspec.field(default_factory=_CallerLimits)
+    limits: CallerLimitFields = msgspec.field(
+        default_factory=CallerLimitFields
+    )
     tenants: tuple[_Tenant, ...] | None = None
 
 
@@ -196,7 +202,7 @@
     """
 
     def __init__(self):
-        self._config = msgspec.json.Decoder(_Config)
+        self._config = msgspec.json.Decoder(StoredConfig)
         self._server = msgspec.json.Decoder(_Server)
 
     def routes(self, stored: StoredObject) -> RouteTable:
--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -42,10 +42,16 @@
     port: int
 
 
+class StoreSettings(typing.Protocol):
+    """Name the store to call."""
+
+    store: Endpoint
+
+
 class StoreCalls:
     """Call the store's HTTP API, and keep connections open between calls."""
 
-    def __init__(self, cfg: NodeSettings):
+    def __init__(self, cfg: StoreSettings):
         address = cfg.store
         self._host = f'{address.host}:{address.port}'
         self._caller = HttpCaller(address.host, address.port, STORE_LIMITS)
@@ -154,6 +160,10 @@
                 )
         return endpoints
 
+    def close(self) -> None:
+        """Close idle connections."""
+        self._caller.close()
+
     async def _call(
         self,
         method: str,
