Fail calls over a connection that was reset while it was opened

grpclib deletes the transport of a lost connection. If the peer's reset arrived before the caller wrote its preface, connection_lost ran before the task that had waited for the connection, and the call failed with AttributeError: 'Connection' object has no attribute '_transport'. No caller expects that: the task of an anti-entropy exchange ended with a traceback in the log (gossip.py, _sync), which test_sigterm_during_the_start_ends_entry_and_agent found once; a call of the limits' coordinator was not counted as failed. Channel raises ConnectionResetError instead, which all callers handle as a peer that does not answer.

--- a/sesameward/channels.py
+++ b/sesameward/channels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from grpclib import client
+from grpclib.protocol import H2Protocol
 
 from .codec import MsgpackCodec
 from .messages import Member
@@ -11,13 +12,31 @@
 MAX_CHANNELS = 16
 
 
+class Channel(client.Channel):
+    """Open a connection to another process and make gRPC calls over it.
+
+    grpclib deletes the transport of a lost connection. If the peer resets a
+    connection while it is opened, a call over it would fail with an
+    AttributeError, which callers don't expect of a peer that has ended.
+    """
+
+    async def __connect__(self) -> H2Protocol:
+        protocol = await super().__connect__()
+        if protocol.handler.connection_lost:
+            raise ConnectionResetError(
+                f'{self._host}:{self._port} closed the connection while it '
+                'was opened'
+            )
+        return protocol
+
+
 class Channels:
     """Cache channels by node; close the least recently used ones."""
 
     def __init__(self):
-        self._channels: dict[NodeId, tuple[tuple, client.Channel]] = {}
+        self._channels: dict[NodeId, tuple[tuple, Channel]] = {}
 
-    def get(self, member: Member) -> client.Channel:
+    def get(self, member: Member) -> Channel:
         """Return a channel to a member at its current address."""
         address = member.host, member.grpc_port
         cached = self._channels.pop(member.node, None)
@@ -25,7 +44,7 @@
             cached[1].close()
             cached = None
         if cached is None:
-            cached = address, client.Channel(*address, codec=MsgpackCodec())
+            cached = address, Channel(*address, codec=MsgpackCodec())
         self._channels[member.node] = cached
         while len(self._channels) > MAX_CHANNELS:
             self.drop(next(iter(self._channels)))
--- a/sesameward/controllers/agent_link.py
+++ b/sesameward/controllers/agent_link.py
@@ -6,13 +6,13 @@
 import random
 import typing
 
-from grpclib.client import Channel
 from grpclib.client import UnaryStreamMethod
 from grpclib.client import UnaryUnaryMethod
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
 from .. import logs
+from ..channels import Channel
 from ..codec import MsgpackCodec
 from ..configuration import feed
 from ..messages import Address
--- a/sesameward/membership/peers.py
+++ b/sesameward/membership/peers.py
@@ -4,7 +4,6 @@
 
 import typing
 
-from grpclib.client import Channel
 from grpclib.client import UnaryUnaryMethod
 from grpclib.const import Cardinality
 from grpclib.const import Handler
@@ -14,6 +13,7 @@
 import msgspec
 
 from .. import grpc_errors
+from ..channels import Channel
 from ..codec import MsgpackCodec
 from ..exceptions import IntegrityError
 from ..exceptions import PeerUnavailableError
--- a/sesameward/quarantine/trials.py
+++ b/sesameward/quarantine/trials.py
@@ -12,7 +12,6 @@
 import enum
 import typing
 
-from grpclib.client import Channel
 from grpclib.client import UnaryUnaryMethod
 from grpclib.const import Cardinality
 from grpclib.const import Handler
@@ -20,6 +19,7 @@
 import msgspec
 
 from .. import grpc_errors
+from ..channels import Channel
 from ..codec import MsgpackCodec
 from ..exceptions import PeerUnavailableError
 from ..messages import Address
--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -10,12 +10,12 @@
 import itertools
 import typing
 
-from grpclib.client import Channel
 from grpclib.client import StreamStreamMethod
 import msgspec
 
 from .. import grpc_errors
 from .. import logs
+from ..channels import Channel
 from ..codec import MsgpackCodec
 from ..messages import Member
 from ..metrics import Metrics
