Let restarted nodes use their whole share of organisations' limits

The ramp guards against a node that knows too few others, and so takes too large a part. A node that was registered in the store before it started knows from there how many there are, and has an empty bucket. It uses its whole share once it has seen 0.8 of them. Newly seen nodes also cause a call to the coordinator at once.

--- a/sesameward/organisations/quotas.py
+++ b/sesameward/organisations/quotas.py
@@ -18,6 +18,7 @@
 from ..serving.routes import OrganisationName
 from ..serving.routes import RouteTable
 from ..serving.target_limits import Call
+from ..serving.target_limits import NODES_KEEP_S
 from ..serving.target_limits import SharedLimits
 from ..types import NodeId
 from .quota_ledger import QUOTA_SHARE_TTL_S
@@ -26,6 +27,10 @@
 # Interval at which a node entrusts its share again while any organisation has
 # a limit. Two attempts fit into QUOTA_SHARE_TTL_S.
 QUOTA_ENTRUST_INTERVAL_S = 0.8
+# A restarted node uses its whole share once it has seen this part of the
+# registered nodes: then it chooses the same coordinator as the others, and its
+# part of each limit is not too large. Some registered nodes may be gone.
+SEEN_NODES_PART = 0.8
 # A permit is for a request that waits for it, so all have the same priority.
 PRIORITY = 0
 
@@ -131,6 +136,31 @@
         super().__init__(
             node, origin, self.configured, ledger, QUOTA_SHARE_TTL_S, now
         )
+        self._seen_nodes = 0
+        self._registered_nodes = 0
+        self._registered_until = now
+
+    def set_nodes(self, nodes: int, now: float) -> None:
+        """Set the number of nodes that this node has seen."""
+        self._seen_nodes = nodes
+        if now >= self._registered_until:
+            self._registered_nodes = 0
+        super().set_nodes(max(nodes, self._registered_nodes), now)
+
+    def set_registered_nodes(self, nodes: int, now: float) -> None:
+        """Set how many nodes were registered when this node was restarted."""
+        self._registered_nodes = nodes
+        self._registered_until = now + NODES_KEEP_S
+        self.set_nodes(self._seen_nodes, now)
+
+    def _weight(self, now: float) -> float:
+        # A new bucket is empty, so it doesn't matter what the former process
+        # of this node has used. A node that was not registered before may
+        # know too few others, and gets its share little by little.
+        needed = SEEN_NODES_PART * self._registered_nodes
+        if self._registered_nodes and self._seen_nodes >= needed:
+            return 1.0
+        return super()._weight(now)
 
     def next_call(
         self, members: typing.Sequence[Member], now: float
--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -117,17 +117,19 @@
             for event in changes.events
         ]
 
-    async def register(self, cfg: NodeSettings) -> None:
+    async def register(self, cfg: NodeSettings) -> bool:
         """Write this node's gossip address to the store.
 
-        Raise PlatformError if the store does not accept it.
+        Return True if the node was registered before. Raise PlatformError if
+        the store does not accept the registration.
         """
         spec = _NodeSpec(cfg.gossip.host, cfg.gossip.port)
         body = msgspec.json.encode({'meta': {'name': cfg.node}, 'spec': spec})
         reply = await self._call(
             'POST', NODES_KIND, {}, NODES_CALL_TIMEOUT_S, body
         )
-        if reply.status == 409:
+        was_registered = reply.status == 409
+        if was_registered:
             # An earlier process with this node name is still registered, so
             # its registration is replaced.
             path = f'{NODES_KIND}/{urllib.parse.quote(cfg.node, safe="")}'
@@ -139,6 +141,7 @@
                 f'the store replied with status {reply.status} to the '
                 'registration of this node; the registration will be retried'
             )
+        return was_registered
 
     async def nodes(self) -> list[Endpoint]:
         """Return the gossip addresses of the registered nodes.
--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -149,6 +149,10 @@
                     loop.call_soon(self._send_waiting)
                 self._waiting.append(_Waiting(target_id, priority, on_permit))
 
+    def call_soon(self) -> None:
+        """Call the coordinator now, as other nodes have become known."""
+        self._call_now.set()
+
     async def run(self) -> None:
         """Call the coordinator periodically while there are limits."""
         while True:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -363,6 +363,7 @@
         ]
         self._lifecycle = Lifecycle(self.metrics, self._clock)
         self._is_entry_offered = False
+        self._unproven_nodes = 0
         self._tasks: list[asyncio.Task] = []
 
     def _make_evacuations_mirror(self) -> Mirror | None:
@@ -525,6 +526,7 @@
             self.metrics,
             self._rng,
         )
+        registration.on_restart = self._on_restart
         for name, run_loop in (
             ('upkeep', self._run_upkeep),
             ('registration', registration.run),
@@ -533,6 +535,12 @@
         ):
             self._spawn_loop(name, run_loop)
 
+    def _on_restart(self, registered_nodes: int) -> None:
+        self.organisation_limits.set_registered_nodes(
+            registered_nodes, _since_boot_s()
+        )
+        self._quotas.call_soon()
+
     def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -670,9 +678,11 @@
         sharing_nodes = self.peers.sharing_nodes(now)
         self.budget.set_nodes(sharing_nodes)
         self.limits.set_nodes(sharing_nodes, now)
-        self.organisation_limits.set_nodes(
-            self.peers.unproven_nodes(now), _since_boot_s()
-        )
+        unproven_nodes = self.peers.unproven_nodes(now)
+        self.organisation_limits.set_nodes(unproven_nodes, _since_boot_s())
+        if unproven_nodes != self._unproven_nodes:
+            self._unproven_nodes = unproven_nodes
+            self._quotas.call_soon()
         self.pools.set_limits(
             self.routing_state.max_connections,
             sharing_nodes,
--- a/sesameward/serving/registration.py
+++ b/sesameward/serving/registration.py
@@ -31,8 +31,11 @@
 class Registry(typing.Protocol):
     """Interface to register this node in the store and to find all nodes."""
 
-    async def register(self, cfg: NodeSettings) -> None:
-        """Write this node's addresses; raise PlatformError on failure."""
+    async def register(self, cfg: NodeSettings) -> bool:
+        """Write this node's addresses; return if it was registered before.
+
+        Raises PlatformError on failure.
+        """
 
     async def nodes(self) -> list[Endpoint]:
         """Return the gossip addresses of all nodes.
@@ -45,6 +48,8 @@
     """Register this node, and register it again if the store lost that.
 
     on_nodes is called with the gossip addresses of all registered nodes.
+    on_restart is called with their number if this node was registered before
+    its process started: then the others have registered as well.
     """
 
     def __init__(
@@ -66,6 +71,8 @@
         self._sleep = sleep
         self._backoff = Backoff(rng, BACKOFF_BASE_S, BACKOFF_CAP_S)
         self._is_registered = False
+        self._is_restarted = False
+        self.on_restart: typing.Callable[[int], None] = lambda nodes: None
 
     async def run(self) -> None:
         """Register, and read the list of nodes again and again."""
@@ -82,10 +89,14 @@
         """Return the pause until the next check, in seconds."""
         was_registered = self._is_registered
         if not was_registered:
-            await self._registry.register(self._cfg)
+            if await self._registry.register(self._cfg):
+                self._is_restarted = True
             self._is_registered = True
         addresses = await self._registry.nodes()
         self._on_nodes(addresses)
+        if self._is_restarted:
+            self._is_restarted = False
+            self.on_restart(len(addresses))
         # A list that is read just after the registration may be older than it.
         if was_registered and self._cfg.gossip not in addresses:
             self._is_registered = False
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -185,6 +185,50 @@
     fleet.check_bound()
 
 
+# Guards against nodes that refuse what is below the limit for some seconds
+# after all of them were restarted, although the store still lists them, and
+# against a bound that is exceeded because the former processes used it up.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', [SMALL, LARGE])
+@pytest.mark.parametrize('nodes', [5, 26, 91])
+def test_restarted_nodes_use_the_limit_as_soon_as_they_know_each_other(
+    nodes, limit, seed
+):
+    fleet = make_fleet(nodes, limit, seed)
+    demand(fleet, 2.0)
+    fleet.run(5.0)
+    for name in fleet.names:
+        fleet.kill(name)
+    fleet.run(0.5)
+    restarted_at = fleet.now
+    for name in fleet.names:
+        fleet.restart(name)
+        node = fleet.nodes[name]
+        node.limits.set_registered_nodes(nodes, fleet.now)
+    fleet.run(4.0)
+    fleet.check_bound()
+    admitted = sum(at >= restarted_at + 1.0 for at in fleet.arrivals)
+    assert admitted >= 0.8 * 3.0 * fleet.organisation.rate_per_s - 1
+
+
+# Guards against restarted nodes that know only some of the others, each of
+# which would use the share of a small fleet.
+@pytest.mark.parametrize('nodes', [26, 91])
+def test_bound_holds_while_restarted_nodes_are_partitioned(nodes):
+    fleet = make_fleet(nodes, LARGE)
+    demand(fleet, 9.0)
+    fleet.run(5.0)
+    for name in fleet.names:
+        fleet.kill(name)
+    fleet.run(0.3)
+    for name in fleet.names:
+        fleet.restart(name)
+        fleet.nodes[name].limits.set_registered_nodes(nodes, fleet.now)
+    fleet.set_cut(fleet.names[: nodes // 2])
+    fleet.run(10.0)
+    fleet.check_bound()
+
+
 # Guards against a killed node whose part is missing for as long as it counts.
 def test_one_killed_node_costs_nothing_of_the_limit():
     fleet = make_fleet(26, LARGE)
