--- /dev/null
+++ b/sesameward/admission/__init__.py
@@ -0,0 +1,4 @@
+"""Decide which requests run, wait or are refused where capacity is short.
+
+The modules of this package do no I/O.
+"""
--- /dev/null
+++ b/sesameward/admission/control.py
@@ -0,0 +1,229 @@
+"""Decide whether a node runs a request, queues it or refuses it.
+
+Two resources are limited: the node itself, seen as the lag of its event loop,
+and each single service, seen as requests that its targets refuse.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing
+
+import msgspec
+
+from .limits import AdaptiveLimit
+from .order import Lane
+from .order import Waiting
+from .order import WaitingOrder
+
+# The lane of requests that need no single service.
+NODE_LANE = Lane('')
+# A node with this many requests running has work for its processor while
+# others wait for targets.
+MIN_NODE_LIMIT = 4
+# At least one request of a node runs at each service, so that the node learns
+# when its targets accept requests again.
+MIN_SERVICE_LIMIT = 1
+# The event loop lags this much where the processor has more work than it can
+# do. A single lag may be a pause of the machine, so two in a row count.
+LAG_HIGH_S = 0.04
+LAG_LOW_S = 0.01
+# Part of the node's limit that is added after each small lag.
+NODE_INCREASE_FRACTION = 0.1
+# Weight of a new duration in the moving means.
+DURATION_WEIGHT = 0.1
+# Duration assumed until a request has ended; the shortest of the routes in the
+# deployments at hand, so that a new node refuses nothing by a guess.
+DEFAULT_DURATION_S = 0.02
+# Longest Retry-After before jitter. The overload rarely lasts longer, and
+# callers' own deadlines are some seconds.
+MAX_RETRY_AFTER_S = 5.0
+
+
+class Decision(enum.Enum):
+    """What happens to a request at first."""
+
+    RUN = 'run'
+    WAIT = 'wait'
+
+
+class Overloaded(msgspec.Struct, frozen=True):
+    """Order to refuse a request that can't be served in time."""
+
+    retry_after_s: float
+
+
+class Claim(Waiting, kw_only=True):
+    """Hold a caller's request and the last moment at which it may start."""
+
+    route: str
+    latest_at: float = 0.0
+    started_at: float = 0.0
+
+
+class Control:
+    """Admit requests of a node in order, within its limits.
+
+    has_free_slot returns True if a target of the service of a lane is known
+    to have a free slot; the request then runs, whatever the limit.
+    """
+
+    def __init__(
+        self,
+        has_free_slot: typing.Callable[[Lane, float], bool] = (
+            lambda lane, now: False
+        ),
+    ):
+        self.order = WaitingOrder()
+        self.node_limit = AdaptiveLimit(MIN_NODE_LIMIT)
+        self._has_free_slot = has_free_slot
+        self._service_limits: dict[Lane, AdaptiveLimit] = {}
+        self._running: collections.Counter[Lane] = collections.Counter()
+        self._running_by_priority: collections.Counter[int] = (
+            collections.Counter()
+        )
+        self._running_count = 0
+        self._durations_s: dict[tuple[str, str], float] = {}
+        self._was_lagging = False
+        self._last_return_at = 0.0
+
+    def offer(self, claim: Claim, now: float) -> Decision | Overloaded:
+        """Run a request if nothing waits and there is room; or queue it.
+
+        It is refused if its expected wait ends too late, unless its group or
+        priority is starved.
+        """
+        claim.latest_at = claim.deadline_at - self._duration_s(
+            'route', claim.route
+        )
+        if self.has_room(claim.lane, now) and not len(self.order):
+            self._start(claim, now)
+            return Decision.RUN
+        wait_s = self._expected_wait_s(claim)
+        allowed_s = claim.latest_at - now
+        is_starved = self.order.ratios.starved_ratio(claim) is not None
+        if allowed_s <= 0.0 or (wait_s > allowed_s and not is_starved):
+            return self._refuse(claim, wait_s - max(allowed_s, 0.0), now)
+        self.order.add(claim)
+        return Decision.WAIT
+
+    def take(self, now: float) -> Claim | None:
+        """Return the next waiting request that may start now."""
+        if not len(self.order):
+            return None
+        claim = self.order.take(lambda lane: self.has_room(lane, now))
+        if claim is not None:
+            self._start(claim, now)
+        return claim
+
+    def expire(self, claim: Claim, now: float) -> Overloaded:
+        """Refuse a request that has waited until its last moment."""
+        self.order.discard(claim)
+        return self._refuse(claim, self._expected_wait_s(claim), now)
+
+    def withdraw(self, claim: Claim) -> None:
+        """Remove a waiting request whose caller has gone."""
+        self.order.discard(claim)
+
+    def ended(self, claim: Claim, was_refused: bool, now: float) -> None:
+        """Record the end of a running request.
+
+        was_refused is True if a target refused it because of overload.
+        """
+        running = self._running[claim.lane]
+        if claim.lane != NODE_LANE:
+            limit = self._service_limits.get(claim.lane)
+            if was_refused:
+                if limit is None:
+                    limit = AdaptiveLimit(MIN_SERVICE_LIMIT)
+                    self._service_limits[claim.lane] = limit
+                limit.decrease(running, now)
+            elif limit is not None:
+                limit.increase(1.0 / (limit.limit or 1.0), now)
+                if limit.limit is None:
+                    del self._service_limits[claim.lane]
+        self._running_count -= 1
+        for counter, key in (
+            (self._running, claim.lane),
+            (self._running_by_priority, claim.priority),
+        ):
+            counter[key] -= 1
+            if not counter[key]:
+                del counter[key]
+        if not was_refused:
+            took_s = now - claim.started_at
+            self._record_duration('route', claim.route, took_s)
+            self._record_duration('lane', claim.lane, took_s)
+
+    def on_lag(self, lag_s: float, now: float) -> None:
+        """Adapt the node's limit to the lag of its event loop."""
+        is_lagging = lag_s >= LAG_HIGH_S
+        if is_lagging and self._was_lagging:
+            self.node_limit.decrease(self._running_count, now)
+        elif lag_s <= LAG_LOW_S:
+            step = NODE_INCREASE_FRACTION * (self.node_limit.limit or 0.0)
+            self.node_limit.increase(max(step, 1.0), now)
+        self._was_lagging = is_lagging
+
+    def has_room(self, lane: Lane, now: float) -> bool:
+        """Return True if one more request of a lane may run."""
+        if not self.node_limit.has_room(self._running_count):
+            return False
+        limit = self._service_limits.get(lane)
+        return (
+            limit is None
+            or limit.has_room(self._running[lane])
+            or self._has_free_slot(lane, now)
+        )
+
+    def running_by_priority(self) -> dict[int, int]:
+        """Return the number of running requests of each priority."""
+        return dict(self._running_by_priority)
+
+    def _start(self, claim: Claim, now: float) -> None:
+        claim.started_at = now
+        self._running_count += 1
+        self._running[claim.lane] += 1
+        self._running_by_priority[claim.priority] += 1
+        self.order.ratios.count(claim, True, now)
+
+    def _refuse(self, claim: Claim, excess_s: float, now: float) -> Overloaded:
+        self.order.ratios.count(claim, False, now)
+        # Refused requests return one after the other, at the rate at which
+        # requests are served.
+        spacing_s = self._spacing_s(claim.lane)
+        return_at = max(now + excess_s, self._last_return_at + spacing_s)
+        return_at = min(return_at, now + MAX_RETRY_AFTER_S)
+        self._last_return_at = return_at
+        return Overloaded(max(return_at - now, 0.0))
+
+    def _expected_wait_s(self, claim: Claim) -> float:
+        wait_s = 0.0
+        limit = self._service_limits.get(claim.lane)
+        if limit is not None:
+            ahead = self.order.count_ahead(claim, claim.lane)
+            wait_s = (ahead + 1) * self._lane_spacing_s(claim.lane, limit)
+        if self.node_limit.limit is not None:
+            ahead = self.order.count_ahead(claim, None)
+            wait_s = max(
+                wait_s,
+                (ahead + 1) * self._lane_spacing_s(NODE_LANE, self.node_limit),
+            )
+        return wait_s
+
+    def _spacing_s(self, lane: Lane) -> float:
+        limit = self._service_limits.get(lane, self.node_limit)
+        return self._lane_spacing_s(lane, limit)
+
+    def _lane_spacing_s(self, lane: Lane, limit: AdaptiveLimit) -> float:
+        return self._duration_s('lane', lane) / (limit.limit or 1.0)
+
+    def _duration_s(self, kind: str, name: str) -> float:
+        return self._durations_s.get((kind, name), DEFAULT_DURATION_S)
+
+    def _record_duration(self, kind: str, name: str, took_s: float) -> None:
+        before_s = self._durations_s.get((kind, name), took_s)
+        self._durations_s[kind, name] = before_s + DURATION_WEIGHT * (
+            took_s - before_s
+        )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,7 +26,7 @@
     {'quarantine'},
     {'settings'},
     {'membership', 'configuration'},
-    {'routing', 'bookings', 'placement'},
+    {'admission', 'bookings', 'placement', 'routing'},
     {'clients'},
     {'controllers', 'filters'},
     {'interface', 'organisations', 'serving'},
