--- a/sesameward/admission/control.py
+++ b/sesameward/admission/control.py
@@ -48,6 +48,18 @@
     WAIT = 'wait'
 
 
+class End(enum.Enum):
+    """How a running request ended.
+
+    REFUSED: targets refused it because of overload, and none served it. OTHER:
+    it says nothing of the capacity.
+    """
+
+    SERVED = 'served'
+    REFUSED = 'refused'
+    OTHER = 'other'
+
+
 class Overloaded(msgspec.Struct, frozen=True):
     """Order to refuse a request that can't be served in time."""
 
@@ -97,7 +109,10 @@
         claim.latest_at = claim.deadline_at - self._duration_s(
             'route', claim.route
         )
-        if self.has_room(claim.lane, now) and not len(self.order):
+        is_behind = self.order.has_waiting(claim.lane) or (
+            self.node_limit.limit is not None and len(self.order) > 0
+        )
+        if not is_behind and self.has_room(claim.lane, now):
             self._start(claim, now)
             return Decision.RUN
         wait_s = self._expected_wait_s(claim)
@@ -126,20 +141,17 @@
         """Remove a waiting request whose caller has gone."""
         self.order.discard(claim)
 
-    def ended(self, claim: Claim, was_refused: bool, now: float) -> None:
-        """Record the end of a running request.
-
-        was_refused is True if a target refused it because of overload.
-        """
+    def ended(self, claim: Claim, end: End, now: float) -> None:
+        """Record the end of a running request."""
         running = self._running[claim.lane]
         if claim.lane != NODE_LANE:
             limit = self._service_limits.get(claim.lane)
-            if was_refused:
+            if end is End.REFUSED:
                 if limit is None:
                     limit = AdaptiveLimit(MIN_SERVICE_LIMIT)
                     self._service_limits[claim.lane] = limit
                 limit.decrease(running, now)
-            elif limit is not None:
+            elif limit is not None and end is End.SERVED:
                 limit.increase(1.0 / (limit.limit or 1.0), now)
                 if limit.limit is None:
                     del self._service_limits[claim.lane]
@@ -151,7 +163,7 @@
             counter[key] -= 1
             if not counter[key]:
                 del counter[key]
-        if not was_refused:
+        if end is End.SERVED:
             took_s = now - claim.started_at
             self._record_duration('route', claim.route, took_s)
             self._record_duration('lane', claim.lane, took_s)
--- a/sesameward/admission/order.py
+++ b/sesameward/admission/order.py
@@ -175,6 +175,10 @@
                 ahead += min(len(one), own + 1)
         return ahead
 
+    def has_waiting(self, lane: Lane) -> bool:
+        """Return True if a request of a lane waits."""
+        return lane in self._lanes()
+
     def count_by_priority(self) -> dict[int, int]:
         """Return the number of waiting requests of each priority."""
         counts: dict[int, int] = {}
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -120,6 +120,7 @@
             limits=(
                 REPLY_LIMITS if batch.is_single else part_limits(batch.top_k)
             ),
+            share_group=batch.share_group or batch.route,
         )
         exchanges = [
             (
--- a/sesameward/serving/delegating_run.py
+++ b/sesameward/serving/delegating_run.py
@@ -132,6 +132,7 @@
             is_first,
             priority=self._route.priority,
             on_trial=sub.on_trial,
+            share_group=sub.share_group,
         )
 
     def _apply_helper_reply(
@@ -292,8 +293,8 @@
     ) -> list:
         raise NotImplementedError
 
-    def _release(self) -> None:
-        super()._release()
+    def _release(self, was_served: bool = False) -> None:
+        super()._release(was_served)
         now = self._tools.clock()
         # A request that must not run twice goes on at its target, as if this
         # node had sent it: nobody else may send it again.
--- a/sesameward/serving/delegation.py
+++ b/sesameward/serving/delegation.py
@@ -73,7 +73,8 @@
     request, priority that of its route. If is_single is True, the request is
     not a query over shards, and the target's whole reply is returned; if
     runs_once is True, it must not run twice. If on_trial is True, the request
-    is suspected of crashing targets.
+    is suspected of crashing targets. share_group is the organisation or route
+    whose fair share of connections the request uses.
     """
 
     batch_no: BatchNo
@@ -92,6 +93,7 @@
     is_single: bool = False
     runs_once: bool = False
     on_trial: bool = False
+    share_group: str = ''
 
 
 class MarkSentElsewhere(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/sesameward/serving/deps.py
+++ b/sesameward/serving/deps.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .admission_gate import AdmissionGate
 from .delegate_client import DelegateClient
 from .delegation import Delegation
 from .exchange import ExchangeDeps
@@ -29,9 +30,11 @@
     delegates: DelegateClient
     splits: Splits
     random: typing.Callable[[], float]
-    # One Run for each caller's request in progress; their number is logged at
-    # shutdown.
+    # One Run for each caller's request in progress, or its claim while it
+    # waits for admission; their number is logged at shutdown.
     runs: set = msgspec.field(default_factory=set)
+    # None where a node admits all requests, as in tests of other parts.
+    admission: AdmissionGate | None = None
 
 
 def add_retry_after(
--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -26,6 +26,7 @@
 from .limit_exchange import LimitExchange
 from .pools import DEFAULT_MAX_IDLE_S
 from .pools import Pools
+from .pools import WaitRank
 from .replica_choice import SILENT_AFTER_S
 from .routes import RouteName
 from .target_connection import ExchangeFailure
@@ -78,12 +79,13 @@
     """Hold what all sub-requests for one request have in common.
 
     The field head holds the start of the request as sent to each target; the
-    request body is in identity. If on_trial is True, the request is suspected
-    of crashing targets. If sees_whole_request is True, a target that answers
-    nothing until the sub-request is abandoned is reported as possibly crashed
-    by the request. It is False on a helper node, which sends sub-requests for
-    another node, because it does not see whether another target answered the
-    request.
+    request body is in identity. share_group is the organisation or route whose
+    fair share of connections the request uses. If on_trial is True, the
+    request is suspected of crashing targets. If sees_whole_request is True, a
+    target that answers nothing until the sub-request is abandoned is reported
+    as possibly crashed by the request. It is False on a helper node, which
+    sends sub-requests for another node, because it does not see whether
+    another target answered the request.
     """
 
     request_id: RequestId
@@ -98,6 +100,7 @@
     on_trial: bool = False
     sees_whole_request: bool = True
     limits: MessageLimits = REPLY_LIMITS
+    share_group: str = ''
 
 
 class Result(msgspec.Struct):
@@ -172,6 +175,11 @@
             self._target_id,
             self._connected,
             ONCE_MAX_IDLE_S if self._sub.runs_once else DEFAULT_MAX_IDLE_S,
+            WaitRank(
+                self._sub.priority,
+                self._sub.share_group,
+                self._sub.deadline_at,
+            ),
         )
 
     def abandon(self) -> None:
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -7,18 +7,22 @@
 import msgspec
 
 from .. import logs
+from ..admission.control import End
 from ..organisations.identity import Identity
 from ..organisations.identity import KeyRefusal
 from ..quarantine.quarantine import Canary
 from ..quarantine.quarantine import Refuse
+from ..types import ServiceName
 from .deps import add_retry_after
 from .deps import Deps
+from .deps import RETRY_AFTER_S
 from .gather_run import GatherRun
 from .http_server import Answer
 from .http_server import Request
 from .http_server import Responder
 from .relay_run import RelayRun
 from .routes import OneService
+from .routes import Route
 from .routes import RouteTable
 from .routes import Shards
 from .routes import Split
@@ -65,6 +69,10 @@
         self.deps = deps
         self._identity = identity
         self._configuration = configuration
+        if deps.admission is not None:
+            deps.admission.runs = deps.runs
+            deps.admission.start = self._start
+            deps.admission.refuse = self._refuse_overloaded
 
     def handle(self, req: Request, responder: Responder) -> None:
         """Refuse a caller's request at once, or start a run to answer it."""
@@ -114,37 +122,61 @@
                 req, responder, 503, 'no_links', asked, LINKS_RETRY_AFTER_S
             )
             return
-        identity = identity_of(req)
+        arrival = Arrival(
+            req,
+            asked,
+            route,
+            route_table.version,
+            responder,
+            identity_of(req),
+            organisation=None if organisation is None else organisation.name,
+        )
+        if deps.admission is None or not deps.admission.is_active():
+            self._start(arrival, now)
+            return
+        arrival.service = self._pick_service(route)
+        deps.admission.submit(arrival, now)
+
+    def _start(self, arrival: Arrival, now: float) -> None:
+        deps = self.deps
+        identity = arrival.identity
         match deps.tools.crashes.admit(identity, now):
             case Refuse(retry_after_s):
                 self._refuse(
-                    req,
-                    responder,
+                    arrival.req,
+                    arrival.responder,
                     503,
                     'quarantined',
-                    asked,
+                    arrival.asked,
                     retry_after_s,
                     fingerprint=identity.fingerprint,
                     for_s=round(retry_after_s, 3),
                 )
+                arrival.on_end(End.OTHER)
                 return
             case admission:
-                on_trial = isinstance(admission, Canary)
-        run = self._make_run(
-            Arrival(
-                req,
-                asked,
-                route,
-                route_table.version,
-                responder,
-                identity,
-                on_trial,
-                None if organisation is None else organisation.name,
-            )
-        )
+                arrival.on_trial = isinstance(admission, Canary)
+        run = self._make_run(arrival)
         deps.runs.add(run)
         run.start(now)
 
+    def _refuse_overloaded(
+        self, arrival: Arrival, retry_after_s: float
+    ) -> None:
+        waited_s = self.deps.tools.clock() - arrival.req.arrived_at
+        self._refuse(
+            arrival.req,
+            arrival.responder,
+            503,
+            'overloaded',
+            arrival.asked,
+            max(retry_after_s, RETRY_AFTER_S),
+            organisation=arrival.organisation,
+            priority=arrival.priority,
+            waited_ms=round(waited_s * 1_000, 2),
+            for_s=round(retry_after_s, 3),
+        )
+
     def _may_be_outdated(self, now: float) -> bool:
         """Return True if a newer configuration may be in force elsewhere."""
         is_old = self._configuration.age_s(now) > MAX_ROUTES_AGE_S
@@ -174,15 +206,20 @@
         )
 
     def _make_run(self, arrival: Arrival) -> Run:
-        deps = self.deps
-        match arrival.route.destination:
+        service = arrival.service or self._pick_service(arrival.route)
+        if service is None:
+            return GatherRun(self.deps, arrival)
+        return RelayRun(self.deps, arrival, service)
+
+    def _pick_service(self, route: Route) -> ServiceName | None:
+        """Return the service for a request; None if it goes to shards."""
+        match route.destination:
             case Shards():
-                return GatherRun(deps, arrival)
+                return None
             case Split() as split:
-                service = deps.splits.pick(arrival.route.name, split)
-                return RelayRun(deps, arrival, service)
+                return self.deps.splits.pick(route.name, split)
             case OneService(service):
-                return RelayRun(deps, arrival, service)
+                return service
 
     def _refuse(
         self,
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -40,6 +40,7 @@
 from ..types import NodeId
 from ..types import TargetId
 from ..types import ZoneName
+from .admission_gate import AdmissionGate
 from .attempts import AttemptPolicy
 from .budget_window import BudgetWindow
 from .byte_limits import MESSAGE_MEMORY_FRACTION
@@ -298,6 +299,10 @@
         self._delegate_handler = DelegateHandler(tools)
         self.peers.add_handler(self._delegate_handler)
         self.peers.add_handler(LimitHandler(self.limits, self._clock))
+        self.admission = AdmissionGate(
+            tools.policy, self.metrics, self._clock, self._admits_in_order
+        )
+        self.pools.orders_waiting = self._admits_in_order
         self.front = Front(
             Deps(
                 tools,
@@ -305,6 +310,7 @@
                 self._delegates,
                 splits,
                 self._rng.random,
+                admission=self.admission,
             ),
             self.routing_state,
             Identity(
@@ -496,6 +502,7 @@
             ('upkeep', self._run_upkeep),
             ('registration', registration.run),
             ('limits', self._limit_exchange.run),
+            ('admission', self.admission.run),
         ):
             self._spawn_loop(name, run_loop)
 
@@ -883,6 +890,13 @@
             and self.evacuations.is_known
         )
 
+    def _admits_in_order(self) -> bool:
+        """Return True where requests are admitted by priority and shares."""
+        table = self.routing_state.route_table
+        return bool(self.relays) or (
+            table is not None and table.organisations is not None
+        )
+
     def _status(self) -> node_status.NodeStatus:
         return node_status.collect_status(
             self._cfg.node,
@@ -898,6 +912,7 @@
             self._clock(),
             self.cold,
             self.evacuations,
+            self.admission.statuses(),
         )
 
 
--- a/sesameward/serving/node_status.py
+++ b/sesameward/serving/node_status.py
@@ -13,6 +13,7 @@
 from ..types import StoreEpoch
 from ..types import TargetId
 from ..types import ZoneName
+from .admission_gate import PriorityStatus
 from .cold_targets import ColdTargets
 from .evacuations import Evacuations
 from .mirror import Mirror
@@ -126,7 +127,9 @@
     beliefs holds the status of the node's copies of objects in the store.
     links is "up", "suspected" or "lost": the node's connections to targets.
     store_is_behind is True if the routes in force are newer than the store's.
-    evacuated_zones are those whose targets get no requests.
+    evacuated_zones are those whose targets get no requests. admission holds
+    the priorities of which requests run or wait, where they are admitted in
+    order.
     """
 
     node: NodeId
@@ -141,6 +144,7 @@
     store_is_behind: bool = False
     organisations: tuple[OrganisationStatus, ...] = ()
     evacuated_zones: tuple[ZoneName, ...] = ()
+    admission: tuple[PriorityStatus, ...] = ()
 
 
 def collect_status(
@@ -157,6 +161,7 @@
     now: float,
     cold: ColdTargets,
     evacuations: Evacuations,
+    admission: tuple[PriorityStatus, ...] = (),
 ) -> NodeStatus:
     """Return the status of the node at the given time."""
     table = routing_state.route_table
@@ -190,6 +195,7 @@
             for o in (table.organisations if table else None) or ()
         ),
         evacuated_zones=evacuations.zones(),
+        admission=admission,
     )
 
 
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import enum
 import random
 import typing
 
 from .. import logs
+from ..admission.order import Waiting
+from ..admission.order import WaitingOrder
 from ..metrics import Metrics
 from ..placement.relays import RelayRole
 from ..routing.shares import ConnectRateLimit
@@ -71,6 +72,18 @@
 OnConnection = typing.Callable[[TargetConnection | None], None]
 
 
+class WaitRank(typing.NamedTuple):
+    """Hold what decides the order of requests that wait for a connection."""
+
+    priority: int
+    share_group: str
+    deadline_at: float
+
+
+# With the same rank, requests get connections in the order of their arrival.
+FIRST_COME = WaitRank(0, '', 0.0)
+
+
 class ConnectCheck(enum.Enum):
     """Results of checking whether a target accepts connections.
 
@@ -95,7 +108,7 @@
         'open',
         'target',
         'unreachable_until',
-        'waiting',
+        '_order',
     )
 
     def __init__(self, target: Target):
@@ -104,9 +117,47 @@
         self.idle: list[TargetConnection] = []
         self.open: set[TargetConnection] = set()
         self.connecting = 0
-        self.waiting: collections.deque[OnConnection] = collections.deque()
+        # None while nothing waits: a node may know 30,000 targets.
+        self._order: WaitingOrder | None = None
         self.closed = False
 
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of requests that wait for a connection."""
+        return 0 if self._order is None else len(self._order)
+
+    def add_waiting(self, on_connection: OnConnection, rank: WaitRank) -> None:
+        """Add a request that waits for a connection."""
+        if self._order is None:
+            self._order = WaitingOrder()
+        self._order.add(Waiting(*rank, on_connection))
+
+    def take_waiting(self) -> OnConnection | None:
+        """Remove the next waiting request and return its callback."""
+        entry = None if self._order is None else self._order.take()
+        return None if entry is None else entry.item
+
+    def drop_waiting(self) -> None:
+        """Pass None to all requests that wait for a connection."""
+        while (on_connection := self.take_waiting()) is not None:
+            on_connection(None)
+        self._order = None
+
+    def pass_on(self, conn: TargetConnection, now: float) -> None:
+        """Offer a connection to waiting requests until one uses it.
+
+        A request that ended while it waited does not use it, and counts as
+        not served.
+        """
+        order = self._order
+        while order is not None and conn.usable:
+            entry = order.take()
+            if entry is None:
+                self._order = None
+                return
+            entry.item(conn)
+            order.ratios.count(entry, not conn.usable, now)
+
     @property
     def connection_count(self) -> int:
         """Return the number of connections that are open or being opened."""
@@ -141,6 +192,7 @@
         self.role: typing.Callable[[TargetId], RelayRole] = lambda target_id: (
             RelayRole.UNRELAYED
         )
+        self.orders_waiting: typing.Callable[[], bool] = lambda: False
         self._message_memory = message_memory or MessageMemory()
         self._metrics = metrics
         self._clock = clock
@@ -205,8 +257,7 @@
         for conn in pool.idle:
             conn.close()
         pool.idle.clear()
-        while pool.waiting:
-            pool.waiting.popleft()(None)
+        pool.drop_waiting()
 
     def close(self) -> None:
         """Close all connections, even those with a request in progress."""
@@ -226,13 +277,15 @@
         target_id: TargetId,
         on_connection: OnConnection,
         max_idle_s: float = DEFAULT_MAX_IDLE_S,
+        rank: WaitRank = FIRST_COME,
     ) -> None:
         """Pass an idle or new connection, or None, to on_connection.
 
         None means that the target is unknown or can't be reached. If this node
         already uses its share of the target's connections, the request waits
         until one of them is free. Connections idle for max_idle_s or longer
-        are closed instead of reused.
+        are closed instead of reused. rank decides which of the waiting
+        requests gets a connection first, if orders_waiting() returns True.
         """
         pool = self._pools.get(target_id)
         if pool is None:
@@ -245,8 +298,10 @@
         if conn is not None:
             on_connection(conn)
             return
-        pool.waiting.append(on_connection)
-        if pool.connecting < len(pool.waiting):
+        pool.add_waiting(
+            on_connection, rank if self.orders_waiting() else FIRST_COME
+        )
+        if pool.connecting < pool.waiting_count:
             self._open_connection(pool)
 
     def is_unreachable(self, target_id: TargetId) -> bool:
@@ -422,8 +477,7 @@
             self.on_failure(started_at, False)
             if not pool.closed and not is_probe:
                 self._on_unreachable(target.id)
-            while pool.waiting:
-                pool.waiting.popleft()(None)
+            pool.drop_waiting()
             is_refusal = isinstance(
                 exc, ConnectionRefusedError | ConnectionResetError
             )
@@ -448,17 +502,14 @@
             pool.open.discard(conn)
             if conn in pool.idle:
                 pool.idle.remove(conn)
-            if pool.waiting and pool.connecting < len(pool.waiting):
+            if pool.connecting < pool.waiting_count:
                 self._open_connection(pool)
             return
         if pool.closed:
             conn.close()
             return
         conn.last_used_at = self._clock()
-        # A request that ended while it waited for a connection does not use
-        # it, so the connection is then offered to the next waiting request.
-        while pool.waiting and conn.usable:
-            pool.waiting.popleft()(conn)
+        pool.pass_on(conn, conn.last_used_at)
         if conn.usable and conn not in pool.idle:
             pool.idle.append(conn)
 
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from .. import logs
+from ..admission.control import End
 from ..types import NodeId
+from ..types import ServiceName
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
@@ -42,7 +44,8 @@
     priority of the route is that of the request's organisation, if it has one
     of its own; organisation is None if the request has none. If
     on_trial is True, the request is suspected of crashing targets, so it is
-    sent to one target first.
+    sent to one target first. service is the one that the request was admitted
+    for, if it needs a single one. on_end is called when the request ends.
     """
 
     req: Request
@@ -53,12 +56,27 @@
     identity: RequestIdentity
     on_trial: bool = False
     organisation: OrganisationName | None = None
+    service: ServiceName | None = None
+    on_end: typing.Callable[[End], None] = lambda end: None
 
     @property
     def priority(self) -> int:
         """Return the request's priority; 0 is the most urgent."""
         return self.route.priority
 
+    @property
+    def deadline_at(self) -> float:
+        """Return when the request must be answered at the latest."""
+        timeout_s = self.asked.caller_timeout_s
+        if timeout_s is None or timeout_s > self.route.timeout_s:
+            timeout_s = self.route.timeout_s
+        return self.req.arrived_at + timeout_s
+
+    @property
+    def share_group(self) -> str:
+        """Return whose fair share of the capacity the request uses."""
+        return self.organisation or self.route.name
+
 
 class Run:
     """Send the sub-requests that a plan decides on and answer the caller.
@@ -85,10 +103,9 @@
         self._is_over = False
         self._repeats: list[str] = []
         self._failures: list[str] = []
-        timeout_s = asked.caller_timeout_s
-        if timeout_s is None or timeout_s > route.timeout_s:
-            timeout_s = route.timeout_s
-        self._deadline_at = req.arrived_at + timeout_s
+        self._deadline_at = arrival.deadline_at
+        self._on_end = arrival.on_end
+        self._was_shed = False
         self._sub = SubRequest(
             asked.request_id,
             route.name,
@@ -101,6 +118,7 @@
             route.repeat is Repeat.ONCE,
             arrival.on_trial,
             limits=_reply_limits(route),
+            share_group=arrival.share_group,
         )
         self._responder.on_gone = self._on_caller_disconnect
 
@@ -132,6 +150,7 @@
         helper: NodeId | None = None,
     ) -> SubRequestFailure:
         end = end or SubRequestFailure.FAILED
+        self._was_shed |= end is SubRequestFailure.NOT_RUN
         through = '' if helper is None else f'@{helper}'
         self._failures.append(f'{end.value}:{send.target_id}{through}')
         return end
@@ -202,10 +221,17 @@
             **fields,
         )
         self._responder.send(answer)
-        self._release()
+        self._release(answer.status < 500)
 
-    def _release(self) -> None:
+    def _release(self, was_served: bool = False) -> None:
         self._deps.runs.discard(self)
+        match was_served, self._was_shed:
+            case True, False:
+                self._on_end(End.SERVED)
+            case False, True:
+                self._on_end(End.REFUSED)
+            case _:
+                self._on_end(End.OTHER)
         if self._sub.on_trial:
             self._tools.crashes.trial_ended(self._sub.identity)
         if self._timer is not None:
--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -57,7 +57,7 @@
     def __init__(self):
         self.conn = Connection()
 
-    def acquire(self, target_id, on_connection, max_idle_s):
+    def acquire(self, target_id, on_connection, max_idle_s, rank):
         on_connection(self.conn)
 
 
--- a/tests/test_gather_run.py
+++ b/tests/test_gather_run.py
@@ -94,7 +94,7 @@
         def __init__(self):
             self.tried = []
 
-        def acquire(self, target_id, on_connection, max_idle_s):
+        def acquire(self, target_id, on_connection, max_idle_s, rank):
             self.tried.append(target_id)
 
         def is_unreachable(self, target_id):
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -48,7 +48,7 @@
     def __init__(self):
         self.tried = []
 
-    def acquire(self, target_id, on_connection, max_idle_s):
+    def acquire(self, target_id, on_connection, max_idle_s, rank):
         self.tried.append(target_id)
         on_connection(None)
 
