--- a/sesameward/admission/control.py
+++ b/sesameward/admission/control.py
@@ -33,6 +33,10 @@
 NODE_INCREASE_FRACTION = 0.1
 # Weight of a new duration in the moving means.
 DURATION_WEIGHT = 0.1
+# A request may start until its route's mean duration, plus this many mean
+# deviations, is left to its deadline. At the mean alone, half of those that
+# start last would end too late, and have used capacity in vain.
+START_DEVIATIONS = 2.0
 # Duration assumed until a request has ended; the shortest of the routes in the
 # deployments at hand, so that a new node refuses nothing by a guess.
 DEFAULT_DURATION_S = 0.02
@@ -97,6 +101,7 @@
         )
         self._running_count = 0
         self._durations_s: dict[tuple[str, str], float] = {}
+        self._deviations_s: dict[str, float] = {}
         self._was_lagging = False
         self._last_return_at = 0.0
 
@@ -106,9 +111,7 @@
         It is refused if its expected wait ends too late, unless its group or
         priority is starved.
         """
-        claim.latest_at = claim.deadline_at - self._duration_s(
-            'route', claim.route
-        )
+        claim.latest_at = claim.deadline_at - self._long_duration_s(claim)
         is_behind = self.order.has_waiting(claim.lane) or (
             self.node_limit.limit is not None and len(self.order) > 0
         )
@@ -165,6 +168,11 @@
                 del counter[key]
         if end is End.SERVED:
             took_s = now - claim.started_at
+            off_s = abs(took_s - self._duration_s('route', claim.route))
+            before_s = self._deviations_s.get(claim.route, 0.0)
+            self._deviations_s[claim.route] = before_s + DURATION_WEIGHT * (
+                off_s - before_s
+            )
             self._record_duration('route', claim.route, took_s)
             self._record_duration('lane', claim.lane, took_s)
 
@@ -234,6 +242,11 @@
     def _duration_s(self, kind: str, name: str) -> float:
         return self._durations_s.get((kind, name), DEFAULT_DURATION_S)
 
+    def _long_duration_s(self, claim: Claim) -> float:
+        deviation_s = self._deviations_s.get(claim.route, 0.0)
+        mean_s = self._duration_s('route', claim.route)
+        return mean_s + START_DEVIATIONS * deviation_s
+
     def _record_duration(self, kind: str, name: str, took_s: float) -> None:
         before_s = self._durations_s.get((kind, name), took_s)
         self._durations_s[kind, name] = before_s + DURATION_WEIGHT * (
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -131,7 +131,6 @@
         sim.load(CAPACITY_PER_S * 2.0, 2, from_s=5.0, to_s=15.0)
         sim.run()
         ratios[is_admitted] = sim.ratio(0)
-        print(is_admitted, dict(sim.results), sim.work_s)
     assert ratios[True] > 0.9 > ratios[False]
     assert sim.ratio(2) > 0.25 * sim.ratio('all')
 
@@ -143,7 +142,6 @@
         sim.load(CAPACITY_PER_S * 0.15, 1, f'o{n}')
     sim.load(CAPACITY_PER_S * 0.15 * 7, 1, 'o0')
     sim.run()
-    print(dict(sim.results))
     assert min(sim.ratio(f'o{n}') for n in range(1, 5)) > 0.85
     assert sim.ratio('o0') > 0.25 * sim.ratio('all')
 
@@ -156,7 +154,6 @@
         sim.load(CAPACITY_PER_S * 1.2, priority, f'o{priority}')
     sim.load(CAPACITY_PER_S * 0.1, 2, 'small')
     sim.run()
-    print(dict(sim.results))
     for key in (0, 1, 2, 'o0', 'o1', 'o2', 'small'):
         assert sim.ratio(key) > 0.25 * sim.ratio('all')
     assert sim.ratio(0) > sim.ratio(2)
@@ -168,7 +165,6 @@
     sim = Simulation()
     sim.load(CAPACITY_PER_S * 2.0, 2)
     sim.run()
-    print(dict(sim.results), sim.work_s)
     assert sim.work_s > 0.95 * LOAD_S * SLOTS
     calm = Simulation()
     calm.load(CAPACITY_PER_S * 0.6, 2)
@@ -192,10 +188,9 @@
         for decision in (control.offer(one, 0.0) for one in claims[3:])
         if isinstance(decision, Overloaded)
     ]
-    print(refusals)
     assert len(refusals) > 20
     per_tenth = collections.Counter(int(one * 10) for one in refusals)
-    assert max(per_tenth.values()) <= 2 or max(refusals) >= 4.0
+    assert max(per_tenth.values()) <= 2
 
 
 # Guards against a node that takes on more than its processor can do, and
