--- a/sesameward/admission/control.py
+++ b/sesameward/admission/control.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import math
 import typing
 
 import msgspec
@@ -22,9 +23,14 @@
 # A node with this many requests running has work for its processor while
 # others wait for targets.
 MIN_NODE_LIMIT = 4
-# At least one request of a node runs at each service, so that the node learns
-# when its targets accept requests again.
-MIN_SERVICE_LIMIT = 1
+# A node sends to a service for at least this part of the time, so that it
+# learns when its targets accept requests again. It is below one because nodes
+# may outnumber the requests that all targets of a service accept: 91 nodes for
+# three targets with 2 slots and a queue of 8.
+MIN_SERVICE_LIMIT = 0.1
+# Added to the limit of a service for each served request, as long as the limit
+# is below one; above, the limit rises by one for as many requests as it is.
+MIN_SERVICE_INCREASE = 0.1
 # The event loop lags this much where the processor has more work than it can
 # do. A single lag may be a pause of the machine, so two in a row count.
 LAG_HIGH_S = 0.04
@@ -37,6 +43,13 @@
 # deviations, is left to its deadline. At the mean alone, half of those that
 # start last would end too late, and have used capacity in vain.
 START_DEVIATIONS = 2.0
+# Requests that take this many times the shortest duration have waited at their
+# target. The limit of a service falls then already, so that the queues of its
+# targets keep room for urgent requests. With a lower factor, work of uneven
+# length would count as waiting.
+QUEUED_FACTOR = 2.0
+# Part by which the shortest duration approaches a longer one.
+SHORTEST_RISE = 0.02
 # Duration assumed until a request has ended; the shortest of the routes in the
 # deployments at hand, so that a new node refuses nothing by a guess.
 DEFAULT_DURATION_S = 0.02
@@ -78,6 +91,18 @@
     started_at: float = 0.0
 
 
+class _Service:
+    """Limit of one service, and what is known of the requests to it."""
+
+    __slots__ = ('least_urgent', 'limit', 'started_at')
+
+    def __init__(self, priority: int):
+        self.limit = AdaptiveLimit(MIN_SERVICE_LIMIT)
+        # Largest priority of a request since there is a limit.
+        self.least_urgent = priority
+        self.started_at = 0.0
+
+
 class Control:
     """Admit requests of a node in order, within its limits.
 
@@ -94,14 +119,15 @@
         self.order = WaitingOrder()
         self.node_limit = AdaptiveLimit(MIN_NODE_LIMIT)
         self._has_free_slot = has_free_slot
-        self._service_limits: dict[Lane, AdaptiveLimit] = {}
-        self._running: collections.Counter[Lane] = collections.Counter()
-        self._running_by_priority: collections.Counter[int] = (
+        # Only services whose targets have refused requests.
+        self._services: dict[Lane, _Service] = {}
+        self._running: collections.Counter[tuple[Lane, int]] = (
             collections.Counter()
         )
         self._running_count = 0
         self._durations_s: dict[tuple[str, str], float] = {}
         self._deviations_s: dict[str, float] = {}
+        self._shortest_s: dict[Lane, float] = {}
         self._was_lagging = False
         self._last_return_at = 0.0
 
@@ -112,10 +138,13 @@
         priority is starved.
         """
         claim.latest_at = claim.deadline_at - self._long_duration_s(claim)
-        is_behind = self.order.has_waiting(claim.lane) or (
+        service = self._services.get(claim.lane)
+        if service is not None:
+            service.least_urgent = max(service.least_urgent, claim.priority)
+        is_behind = self.order.has_waiting(claim.lane, claim.priority) or (
             self.node_limit.limit is not None and len(self.order) > 0
         )
-        if not is_behind and self.has_room(claim.lane, now):
+        if not is_behind and self.has_room(claim, now):
             self._start(claim, now)
             return Decision.RUN
         wait_s = self._expected_wait_s(claim)
@@ -130,7 +159,7 @@
         """Return the next waiting request that may start now."""
         if not len(self.order):
             return None
-        claim = self.order.take(lambda lane: self.has_room(lane, now))
+        claim = self.order.take(lambda entry: self.has_room(entry, now))
         if claim is not None:
             self._start(claim, now)
         return claim
@@ -146,26 +175,13 @@
 
     def ended(self, claim: Claim, end: End, now: float) -> None:
         """Record the end of a running request."""
-        running = self._running[claim.lane]
         if claim.lane != NODE_LANE:
-            limit = self._service_limits.get(claim.lane)
-            if end is End.REFUSED:
-                if limit is None:
-                    limit = AdaptiveLimit(MIN_SERVICE_LIMIT)
-                    self._service_limits[claim.lane] = limit
-                limit.decrease(running, now)
-            elif limit is not None and end is End.SERVED:
-                limit.increase(1.0 / (limit.limit or 1.0), now)
-                if limit.limit is None:
-                    del self._service_limits[claim.lane]
+            self._adapt_service(claim, end, now)
         self._running_count -= 1
-        for counter, key in (
-            (self._running, claim.lane),
-            (self._running_by_priority, claim.priority),
-        ):
-            counter[key] -= 1
-            if not counter[key]:
-                del counter[key]
+        key = claim.lane, claim.priority
+        self._running[key] -= 1
+        if not self._running[key]:
+            del self._running[key]
         if end is End.SERVED:
             took_s = now - claim.started_at
             off_s = abs(took_s - self._duration_s('route', claim.route))
@@ -175,6 +191,10 @@
             )
             self._record_duration('route', claim.route, took_s)
             self._record_duration('lane', claim.lane, took_s)
+            shortest_s = self._shortest_s.get(claim.lane, took_s)
+            self._shortest_s[claim.lane] = min(
+                took_s, shortest_s + SHORTEST_RISE * (took_s - shortest_s)
+            )
 
     def on_lag(self, lag_s: float, now: float) -> None:
         """Adapt the node's limit to the lag of its event loop."""
@@ -186,26 +206,72 @@
             self.node_limit.increase(max(step, 1.0), now)
         self._was_lagging = is_lagging
 
-    def has_room(self, lane: Lane, now: float) -> bool:
-        """Return True if one more request of a lane may run."""
+    def has_room(self, entry: Waiting, now: float) -> bool:
+        """Return True if one more request may run.
+
+        A request that is more urgent than others of its service exceeds the
+        limit of the service by one: the limit holds these others back, so that
+        the queues of the targets have room for it.
+        """
         if not self.node_limit.has_room(self._running_count):
             return False
-        limit = self._service_limits.get(lane)
-        return (
-            limit is None
-            or limit.has_room(self._running[lane])
-            or self._has_free_slot(lane, now)
-        )
+        service = self._services.get(entry.lane)
+        if service is None or self._has_service_room(entry.lane, service, now):
+            return True
+        if entry.priority < service.least_urgent and not any(
+            lane == entry.lane and priority <= entry.priority
+            for lane, priority in self._running
+        ):
+            return True
+        return self._has_free_slot(entry.lane, now)
 
     def running_by_priority(self) -> dict[int, int]:
         """Return the number of running requests of each priority."""
-        return dict(self._running_by_priority)
+        counts: dict[int, int] = {}
+        for (_, priority), count in self._running.items():
+            counts[priority] = counts.get(priority, 0) + count
+        return counts
+
+    def _has_service_room(
+        self, lane: Lane, service: _Service, now: float
+    ) -> bool:
+        running = self._running_at(lane)
+        if running or (service.limit.limit or 1.0) >= 1.0:
+            return service.limit.has_room(running)
+        pause_s = self._lane_spacing_s(lane, service.limit)
+        return now - service.started_at >= pause_s
+
+    def _running_at(self, lane: Lane) -> int:
+        return sum(
+            count
+            for (its_lane, _), count in self._running.items()
+            if its_lane == lane
+        )
+
+    def _adapt_service(self, claim: Claim, end: End, now: float) -> None:
+        service = self._services.get(claim.lane)
+        if end is End.REFUSED:
+            if service is None:
+                service = self._services[claim.lane] = _Service(claim.priority)
+            service.limit.decrease(self._running_at(claim.lane), now)
+        elif service is not None and end is End.SERVED:
+            shortest_s = self._shortest_s.get(claim.lane, math.inf)
+            if now - claim.started_at > QUEUED_FACTOR * shortest_s:
+                service.limit.decrease(self._running_at(claim.lane), now)
+                return
+            limit = service.limit.limit or 1.0
+            step = MIN_SERVICE_INCREASE if limit < 1.0 else 1.0 / limit
+            service.limit.increase(step, now)
+            if service.limit.limit is None:
+                del self._services[claim.lane]
 
     def _start(self, claim: Claim, now: float) -> None:
         claim.started_at = now
         self._running_count += 1
-        self._running[claim.lane] += 1
-        self._running_by_priority[claim.priority] += 1
+        self._running[claim.lane, claim.priority] += 1
+        service = self._services.get(claim.lane)
+        if service is not None:
+            service.started_at = now
         self.order.ratios.count(claim, True, now)
 
     def _refuse(self, claim: Claim, excess_s: float, now: float) -> Overloaded:
@@ -220,10 +286,12 @@
 
     def _expected_wait_s(self, claim: Claim) -> float:
         wait_s = 0.0
-        limit = self._service_limits.get(claim.lane)
-        if limit is not None:
+        service = self._services.get(claim.lane)
+        if service is not None:
             ahead = self.order.count_ahead(claim, claim.lane)
-            wait_s = (ahead + 1) * self._lane_spacing_s(claim.lane, limit)
+            wait_s = (ahead + 1) * self._lane_spacing_s(
+                claim.lane, service.limit
+            )
         if self.node_limit.limit is not None:
             ahead = self.order.count_ahead(claim, None)
             wait_s = max(
@@ -233,7 +301,8 @@
         return wait_s
 
     def _spacing_s(self, lane: Lane) -> float:
-        limit = self._service_limits.get(lane, self.node_limit)
+        service = self._services.get(lane)
+        limit = self.node_limit if service is None else service.limit
         return self._lane_spacing_s(lane, limit)
 
     def _lane_spacing_s(self, lane: Lane, limit: AdaptiveLimit) -> float:
--- a/sesameward/admission/limits.py
+++ b/sesameward/admission/limits.py
@@ -13,11 +13,14 @@
 
 
 class AdaptiveLimit:
-    """Limit of running requests; there is none until overload is reported."""
+    """Limit of running requests; there is none until overload is reported.
+
+    Below one, it is the part of the time in which one request runs.
+    """
 
     __slots__ = ('_decreased_at', '_minimum', 'limit')
 
-    def __init__(self, minimum: int):
+    def __init__(self, minimum: float):
         self.limit: float | None = None
         self._minimum = minimum
         self._decreased_at = 0.0
@@ -34,8 +37,10 @@
         ):
             return
         self._decreased_at = now
-        base = running if self.limit is None else min(self.limit, running)
-        self.limit = max(float(self._minimum), base * DECREASE_FACTOR)
+        base = (
+            running if self.limit is None else min(self.limit, max(running, 1))
+        )
+        self.limit = max(self._minimum, base * DECREASE_FACTOR)
 
     def increase(self, step: float, now: float) -> None:
         """Raise the limit; end it if the last overload is long ago."""
--- a/sesameward/admission/order.py
+++ b/sesameward/admission/order.py
@@ -142,11 +142,10 @@
         self._drop_if_empty(bucket)
 
     def take(
-        self, has_room: typing.Callable[[Lane], bool] = lambda lane: True
+        self, has_room: typing.Callable[[Waiting], bool] = lambda entry: True
     ) -> Waiting | None:
-        """Remove and return the next request whose lane has room."""
-        rooms = {lane: has_room(lane) for lane in self._lanes()}
-        heads = [one for one in self._heads() if rooms[one.lane]]
+        """Remove and return the next request for which there is room."""
+        heads = [one for one in self._heads() if has_room(one)]
         if not heads:
             return None
         entry = min(heads, key=self._rank)
@@ -175,9 +174,15 @@
                 ahead += min(len(one), own + 1)
         return ahead
 
-    def has_waiting(self, lane: Lane) -> bool:
-        """Return True if a request of a lane waits."""
-        return lane in self._lanes()
+    def has_waiting(self, lane: Lane, priority: int) -> bool:
+        """Return True if a request of a lane and this priority waits.
+
+        More urgent ones count too.
+        """
+        return any(
+            its_lane == lane and its_priority <= priority
+            for its_priority, _, its_lane in self._buckets
+        )
 
     def count_by_priority(self) -> dict[int, int]:
         """Return the number of waiting requests of each priority."""
@@ -189,9 +194,6 @@
     def _heads(self) -> list[Waiting]:
         return [one[0][2] for one in self._buckets.values()]
 
-    def _lanes(self) -> set[Lane]:
-        return {lane for _, _, lane in self._buckets}
-
     def _rank(self, entry: Waiting) -> tuple:
         turns = self._turns[entry.group]
         starved_ratio = self.ratios.starved_ratio(entry)
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -27,6 +27,8 @@
 CAPACITY_PER_S = SLOTS / WORK_S
 DEADLINE_S = 2.0
 LOAD_S = 20.0
+# Interval at which a node looks through its waiting requests.
+TICK_S = 0.05
 
 
 class Simulation:
@@ -58,6 +60,7 @@
             self.at(now, self.arrive, priority, group)
 
     def run(self):
+        self.at(0.0, self.tick)
         while self.events:
             self.now, _, what, args = heapq.heappop(self.events)
             what(*args)
@@ -109,8 +112,17 @@
         self.count(claim, 'late' if is_late else end.value)
         if self.is_admitted:
             control.ended(claim, end, self.now)
-            while (taken := control.take(self.now)) is not None:
-                self.send(control, taken)
+            self.drain(control)
+
+    def drain(self, control):
+        while (taken := control.take(self.now)) is not None:
+            self.send(control, taken)
+
+    def tick(self):
+        for control in self.controls:
+            self.drain(control)
+        if self.events:
+            self.at(self.now + TICK_S, self.tick)
 
     def count(self, claim, how):
         self.results[claim.priority][how] += 1
@@ -203,7 +215,7 @@
     for claim in claims[:10]:
         assert control.offer(claim, 0.0) is Decision.RUN
     control.on_lag(0.2, 0.0)
-    assert control.has_room(NODE_LANE, 0.0)
+    assert control.has_room(claims[10], 0.0)
     control.on_lag(0.2, 0.05)
     assert control.offer(claims[10], 0.05) is Decision.WAIT
     for n in range(100):
