--- a/sesameward/admission/control.py
+++ b/sesameward/admission/control.py
@@ -29,8 +29,11 @@
 # three targets with 2 slots and a queue of 8.
 MIN_SERVICE_LIMIT = 0.1
 # Added to the limit of a service for each served request, as long as the limit
-# is below one; above, the limit rises by one for as many requests as it is.
+# is below one; above, SERVICE_INCREASE is divided among as many requests as
+# the limit is. Many nodes raise their limits at once: with 1.0, the queues of
+# the targets were soon full again in the simulation of the tests.
 MIN_SERVICE_INCREASE = 0.1
+SERVICE_INCREASE = 0.2
 # The event loop lags this much where the processor has more work than it can
 # do. A single lag may be a pause of the machine, so two in a row count.
 LAG_HIGH_S = 0.04
@@ -47,7 +50,7 @@
 # target. The limit of a service falls then already, so that the queues of its
 # targets keep room for urgent requests. With a lower factor, work of uneven
 # length would count as waiting.
-QUEUED_FACTOR = 2.0
+QUEUED_FACTOR = 2.5
 # Part by which the shortest duration approaches a longer one.
 SHORTEST_RISE = 0.02
 # Duration assumed until a request has ended; the shortest of the routes in the
@@ -260,7 +263,11 @@
                 service.limit.decrease(self._running_at(claim.lane), now)
                 return
             limit = service.limit.limit or 1.0
-            step = MIN_SERVICE_INCREASE if limit < 1.0 else 1.0 / limit
+            step = (
+                MIN_SERVICE_INCREASE
+                if limit < 1.0
+                else SERVICE_INCREASE / limit
+            )
             service.limit.increase(step, now)
             if service.limit.limit is None:
                 del self._services[claim.lane]
@@ -306,6 +313,11 @@
         return self._lane_spacing_s(lane, limit)
 
     def _lane_spacing_s(self, lane: Lane, limit: AdaptiveLimit) -> float:
+        if limit.limit is not None and limit.limit < 1.0:
+            # Requests start at this interval, however long the last one took
+            # in the queue of its target.
+            shortest_s = self._shortest_s.get(lane, DEFAULT_DURATION_S)
+            return shortest_s / limit.limit
         return self._duration_s('lane', lane) / (limit.limit or 1.0)
 
     def _duration_s(self, kind: str, name: str) -> float:
