--- a/sesameward/admission/control.py
+++ b/sesameward/admission/control.py
@@ -130,7 +130,7 @@
         self._running_count = 0
         self._durations_s: dict[tuple[str, str], float] = {}
         self._deviations_s: dict[str, float] = {}
-        self._shortest_s: dict[Lane, float] = {}
+        self._shortest_s: dict[tuple[str, str], float] = {}
         self._was_lagging = False
         self._last_return_at = 0.0
 
@@ -194,10 +194,6 @@
             )
             self._record_duration('route', claim.route, took_s)
             self._record_duration('lane', claim.lane, took_s)
-            shortest_s = self._shortest_s.get(claim.lane, took_s)
-            self._shortest_s[claim.lane] = min(
-                took_s, shortest_s + SHORTEST_RISE * (took_s - shortest_s)
-            )
 
     def on_lag(self, lag_s: float, now: float) -> None:
         """Adapt the node's limit to the lag of its event loop."""
@@ -258,7 +254,9 @@
                 service = self._services[claim.lane] = _Service(claim.priority)
             service.limit.decrease(self._running_at(claim.lane), now)
         elif service is not None and end is End.SERVED:
-            shortest_s = self._shortest_s.get(claim.lane, math.inf)
+            # Other routes of the service may have shorter work.
+            key = 'route', claim.route
+            shortest_s = self._shortest_s.get(key, math.inf)
             if now - claim.started_at > QUEUED_FACTOR * shortest_s:
                 service.limit.decrease(self._running_at(claim.lane), now)
                 return
@@ -316,7 +314,9 @@
         if limit.limit is not None and limit.limit < 1.0:
             # Requests start at this interval, however long the last one took
             # in the queue of its target.
-            shortest_s = self._shortest_s.get(lane, DEFAULT_DURATION_S)
+            shortest_s = self._shortest_s.get(
+                ('lane', lane), DEFAULT_DURATION_S
+            )
             return shortest_s / limit.limit
         return self._duration_s('lane', lane) / (limit.limit or 1.0)
 
@@ -329,6 +329,10 @@
         return mean_s + START_DEVIATIONS * deviation_s
 
     def _record_duration(self, kind: str, name: str, took_s: float) -> None:
+        shortest_s = self._shortest_s.get((kind, name), took_s)
+        self._shortest_s[kind, name] = min(
+            took_s, shortest_s + SHORTEST_RISE * (took_s - shortest_s)
+        )
         before_s = self._durations_s.get((kind, name), took_s)
         self._durations_s[kind, name] = before_s + DURATION_WEIGHT * (
             took_s - before_s
--- a/sesameward/admission/order.py
+++ b/sesameward/admission/order.py
@@ -117,12 +117,13 @@
 
     def add(self, entry: Waiting) -> None:
         """Add a request to the queue."""
-        # A group that comes later does not make up for turns before it came.
-        if entry.group not in self._turns:
-            waiting_turns = [
-                self._turns.get(one.group, 0) for one in self._heads()
-            ]
-            self._turns[entry.group] = min(waiting_turns, default=0)
+        # A group does not make up for turns while it had nothing waiting.
+        heads = self._heads()
+        if not any(one.group == entry.group for one in heads):
+            least = min((self._turns[one.group] for one in heads), default=0)
+            self._turns[entry.group] = max(
+                least, self._turns.get(entry.group, 0)
+            )
         self._waiting.add(entry)
         bucket = entry.priority, entry.group, entry.lane
         heapq.heappush(
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -258,3 +258,18 @@
     taken = [order.take().item for _ in range(5)]
     assert taken == [4, 2, 3, 0, 5]
     assert order.take() is None
+
+
+# Guards against a group that comes back and then takes several turns in a row
+# for those that it had no request for.
+def test_group_that_returns_makes_up_for_no_turns():
+    order = WaitingOrder()
+    for number in range(6):
+        order.add(Waiting(1, 'a', 1.0, ('a', number)))
+    order.add(Waiting(1, 'b', 1.0, ('b', 0)))
+    for _ in range(4):
+        order.take()
+    for number in (1, 2, 3):
+        order.add(Waiting(1, 'b', 1.0, ('b', number)))
+    groups = [order.take().item[0] for _ in range(4)]
+    assert sorted(groups) == ['a', 'a', 'b', 'b']
