--- a/sesameward/serving/deps.py
+++ b/sesameward/serving/deps.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .admission_gate import AdmissionGate
 from .delegate_client import DelegateClient
 from .delegation import Delegation
 from .exchange import ExchangeDeps
@@ -32,9 +33,11 @@
     random: typing.Callable[[], float]
     # Bandwidth of this node's link, in bytes per second.
     link_bytes_per_s: float = math.inf
-    # One Run for each caller's request in progress; their number is logged at
-    # shutdown.
+    # One Run for each caller's request in progress, or its claim while it
+    # waits for admission; their number is logged at shutdown.
     runs: set = msgspec.field(default_factory=set)
+    # None where a node admits all requests, as in tests of other parts.
+    admission: AdmissionGate | None = None
 
 
 def add_retry_after(
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -8,13 +8,16 @@
 import msgspec
 
 from .. import logs
+from ..admission.control import End
 from ..organisations.identity import Identity
 from ..organisations.identity import KeyRefusal
 from ..organisations.quotas import PRIORITY
 from ..quarantine.quarantine import Canary
 from ..quarantine.quarantine import Refuse
+from ..types import ServiceName
 from .deps import add_retry_after
 from .deps import Deps
+from .deps import RETRY_AFTER_S
 from .gather_run import GatherRun
 from .http_server import Answer
 from .http_server import Request
@@ -27,7 +30,6 @@
 from .routes import RouteTable
 from .routes import Shards
 from .routes import Split
-from .routes import Version
 from .run import Arrival
 from .run import identity_of
 from .run import Run
@@ -41,28 +43,11 @@
 # Retry-After of a node that can't reach targets, nor through any other node.
 # It notices within half a second when it can, and so do the others.
 LINKS_RETRY_AFTER_S = 1.0
-
-
 # An organisation over its limit gets thousands of refusals; one line in this
 # time is logged, the counter has them all.
 OVER_LIMIT_LOG_INTERVAL_S = 1.0
 
 
-class _Checked(msgspec.Struct):
-    """Hold a request that has a route and a known key, if it needs one.
-
-    is_gone is True if the caller disconnected while a permit was awaited.
-    """
-
-    req: Request
-    responder: Responder
-    asked: RequestHeaders
-    route: Route
-    version: Version
-    organisation: OrganisationName | None = None
-    is_gone: bool = False
-
-
 class KnownConfiguration(typing.Protocol):
     """Interface to the routes that the node knows, which may be outdated."""
 
@@ -77,6 +62,16 @@
         """Return True if the store is known to lack recent configurations."""
 
 
+class _PermitWait(msgspec.Struct):
+    """Hold a request that awaits a permit of its organisation's limit.
+
+    is_gone is True if the caller disconnected meanwhile.
+    """
+
+    arrival: Arrival
+    is_gone: bool = False
+
+
 class Front:
     """Check each caller's request, then refuse it or start its run.
 
@@ -96,6 +91,10 @@
         # Time of the last log line about an organisation over its limit.
         self._over_limit_logged_at: dict[OrganisationName, float] = {}
         self._configuration = configuration
+        if deps.admission is not None:
+            deps.admission.runs = deps.runs
+            deps.admission.start = self._start
+            deps.admission.refuse = self._refuse_overloaded
 
     def handle(self, req: Request, responder: Responder) -> None:
         """Refuse a caller's request at once, or start a run to answer it."""
@@ -145,104 +144,135 @@
                 req, responder, 503, 'no_links', asked, LINKS_RETRY_AFTER_S
             )
             return
-        checked = _Checked(req, responder, asked, route, route_table.version)
-        if organisation is None:
-            self._start_run(checked)
+        arrival = Arrival(
+            req,
+            asked,
+            route,
+            route_table.version,
+            responder,
+            identity_of(req),
+            organisation=None if organisation is None else organisation.name,
+        )
+        if deps.admission is None or not deps.admission.is_active():
+            self._start(arrival, now)
+            return
+        arrival.service = self._pick_service(route)
+        deps.admission.submit(arrival, now)
+
+    def _start(self, arrival: Arrival, now: float) -> None:
+        """Run a request as soon as the limit of its organisation allows it.
+
+        The permit is taken after the wait for admission: permits are valid for
+        half a second only.
+        """
+        if arrival.organisation is None:
+            self._start_run(arrival)
             return
-        checked.organisation = organisation.name
-        if self._quotas.limits.is_limited(organisation.name):
+        wait = _PermitWait(arrival)
+        if self._quotas.limits.is_limited(arrival.organisation):
             # The caller may disconnect while the permit is awaited. A run
             # replaces this function.
-            responder.on_gone = lambda: self._on_caller_disconnect(checked)
+            arrival.responder.on_gone = lambda: self._on_caller_disconnect(
+                wait
+            )
         self._quotas.acquire(
-            organisation.name,
+            arrival.organisation,
             PRIORITY,
-            lambda permit: self._on_permit(checked, permit),
+            lambda permit: self._on_permit(wait, permit),
         )
 
-    def _on_permit(self, checked: _Checked, permit: Permit | None) -> None:
+    def _on_permit(self, wait: _PermitWait, permit: Permit | None) -> None:
         limits = self._quotas.limits
         now = self._quotas.clock()
-        if checked.is_gone:
+        arrival = wait.arrival
+        if wait.is_gone:
             if permit is not None:
                 limits.give_back(permit, now)
             return
         if permit is None or not limits.is_valid(permit, now):
-            self._refuse_over_limit(checked, now)
+            self._refuse_over_limit(arrival, now)
+            arrival.on_end(End.OTHER)
             return
-        if not self._start_run(checked):
+        if not self._start_run(arrival):
             limits.give_back(permit, now)
 
-    def _on_caller_disconnect(self, checked: _Checked) -> None:
-        checked.is_gone = True
+    def _on_caller_disconnect(self, wait: _PermitWait) -> None:
+        wait.is_gone = True
         self.deps.tools.metrics.count('callers_gone')
         logs.log_event(
             'caller_gone',
-            request=checked.asked.request_id,
-            route=checked.route.name,
+            request=wait.arrival.asked.request_id,
+            route=wait.arrival.route.name,
             running=0,
         )
+        wait.arrival.on_end(End.OTHER)
 
-    def _refuse_over_limit(self, checked: _Checked, now: float) -> None:
-        name = checked.organisation
+    def _refuse_over_limit(self, arrival: Arrival, now: float) -> None:
+        name = typing.cast(OrganisationName, arrival.organisation)
         wait_s = self._quotas.limits.wait_s(name, PRIORITY, now)
         logged_at = self._over_limit_logged_at.get(name, -math.inf)
         if now - logged_at < OVER_LIMIT_LOG_INTERVAL_S:
             self.deps.tools.metrics.count('refused', 'over_limit')
             answer = Answer(429)
             add_retry_after(self.deps, answer, wait_s)
-            checked.responder.send(answer)
+            arrival.responder.send(answer)
             return
         self._over_limit_logged_at[name] = now
         self._refuse(
-            checked.req,
-            checked.responder,
+            arrival.req,
+            arrival.responder,
             429,
             'over_limit',
-            checked.asked,
+            arrival.asked,
             wait_s,
-            version=checked.version,
+            version=arrival.version,
             organisation=name,
             wait_s=round(wait_s, 3),
         )
 
-    def _start_run(self, checked: _Checked) -> bool:
+    def _start_run(self, arrival: Arrival) -> bool:
         """Run a request, unless it is in quarantine; return if it runs."""
         deps = self.deps
         now = deps.tools.clock()
-        req, responder, asked = checked.req, checked.responder, checked.asked
-        identity = identity_of(req)
+        identity = arrival.identity
         match deps.tools.crashes.admit(identity, now):
             case Refuse(retry_after_s):
                 self._refuse(
-                    req,
-                    responder,
+                    arrival.req,
+                    arrival.responder,
                     503,
                     'quarantined',
-                    asked,
+                    arrival.asked,
                     retry_after_s,
                     fingerprint=identity.fingerprint,
                     for_s=round(retry_after_s, 3),
                 )
+                arrival.on_end(End.OTHER)
                 return False
             case admission:
-                on_trial = isinstance(admission, Canary)
-        run = self._make_run(
-            Arrival(
-                req,
-                asked,
-                checked.route,
-                checked.version,
-                responder,
-                identity,
-                on_trial,
-                checked.organisation,
-            )
-        )
+                arrival.on_trial = isinstance(admission, Canary)
+        run = self._make_run(arrival)
         deps.runs.add(run)
         run.start(now)
         return True
 
+    def _refuse_overloaded(
+        self, arrival: Arrival, retry_after_s: float
+    ) -> None:
+        waited_s = self.deps.tools.clock() - arrival.req.arrived_at
+        self._refuse(
+            arrival.req,
+            arrival.responder,
+            503,
+            'overloaded',
+            arrival.asked,
+            max(retry_after_s, RETRY_AFTER_S),
+            organisation=arrival.organisation,
+            priority=arrival.priority,
+            waited_ms=round(waited_s * 1_000, 2),
+            for_s=round(retry_after_s, 3),
+        )
+
     def _may_be_outdated(self, now: float) -> bool:
         """Return True if a newer configuration may be in force elsewhere."""
         is_old = self._configuration.age_s(now) > MAX_ROUTES_AGE_S
@@ -272,15 +302,20 @@
         )
 
     def _make_run(self, arrival: Arrival) -> Run:
-        deps = self.deps
-        match arrival.route.destination:
+        service = arrival.service or self._pick_service(arrival.route)
+        if service is None:
+            return GatherRun(self.deps, arrival)
+        return RelayRun(self.deps, arrival, service)
+
+    def _pick_service(self, route: Route) -> ServiceName | None:
+        """Return the service for a request; None if it goes to shards."""
+        match route.destination:
             case Shards():
-                return GatherRun(deps, arrival)
+                return None
             case Split() as split:
-                service = deps.splits.pick(arrival.route.name, split)
-                return RelayRun(deps, arrival, service)
+                return self.deps.splits.pick(route.name, split)
             case OneService(service):
-                return RelayRun(deps, arrival, service)
+                return service
 
     def _refuse(
         self,
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -43,6 +43,7 @@
 from ..types import Revision
 from ..types import TargetId
 from ..types import ZoneName
+from .admission_gate import AdmissionGate
 from .attempts import AttemptPolicy
 from .budget_window import BudgetWindow
 from .byte_limits import MESSAGE_MEMORY_FRACTION
@@ -328,6 +329,10 @@
                 self.organisation_limits, _since_boot_s, ORGANISATION_LIMITS
             )
         )
+        self.admission = AdmissionGate(
+            tools.policy, self.metrics, self._clock, self._admits_in_order
+        )
+        self.pools.orders_waiting = self._admits_in_order
         self.front = Front(
             Deps(
                 tools,
@@ -336,6 +341,7 @@
                 splits,
                 self._rng.random,
                 cfg.link_bytes_per_s,
+                admission=self.admission,
             ),
             self.routing_state,
             Identity(
@@ -532,6 +538,7 @@
             ('registration', registration.run),
             ('limits', self._limit_exchange.run),
             ('organisation limits', self._quotas.run),
+            ('admission', self.admission.run),
         ):
             self._spawn_loop(name, run_loop)
 
@@ -932,6 +939,13 @@
             and self.evacuations.is_known
         )
 
+    def _admits_in_order(self) -> bool:
+        """Return True where requests are admitted by priority and shares."""
+        table = self.routing_state.route_table
+        return bool(self.relays) or (
+            table is not None and table.organisations is not None
+        )
+
     def _status(self) -> node_status.NodeStatus:
         return node_status.collect_status(
             self._cfg.node,
@@ -947,6 +961,7 @@
             self._clock(),
             self.cold,
             self.evacuations,
+            self.admission.statuses(),
         )
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -112,7 +112,11 @@
             ),
         )
         deps = types.SimpleNamespace(
-            tools=tools, runs=[], random=lambda: 0.5, delegation=None
+            admission=None,
+            tools=tools,
+            runs=[],
+            random=lambda: 0.5,
+            delegation=None,
         )
         deps.runs = types.SimpleNamespace(add=lambda run: None)
         self.front = RecordingFront(
