Let relays refuse first sub-requests to targets with an overdue one

Each of 91 nodes sends to a target every few seconds, so it learned that one was slow or paused only from its own hedges, which are charged to the retry budget. A relay gets the requests of all nodes for its targets and sees an overdue one at once. It refuses the first sub-request of a query then, as for a silent target, and the node that asked uses another replica.

The new test fails without the change.

--- a/sesameward/admission/__init__.py
+++ b/sesameward/admission/__init__.py
@@ -1,4 +1,5 @@
 """Decide which requests run, wait or are refused where capacity is short.
 
-The modules of this package do no I/O.
+control decides, with the waiting requests in order and the adaptive limits of
+the node and of services in limits. The modules of this package do no I/O.
 """
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -146,7 +146,7 @@
                 is_refused
                 or target is None
                 or not tools.policy.may_send(item.target_id, tools.clock())
-                or self._skips_silent_target(item)
+                or self._skips_slow_target(item)
             ):
                 self._on_result(item, Result(SubRequestFailure.NOT_SENT))
             else:
@@ -154,15 +154,22 @@
         loop = asyncio.get_running_loop()
         loop.call_later(remaining_s + DEADLINE_GRACE_S, self._abandon)
 
-    def _skips_silent_target(self, item: BatchItem) -> bool:
+    def _skips_slow_target(self, item: BatchItem) -> bool:
         # First sub-requests of a query (may_filter is True) are not sent to a
         # target that has stopped answering, because the node that asked for
         # them can use another replica at once. Hedges and retries are sent all
         # the same, because possibly no other replica is left.
+        if not self._batch.may_filter:
+            return False
         selector = self._tools.policy.selector
-        return self._batch.may_filter and selector.silent(
-            item.target_id, self._tools.clock()
-        )
+        now = self._tools.clock()
+        if selector.silent(item.target_id, now):
+            return True
+        # A relay gets the requests of all nodes for its targets, so it sees
+        # that one is paused or slow when the others know nothing of it yet. A
+        # hedge of theirs would come later, and be charged to the retry budget.
+        has_relays = self._tools.relays.get(item.target_id) is not None
+        return has_relays and selector.paused(item.target_id, now)
 
     def send_all_records(self, item_no: int, floor: bytes) -> None:
         """Return for a sub-request all records that are greater than floor.
--- a/tests/test_delegate_server.py
+++ b/tests/test_delegate_server.py
@@ -38,8 +38,10 @@
 
     echoes_request_ids = False
     is_abandoned = False
+    sent = None
 
     def send(self, data, on_end, is_own_reply, *args):
+        self.sent = data
         self._on_end = on_end
         self._is_own_reply = is_own_reply
 
@@ -85,6 +87,8 @@
         relayed=(),
         items=1,
         evacuated=False,
+        may_filter=True,
+        is_overdue=False,
         **fields,
     ):
         async def main():
@@ -112,6 +116,8 @@
                 clock,
             )
             tools.relays.update((), [(one, 'z') for one in relayed])
+            if is_overdue:
+                selector.sent('t0', 'route', clock() - 0.1)
             if cut_off:
                 lose_links(tools.links, targets)
             message = DelegatedBatch(
@@ -125,7 +131,7 @@
                 500,
                 10,
                 tuple(BatchItem(n, f't{n}') for n in range(items)),
-                True,
+                may_filter,
                 **fields,
             )
             outbox = asyncio.Queue()
@@ -306,3 +312,21 @@
         assert len(outbox.get_nowait().item_results) == items
 
     run_batch(scenario, relayed=relayed, items=items)
+
+
+# Guards against a target that is slow for seconds, of which each of many nodes
+# would learn only from its own few requests. The relay knows it from the
+# requests of all nodes; a hedge or retry is sent in any case.
+@pytest.mark.parametrize(
+    ('relayed', 'may_filter', 'is_sent'),
+    [(('t0',), True, False), (('t0',), False, True), ((), True, True)],
+)
+def test_relay_skips_a_target_with_an_overdue_request(
+    run_batch, relayed, may_filter, is_sent
+):
+    def scenario(batch, conn, outbox):
+        assert bool(conn.sent) is is_sent
+
+    run_batch(
+        scenario, relayed=relayed, may_filter=may_filter, is_overdue=True
+    )
