--- a/sesameward/serving/admission_gate.py
+++ b/sesameward/serving/admission_gate.py
@@ -26,8 +26,11 @@
     from .run import Arrival
 
 # Interval at which the lag of the event loop is measured and waiting requests
-# are looked through. It takes less than 0.1% of a core.
+# are looked through.
 LAG_INTERVAL_S = 0.05
+# The same while nothing waits. Each measurement wakes the process: with 0.05 s,
+# 91 nodes with few requests used 67 s of processor time instead of 49 s.
+IDLE_LAG_INTERVAL_S = 0.25
 # Interval of checks whether admission has become active.
 INACTIVE_INTERVAL_S = 1.0
 # A target is known to have a free slot if its figures are at most this old;
@@ -108,8 +111,11 @@
             if not self.is_active() and not self._timers:
                 await asyncio.sleep(INACTIVE_INTERVAL_S)
                 continue
-            due_at = self._clock() + LAG_INTERVAL_S
-            await asyncio.sleep(LAG_INTERVAL_S)
+            interval_s = (
+                LAG_INTERVAL_S if self._timers else IDLE_LAG_INTERVAL_S
+            )
+            due_at = self._clock() + interval_s
+            await asyncio.sleep(interval_s)
             now = self._clock()
             self.control.on_lag(now - due_at, now)
             self._drain()
