--- a/sesameward/serving/admission_gate.py
+++ b/sesameward/serving/admission_gate.py
@@ -28,8 +28,8 @@
 # Interval at which the lag of the event loop is measured and waiting requests
 # are looked through.
 LAG_INTERVAL_S = 0.05
-# The same while nothing waits. Each measurement wakes the process: with 0.05 s,
-# 91 nodes with few requests used 67 s of processor time instead of 49 s.
+# The same while nothing waits. Each measurement wakes the process: with 0.05
+# s, 91 nodes with few requests used 67 s of processor time instead of 49 s.
 IDLE_LAG_INTERVAL_S = 0.25
 # Interval of checks whether admission has become active.
 INACTIVE_INTERVAL_S = 1.0
