--- a/sesameward/serving/admission_gate.py
+++ b/sesameward/serving/admission_gate.py
@@ -20,7 +20,7 @@
 from ..types import Clock
 from ..types import ServiceName
 from .attempts import AttemptPolicy
-from .http_server import Answer
+from .http_server import answer_fault
 
 if typing.TYPE_CHECKING:
     from .run import Arrival
@@ -173,14 +173,8 @@
             self._start(claim, now)
         except Exception as exc:
             # The other waiting requests must not be lost by this fault.
-            self._metrics.count('handler_faults', type(exc).__name__)
-            logs.log_event(
-                'handler_fault',
-                error=repr(exc),
-                where=logs.origin_of(exc),
-                path=claim.item.req.path,
-            )
-            claim.item.responder.send(Answer(500))
+            arrival = claim.item
+            answer_fault(self._metrics, exc, arrival.req, arrival.responder)
 
     def _expire(self, claim: Claim) -> None:
         if claim not in self._timers:
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -331,13 +331,13 @@
                 self._keep_alive = False
                 self._unparsed = b''
                 return
-            self._parser = self._make_parser_without_offer()
+            self._parse_head_without_offer()
             rest = piece[exc.args[0] :]
             if rest:
                 self._feed(rest)
 
-    def _make_parser_without_offer(self) -> httptools.HttpRequestParser:
-        """Return a parser that expects the body of the current request.
+    def _parse_head_without_offer(self) -> None:
+        """Replace the parser by one that expects the current request's body.
 
         For a request that offers another protocol, the parser takes the bytes
         after the head for that protocol. The offer is ignored, as RFC 9110,
@@ -356,7 +356,6 @@
         self._is_replaying = True
         self._parser = httptools.HttpRequestParser(self)
         self._parser.feed_data(b''.join(lines))
-        return self._parser
 
     def _check_limits(self) -> None:
         limits = self._server.limits
@@ -696,6 +695,20 @@
     return b''.join(lines)
 
 
+def answer_fault(
+    metrics: Metrics, exc: Exception, req: Request, responder: Responder
+) -> None:
+    """Log and count an exception of a handler, and answer 500."""
+    metrics.count('handler_faults', type(exc).__name__)
+    logs.log_event(
+        'handler_fault',
+        error=repr(exc),
+        where=logs.origin_of(exc),
+        path=req.path,
+    )
+    responder.send(Answer(500))
+
+
 class HttpServer:
     """HTTP server on one address, which passes requests to a handler.
 
@@ -752,14 +765,7 @@
         try:
             self._handler(req, responder)
         except Exception as exc:
-            self.metrics.count('handler_faults', type(exc).__name__)
-            logs.log_event(
-                'handler_fault',
-                error=repr(exc),
-                where=logs.origin_of(exc),
-                path=req.path,
-            )
-            responder.send(Answer(500))
+            answer_fault(self.metrics, exc, req, responder)
 
     def stop_listening(self) -> None:
         """Stop accepting connections; keep the open ones."""
