--- a/sesameward/serving/permit_ledger.py
+++ b/sesameward/serving/permit_ledger.py
@@ -63,7 +63,7 @@
 class HeldShares:
     """Hold the shares of all limits that nodes entrust to this node.
 
-    Each node has the same share of each limit.
+    Each node has the same share of each limit. Subclasses grant permits.
     """
 
     def __init__(self, ttl_s: float = SHARE_TTL_S):
@@ -112,6 +112,23 @@
             )
         return min(1.0, max(0.0, self._total_weight / self._nodes))
 
+    def forget(self, target_id: TargetId) -> None:
+        """Drop the permits of a target without a limit."""
+        raise NotImplementedError
+
+    def grant(
+        self,
+        target_id: TargetId,
+        limit: float,
+        node: NodeId,
+        needed: int,
+        extra: int,
+        priority: int,
+        now: float,
+    ) -> Grant:
+        """Grant a node up to needed permits, and extra ones if it may."""
+        raise NotImplementedError
+
 
 class PermitLedger(HeldShares):
     """Hold the shares that nodes entrust to this node, and grant permits.
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -30,6 +30,7 @@
 from .named_limits import NamedLimits
 from .named_limits import OnLimitChange
 from .permit_ledger import Grant
+from .permit_ledger import HeldShares
 from .permit_ledger import PermitLedger
 from .permit_ledger import SHARE_TTL_S
 
@@ -124,36 +125,6 @@
         """Apply changes that the coordinator decided."""
 
 
-class Ledger(typing.Protocol):
-    """Interface to a node's own shares and those that others entrust to it.
-
-    See HeldShares and PermitLedger.
-    """
-
-    def set_nodes(self, nodes: int) -> None: ...
-
-    def entrust(self, node: NodeId, weight: float, now: float) -> None: ...
-
-    def withdraw(self, node: NodeId) -> None: ...
-
-    def clear(self) -> None: ...
-
-    def part(self, now: float) -> float: ...
-
-    def forget(self, target_id: TargetId) -> None: ...
-
-    def grant(
-        self,
-        target_id: TargetId,
-        limit: float,
-        node: NodeId,
-        needed: int,
-        extra: int,
-        priority: int,
-        now: float,
-    ) -> Grant: ...
-
-
 class _RecentLargest:
     """Keep the largest of the numbers added within some time."""
 
@@ -195,7 +166,7 @@
         node: NodeId,
         origin: str,
         source: LimitSource,
-        ledger: Ledger,
+        ledger: HeldShares,
         share_ttl_s: float,
         now: float,
     ):
