--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -212,10 +212,7 @@
         wait_s = self._quotas.limits.wait_s(name, PRIORITY, now)
         logged_at = self._over_limit_logged_at.get(name, -math.inf)
         if now - logged_at < OVER_LIMIT_LOG_INTERVAL_S:
-            self.deps.tools.metrics.count('refused', 'over_limit')
-            answer = Answer(429)
-            add_retry_after(self.deps, answer, wait_s)
-            arrival.responder.send(answer)
+            self._send_refusal(arrival.responder, 429, 'over_limit', wait_s)
             return
         self._over_limit_logged_at[name] = now
         self._refuse(
@@ -327,8 +324,6 @@
         retry_after_s: float | None = None,
         **fields: object,
     ) -> None:
-        deps = self.deps
-        deps.tools.metrics.count('refused', reason)
         logs.log_event(
             'refused',
             request=asked.request_id if asked else None,
@@ -336,11 +331,21 @@
             status=status,
             reason=reason,
             routes_age_s=round(
-                self._configuration.age_s(deps.tools.clock()), 3
+                self._configuration.age_s(self.deps.tools.clock()), 3
             ),
             **fields,
         )
+        self._send_refusal(responder, status, reason, retry_after_s)
+
+    def _send_refusal(
+        self,
+        responder: Responder,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> None:
+        self.deps.tools.metrics.count('refused', reason)
         answer = Answer(status)
         if status in (429, 503):
-            add_retry_after(deps, answer, retry_after_s)
+            add_retry_after(self.deps, answer, retry_after_s)
         responder.send(answer)
