--- a/sesameward/configuration/config_peers.py
+++ b/sesameward/configuration/config_peers.py
@@ -17,6 +17,7 @@
 from ..messages import Member
 from ..messages import Pull
 from ..metrics import Metrics
+from . import page_compression
 
 PULL_METHOD = '/sesameward.Peer/Pull'
 PULL_TIMEOUT_S = 1.0
@@ -34,7 +35,10 @@
     async def pull(self, stream: server.Stream) -> None:
         """Answer one request with a page of changed objects."""
         request = await stream.recv_message()
-        await stream.send_message(await self._answer(request))
+        delta = await self._answer(request)
+        if request.accepts_compressed:
+            delta = page_compression.compress(delta)
+        await stream.send_message(delta)
 
     def __mapping__(self) -> dict[str, const.Handler]:
         return {
@@ -65,6 +69,7 @@
         member switches to the latter when it drops records of deletions that
         the list of changes needs.
         """
+        request = msgspec.structs.replace(request, accepts_compressed=True)
         page = await self._pull_page(member, request)
         objects = list(page.objects)
         for _ in range(MAX_PAGES):
@@ -77,6 +82,7 @@
                 kind=request.kind,
                 epoch=request.epoch,
                 wants_kept=request.wants_kept,
+                accepts_compressed=True,
             )
             page = await self._pull_page(member, request)
             objects += page.objects
@@ -93,7 +99,8 @@
         )
         timeout_s = request.wait_s + self._timeout_s
         try:
-            return await method(request, timeout=timeout_s)
+            page = await method(request, timeout=timeout_s)
+            return page_compression.decompress(page)
         except (
             asyncio.TimeoutError,
             OSError,
--- a/sesameward/messages.py
+++ b/sesameward/messages.py
@@ -342,6 +342,7 @@
     first page. An empty kind asks for all declared objects. epoch is that in
     which the store gave out the revision of the digest, None if unknown.
     wants_kept asks for the objects that are in force against the store too.
+    accepts_compressed allows an answer with compressed objects.
     """
 
     digest: Digest
@@ -351,6 +352,7 @@
     kind: str = ''
     epoch: StoreEpoch | None = None
     wants_kept: bool = False
+    accepts_compressed: bool = False
 
 
 class Delta(msgspec.Struct, frozen=True):
@@ -359,7 +361,8 @@
     full means that the pages hold all objects, so that absent ones are
     deleted. cursor asks for the next page; the last page has None. epoch is
     that of the revisions, None if unknown. kept holds objects that are in
-    force at the sender though the store shows older ones.
+    force at the sender though the store shows older ones. If objects is empty,
+    compressed_objects may hold them, as MessagePack compressed by zlib.
     """
 
     since: Revision
@@ -370,6 +373,7 @@
     checksum: int = 0
     epoch: StoreEpoch | None = None
     kept: tuple[StoredObject, ...] = ()
+    compressed_objects: bytes = b''
 
 
 # Messages between agents and operators.
