Tell entries of a revision in which no object differs

An agent that starts lists the store, whose revision advances with each renewal of a lease. The other agents pull that revision, but sent nothing to their entries, which stayed at the old one until an object changed. Seen as "waited 10.0 s for the revision" in test_fresh_node_starts_from_peers_while_the_store_is_down: a fresh agent loaded its objects from agents that had the old revision, its entry connected, and then the agent learned of the newer one. An entry that was paused also waited 2 s for a confirmation that could not come.

The agent now sends the revision alone, in a Keepalive; entries and agents of earlier releases ignore or lack the field. Objects that an agent had before its revision advanced are sent again with the revision, because entries ignore an update at a revision that they have.

--- a/sesameward/agent.py
+++ b/sesameward/agent.py
@@ -60,6 +60,7 @@
 from .settings import Endpoint
 from .types import MemberState
 from .types import NodeId
+from .types import Revision
 from .types import TargetId
 
 EXIT_USAGE = 2
@@ -162,6 +163,10 @@
         self._tasks: list[asyncio.Task] = []
         self._published_holders: HoldersRumorBody | None = None
         self._holders_due_at = 0.0
+        # Whether entries may lack objects that this agent has, and the
+        # revision of the last ConfigUpdate.
+        self._config_stale = True
+        self._sent_revision = Revision(0)
         self._connection_limits: frozenset[int] = frozenset()
         self._last_reported: tuple[tuple[Address, ...], ...] = ()
         self._nodes_stale = True
@@ -179,6 +184,7 @@
         self.vms.on_vms = self._on_vm_list
         self.hub.on_report = self._on_report
         self.configuration.on_change(self._on_config)
+        self.configuration.on_same_objects = self._on_same_objects
         self.gossip.on_change(self._on_member)
         self.gossip.subscribe('config', self.configuration.handle_hint)
         for topic in feed.ENTRY_TOPICS:
@@ -450,10 +456,22 @@
 
     def _on_config(self, changed: typing.Sequence[StoredObject]) -> None:
         update = self._config_update()
+        # Entries ignore an update of a revision that they already have.
+        self._config_stale = update.revision == self._sent_revision
+        self._sent_revision = update.revision
         self._update_probed_targets()
         self.hub.send(update)
         self.hub.send(self._nodes_update())
 
+    def _on_same_objects(self) -> None:
+        if self._config_stale:
+            self._config_stale = False
+            update = self._config_update()
+            self._sent_revision = update.revision
+            self.hub.send(update)
+        else:
+            self.hub.send(feed.Keepalive(self.configuration.revision))
+
     def _on_statuses(self, statuses: tuple[TargetStatus, ...]) -> None:
         self.hub.send(feed.TargetsUpdate(statuses))
 
--- a/sesameward/configuration/feed.py
+++ b/sesameward/configuration/feed.py
@@ -79,7 +79,13 @@
 
 
 class Keepalive(msgspec.Struct, frozen=True, tag='keepalive'):
-    """Show that the agent is running while it has no other update to send."""
+    """Show that the agent is running while it has no other update to send.
+
+    The objects of the last ConfigUpdate are still those in force at revision;
+    0 says nothing about that.
+    """
+
+    revision: Revision = Revision(0)
 
 
 Update = (
--- a/sesameward/controllers/catalog.py
+++ b/sesameward/controllers/catalog.py
@@ -42,3 +42,13 @@
         self.service_of = {t.id: p.service for p in pools for t in p.targets}
         logs.log_event('config_in_force', revision=self.revision)
         return True
+
+    def confirm(self, revision: Revision) -> bool:
+        """Record that the objects are still those in force at a revision.
+
+        Return whether the revision is newer.
+        """
+        if not self.ready or revision <= self.revision:
+            return False
+        self.revision = revision
+        return True
--- a/sesameward/controllers/configuration.py
+++ b/sesameward/controllers/configuration.py
@@ -97,6 +97,9 @@
         self._metrics = metrics
         self._rng = rng
         self._callbacks: list[OnChange] = []
+        # Called when the revision advances and no object changes. The agent
+        # sets it.
+        self.on_same_objects: collections.abc.Callable[[], None] = lambda: None
         self._tasks: list[asyncio.Task] = []
         self._revision_advanced = asyncio.Event()
         self._hint_received = asyncio.Event()
@@ -204,6 +207,8 @@
             self.ready.set()
         for callback in self._callbacks if changed else ():
             self._run_callback(callback, changed)
+        if self.revision > old_revision and not changed:
+            self.on_same_objects()
 
     def _run_callback(
         self, callback: OnChange, changed: list[StoredObject]
--- a/sesameward/entry.py
+++ b/sesameward/entry.py
@@ -289,6 +289,9 @@
                 if self.catalog.apply(update):
                     self._apply_catalog()
                     self.agent_link.report_now()
+            case feed.Keepalive(revision):
+                if self.catalog.confirm(revision):
+                    self.agent_link.report_now()
             case feed.TargetsUpdate(statuses):
                 for status in statuses:
                     self.routing.apply_status(status)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -233,6 +233,34 @@
     wait_until_whole(tier)
 
 
+# Guards against entries that stay at an old revision while their agent has a
+# newer one in which no object differs: an agent that starts lists the store,
+# whose revision advances with each renewal of a lease, and the other agents
+# pull that revision.
+def test_entries_reach_a_revision_that_changes_no_object(tier):
+    wait_until_whole(tier)
+    port = tier.platform.ports['port']
+    before = max(revision_in_force(agent) for agent in tier.agents)
+
+    def has_store_advanced():
+        listing = call(port, '/v1/objects/service').json()
+        return listing['revision'] > before
+
+    def is_newer(agent):
+        status = call(agent.ports['http'], '/v1/status').json()
+        return (
+            status['revision'] > before
+            and status['entries']
+            and all(e['revision'] > before for e in status['entries'])
+        )
+
+    wait_until(has_store_advanced, 'the renewal of a lease')
+    restart_node(tier, 0)
+    for agent in tier.agents:
+        wait_until(lambda checked=agent: is_newer(checked), agent.name, 10.0)
+    wait_until_whole(tier)
+
+
 def test_booking_sent_to_all_entries_at_once_runs_once(tier):
     wait_until_whole(tier)
     key = 'storm-key-1'
