Ask for an organisation's permits again soon while shares still come

A coordinator that has just started has a tiny share. If it was asked for a permit then, the node waited for as long as that share takes to make up a permit, 20 to 35 s, and refused all requests of the organisation meanwhile, although all shares were in one place after some seconds. Callers got these times as Retry-After.

The wait is now at most one second longer than with all shares.

--- a/sesameward/organisations/quota_ledger.py
+++ b/sesameward/organisations/quota_ledger.py
@@ -29,6 +29,10 @@
 # Time after which a node asks again if the ledger holds no share, or shares
 # that never make up a permit.
 NO_SHARE_WAIT_S = 0.1
+# A node asks again at most this much later than if the ledger held all shares.
+# Of a coordinator that has just started the share is tiny at first; the wait
+# for a permit would be half a minute, and the other shares come within this.
+MORE_SHARES_WAIT_S = 1.0
 
 
 class _Bucket:
@@ -112,7 +116,9 @@
         if capacity < 1.0 or not rate_per_s:
             return Grant(permits, NO_SHARE_WAIT_S)
         missing = max(0.0, 1.0 - bucket.level)
-        return Grant(permits, missing / (part * rate_per_s))
+        wait_s = missing / (part * rate_per_s)
+        with_all_s = missing / rate_per_s
+        return Grant(permits, min(wait_s, with_all_s + MORE_SHARES_WAIT_S))
 
     def _accrue(self, now: float) -> None:
         part = self.part(now)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -48,6 +48,30 @@
     assert fleet.refused() == []
 
 
+# Guards against nodes that refuse requests below the limit for half a minute,
+# because they refused one while the shares of starting nodes were still tiny.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', NODES)
+def test_refusals_while_nodes_start_end_with_the_start(nodes, limit, seed):
+    fleet = make_fleet(nodes, limit, seed)
+    for name in fleet.names:
+        fleet.kill(name)
+    fleet.run(0.3)
+    for name in fleet.names:
+        fleet.restart(name)
+    demand(fleet, 20.0)
+    fleet.run(0.5)
+    assert fleet.refused()
+    fleet.run(SETTLED_S - 1.5)
+    since = fleet.now
+    fleet.is_shaped = True
+    demand(fleet, 0.9)
+    fleet.run(20.0)
+    fleet.check_bound()
+    assert [at for at in fleet.refused() if at >= since] == []
+
+
 @pytest.mark.parametrize('limit', LIMITS)
 @pytest.mark.parametrize('nodes', NODES)
 def test_far_above_the_limit_it_is_used_whole(nodes, limit):
