Replace a coordinator whose process has ended at once

A refused connection at the address to which a share was entrusted proves that the process has ended, so the share does not wait for the lease, and requests that wait for a permit go to the next coordinator.

--- a/sesameward/channels.py
+++ b/sesameward/channels.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import functools
+import typing
+
 from grpclib import client
 from grpclib.protocol import H2Protocol
 
@@ -11,6 +14,19 @@
 
 MAX_CHANNELS = 16
 
+OnLost = typing.Callable[[], None]
+
+
+class _Handler(client.Handler):
+    """Tell the channel that its connection is closed."""
+
+    def __init__(self, on_close: OnLost):
+        self._on_close = on_close
+
+    def close(self) -> None:
+        super().close()
+        self._on_close()
+
 
 class Channel(client.Channel):
     """Open a connection to another process and make gRPC calls over it.
@@ -18,8 +34,37 @@
     grpclib deletes the transport of a lost connection. If the peer resets a
     connection while it is opened, a call over it would fail with an
     AttributeError, which callers don't expect of a peer that has ended.
+
+    on_lost is called when a connection is lost that this process did not
+    close. A channel that was closed opens no connection again.
     """
 
+    on_lost: OnLost | None = None
+    _is_closed = False
+
+    def close(self) -> None:
+        """Close the connection for good."""
+        self._is_closed = True
+        super().close()
+
+    def _protocol_factory(self) -> H2Protocol:
+        handler = _Handler(self._on_connection_close)
+        return H2Protocol(handler, self._config, self._h2_config)
+
+    def _on_connection_close(self) -> None:
+        if self.on_lost is not None and not self._is_closed:
+            self.on_lost()
+
+    async def open(self) -> None:
+        """Connect to the other process, if that is not done yet."""
+        await self.__connect__()
+
+    async def _create_connection(self) -> H2Protocol:
+        if self._is_closed:
+            # A call that has waited for a connection that failed.
+            raise ConnectionAbortedError('the channel was closed')
+        return await super()._create_connection()
+
     async def __connect__(self) -> H2Protocol:
         protocol = await super().__connect__()
         if protocol.handler.connection_lost:
@@ -31,9 +76,13 @@
 
 
 class Channels:
-    """Cache channels by node; close the least recently used ones."""
+    """Cache channels by node; close the least recently used ones.
 
-    def __init__(self):
+    on_lost is called with the node to which a connection is lost.
+    """
+
+    def __init__(self, on_lost: typing.Callable[[NodeId], None] | None = None):
+        self._on_lost = on_lost
         self._channels: dict[NodeId, tuple[tuple, Channel]] = {}
 
     def get(self, member: Member) -> Channel:
@@ -44,16 +93,26 @@
             cached[1].close()
             cached = None
         if cached is None:
-            cached = address, Channel(*address, codec=MsgpackCodec())
+            cached = address, self._make(member.node, address)
         self._channels[member.node] = cached
         while len(self._channels) > MAX_CHANNELS:
             self.drop(next(iter(self._channels)))
         return cached[1]
 
-    def drop(self, node: NodeId) -> None:
-        """Close the channel to a node, so that the next one is a new one."""
-        cached = self._channels.pop(node, None)
-        if cached is not None:
+    def _make(self, node: NodeId, address: tuple[str, int]) -> Channel:
+        channel = Channel(*address, codec=MsgpackCodec())
+        if self._on_lost is not None:
+            channel.on_lost = functools.partial(self._on_lost, node)
+        return channel
+
+    def drop(self, node: NodeId, channel: Channel | None = None) -> None:
+        """Close the channel to a node, so that the next one is a new one.
+
+        If channel is given, another one that replaced it stays open.
+        """
+        cached = self._channels.get(node)
+        if cached is not None and channel in (None, cached[1]):
+            del self._channels[node]
             cached[1].close()
 
     def close(self) -> None:
--- a/sesameward/organisations/quotas.py
+++ b/sesameward/organisations/quotas.py
@@ -10,6 +10,7 @@
 import typing
 
 from ..messages import Member
+from ..serving.coordinator_choice import Step
 from ..serving.limit_exchange import LimitKind
 from ..serving.limit_messages import LimitChange
 from ..serving.limit_messages import LimitEvidence
@@ -17,7 +18,6 @@
 from ..serving.routes import Organisation
 from ..serving.routes import OrganisationName
 from ..serving.routes import RouteTable
-from ..serving.target_limits import Call
 from ..serving.target_limits import NODES_KEEP_S
 from ..serving.target_limits import SharedLimits
 from ..types import NodeId
@@ -162,17 +162,17 @@
             return 1.0
         return super()._weight(now)
 
-    def next_call(
+    def choose_coordinator(
         self, members: typing.Sequence[Member], now: float
-    ) -> Call | None:
-        """Return the periodic call to the coordinator, if one is due."""
+    ) -> Step:
+        """Move this node's share if it must be elsewhere and can move."""
         coordinator = self.coordinator
-        call = super().next_call(members, now)
+        step = super().choose_coordinator(members, now)
         if self.coordinator != coordinator:
             # The former coordinator had no permits; this one may have some.
             for state in self._targets.values():
                 state.none_until.clear()
-        return call
+        return step
 
     def expected_extra(self, name: OrganisationName, now: float) -> int:
         """Return 0: permits that are not used would be missing elsewhere."""
--- a/sesameward/serving/coordinator_choice.py
+++ b/sesameward/serving/coordinator_choice.py
@@ -2,8 +2,9 @@
 
 That node is the coordinator, which grants permits for the shares that it
 holds. A share must never be used in two places: the node gives it to another
-coordinator, or uses it itself, only after the former one has given it back, or
-after the time for which it was entrusted.
+coordinator, or uses it itself, only after the former one has given it back,
+after the time for which it was entrusted, or once it is proven that the
+process to which it was entrusted has ended.
 """
 
 from __future__ import annotations
@@ -112,15 +113,24 @@
         """Record that the holder did not answer a call."""
         self._failed_calls += 1
         if self._failed_calls >= MAX_FAILED_CALLS:
-            retry_s = self._retry_s.get(self.holder, RETRY_BASE_S)
-            self._retry_s[self.holder] = min(2 * retry_s, RETRY_CAP_S)
-            self._unusable_until[self.holder] = now + retry_s
+            self._avoid_holder(now)
+
+    def record_end(self, now: float) -> None:
+        """Record proof that the process that holds the share has ended."""
+        if not self.is_own:
+            self._entrusted_until = now
+            self._avoid_holder(now)
 
     def reset(self, now: float) -> None:
         """Distrust the times recorded before this process was suspended."""
         if not self.is_own:
             self._entrusted_until = now + CALL_TIMEOUT_S + self._share_ttl_s
 
+    def _avoid_holder(self, now: float) -> None:
+        retry_s = self._retry_s.get(self.holder, RETRY_BASE_S)
+        self._retry_s[self.holder] = min(2 * retry_s, RETRY_CAP_S)
+        self._unusable_until[self.holder] = now + retry_s
+
     def _preferred(
         self, members: typing.Sequence[Member], now: float
     ) -> NodeId:
--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -6,15 +6,19 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 import typing
 
 from grpclib import client
 from grpclib import const
+from grpclib.exceptions import StreamTerminatedError
 from grpclib import server
 
 from .. import grpc_errors
 from .. import logs
+from .. import rendezvous
+from ..channels import Channel
 from ..channels import Channels
 from ..messages import Member
 from ..messages import Rumor
@@ -37,9 +41,18 @@
 
 # What changes within this time is sent to the coordinator in one call.
 CALL_DELAY_S = 0.02
+# Nodes that lose the connection to the coordinator call another one spread
+# over this time for each node, so that it does not get hundreds of new
+# connections at once. Requests that need permits don't wait for that.
+SPREAD_PER_NODE_S = 0.002
+# Number of ended coordinators after which a request gets no permit, or the
+# periodic call is left to the next interval.
+MAX_ENDED_COORDINATORS = 3
 
 TOPIC = 'limits'
 
+MAX_WEIGHT = float(2 ** (8 * rendezvous.WEIGHT_BYTES))
+
 OnPermit = typing.Callable[[Permit | None], None]
 
 
@@ -123,7 +136,10 @@
         self._publish = publish
         self._metrics = metrics
         self.clock = clock
-        self._channels = Channels()
+        self._channels = Channels(self._on_connection_lost)
+        # The node that is called, its address, and the time from which on no
+        # other address has been called within the time of a lease.
+        self._called: tuple[NodeId, tuple[str, int], float] | None = None
         self._waiting: list[_Waiting] = []
         self._announcement_no = 0
         self._call_now = asyncio.Event()
@@ -158,18 +174,7 @@
         while True:
             now = self.clock()
             if self.limits.is_active(now):
-                coordinator = self.limits.coordinator
-                call = self.limits.next_call(self._members(), now)
-                if self.limits.coordinator != coordinator:
-                    logs.log_event(
-                        self._kind.coordinator_event,
-                        coordinator=self.limits.coordinator,
-                        before=coordinator,
-                    )
-                if self.limits.announcement_due(now):
-                    self._announce()
-                if call is not None:
-                    await self._call(call)
+                await self._entrust(now)
             try:
                 async with asyncio.timeout(self._kind.entrust_interval_s):
                     await self._call_now.wait()
@@ -185,8 +190,40 @@
         self._call_now.set()
 
     def close(self) -> None:
-        """Close the connections to coordinators."""
+        """Close the connections to coordinators, and be none any more.
+
+        Other nodes take a closed port as proof that this is so.
+        """
         self._channels.close()
+        self.limits.close()
+
+    async def _entrust(self, now: float) -> None:
+        for _ in range(MAX_ENDED_COORDINATORS):
+            coordinator = self.limits.coordinator
+            call = self.limits.next_call(self._members(), now)
+            self._log_coordinator(coordinator)
+            if self.limits.announcement_due(now):
+                self._announce()
+            if call is None or await self._call(call):
+                return
+            now = self.clock()
+
+    def _log_coordinator(self, before: NodeId) -> None:
+        if self.limits.coordinator != before:
+            logs.log_event(
+                self._kind.coordinator_event,
+                coordinator=self.limits.coordinator,
+                before=before,
+            )
+
+    def _on_connection_lost(self, node: NodeId) -> None:
+        if node != self.limits.coordinator:
+            return
+        nodes = len(self._members())
+        # The next coordinator, of the highest weight, is among the first.
+        position = 1.0 - rendezvous.weight('limits', self._node) / MAX_WEIGHT
+        loop = asyncio.get_running_loop()
+        loop.call_later(position * nodes * SPREAD_PER_NODE_S, self.call_soon)
 
     def _announce(self) -> None:
         # Versions come from the wall clock, so that rumors of a restarted node
@@ -208,57 +245,108 @@
         """Ask the coordinator for permits for all requests that wait."""
         waiting, self._waiting = self._waiting, []
         waiting.sort(key=lambda one: one.priority)
+        task = asyncio.ensure_future(self._request_permits(waiting))
+        logs.log_failure(task)
+
+    def _permit_call(self, waiting: list[_Waiting]) -> Call | None:
         counts: dict[tuple[TargetId, int], int] = {}
         for one in waiting:
             key = one.target_id, one.priority
             counts[key] = counts.get(key, 0) + 1
-        call = self.limits.permit_call(
+        return self.limits.permit_call(
             [(*key, count) for key, count in counts.items()], self.clock()
         )
-        task = asyncio.ensure_future(self._request_permits(call, waiting))
-        logs.log_failure(task)
 
-    async def _request_permits(
-        self, call: Call | None, waiting: list[_Waiting]
-    ) -> None:
-        if call is not None:
-            await self._call(call)
+    async def _request_permits(self, waiting: list[_Waiting]) -> None:
+        for _ in range(MAX_ENDED_COORDINATORS):
+            call = self._permit_call(waiting)
+            if call is None or await self._call(call):
+                break
+            coordinator = self.limits.coordinator
+            self.limits.choose_coordinator(self._members(), self.clock())
+            self._log_coordinator(coordinator)
         for one in waiting:
-            permit = self.limits.acquire_granted(one.target_id, self.clock())
+            permit = self.limits.acquire_waited(
+                one.target_id, one.priority, self.clock()
+            )
             self._metrics.count(
                 self._kind.permits_metric, 'granted' if permit else 'denied'
             )
             one.on_permit(permit)
 
-    async def _call(self, call: Call) -> None:
+    async def _call(self, call: Call) -> bool:
+        """Make a call; return False if the coordinator's process has ended."""
         member = next(
             (m for m in self._members() if m.node == call.coordinator), None
         )
-        if member is None:
+        if member is None or call.coordinator != self.limits.coordinator:
             self.limits.on_failure(call, self.clock())
-            return
-        method = client.UnaryUnaryMethod(
-            self._channels.get(member),
-            self._kind.method,
-            LimitRequest,
-            LimitAnswer,
-        )
+            return True
+        self._record_address(member)
+        channel = self._channels.get(member)
         try:
-            answer = await method(call.request, timeout=CALL_TIMEOUT_S)
+            answer = await self._send(channel, call.request)
         except grpc_errors.LOST as exc:
             # The connection may be silent for good while a new one works.
-            self._channels.drop(call.coordinator)
+            self._channels.drop(call.coordinator, channel)
             self._metrics.count('limit_call_errors', type(exc).__name__)
             logs.log_event(
                 'limit_call_failed',
                 coordinator=call.coordinator,
                 error=repr(exc),
             )
+            if await self._has_ended(member, exc):
+                self.limits.on_ended(call, self.clock())
+                return False
             self.limits.on_failure(call, self.clock())
-            return
+            return True
         self.limits.on_answer(call, answer, self.clock())
         if not answer.is_held:
             self._call_now.set()
+        return True
+
+    async def _send(
+        self, channel: Channel, request: LimitRequest
+    ) -> LimitAnswer:
+        method = client.UnaryUnaryMethod(
+            channel, self._kind.method, LimitRequest, LimitAnswer
+        )
+        return await method(request, timeout=CALL_TIMEOUT_S)
+
+    def _record_address(self, member: Member) -> None:
+        address = member.host, member.grpc_port
+        if self._called is None or self._called[0] != member.node:
+            self._called = member.node, address, -math.inf
+        elif self._called[1] != address:
+            # A process at the former address may still hold the share.
+            lease_s = CALL_TIMEOUT_S + self.limits.share_ttl_s
+            self._called = member.node, address, self.clock() + lease_s
+
+    async def _has_ended(self, member: Member, exc: Exception) -> bool:
+        """Return True if the process that a call was for has proven to end.
+
+        Its system refuses connections then. A process that is paused, or is
+        beyond a broken link, does not answer; its calls time out.
+        """
+        if isinstance(exc, (ConnectionResetError, StreamTerminatedError)):
+            # The connection is closed; a new one shows whether the process is.
+            channel = self._channels.get(member)
+            try:
+                async with asyncio.timeout(CALL_TIMEOUT_S):
+                    await channel.open()
+            except grpc_errors.LOST as next_exc:
+                self._channels.drop(member.node, channel)
+                exc = next_exc
+        if not isinstance(exc, ConnectionRefusedError):
+            return False
+        if self._called is None:
+            return False
+        node, address, since = self._called
+        is_only_address = (node, address) == (
+            member.node,
+            (member.host, member.grpc_port),
+        )
+        return is_only_address and self.clock() >= since
 
 
 class LimitExchange(PermitExchange):
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -186,6 +186,7 @@
         self._is_stopping = False
         self._announced_until = -math.inf
         self._announce_at = -math.inf
+        self.share_ttl_s = share_ttl_s
         self._choice = CoordinatorChoice(node, share_ttl_s)
         # Process of the coordinator, and the last change that it sent.
         self._seen: tuple[str, int] = ('', 0)
@@ -259,6 +260,17 @@
             return None
         return Permit(target_id, stock.popleft())
 
+    def acquire_waited(
+        self, target_id: TargetId, priority: int, now: float
+    ) -> Permit | None:
+        """Acquire a permit for a request that has waited for a coordinator."""
+        permit = self.acquire_granted(target_id, now)
+        if permit is None and self._choice.is_own:
+            # This node has taken its share back meanwhile.
+            taken = self.acquire(target_id, priority, now)
+            permit = taken if isinstance(taken, Permit) else None
+        return permit
+
     def is_valid(self, permit: Permit, now: float) -> bool:
         """Return True if a request may be sent with a permit now."""
         if self.limit(permit.target_id) is None:
@@ -329,6 +341,10 @@
         """Give the shares of other nodes back, because this node leaves."""
         self._is_stopping = True
 
+    def close(self) -> None:
+        """Grant no more permits from the shares of other nodes."""
+        self._ledger.clear()
+
     def reset(self, now: float) -> None:
         """Drop all permits and shares, after this process was suspended."""
         self._targets.clear()
@@ -339,19 +355,27 @@
         self, members: typing.Sequence[Member], now: float
     ) -> Call | None:
         """Return the periodic call to the coordinator, if one is due."""
-        holder = self._choice.holder
-        step = self._choice.next_step(members, now)
-        if self._choice.holder != holder:
-            self._ledger.withdraw(self._node)
-            self.named.report_again()
+        step = self.choose_coordinator(members, now)
         if step is Step.WAIT:
             return None
         if not self._choice.is_own:
             return self._call((), now)
-        self._ledger.entrust(self._node, self._weight(now), now)
         self.named.end_unnamed(now)
         return None
 
+    def choose_coordinator(
+        self, members: typing.Sequence[Member], now: float
+    ) -> Step:
+        """Move this node's share if it must be elsewhere and can move."""
+        holder = self._choice.holder
+        step = self._choice.next_step(members, now)
+        if self._choice.holder != holder:
+            self._ledger.withdraw(self._node)
+            self.named.report_again()
+        if self._choice.is_own and step is not Step.WAIT:
+            self._ledger.entrust(self._node, self._weight(now), now)
+        return step
+
     def permit_call(
         self, needs: typing.Iterable[tuple[TargetId, int, int]], now: float
     ) -> Call | None:
@@ -430,6 +454,17 @@
         if call.coordinator == self._choice.holder:
             self._choice.record_failure(now)
 
+    def on_ended(self, call: Call, now: float) -> None:
+        """Record proof that the called coordinator's process has ended.
+
+        All shares and unused permits that it held have ended with it, so the
+        share can be used at once. What it granted is from the past rate of the
+        share, so no more than one bucket is granted in all.
+        """
+        self.named.report_again()
+        if call.coordinator == self._choice.holder:
+            self._choice.record_end(now)
+
     # As coordinator.
 
     def answer(self, request: LimitRequest, now: float) -> LimitAnswer:
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -8,6 +8,8 @@
 
 from sesameward.messages import Member
 from sesameward.serving.cold_targets import ColdTargets
+from sesameward.serving.limit_exchange import CALL_DELAY_S
+from sesameward.serving.limit_exchange import SPREAD_PER_NODE_S
 from sesameward.serving.target_limits import Denial
 from sesameward.serving.target_limits import ENTRUST_INTERVAL_S
 from sesameward.serving.target_limits import Permit
@@ -55,6 +57,8 @@
     """
 
     entrust_interval_s = ENTRUST_INTERVAL_S
+    # False if a refused connection is taken for any other failure.
+    proves_end = True
 
     def __init__(self, nodes, limit, seed=1, named_by=1.0):
         self.rng = random.Random(seed)
@@ -77,6 +81,8 @@
         self.counted = {}
         self.cut = set()
         self.down = set()
+        # Nodes whose process was killed, while their host refuses connections.
+        self.refusing = set()
         self.frozen = set()
         self._frozen_events = []
         self._members = {}
@@ -122,6 +128,7 @@
 
     def start_node(self, name, started_at=None):
         self.down.discard(name)
+        self.refusing.discard(name)
         node = self.make_node(
             name, self.now if started_at is None else started_at
         )
@@ -172,6 +179,25 @@
         self.down.add(name)
         self.at(DETECTED_S, self._update_views)
 
+    def crash(self, name):
+        """Kill a node's process; its host closes and refuses connections."""
+        self.refusing.add(name)
+        self.kill(name)
+        for node in self.nodes.values():
+            if node.name != name and node.limits.coordinator == name:
+                spread_s = SPREAD_PER_NODE_S * len(self.names)
+                self.at(
+                    CALL_DELAY_S + self.rng.uniform(0.0, spread_s),
+                    self._notice_crash,
+                    node,
+                    name,
+                    node=node.name,
+                )
+
+    def _notice_crash(self, node, name):
+        if (node.name in self.cut) == (name in self.cut):
+            self._call_if_active(node)
+
     def restart(self, name):
         self.start_node(name)
         self.at(self.rng.uniform(*RUMOR_S), self._update_views)
@@ -230,7 +256,11 @@
         limits.set_nodes(
             self.counted.get(node.name, len(self.names)), self.now
         )
-        if not limits.is_active(self.now):
+        self._call_if_active(node)
+
+    def _call_if_active(self, node):
+        limits = node.limits
+        if not limits.is_active(self.now) or node.name in self.down:
             return
         call = limits.next_call(self.members_of(node.name), self.now)
         if limits.announcement_due(self.now):
@@ -252,6 +282,19 @@
 
     def _send_call(self, node, call, waiting):
         state = {'is_over': False}
+        is_cut = (node.name in self.cut) != (call.coordinator in self.cut)
+        if call.coordinator in self.refusing and not is_cut:
+            delay_s = 2 * self.rng.uniform(*DELAY_S)
+            self.at(
+                delay_s,
+                self._refuse,
+                node,
+                call,
+                waiting,
+                state,
+                node=node.name,
+            )
+            return
         self.send(
             node.name,
             call.coordinator,
@@ -286,6 +329,25 @@
         if not answer.is_held:
             self.call(node)
 
+    def _refuse(self, node, call, waiting, state):
+        if call.coordinator not in self.refusing:
+            # It was started again meanwhile.
+            self._fail(node, call, waiting, state)
+            return
+        if state['is_over'] or self.nodes[node.name] is not node:
+            return
+        state['is_over'] = True
+        if not self.proves_end:
+            node.limits.on_failure(call, self.now)
+            self._pass_on(node, waiting)
+            return
+        node.limits.on_ended(call, self.now)
+        node.limits.choose_coordinator(self.members_of(node.name), self.now)
+        if waiting:
+            self._request_permits(node, waiting)
+        else:
+            self._call_if_active(node)
+
     def _fail(self, node, call, waiting, state):
         if state['is_over'] or self.nodes[node.name] is not node:
             return
@@ -295,7 +357,7 @@
 
     def _pass_on(self, node, waiting):
         for priority in waiting:
-            permit = node.limits.acquire_granted(TARGET, self.now)
+            permit = node.limits.acquire_waited(TARGET, priority, self.now)
             if permit is None:
                 self.denied += 1
             else:
@@ -336,6 +398,9 @@
 
     def _send_waiting(self, node):
         waiting, node.waiting = sorted(node.waiting), []
+        self._request_permits(node, waiting)
+
+    def _request_permits(self, node, waiting):
         asks = [
             (TARGET, priority, waiting.count(priority))
             for priority in sorted(set(waiting))
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -105,6 +105,9 @@
 
     def _send_waiting(self, node):
         waiting, node.waiting = node.waiting, []
+        self._request_permits(node, waiting)
+
+    def _request_permits(self, node, waiting):
         needs = [(TARGET, PRIORITY, len(waiting))]
         call = node.limits.permit_call(needs, self.now)
         if call is None:
@@ -112,6 +115,12 @@
         else:
             self._send_call(node, call, waiting)
 
+    def _pass_on(self, node, waiting):
+        for record in waiting:
+            permit = node.limits.acquire_waited(TARGET, PRIORITY, self.now)
+            if permit is not None:
+                self._send_request(node, permit, record)
+
     def _send_request(self, node, permit, record):
         assert node.limits.is_valid(permit, self.now)
         record[1] = True
@@ -119,6 +128,11 @@
 
     # Results.
 
+    def coordinator(self):
+        """Return the coordinator, as a node knows it that is not down."""
+        running = next(n for n in self.names if n not in self.down)
+        return self.nodes[running].limits.coordinator
+
     def check_bound(self, since=0.0):
         """Check every window that begins with an admitted request."""
         limit = self.organisation
--- a/tests/test_organisation_node.py
+++ b/tests/test_organisation_node.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sesameward.platform import boot
+from sesameward.rendezvous import pick
 from sesameward.serving.http_caller import HttpCaller
 from sesameward.standin.fleet import INTERNAL_PORTS
 from sesameward.standin.fleet import MAX_CONFIG_DELAY_MS
@@ -243,6 +244,66 @@
     assert over[0]['organisation'] == 'acme'
 
 
+async def wait_for_coordinator(fleet, nodes):
+    """Wait until running nodes agree on the coordinator; return its node."""
+    names = [node.name for node in nodes]
+    coordinator = pick('limits', names, 1)[0]
+
+    async def is_chosen():
+        chosen = [
+            node.lines('organisation_coordinator')[-1:]
+            for node in nodes
+            if node.name != coordinator
+        ]
+        return all(
+            lines and lines[0]['coordinator'] == coordinator
+            for lines in chosen
+        )
+
+    await wait_until(is_chosen, 15.0)
+    return next(node for node in nodes if node.name == coordinator)
+
+
+# Guards against a killed coordinator that keeps the shares for the rest of the
+# lease: nodes called it in vain for about 2 s, and refused requests meanwhile.
+# That they change it after one failed call does not depend on the load.
+@with_fleet()
+async def test_killed_coordinator_is_replaced_after_one_call(fleet):
+    await put_tenants(
+        fleet, tenant(rate_per_s=1000.0, burst=1000.0), status=(200, 429)
+    )
+    coordinator = await wait_for_coordinator(fleet, fleet.nodes)
+    others = [node for node in fleet.nodes if node is not coordinator]
+    known = {n.name: len(n.lines('limit_call_failed')) for n in others}
+    coordinator.send(signal.SIGKILL)
+    coordinator.process.wait()
+
+    def changes(node):
+        lines = node.lines('organisation_coordinator')
+        return [line for line in lines if line['before'] == coordinator.name]
+
+    async def is_replaced():
+        return all(changes(node) for node in others)
+
+    await wait_until(is_replaced, 15.0)
+    for node in others:
+        failed = node.lines('limit_call_failed')[known[node.name] :]
+        changed_at = changes(node)[0]['at']
+        # A node that had no processor time sees a call time out as well.
+        before = [
+            line
+            for line in failed
+            if line['at'] <= changed_at and 'TimeoutError' not in line['error']
+        ]
+        assert [line['coordinator'] for line in before] == [coordinator.name]
+    for node in others:
+
+        async def is_admitted(node=node):
+            return (await ask(fleet, node, '/safe/1', KEY)).status == 200
+
+        await wait_until(is_admitted, 15.0)
+
+
 # Guards against messages between nodes for limits that nobody has.
 @with_fleet()
 async def test_nothing_is_exchanged_without_a_limit(fleet):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -168,6 +168,47 @@
     assert fleet.used_per_s(fleet.now - 5.0, fleet.now) > 0.95 * limit[0]
 
 
+# Guards against a share that is used in two places because a coordinator was
+# taken for ended, and against permits of several coordinators that add up.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [2, 5, 26, 91, 300])
+def test_bound_holds_while_coordinators_crash_one_after_the_other(
+    nodes, limit, seed
+):
+    fleet = make_fleet(nodes, limit, seed)
+    demand(fleet, 9.0)
+    fleet.run(5.0)
+    for _ in range(8):
+        coordinator = fleet.coordinator()
+        fleet.crash(coordinator)
+        fleet.run(fleet.rng.uniform(0.01, 1.2))
+        fleet.restart(coordinator)
+        fleet.run(fleet.rng.uniform(0.01, 1.2))
+    fleet.run(6.0)
+    fleet.check_bound()
+
+
+# Guards against shares that stay unused for the rest of a lease although it is
+# proven that the coordinator's process has ended: half of the requests of the
+# next six seconds were refused then.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [5, 26, 91, 300])
+def test_crashed_coordinator_is_replaced_at_once(nodes, limit, seed):
+    fleet = make_fleet(nodes, limit, seed)
+    fleet.is_shaped = True
+    demand(fleet, 0.3)
+    fleet.run(5.0)
+    crashed_at = fleet.now
+    fleet.crash(fleet.coordinator())
+    fleet.run(6.0)
+    fleet.check_bound()
+    refused = fleet.refused()
+    assert [at for at in refused if at > crashed_at + 0.5] == []
+    assert len(refused) <= 4 + 0.05 * limit[0]
+
+
 # Guards against new processes that use up a share again that their
 # predecessors have used.
 @pytest.mark.parametrize('nodes', [1, 5, 26])
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -125,6 +125,26 @@
     check_kept(fleet, limit)
 
 
+# Guards against permits of several coordinators that add up, each of which had
+# its shares at once after the one before had ended.
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('limit', [0.5, 5.0, 60.0, 500.0])
+@pytest.mark.parametrize('nodes', [2, 5, 24, 100])
+def test_limit_is_kept_while_coordinators_crash(nodes, limit, seed):
+    fleet = LimitFleet(nodes, limit, seed)
+    fleet.start_demand(even_demand(fleet))
+    fleet.run(6.0)
+    for _ in range(8):
+        running = next(n for n in fleet.names if n not in fleet.down)
+        coordinator = fleet.nodes[running].limits.coordinator
+        fleet.crash(coordinator)
+        fleet.run(fleet.rng.uniform(0.01, 1.2))
+        fleet.restart(coordinator)
+        fleet.run(fleet.rng.uniform(0.01, 1.2))
+    fleet.run(6.0)
+    check_kept(fleet, limit)
+
+
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('limit', [0.5, 5.0, 60.0])
 @pytest.mark.parametrize('nodes', [5, 24, 100])
