--- a/sesameward/organisations/quota_ledger.py
+++ b/sesameward/organisations/quota_ledger.py
@@ -29,6 +29,10 @@
 # Time after which a node asks again if the ledger holds no share, or shares
 # that never make up a permit.
 NO_SHARE_WAIT_S = 0.1
+# Time after which no more shares are expected, if none came meanwhile: nodes
+# entrust theirs every 0.8 s. Growth below MIN_GROWTH is a rounding error.
+SETTLED_S = 1.0
+MIN_GROWTH = 1e-6
 
 
 class _Bucket:
@@ -62,12 +66,16 @@
         self._held_s = 0.0
         self._part = 0.0
         self._accrued_at = -math.inf
+        # When the part of the shares that are held has last grown.
+        self._grown_at = -math.inf
 
     def entrust(self, node: NodeId, weight: float, now: float) -> None:
         """Hold a node's share for the TTL; weight is from 0 to 1."""
         self._accrue(now)
         super().entrust(node, weight, now)
-        self._part = self.part(now)
+        before, self._part = self._part, self.part(now)
+        if self._part > before + MIN_GROWTH:
+            self._grown_at = now
 
     def clear(self) -> None:
         """Drop all shares and permits."""
@@ -112,7 +120,12 @@
         if capacity < 1.0 or not rate_per_s:
             return Grant(permits, NO_SHARE_WAIT_S)
         missing = max(0.0, 1.0 - bucket.level)
-        return Grant(permits, missing / (part * rate_per_s))
+        wait_s = missing / (part * rate_per_s)
+        if now < self._grown_at + SETTLED_S:
+            # More shares may come at any time. Just after a start, when nodes
+            # have a small part of theirs, the wait would be minutes.
+            wait_s = min(wait_s, max(NO_SHARE_WAIT_S, missing / rate_per_s))
+        return Grant(permits, wait_s)
 
     def _accrue(self, now: float) -> None:
         part = self.part(now)
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -25,6 +25,8 @@
 REPLY_S = 0.005
 # Time after which the failure of a node is known to the others.
 DETECTED_S = 2.0
+# Time after which the process of a leaving node ends.
+LEAVING_S = 3.0
 # Time for which nodes count others that they no longer see.
 ABSENT_S = 30.0
 SERVICE = 's'
@@ -83,6 +85,7 @@
         self.down = set()
         # Nodes whose process was killed, while their host refuses connections.
         self.refusing = set()
+        self.leaving = set()
         self.frozen = set()
         self._frozen_events = []
         self._members = {}
@@ -129,6 +132,7 @@
     def start_node(self, name, started_at=None):
         self.down.discard(name)
         self.refusing.discard(name)
+        self.leaving.discard(name)
         node = self.make_node(
             name, self.now if started_at is None else started_at
         )
@@ -198,6 +202,13 @@
         if (node.name in self.cut) == (name in self.cut):
             self._call_if_active(node)
 
+    def stop(self, name):
+        """Let a node leave: it tells so, and its process ends later."""
+        self.leaving.add(name)
+        self.nodes[name].limits.stop()
+        self.at(self.rng.uniform(*RUMOR_S), self._update_views)
+        self.at(LEAVING_S, self.crash, name)
+
     def restart(self, name):
         self.start_node(name)
         self.at(self.rng.uniform(*RUMOR_S), self._update_views)
@@ -232,7 +243,7 @@
         for is_cut in (False, True):
             side = [n for n in self.names if (n in self.cut) is is_cut]
             seen = tuple(
-                Member(name, 'z', 'h', 1, 2, 3)
+                Member(name, 'z', 'h', 1, 2, 3, leaving=name in self.leaving)
                 for name in side
                 if name not in self.down | self.frozen
             )
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,9 +6,13 @@
 
 import pytest
 
+from sesameward.organisations.quotas import PRIORITY
 from sesameward.serving.routes import CallerLimits
 from sesameward.serving.routes import RouteTable
+from sesameward.serving.target_limits import Denial
+from tests.limit_fleet import TARGET
 from tests.quota_fleet import QuotaFleet
+from tests.quota_fleet import QuotaNode
 
 NODES = [1, 5, 26, 300]
 SMALL = 9.0, 9.0
@@ -270,6 +274,24 @@
     fleet.check_bound()
 
 
+# Guards against requests refused for minutes because the first one came when
+# the node, just started, had a thousandth of its share.
+@pytest.mark.parametrize('nodes', [1, 5, 26])
+def test_refusal_at_the_start_does_not_outlast_it(nodes):
+    fleet = QuotaFleet(nodes, *SMALL)
+    node = QuotaNode(fleet, 'n0', fleet.now)
+    node.limits.set_nodes(nodes, fleet.now)
+    for passed_s in (0.004, 0.4, 4.0, 5.0):
+        now = fleet.now + passed_s
+        assert node.limits.next_call((), now) is None
+        taken = node.limits.acquire(TARGET, PRIORITY, now)
+        assert taken is Denial.NONE_LEFT or passed_s >= 4.0
+        wait_s = node.limits.wait_s(TARGET, PRIORITY, now)
+        # At the end it is known that the others entrust nothing.
+        shares = 1.0 if passed_s <= 4.0 else 1.0 / nodes
+        assert wait_s <= 1.0 / (shares * SMALL[0]) + 1e-6
+
+
 # Guards against a killed node whose part is missing for as long as it counts.
 def test_one_killed_node_costs_nothing_of_the_limit():
     fleet = make_fleet(26, LARGE)
