--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,9 +6,13 @@
 
 import pytest
 
+from sesameward.organisations.quotas import PRIORITY
 from sesameward.serving.routes import CallerLimits
 from sesameward.serving.routes import RouteTable
+from sesameward.serving.target_limits import Denial
+from tests.limit_fleet import TARGET
 from tests.quota_fleet import QuotaFleet
+from tests.quota_fleet import QuotaNode
 
 NODES = [1, 5, 26, 300]
 SMALL = 9.0, 9.0
@@ -192,6 +196,47 @@
     assert fleet.used_per_s(fleet.now - 5.0, fleet.now) > 0.95 * limit[0]
 
 
+# Guards against a share that is used in two places because a coordinator was
+# taken for ended, and against permits of several coordinators that add up.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [2, 5, 26, 91, 300])
+def test_bound_holds_while_coordinators_crash_one_after_the_other(
+    nodes, limit, seed
+):
+    fleet = make_fleet(nodes, limit, seed)
+    demand(fleet, 9.0)
+    fleet.run(5.0)
+    for _ in range(8):
+        coordinator = fleet.coordinator()
+        fleet.crash(coordinator)
+        fleet.run(fleet.rng.uniform(0.01, 1.2))
+        fleet.restart(coordinator)
+        fleet.run(fleet.rng.uniform(0.01, 1.2))
+    fleet.run(6.0)
+    fleet.check_bound()
+
+
+# Guards against shares that stay unused for the rest of a lease although it is
+# proven that the coordinator's process has ended: half of the requests of the
+# next six seconds were refused then.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [5, 26, 91, 300])
+def test_crashed_coordinator_is_replaced_at_once(nodes, limit, seed):
+    fleet = make_fleet(nodes, limit, seed)
+    fleet.is_shaped = True
+    demand(fleet, 0.3)
+    fleet.run(5.0)
+    crashed_at = fleet.now
+    fleet.crash(fleet.coordinator())
+    fleet.run(6.0)
+    fleet.check_bound()
+    refused = fleet.refused()
+    assert [at for at in refused if at > crashed_at + 0.5] == []
+    assert len(refused) <= 4 + 0.05 * limit[0]
+
+
 # Guards against new processes that use up a share again that their
 # predecessors have used.
 @pytest.mark.parametrize('nodes', [1, 5, 26])
@@ -253,6 +298,24 @@
     fleet.check_bound()
 
 
+# Guards against requests refused for minutes because the first one came when
+# the node, just started, had a thousandth of its share.
+@pytest.mark.parametrize('nodes', [1, 5, 26])
+def test_refusal_at_the_start_does_not_outlast_it(nodes):
+    fleet = QuotaFleet(nodes, *SMALL)
+    node = QuotaNode(fleet, 'n0', fleet.now)
+    node.limits.set_nodes(nodes, fleet.now)
+    for passed_s in (0.004, 0.4, 4.0, 5.0):
+        now = fleet.now + passed_s
+        assert node.limits.next_call((), now) is None
+        taken = node.limits.acquire(TARGET, PRIORITY, now)
+        assert taken is Denial.NONE_LEFT or passed_s >= 4.0
+        wait_s = node.limits.wait_s(TARGET, PRIORITY, now)
+        # At the end it is known that the others entrust nothing.
+        shares = 1.0 if passed_s <= 4.0 else 1.0 / nodes
+        assert wait_s <= 1.0 / (shares * SMALL[0]) + 1e-6
+
+
 # Guards against a killed node whose part is missing for as long as it counts.
 def test_one_killed_node_costs_nothing_of_the_limit():
     fleet = make_fleet(26, LARGE)
