Read headers in time linear in their length, and bound numbers

A Server-Limit of 31,000 digits and one other byte kept a regular expression busy for 33 s. Integers of configurations and revisions must fit into 64 bits, because greater ones fail in messages and arithmetic. Retry-After of the store is limited to 30 s. Whole numbers of callers are limited to 18 digits, as int() fails above 4,300.

--- a/sesameward/filters/parsing.py
+++ b/sesameward/filters/parsing.py
@@ -27,6 +27,8 @@
 # attempt of this booking may then have run.
 UNNUMBERED_ATTEMPT = 0
 _MAX_ATTEMPT = 1_000_000
+# int() raises ValueError above 4,300 digits.
+MAX_DIGITS = 18
 _KEY_PATTERN = re.compile(r'[A-Za-z0-9._:-]{8,128}')
 # An answer ends before the caller's deadline by this fraction of the deadline,
 # within the bounds below, because its last frame, which carries the coverage,
@@ -127,8 +129,9 @@
     if text is None:
         return service.deadlines.default_ms
     max_ms = service.deadlines.max_ms
-    if text.isascii() and text.isdigit() and 1 <= int(text) <= max_ms:
-        return int(text)
+    deadline_ms = _whole_number(text, max_ms)
+    if deadline_ms is not None:
+        return deadline_ms
     raise RefusalError(
         RefusalKind.BAD_DEADLINE,
         f'{DEADLINE_HEADER} {text!r} is not a valid deadline',
@@ -136,6 +139,13 @@
     )
 
 
+def _whole_number(text: str, most: int) -> int | None:
+    """Return a whole number from 1 to most, or None for any other text."""
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_DIGITS:
+        return None
+    return number if 1 <= (number := int(text)) <= most else None
+
+
 def _parse_versions(
     query: QueryBody, service: Service
 ) -> tuple[RecordVersion, ...]:
@@ -168,9 +178,7 @@
     Return 0 if the header is missing or not valid.
     """
     text = headers.get(ATTEMPT_HEADER, '')
-    if text.isascii() and text.isdigit() and 1 <= int(text) <= _MAX_ATTEMPT:
-        return int(text)
-    return UNNUMBERED_ATTEMPT
+    return _whole_number(text, _MAX_ATTEMPT) or UNNUMBERED_ATTEMPT
 
 
 def _parse_attempt(headers: typing.Mapping[str, str]) -> int:
--- a/sesameward/interface/handlers.py
+++ b/sesameward/interface/handlers.py
@@ -20,6 +20,7 @@
 from ..filters.chain import FilterChain
 from ..filters.exchange import Exchange
 from ..filters.parsing import attempt_number
+from ..filters.parsing import MAX_DIGITS
 from ..messages import BookingResult
 from ..messages import Frame
 from ..messages import Refusal
@@ -70,6 +71,14 @@
     return _STATUS_BY_KIND.get(kind, _STATUS_UNAVAILABLE)
 
 
+def _exceeds(length: str, max_bytes: int) -> bool:
+    """Return whether a Content-Length is above a limit."""
+    if not (length.isascii() and length.isdigit()):
+        return False
+    # int() raises ValueError above 4,300 digits.
+    return len(length) > MAX_DIGITS or int(length) > max_bytes
+
+
 @tornado.web.stream_request_body
 class RequestHandler(tornado.web.RequestHandler):
     """Read the body, run the filters and write refusals.
@@ -109,7 +118,7 @@
             self._ended, f'{self.request.path} {self.request_id}'
         )
         length = self.request.headers.get('Content-Length', '0')
-        if length.isdigit() and int(length) > self._limits.max_body_bytes:
+        if _exceeds(length, self._limits.max_body_bytes):
             self._refuse_large_body()
             return
         self._body_timer = asyncio.get_running_loop().call_later(
--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -35,11 +35,11 @@
 TARGETS_KIND = 'servers'
 EVACUATIONS_KIND = 'evacuations'
 
-PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
-NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
-# Integers that fit into the messages between nodes.
-PositiveInt64 = typing.Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
-NonNegativeInt64 = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# Integers that fit into the messages between nodes and into a float. JSON
+# allows any, and one of 400 digits makes the arithmetic with it fail.
+Int = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
+NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0)]
 
@@ -74,7 +74,7 @@
     route_type: typing.Literal['safe', 'unsafe']
     timeout_ms: Milliseconds
     target_latency_ms: Milliseconds
-    priority: int = 0
+    priority: Int = 0
     max_attempts: PositiveInt = 1
     service: str | None = None
     traffic_split: tuple[_Part, ...] | None = None
@@ -139,7 +139,7 @@
         str, msgspec.Meta(pattern=ORGANISATION_NAME_PATTERN)
     ]
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: Int | None = None
     rate_per_s: NonNegativeFloat | None = None
     burst: NonNegativeFloat | None = None
 
@@ -166,7 +166,7 @@
 class StoredConfig(msgspec.Struct):
     """Hold the configuration as stored."""
 
-    version: int
+    version: Int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: CallerLimitFields = msgspec.field(
@@ -187,12 +187,12 @@
     service: str
     address: str
     zone: str
-    slots: PositiveInt64
+    slots: PositiveInt
     state: typing.Literal['ready', 'draining']
     seq: NonNegativeInt
     version: str = ''
     warmup_left_ms: Milliseconds = 0
-    born: NonNegativeInt64 = 0
+    born: NonNegativeInt = 0
 
 
 class ObjectDecoder:
--- a/sesameward/platform/store.py
+++ b/sesameward/platform/store.py
@@ -34,6 +34,12 @@
 # targets takes 60 pages.
 MAX_LIST_PAGES = 200
 
+# Pause after a refused call without a valid Retry-After, and the longest pause
+# that the store can ask for: with a wrong number a node would never read the
+# store again.
+DEFAULT_RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 30.0
+
 T = typing.TypeVar('T')
 
 
@@ -246,11 +252,17 @@
 
 
 def _retry_after_s(reply: Reply) -> float:
-    """Return the seconds in Retry-After, or 0.2 if there is no valid value."""
+    """Return the seconds in Retry-After, at most MAX_RETRY_AFTER_S.
+
+    Return DEFAULT_RETRY_AFTER_S if there is no valid value.
+    """
     for name, value in reply.headers:
         if name.lower() == b'retry-after':
             try:
-                return float(value)
+                retry_after_s = float(value)
             except ValueError:
                 break
-    return 0.2
+            if retry_after_s >= 0.0:
+                return min(retry_after_s, MAX_RETRY_AFTER_S)
+            break
+    return DEFAULT_RETRY_AFTER_S
--- a/sesameward/platform/store_replies.py
+++ b/sesameward/platform/store_replies.py
@@ -17,12 +17,15 @@
 
 T = typing.TypeVar('T')
 
+# Greater numbers do not fit into the messages between nodes.
+RevisionNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class Meta(msgspec.Struct):
     """Hold an object's name and the revision of its last change."""
 
     name: str
-    revision: int = 0
+    revision: RevisionNumber = 0
 
 
 class Object(msgspec.Struct):
@@ -41,7 +44,7 @@
 
     items: tuple[Object, ...]
     more: bool
-    as_of: int
+    as_of: RevisionNumber
     unnamed: int = 0
 
 
@@ -56,7 +59,7 @@
     """Hold changes of objects up to the revision in as_of."""
 
     events: tuple[Event, ...]
-    as_of: int
+    as_of: RevisionNumber
 
 
 def decode_listing(body: bytes) -> Listing:
@@ -70,7 +73,7 @@
     return Listing(
         items,
         _decode(_required(fields, 'more'), bool),
-        _decode(_required(fields, 'as_of'), int),
+        _decode(_required(fields, 'as_of'), RevisionNumber),
         unnamed=len(texts) - len(items),
     )
 
@@ -84,7 +87,7 @@
     texts = json_parts.elements(_required(fields, 'events'))
     return Events(
         tuple(_decode_each(texts, _decode_event)),
-        _decode(_required(fields, 'as_of'), int),
+        _decode(_required(fields, 'as_of'), RevisionNumber),
     )
 
 
@@ -112,7 +115,7 @@
     except msgspec.DecodeError as exc:
         meta = json_parts.members(_required(json_parts.members(text), 'meta'))
         name = _decode(_required(meta, 'name'), str)
-        revision = _decode(meta.get('revision', b'0'), int)
+        revision = _decode(meta.get('revision', b'0'), RevisionNumber)
         logs.log_event(
             'object_undecodable', name=name, revision=revision, error=str(exc)
         )
--- a/sesameward/platform/wire.py
+++ b/sesameward/platform/wire.py
@@ -72,7 +72,9 @@
 # Longest time for which an answer can make its target cold. With a wrong
 # number a target would otherwise stay limited for good.
 MAX_WARMUP_S = 3_600.0
-_DECIMAL_NUMBER = re.compile(rb'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?')
+# There is one way only to match a run of digits: with \d+\.?\d* a value of
+# 31,000 digits and one other byte took 33 s.
+_DECIMAL_NUMBER = re.compile(rb'(\d+(\.\d*)?|\.\d+)([eE][+-]?\d+)?')
 
 
 class PlatformWire:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,6 +24,8 @@
 from sesameward.platform import boot
 from sesameward.platform import json_parts
 from sesameward.platform.objects import ObjectDecoder
+from sesameward.platform.store import DEFAULT_RETRY_AFTER_S
+from sesameward.platform.store import MAX_RETRY_AFTER_S
 from sesameward.platform.store import StoreCalls
 from sesameward.platform.wire import MAX_WARMUP_S
 from sesameward.platform.wire import PlatformEndpointAdapter
@@ -188,6 +190,31 @@
         ObjectDecoder().routes(make_stored({'version': 1}, name='other'))
 
 
+# Guards against a configuration that is accepted, but whose numbers make the
+# messages about it or the arithmetic with them fail.
+@pytest.mark.parametrize('number', [2**63, 10**400])
+@pytest.mark.parametrize(
+    'field', ['version', 'priority', 'top_k', 'max_conns']
+)
+def test_configuration_with_too_large_a_number_is_refused(field, number):
+    service = {'name': 's', 'max_conns': 25}
+    spec = {
+        'version': 12,
+        'routes': [ROUTE | {'service': 's'}],
+        'services': [service],
+    }
+    ObjectDecoder().routes(make_stored(spec))
+    holders = {
+        'version': spec,
+        'max_conns': service,
+        'priority': spec['routes'][0],
+        'top_k': spec['routes'][0],
+    }
+    holders[field][field] = number
+    with pytest.raises(DeclarationError):
+        ObjectDecoder().routes(make_stored(spec))
+
+
 REGISTRATION = {
     'service': 's',
     'address': '10.0.0.3:8080',
@@ -252,6 +279,7 @@
         {'address': ':80'},
         {'born': 10**30},
         {'slots': 10**30},
+        {'seq': 10**30},
         {'unknown': 'nested'},
     ],
 )
@@ -555,10 +583,25 @@
     asyncio.run(main())
 
 
-def test_rates_are_told_with_when_to_come_back():
+# The values that are no time, or a very long one, guard against a node that
+# never reads the store again.
+@pytest.mark.parametrize(
+    ('value', 'retry_after_s'),
+    [
+        (b'0.7', 0.7),
+        (b'0', 0.0),
+        (b'1e9', MAX_RETRY_AFTER_S),
+        (b'9' * 5_000, MAX_RETRY_AFTER_S),
+        (b'inf', MAX_RETRY_AFTER_S),
+        (b'nan', DEFAULT_RETRY_AFTER_S),
+        (b'-1', DEFAULT_RETRY_AFTER_S),
+        (b'soon', DEFAULT_RETRY_AFTER_S),
+    ],
+)
+def test_rates_are_told_with_when_to_come_back(value, retry_after_s):
     async def main():
         def handle(req, responder):
-            responder.send(Answer(429, [(b'Retry-After', b'0.7')]))
+            responder.send(Answer(429, [(b'Retry-After', value)]))
 
         server = HttpServer(
             handle, Metrics('t'), asyncio.get_running_loop().time
@@ -566,7 +609,26 @@
         await server.start('127.0.0.1', 0)
         with pytest.raises(PlatformThrottledError) as caught:
             await StoreCalls(settings_for(server.port)).list('servers', 1.0)
-        assert caught.value.retry_after_s == 0.7
+        assert caught.value.retry_after_s == retry_after_s
+        server.stop()
+
+    asyncio.run(main())
+
+
+# Guards against a revision that the node can't name to other nodes.
+@pytest.mark.parametrize('as_of', [b'-1', b'9' * 30, b'9' * 5_000])
+def test_list_as_of_no_possible_revision_is_refused(as_of):
+    body = b'{"items": [], "more": false, "as_of": %s}' % as_of
+
+    async def main():
+        server = HttpServer(
+            lambda req, responder: responder.send(Answer(200, body=body)),
+            Metrics('t'),
+            asyncio.get_running_loop().time,
+        )
+        await server.start('127.0.0.1', 0)
+        with pytest.raises(PlatformUnavailableError):
+            await StoreCalls(settings_for(server.port)).list('servers', 1.0)
         server.stop()
 
     asyncio.run(main())
