Take no connection for a sub-request that ended before its permit

It took an idle connection after its permit was fetched and did not give it back, so that the connection counted against the node's share until the target closed it.

--- a/sesameward/serving/exchange.py
+++ b/sesameward/serving/exchange.py
@@ -130,7 +130,8 @@
 
     is_wanted returns True while the result is needed, is_held while the
     sub-request must not be sent. on_result is called with the result, unless
-    is_wanted returns False when the sub-request gets its connection.
+    is_wanted returns False when the sub-request gets its permit or its
+    connection.
     """
 
     def __init__(
@@ -171,6 +172,11 @@
                 self._report_no_permit()
             return
         self._permit = permit
+        if not self._is_wanted():
+            # It ended while the permit was fetched. An idle connection that
+            # it took would not be given back.
+            self._give_permit_back()
+            return
         self._tools.pools.acquire(
             self._target_id,
             self._connected,
