Keep the rest of a target whose registration comes back

What a target asked for with Retry-After was forgotten if its registration was gone for more than 2 s, also if the same process was registered again. TargetTable.expire() returns targets instead of ids; its tests compare the ids as before.

--- a/sesameward/serving/replica_choice.py
+++ b/sesameward/serving/replica_choice.py
@@ -215,6 +215,10 @@
         """Return for how many seconds a target still wants no requests."""
         return max(0.0, self._chooser.rests_until(target_id) - now)
 
+    def rests_until(self, target_id: TargetId) -> float:
+        """Return until when a target wants no requests, or a past time."""
+        return self._chooser.rests_until(target_id)
+
     def back_off(self, target_id: TargetId, rest_s: float, now: float) -> None:
         """Send a target nothing for rest_s, as it asked with Retry-After."""
         before = self._chooser.rests_until(target_id)
--- a/sesameward/serving/routing_state.py
+++ b/sesameward/serving/routing_state.py
@@ -18,6 +18,7 @@
 from ..types import ServiceName
 from ..types import TargetId
 from .budget_window import BudgetWindow
+from .kept_rests import KeptRests
 from .kept_routes import KeptRoutes
 from .mirror import Mirror
 from .pools import Pools
@@ -90,6 +91,7 @@
         self._metrics = metrics
         self._clock = clock
         self._restored_targets = restored_targets
+        self._kept_rests = KeptRests()
         self._routes_doubtful_until = clock()
         self._routed_services: frozenset[ServiceName] = frozenset()
         self.on_routes: typing.Callable[[RouteTable], None] = lambda _: None
@@ -290,6 +292,11 @@
             self._pools.forget(target.id)
         self._targets.put(target)
         self._declare_target(target.id)
+        if old is None:
+            now = self._clock()
+            rest_s = self._kept_rests.take(target, now)
+            if rest_s > 0.0:
+                self._selector.back_off(target.id, rest_s, now)
         self.on_target_added(target)
 
     def _declare_target(self, target_id: TargetId) -> None:
@@ -343,11 +350,14 @@
         After a restore of the store, also decide on the targets that it lacks
         or shows again.
         """
+        now = self._clock()
         if self.targets_mirror is not None:
-            now = self._clock()
             read_at = now - self.targets_mirror.age_s(now)
             self._settle_restored(read_at)
-        for target_id in self._targets.expire(self._clock()):
+        for target in self._targets.expire(now):
+            target_id = target.id
+            until = self._selector.rests_until(target_id)
+            self._kept_rests.keep(target, until, now)
             self._selector.forget(target_id)
             self._pools.forget(target_id)
             self.on_target_dropped(target_id)
--- a/sesameward/serving/targets.py
+++ b/sesameward/serving/targets.py
@@ -173,19 +173,20 @@
         target = self._targets.get(target_id)
         return target is None or target.drain or target_id in self._lapsed_at
 
-    def expire(self, now: float) -> list[TargetId]:
+    def expire(self, now: float) -> list[Target]:
         """Remove targets whose registration lapsed LAPSED_KEEP_S ago or more.
 
-        Returns the ids of the removed targets.
+        Returns the removed targets.
         """
         expired_ids = [
             target_id
             for target_id, lapsed_at in self._lapsed_at.items()
             if now - lapsed_at >= LAPSED_KEEP_S
         ]
+        expired = [self._targets[target_id] for target_id in expired_ids]
         for target_id in expired_ids:
             self._remove(target_id)
-        return expired_ids
+        return expired
 
     def candidates(self, service: ServiceName) -> tuple[TargetId, ...]:
         """Return the ids of a service's targets that may get new requests."""
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -179,6 +179,27 @@
     assert candidates(routing_state) == ('i-1',)
 
 
+# Guards against requests to a target that asked for none with Retry-After: its
+# registration was gone for longer than the target is kept, and came back.
+@pytest.mark.parametrize(
+    ('returned', 'left_s'), [(b'5 ready', 57.0), (b'9 ready', 0.0)]
+)
+def test_rest_that_a_target_asked_for_outlasts_its_registration(
+    routing_state, returned, left_s
+):
+    selector = routing_state._selector
+    routing_state.update_targets(registration(b'5 ready'))
+    selector.back_off('i-1', 60.0, routing_state.now[0])
+    routing_state.update_targets(registration(b'', deleted=True))
+    routing_state.now[0] += 3.0
+    routing_state.drop_expired()
+    assert routing_state._targets.get('i-1') is None
+    routing_state.update_targets(registration(returned, revision=2))
+    now = routing_state.now[0]
+    assert selector.backoff_left_s('i-1', now) == pytest.approx(left_s)
+    assert selector.resting('i-1', now) is (left_s > 0.0)
+
+
 # The store was restored from an older copy.
 
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -24,6 +24,11 @@
     return table
 
 
+def expire(table, now):
+    """Return the ids of the targets that the table removes."""
+    return [target.id for target in table.expire(now)]
+
+
 def test_draining_targets_get_no_work(table):
     table.put(make_target('a', state=TargetState.DRAINING))
     assert table.candidates('s') == ('b',)
@@ -44,14 +49,14 @@
     table.mark_registration_gone('a', 0.0)
     table.mark_registration_gone('b', 0.0)
     assert table.candidates('s') == ('a', 'b')
-    assert table.expire(LAPSED_KEEP_S - 0.1) == []
+    assert expire(table, LAPSED_KEEP_S - 0.1) == []
     assert table.candidates('s') == ('a', 'b')
 
 
 def test_lapsed_targets_are_gone_after_a_while(table):
     table.mark_registration_gone('a', 0.0)
     table.mark_registration_gone('b', 0.0)
-    assert sorted(table.expire(LAPSED_KEEP_S)) == ['a', 'b']
+    assert sorted(expire(table, LAPSED_KEEP_S)) == ['a', 'b']
     assert table.candidates('s') == ()
     assert table.get('a') is None
 
@@ -59,14 +64,14 @@
 def test_second_lapse_does_not_prolong_the_first(table):
     table.mark_registration_gone('a', 0.0)
     table.mark_registration_gone('a', LAPSED_KEEP_S)
-    assert table.expire(LAPSED_KEEP_S) == ['a']
+    assert expire(table, LAPSED_KEEP_S) == ['a']
 
 
 def test_returning_target_is_whole_again(table):
     table.mark_registration_gone('a', 0.0)
     table.put(make_target('a'))
     assert table.candidates('s') == ('a', 'b')
-    assert table.expire(10 * LAPSED_KEEP_S) == []
+    assert expire(table, 10 * LAPSED_KEEP_S) == []
 
 
 def test_id_that_moves_to_another_service_leaves_the_first(table):
@@ -104,7 +109,7 @@
         table.mark_registration_gone(target_id, 0.0)
     table.mark_leaving('a')
     assert table.candidates('s') == ('b',)
-    assert sorted(table.expire(LAPSED_KEEP_S)) == ['a', 'b']
+    assert sorted(expire(table, LAPSED_KEEP_S)) == ['a', 'b']
 
 
 def test_word_may_come_before_the_registration(table):
