Let no background task of a node end unnoticed

A supervisor restarts the loops of a node also after they returned or after something that they awaited was cancelled. A step of the upkeep that fails no longer keeps the others from being taken. A node that can't read routes or targets because of its own fault is not ready; it stayed ready with outdated ones for good.

--- a/sesameward/membership/gossip.py
+++ b/sesameward/membership/gossip.py
@@ -14,6 +14,8 @@
 
 from .. import logs
 from . import antientropy
+from ..background import restart_logger
+from ..background import Supervisor
 from . import datagrams
 from ..exceptions import IntegrityError
 from ..exceptions import PeerUnavailableError
@@ -44,6 +46,10 @@
 JOIN_RETRY_S = 1.0
 UNKNOWN_PEER_RETRY_S = 30.0
 JOIN_FANOUT = 3
+# Pause after an unexpected exception while the timer of the protocol was
+# handled. Without it, a timer that is due and fails would be handled again at
+# once and leave no time for requests.
+FAILED_TIMER_PAUSE_S = 0.5
 # Limit of the anti-entropy exchanges in a row with one member; they are
 # repeated while they add members.
 MAX_SYNC_ROUNDS = 128
@@ -103,8 +109,9 @@
         self._udp: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_at = 0.0
-        self._join_task: asyncio.Task | None = None
-        self._sync_tasks: set[asyncio.Task] = set()
+        self._supervisor = Supervisor(metrics, rng)
+        self._on_timer_fault = restart_logger(metrics, 'gossip timer')
+        self._sync_task: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Bind the UDP socket, start probing members and start joining.
@@ -129,19 +136,17 @@
         self._anti_entropy = AntiEntropy(self._swim, self._rng)
         self._swim.start(self._loop.time())
         self._schedule_timer()
-        self._join_task = self._loop.create_task(self._keep_joining())
+        self._supervisor.start_loop('gossip join', self._keep_joining)
 
     async def stop(self, leave: bool = True) -> None:
         """Close the socket; if leave is True, announce the departure first."""
         if self._udp is None:
             return
-        self._join_task.cancel()
+        self._supervisor.stop()
         if leave:
             self._run_actions(self._swim.leave(self._loop.time()))
         if self._timer is not None:
             self._timer.cancel()
-        for task in self._sync_tasks:
-            task.cancel()
         self._udp.close()
         self._udp = None
 
@@ -312,7 +317,15 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        self._run_actions(self._swim.handle(self._loop.time(), TimerDue()))
+        try:
+            self._run_actions(self._swim.handle(self._loop.time(), TimerDue()))
+        except Exception as exc:
+            self._on_timer_fault(exc)
+            self._timer_due_at = self._loop.time() + FAILED_TIMER_PAUSE_S
+            self._timer = self._loop.call_at(
+                self._timer_due_at, self._on_timer
+            )
+            return
         self._schedule_timer()
 
     def _run_actions(self, actions: list[Action]) -> None:
@@ -325,8 +338,7 @@
                 case MemberChanged(member):
                     self._report_change(member)
                 case RumorAccepted(rumor):
-                    for callback in self._subscribers[rumor.topic]:
-                        callback(rumor)
+                    self._pass_on(rumor)
                 case SyncWanted(member):
                     self._start_sync(member)
                 case NameConflict(incarnation):
@@ -336,6 +348,21 @@
                         incarnation=incarnation,
                     )
 
+    def _pass_on(self, rumor: Rumor) -> None:
+        for callback in self._subscribers[rumor.topic]:
+            try:
+                callback(rumor)
+            except Exception as exc:
+                # Datagrams that are still to be sent must not be lost by it.
+                self._metrics.count('rumors_failed', rumor.topic)
+                logs.log_event(
+                    'rumor_failed',
+                    topic=rumor.topic,
+                    key=rumor.key,
+                    error=repr(exc),
+                    where=logs.origin_of(exc),
+                )
+
     def _report_change(self, member: Member) -> None:
         self._metrics.count('member_changes', member.state.value)
         logs.log_event('member', member=member.node, state=member.state.value)
@@ -364,11 +391,12 @@
         return sorted(offered - known, key=str)
 
     def _start_sync(self, member: Member) -> None:
-        if self._sync_transport is None or self._sync_tasks:
+        if self._sync_transport is None:
             return
-        task = self._loop.create_task(self._sync(member))
-        self._sync_tasks.add(task)
-        task.add_done_callback(self._sync_tasks.discard)
+        if self._sync_task is None or self._sync_task.done():
+            self._sync_task = self._supervisor.start(
+                'gossip sync', self._sync(member)
+            )
 
     async def _sync(self, member: Member) -> None:
         try:
--- a/sesameward/serving/admission_gate.py
+++ b/sesameward/serving/admission_gate.py
@@ -180,8 +180,13 @@
         if claim not in self._timers:
             return
         self._leave_queue(claim)
-        refusal = self.control.expire(claim, self._clock())
-        self.refuse(claim.item, refusal.retry_after_s)
+        try:
+            refusal = self.control.expire(claim, self._clock())
+            self.refuse(claim.item, refusal.retry_after_s)
+        except Exception as exc:
+            # Nothing else answers a request that is not waiting any more.
+            arrival = claim.item
+            answer_fault(self._metrics, exc, arrival.req, arrival.responder)
 
     def _on_gone(self, claim: Claim) -> None:
         if claim in self._timers:
--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -15,6 +15,7 @@
 
 from .. import grpc_errors
 from .. import logs
+from ..background import Supervisor
 from ..channels import Channel
 from ..codec import MsgpackCodec
 from ..messages import Member
@@ -58,7 +59,6 @@
         self.address = member.host, member.grpc_port
         self.outbox: asyncio.Queue[HelperMessage] = asyncio.Queue()
         self.handlers: dict[BatchNo, OnResults] = {}
-        self.task: asyncio.Task | None = None
 
 
 class DelegateClient:
@@ -76,6 +76,7 @@
         self._clock = clock
         self._batch_numbers = itertools.count(1)
         self._streams: dict[NodeId, _Stream] = {}
+        self._supervisor = Supervisor(metrics, clock=clock)
         self.on_notice: typing.Callable[[TargetNotice], None] = lambda _: None
 
     def next_batch_no(self) -> BatchNo:
@@ -139,9 +140,7 @@
 
     def close(self) -> None:
         """Close the streams to all helper nodes."""
-        for stream in self._streams.values():
-            if stream.task is not None:
-                stream.task.cancel()
+        self._supervisor.stop()
 
     def _stream(self, member: Member) -> _Stream:
         stream = self._streams.get(member.node)
@@ -149,8 +148,9 @@
         if stream is None or stream.address != address:
             stream = _Stream(member)
             self._streams[member.node] = stream
-            stream.task = asyncio.ensure_future(self._run(member.node, stream))
-            logs.log_failure(stream.task)
+            self._supervisor.start(
+                'stream to helper', self._run(member.node, stream)
+            )
         return stream
 
     async def _run(self, node: NodeId, stream: _Stream) -> None:
@@ -172,12 +172,25 @@
         async with method.open() as call:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await call.send_request()
-            sender = asyncio.ensure_future(_send_all(call, stream.outbox))
+            # The stream ends with either: without its sender, batches would
+            # wait until their deadlines.
+            tasks = [
+                asyncio.ensure_future(_send_all(call, stream.outbox)),
+                asyncio.ensure_future(self._receive(node, stream, call)),
+            ]
             try:
-                async for parts in call:
-                    self._on_message(node, stream, parts)
+                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             finally:
-                sender.cancel()
+                for task in tasks:
+                    task.cancel()
+                results = await asyncio.gather(*tasks, return_exceptions=True)
+            for result in results:
+                if isinstance(result, Exception):
+                    raise result
+
+    async def _receive(self, node: NodeId, stream: _Stream, call) -> None:
+        async for parts in call:
+            self._on_message(node, stream, parts)
 
     def _on_message(
         self, node: NodeId, stream: _Stream, parts: BatchResults
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import enum
+import functools
 import random
 import socket
 import typing
@@ -18,6 +19,8 @@
 import msgspec
 
 from .. import logs
+from ..background import call_all
+from ..background import Supervisor
 from . import listening
 from ..metrics import Metrics
 from ..settings import Endpoint
@@ -732,7 +735,7 @@
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._handler = handler
         self._server: asyncio.Server | None = None
-        self._timeout_task: asyncio.Task | None = None
+        self._supervisor = Supervisor(metrics)
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address and accept connections.
@@ -744,9 +747,7 @@
     async def accept(self, sock: socket.socket) -> None:
         """Accept connections on a socket that is already listening."""
         self._server = await self._listen(sock)
-        loop = asyncio.get_running_loop()
-        self._timeout_task = loop.create_task(self._close_timed_out())
-        logs.log_failure(self._timeout_task)
+        self._supervisor.start_loop('caller timeouts', self._close_timed_out)
 
     async def _listen(self, sock: socket.socket) -> asyncio.Server:
         return await asyncio.get_running_loop().create_server(
@@ -790,8 +791,7 @@
         closed when they exceed a time limit.
         """
         self.stop_listening()
-        if self._timeout_task is not None:
-            self._timeout_task.cancel()
+        self._supervisor.stop()
         for conn in tuple(self.connections):
             conn.close_if_idle()
 
@@ -799,5 +799,7 @@
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_PERIOD_S)
             now = self.now()
-            for conn in tuple(self.connections):
-                conn.close_if_timed_out(now)
+            call_all(
+                functools.partial(conn.close_if_timed_out, now)
+                for conn in tuple(self.connections)
+            )
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -20,8 +20,7 @@
 import msgspec
 
 from .. import logs
-from ..background import keep_running
-from ..background import restart_logger
+from ..background import Supervisor
 from ..configuration.objects import ObjectReplica
 from ..configuration.spread import Backoff
 from ..exceptions import CompactedError
@@ -85,6 +84,13 @@
 MAX_START_LISTS = 8
 # Number of other nodes that a starting node pulls from.
 MAX_START_PULLS = 2
+# Reading has stopped if the objects have not been known to be current, and
+# the loop that reads them has failed, for this time. A restart takes up to
+# 1 s, and other nodes may read the store meanwhile.
+STOPPED_AFTER_S = 10.0
+# Reading has also stopped if a round of the loop takes this long. The longest
+# one lists 200 pages in 1.5 s each and pauses for 30 s, as the store asked.
+MAX_ROUND_S = 400.0
 
 
 class Store(typing.Protocol):
@@ -171,15 +177,21 @@
         # because no other node published in time that it had read the store.
         self._took_over = False
         self._store_log = StoreLog(kind, metrics)
-        self._task: asyncio.Task | None = None
+        self._supervisor = Supervisor(metrics, rng, clock)
+        self._loop_name = f'mirror {kind}'
+        self._round_at = clock()
         self._read_task: asyncio.Task | None = None
         # Whether the next read must list the objects. The changes in a watch
         # may be what made the last read fail, and the store sends them again.
         self._must_list = False
         # Only the newest reading that arrives during a pull is handled after.
-        self._catch_up = LatestTask(self._catch_up_with)
+        self._catch_up = LatestTask(
+            f'catch up {kind}', self._catch_up_with, self._supervisor, metrics
+        )
         self.has_pulled = False
-        self._kept_pulls = LatestTask(self._pull_kept)
+        self._kept_pulls = LatestTask(
+            f'pull kept {kind}', self._pull_kept, self._supervisor, metrics
+        )
 
     @property
     def replica(self) -> ObjectReplica:
@@ -208,22 +220,26 @@
     def start(self) -> None:
         """Start to fill the copy, and to watch the store when needed."""
         self._started_at = self._clock()
-        on_fault = restart_logger(self._metrics, f'mirror {self.kind}')
-        self._task = asyncio.ensure_future(
-            keep_running(self._run, on_fault, self._rng)
-        )
-        logs.log_failure(self._task)
+        self._round_at = self._started_at
+        self._supervisor.start_loop(self._loop_name, self._run)
 
     async def stop(self) -> None:
         """Cancel all tasks and wait until they have ended."""
         if self._publish_timer is not None:
             self._publish_timer.cancel()
-        started = (self._task, self._catch_up.task, self._kept_pulls.task)
-        tasks = [task for task in started if task is not None]
-        for task in tasks:
-            task.cancel()
+        tasks = self._supervisor.stop()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def has_stopped(self, now: float) -> bool:
+        """Return True if a fault of this node keeps the objects outdated.
+
+        While only the store can't be read, the result is False.
+        """
+        return self.age_s(now) >= STOPPED_AFTER_S and (
+            self._supervisor.failing_s(self._loop_name) >= STOPPED_AFTER_S
+            or now - self._round_at >= MAX_ROUND_S
+        )
+
     def refresh(self) -> None:
         """Treat the objects as outdated and read them again at once.
 
@@ -290,18 +306,21 @@
     async def _run(self) -> None:
         self._took_over = False
         backoff = Backoff(self._rng, BACKOFF_BASE_S, BACKOFF_CAP_S)
-        await asyncio.gather(self._pull_at_start(), self._list_at_start())
+        await self._fill_at_start()
         while True:
             self._set_watching(self._should_watch(self._clock()))
             if not self._watching:
+                self._record_round()
                 await asyncio.sleep(FOLLOWER_POLL_S)
                 continue
             try:
                 await self._read()
+                self._record_round()
                 self._store_log.record_call(None, self._logged_age_s())
                 backoff.reset()
                 await asyncio.sleep(self._takeover.read_gap_s)
             except PlatformError as exc:
+                self._record_round()
                 self._took_over = False
                 self._metrics.count('store_retries', type(exc).__name__)
                 self._store_log.record_call(exc, self._logged_age_s())
@@ -310,6 +329,26 @@
                     pause_s += exc.retry_after_s
                 await asyncio.sleep(pause_s)
 
+    async def _fill_at_start(self) -> None:
+        """Pull and list the objects at the same time.
+
+        If one of both fails, the other is cancelled, so that it doesn't go on
+        beside the next start of the loop.
+        """
+        work = [
+            asyncio.ensure_future(self._pull_at_start()),
+            asyncio.ensure_future(self._list_at_start()),
+        ]
+        try:
+            await asyncio.gather(*work)
+        finally:
+            for task in work:
+                task.cancel()
+
+    def _record_round(self) -> None:
+        self._round_at = self._clock()
+        self._supervisor.record_round(self._loop_name)
+
     async def _read(self) -> None:
         self._read_task = asyncio.ensure_future(self._read_once())
         try:
@@ -532,10 +571,12 @@
                 if now >= next_at and len(calls) < MAX_START_LISTS:
                     rank, _ = self._rank()
                     next_at = now + self._takeover.first_list_gap_s(rank)
-                    call = asyncio.ensure_future(self._try_list())
-                    logs.log_failure(call)
+                    call = self._supervisor.start(
+                        f'first list {self.kind}', self._try_list()
+                    )
                     calls.add(call)
                     call.add_done_callback(calls.discard)
+                self._round_at = now
                 await asyncio.sleep(START_POLL_S)
         finally:
             for call in calls:
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -20,9 +20,9 @@
 import uvloop
 
 from .. import logs
-from ..background import keep_running
+from ..background import call_all
 from ..background import restart_logger
-from ..background import RunLoop
+from ..background import Supervisor
 from . import evacuations
 from ..exceptions import SettingsError
 from . import kept_routes
@@ -368,9 +368,16 @@
             (self._make_server(endpoints.operators), operators),
         ]
         self._lifecycle = Lifecycle(self.metrics, self._clock)
+        self._supervisor = Supervisor(self.metrics, self._rng, self._clock)
+        self._settings_checked_at = now
+        self._was_ready = False
         self._is_entry_offered = False
+        # Kinds of objects whose reading has stopped, as last logged.
+        self._stopped_kinds: list[str] = []
+        # Whether this node is offered to callers though its reading has
+        # stopped, because no other node was offered.
+        self._is_last_resort = False
         self._unproven_nodes = 0
-        self._tasks: list[asyncio.Task] = []
 
     def _make_evacuations_mirror(self) -> Mirror | None:
         """Return the copy of the evacuations; None if there are none."""
@@ -524,7 +531,11 @@
             await store_mirror.stop()
 
     def _start_loops(self) -> None:
-        self._upkeep(self._clock())
+        try:
+            self._upkeep(self._clock())
+        except Exception as exc:
+            # The loop repeats it; without this the node would not start.
+            restart_logger(self.metrics, 'upkeep')(exc)
         registration = Registration(
             self._cfg,
             self._adapter.registry,
@@ -540,7 +551,7 @@
             ('organisation limits', self._quotas.run),
             ('admission', self.admission.run),
         ):
-            self._spawn_loop(name, run_loop)
+            self._supervisor.start_loop(name, run_loop)
 
     def _on_restart(self, registered_nodes: int) -> None:
         self.organisation_limits.set_registered_nodes(
@@ -549,8 +560,7 @@
         self._quotas.call_soon()
 
     def _cancel_tasks(self) -> None:
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.stop()
 
     async def _wait_first_reading(self) -> None:
         """Wait for routes and targets, at most FIRST_READING_TIMEOUT_S.
@@ -579,15 +589,6 @@
             where=logs.origin_of(exc),
         )
 
-    def _spawn(self, work: typing.Coroutine) -> None:
-        task = asyncio.ensure_future(work)
-        logs.log_failure(task)
-        self._tasks.append(task)
-
-    def _spawn_loop(self, name: str, run_loop: RunLoop) -> None:
-        on_fault = restart_logger(self.metrics, name)
-        self._spawn(keep_running(run_loop, on_fault, self._rng))
-
     def _close_to_callers(self, listener: socket.socket) -> None:
         logs.log_event('leaving', in_flight=len(self.front.deps.runs))
         self.callers.leaving = True
@@ -647,7 +648,6 @@
     async def _run_upkeep(self) -> None:
         last_round_at = self._clock()
         since_boot_s = _since_boot_s()
-        settings_at = last_round_at
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL_S)
             now = self._clock()
@@ -662,26 +662,44 @@
                 self.links.reset()
                 for store_mirror in self._mirrors:
                     store_mirror.refresh()
-            self._upkeep(now)
-            self._flush_logs()
-            if now - settings_at >= SETTINGS_CHECK_INTERVAL_S:
-                settings_at = now
-                if self._adapter.settings_changed():
-                    self._reload()
+            steps = [functools.partial(self._upkeep, now), self._flush_logs]
+            if now - self._settings_checked_at >= SETTINGS_CHECK_INTERVAL_S:
+                self._settings_checked_at = now
+                steps.append(self._check_settings)
+            call_all(steps)
+
+    def _check_settings(self) -> None:
+        if self._adapter.settings_changed():
+            self._reload()
 
     def _upkeep(self, now: float) -> None:
-        self._check_evacuations_known()
-        self._settle_evacuations(now)
-        self.cold.settle(now)
-        self.routing_state.drop_expired()
-        self._link_watch.check_periodically()
-        self.limits.named.drop_absent(self.targets, now)
+        """Take all steps, also after one has failed; raise its exception."""
+        call_all(
+            (
+                self._check_evacuations_known,
+                lambda: self._settle_evacuations(now),
+                lambda: self.cold.settle(now),
+                self.routing_state.drop_expired,
+                self._link_watch.check_periodically,
+                lambda: self.limits.named.drop_absent(self.targets, now),
+                self._publish_silences,
+                lambda: self._crashes.publish_suspicions(now),
+                lambda: self.delegation.set_members(self.peers.members()),
+                lambda: self._share_limits(now),
+                self._update_relays,
+                self._warm_connections,
+                self._apply_caller_limits,
+                lambda: self._offer_entry(now),
+            )
+        )
+
+    def _publish_silences(self) -> None:
         if self.links.is_lost:
             self._silences.drop_reported()
         elif not self.links.is_doubtful:
             self._silences.publish_reported()
-        self._crashes.publish_suspicions(now)
-        self.delegation.set_members(self.peers.members())
+
+    def _share_limits(self, now: float) -> None:
         sharing_nodes = self.peers.sharing_nodes(now)
         self.budget.set_nodes(sharing_nodes)
         self.limits.set_nodes(sharing_nodes, now)
@@ -695,19 +713,54 @@
             sharing_nodes,
             self.peers.cut_off_count(),
         )
-        self._update_relays()
+
+    def _warm_connections(self) -> None:
         self.pools.warm(self.delegation.zones(), self.evacuations.zones())
+
+    def _apply_caller_limits(self) -> None:
         table = self.routing_state.route_table
         if table is not None:
             self.callers.limits = table.limits
+
+    def _offer_entry(self, now: float) -> None:
+        """Announce this node to callers while it is ready.
+
+        A node that is not ready only because its reading has stopped stays
+        announced while no other node is: old routes are better than none. It
+        then stays so until it is ready, because nodes that all follow each
+        other would be announced and withdrawn in turn.
+        """
+        self._log_stopped_reading(now)
+        if self._lifecycle.is_stop_requested:
+            return
         is_ready = self.ready()
-        if (
-            is_ready != self._is_entry_offered
-            and not self._lifecycle.is_stop_requested
-        ):
-            self._is_entry_offered = is_ready
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
             logs.log_event('ready' if is_ready else 'not_ready')
-            self.peers.offer_entry(is_ready)
+        if is_ready or not self._knows_enough():
+            self._is_last_resort = False
+        elif not self._is_other_offered():
+            self._is_last_resort = True
+        is_offered = is_ready or self._is_last_resort
+        if is_offered != self._is_entry_offered:
+            self._is_entry_offered = is_offered
+            self.peers.offer_entry(is_offered)
+
+    def _log_stopped_reading(self, now: float) -> None:
+        kinds = [one.kind for one in self._mirrors if one.has_stopped(now)]
+        if kinds == self._stopped_kinds:
+            return
+        for kind in set(kinds).difference(self._stopped_kinds):
+            self.metrics.count('reading_stopped', kind)
+        self._stopped_kinds = kinds
+        logs.log_event('reading_stopped' if kinds else 'reading', kinds=kinds)
+
+    def _is_other_offered(self) -> bool:
+        return any(
+            member.entries and not member.leaving
+            for member in self.peers.members()
+            if member.node != self._cfg.node
+        )
 
     def _update_relays(self) -> None:
         members = self.peers.members()
@@ -930,11 +983,19 @@
         """Return True if this node should get requests from callers.
 
         It has routes and at least one target, knows which zones are evacuated,
-        and is not leaving.
+        reads all of these from the store or other nodes unless the store
+        fails, and is not leaving.
         """
+        now = self._clock()
         return (
             not self._lifecycle.is_stop_requested
-            and self.routing_state.route_table is not None
+            and self._knows_enough()
+            and not any(one.has_stopped(now) for one in self._mirrors)
+        )
+
+    def _knows_enough(self) -> bool:
+        return (
+            self.routing_state.route_table is not None
             and len(self.targets) > 0
             and self.evacuations.is_known
         )
--- a/sesameward/serving/pools.py
+++ b/sesameward/serving/pools.py
@@ -11,9 +11,10 @@
 import random
 import typing
 
-from .. import logs
 from ..admission.order import Waiting
 from ..admission.order import WaitingOrder
+from ..background import log_task_failure
+from ..background import Supervisor
 from ..metrics import Metrics
 from ..placement.relays import RelayRole
 from ..routing.shares import ConnectRateLimit
@@ -198,6 +199,7 @@
         self._clock = clock
         self._on_unreachable = on_unreachable
         self._warm_policy = ConnectRateLimit(rng)
+        self._supervisor = Supervisor(metrics, rng, clock)
         self._pools: dict[TargetId, TargetPool] = {}
         self._limits: typing.Callable[[Target], int] = lambda _: 1
         self._nodes = 1
@@ -336,8 +338,7 @@
             on_reach(ConnectCheck.UNKNOWN)
             return
         pool.connecting += 1
-        task = asyncio.ensure_future(self._probe(pool, on_reach))
-        logs.log_failure(task)
+        self._supervisor.start('connection', self._probe(pool, on_reach))
 
     async def _probe(
         self,
@@ -355,8 +356,7 @@
 
         A connection that is opened is kept in the target's pool.
         """
-        task = asyncio.ensure_future(self._check(target_id, on_reach))
-        logs.log_failure(task)
+        self._supervisor.start('connection', self._check(target_id, on_reach))
 
     async def _check(
         self,
@@ -446,8 +446,7 @@
         ):
             return
         pool.connecting += 1
-        task = asyncio.ensure_future(self._connect(pool))
-        logs.log_failure(task)
+        self._supervisor.start('connection', self._connect(pool))
 
     async def _connect(
         self, pool: TargetPool, is_probe: bool = False
@@ -468,9 +467,12 @@
                     target.host,
                     target.port,
                 )
-        except (OSError, ValueError) as exc:
+        except Exception as exc:
             # ValueError, and UnicodeError as a kind of it, mean that the host
-            # is no address.
+            # is no address. Whatever the exception is, the requests must not
+            # wait until their deadlines.
+            if not isinstance(exc, OSError | ValueError):
+                log_task_failure(self._metrics, 'connection', exc)
             pool.connecting -= 1
             self._metrics.count('target_connections', type(exc).__name__)
             pool.unreachable_until = self._clock() + UNREACHABLE_S
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -26,6 +26,7 @@
 from .exchange import SubRequestExchange
 from .gather import Gather
 from .http_server import Answer
+from .http_server import answer_fault
 from .http_server import Request
 from .http_server import Responder
 from .relay import Relay
@@ -200,7 +201,15 @@
         self._timer = loop.call_at(at, self._on_timer)
 
     def _on_timer(self) -> None:
-        self._perform(self._plan.on_timer(self._tools.clock()))
+        try:
+            self._perform(self._plan.on_timer(self._tools.clock()))
+        except Exception as exc:
+            # Nothing else ends a request whose targets don't reply.
+            answer_fault(self._tools.metrics, exc, self._req, self._responder)
+            if self in self._deps.runs:
+                self._is_over = True
+                self._release()
+            return
         self._schedule()
 
     # Answer to the caller, and clean-up.
