Pass objects on again that could not be applied

An object of the store whose update failed, by a lack of memory for example, was missing at the node until it changed or the node was restarted.

--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -346,8 +346,9 @@
                 task.cancel()
 
     def _record_round(self) -> None:
-        self._round_at = self._clock()
+        now = self._round_at = self._clock()
         self._supervisor.record_round(self._loop_name)
+        self._delivery.retry(now)
 
     async def _read(self) -> None:
         self._read_task = asyncio.ensure_future(self._read_once())
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -12,6 +12,7 @@
 from sesameward.messages import Member
 from sesameward.messages import StoredObject
 from sesameward.metrics import Metrics
+from sesameward.serving import delivery
 from sesameward.serving.epochs import Position
 from sesameward.serving.mirror import Mirror
 from sesameward.serving.mirror import PUBLISH_INTERVAL_S
@@ -500,6 +501,23 @@
     run(scenario)
 
 
+# Guards against an object that is missing at a node for good after a failure
+# of the moment.
+def test_object_that_failed_is_passed_on_later(run, monkeypatch):
+    monkeypatch.setattr(delivery, 'RETRY_INTERVAL_S', 0.1)
+
+    async def scenario(fleet):
+        fleet.harmful_names.add('b')
+        fleet.store.put('b', b'1')
+        assert await all_reach(fleet, {'x': b'1', 'b': b'1'})
+        fleet.harmful_names.clear()
+        await asyncio.sleep(2 * IN_FORCE_S)
+        for seen in fleet.changes_seen.values():
+            assert {one.name for one in seen} == {'x', 'b'}
+
+    run(scenario)
+
+
 # Guards against one object that the consumer of the updates can't use keeping
 # the others of the same update from it.
 def test_object_that_its_consumer_can_not_use_harms_no_others(run):
