Send starting nodes the routes in force before others know of a restore

A node that started right after the store was restored from an older copy pulled from nodes that had not read the restored store yet. Their objects are of an earlier epoch, so it refused them, and they did not take what they have in force for kept against the store.

--- a/sesameward/serving/kept_routes.py
+++ b/sesameward/serving/kept_routes.py
@@ -66,6 +66,10 @@
         """Return the configuration object in force if the store lacks it."""
         return (self._in_force,) if self.is_store_behind else ()
 
+    def in_force(self) -> tuple[StoredObject, ...]:
+        """Return the configuration object in force, whatever the store has."""
+        return () if self._in_force is None else (self._in_force,)
+
     def announce(self) -> None:
         """Publish which version this node has in force against the store."""
         if not self.is_store_behind:
--- a/sesameward/serving/mirror.py
+++ b/sesameward/serving/mirror.py
@@ -123,9 +123,11 @@
     The copy is filled from the store or from other nodes, and its position
     never goes back. on_update is called with the objects that were added,
     changed or deleted, or with all objects of a restored store. kept returns
-    the objects that are in force though the store shows older ones, and
-    on_kept is called with those of another node. has_pulled is True once this
-    node has pulled what other nodes know at its start, or has found none.
+    the objects that are in force though the store shows older ones, in_force
+    all that are in force, for a node that has read a store restored since.
+    on_kept is called with what another node returned of these. has_pulled is
+    True once this node has pulled what other nodes know at its start, or has
+    found none.
     """
 
     def __init__(
@@ -147,6 +149,7 @@
         self.kind = kind
         self.copy = StoreCopy(kind, metrics)
         self.kept: collections.abc.Callable[[], Objects] = tuple
+        self.in_force: collections.abc.Callable[[], Objects] = tuple
         self.on_kept: collections.abc.Callable[[Objects], None] = lambda _: (
             None
         )
@@ -273,7 +276,10 @@
         delta = self.copy.answer(request)
         if not request.wants_kept or delta.cursor is not None:
             return delta
-        return msgspec.structs.replace(delta, kept=tuple(self.kept()))
+        # A starting node may read a restored store before this node does.
+        is_restored = self.copy.order(request) is Order.LATER
+        kept = (self.in_force() if is_restored else ()) or self.kept()
+        return msgspec.structs.replace(delta, kept=tuple(kept))
 
     def start_pull_kept(self, node: NodeId) -> None:
         """Pull the objects that a node has in force against the store."""
@@ -600,4 +606,9 @@
                 self._report(update)
         if delta.kept:
             self.on_kept(delta.kept)
+        has_advanced = request.epoch != self.copy.epoch
+        is_earlier = self.copy.order(delta) is Order.EARLIER
+        if wants_kept and has_advanced and is_earlier:
+            # This node has read a restored store since it sent the request.
+            return await self._pull_from(member, wants_kept)
         return True
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -242,6 +242,7 @@
             adapter.routes_kind, self.routing_state.update_routes
         )
         self.routes_mirror.kept = self.routing_state.kept_routes.objects
+        self.routes_mirror.in_force = self.routing_state.kept_routes.in_force
         self.routes_mirror.on_kept = self.routing_state.apply_kept_routes
         self.targets_mirror = self._make_mirror(
             adapter.targets_kind, self.routing_state.update_targets
--- a/sesameward/serving/store_copy.py
+++ b/sesameward/serving/store_copy.py
@@ -92,9 +92,9 @@
         """Return the epoch of the objects, None if the store names none."""
         return self._epochs.latest
 
-    def order(self, reading: Reading) -> Order:
-        """Return the order of a reading's epoch."""
-        return self._epochs.of_node(reading.epoch)
+    def order(self, message: Reading | Pull | Delta) -> Order:
+        """Return the order of the epoch in another node's message."""
+        return self._epochs.of_node(message.epoch)
 
     def confirm(self, reading: Reading) -> bool:
         """Record through which revision a reading shows this to be complete.
--- a/tests/test_organisation_node.py
+++ b/tests/test_organisation_node.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sesameward.exceptions import PlatformUnavailableError
 from sesameward.platform import boot
 from sesameward.serving.http_caller import HttpCaller
 from sesameward.standin.fleet import INTERNAL_PORTS
@@ -104,19 +105,38 @@
 
 
 # Guards against a withdrawn key that works again after a restart, or while a
-# restored store shows the configuration that still has it.
-@with_fleet()
-async def test_withdrawn_key_stays_withdrawn(fleet):
-    await put_tenants(fleet, tenant(api_keys=[KEY, SECOND_KEY]))
-    copy = fleet.store.copy()
-    await put_tenants(
-        fleet, tenant(api_keys=[SECOND_KEY]), key=KEY, status=(401,)
-    )
-    fleet.store.restore(copy)
-    node = fleet.nodes[0]
-    node.send(signal.SIGKILL)
-    node.process.wait()
-    node.start()
+# restored store shows the configuration that still has it. One of the nodes
+# watches the store: without it the others learn late that it was restored.
+@pytest.mark.parametrize('restarted', range(3))
+def test_withdrawn_key_stays_withdrawn(restarted):
+    @with_fleet()
+    async def scenario(fleet):
+        await put_tenants(fleet, tenant(api_keys=[KEY, SECOND_KEY]))
+        copy = fleet.store.copy()
+        await put_tenants(
+            fleet, tenant(api_keys=[SECOND_KEY]), key=KEY, status=(401,)
+        )
+        fleet.store.restore(copy)
+        await check_withdrawn(fleet, fleet.nodes[restarted])
+
+    scenario()
+
+
+async def check_withdrawn(fleet, restarted):
+    """Restart a node; check its answers to KEY from the first one on."""
+    restarted.send(signal.SIGKILL)
+    restarted.process.wait()
+    restarted.start()
+    answers = 0
+    while answers < 10:
+        try:
+            reply = await ask(fleet, restarted, '/safe/1', KEY)
+        except PlatformUnavailableError:
+            # The node does not listen yet.
+            await asyncio.sleep(0.005)
+            continue
+        assert reply.status in (401, 503)
+        answers += 1
     await fleet.wait_until_ready()
     for node in fleet.nodes:
         for _ in range(10):
