--- a/sesameward/standin/shard_target.py
+++ b/sesameward/standin/shard_target.py
@@ -107,6 +107,7 @@
     copies_refusals: if set, each answer that refuses a request is sent a
     second time, late.
     body_bytes: if not 0, the size of the body of answers.
+    tells_cold: answers state how long the target stays cold, if it is.
     """
 
     work_s: float = 0.003
@@ -125,6 +126,7 @@
     queue_limit: int = MAX_QUEUED
     copies_refusals: CopyHow | None = None
     body_bytes: int = 0
+    tells_cold: bool = False
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -172,6 +174,10 @@
         self.port = 0
         # Number of the registration; it rises with each one that differs.
         self.seq = 1
+        # Start of the target in Unix milliseconds, 0 if it does not tell.
+        self.born = 0
+        # Time on the monotonic clock until which the target is cold.
+        self.cold_until = 0.0
         self.crashed = False
         self.on_crash: typing.Callable[[ShardTarget], None] = lambda _: None
         self._slots = asyncio.Semaphore(slots)
@@ -240,6 +246,7 @@
             'state': state,
             'warmup_left_ms': 0,
             'seq': self.seq,
+            **({'born': self.born} if self.born else {}),
         }
 
     def _handle(self, req: Request, responder: Responder) -> None:
@@ -383,6 +390,10 @@
             headers.append((b'Server-Leaving', b'1'))
         if self.faults.limit and self._rng.random() < self.faults.named_by:
             headers.append((b'Server-Limit', self.faults.limit.encode()))
+        left_s = self.cold_until - time.monotonic()
+        if self.faults.tells_cold and left_s > 0.0:
+            left_ms = b'%d' % (left_s * 1_000)
+            headers.append((b'Sesameward-Warmup-Ms', left_ms))
         return headers
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -134,7 +134,7 @@
     """Inject faults into a run and report each disturbance to it."""
 
     def __init__(self, world):
-        self._world = world
+        self.world = world
         self.tasks: list[asyncio.Task] = []
 
     async def run_schedule(self, faults: list[Fault]) -> None:
@@ -150,10 +150,10 @@
         await asyncio.gather(*self.tasks)
 
     def _node(self, fault: Fault):
-        nodes = self._world.fleet.nodes
+        nodes = self.world.fleet.nodes
         return nodes[int(fault.fraction * len(nodes))]
 
-    async def _target(self, fault: Fault):
+    async def select_target(self, fault: Fault):
         """Select a target that still serves.
 
         Wait while all are withdrawn, as after requests that crash targets.
@@ -161,8 +161,8 @@
         while True:
             targets = [
                 t
-                for t in self._world.fleet.targets.values()
-                if t.id not in self._world.withdrawn_target_ids
+                for t in self.world.fleet.targets.values()
+                if t.id not in self.world.withdrawn_target_ids
             ]
             if targets:
                 return targets[int(fault.fraction * len(targets))]
@@ -171,14 +171,14 @@
     # Faults of nodes.
 
     async def _restart(self, node, number: signal.Signals) -> None:
-        self._world.record_disturbance(node.name, number is signal.SIGTERM)
+        self.world.record_disturbance(node.name, number is signal.SIGTERM)
         process = node.process
         node.send(number)
         await self._wait_for_end(node, process)
         # An overlapping fault may have restarted the node already.
-        if node.process is process and not self._world.is_over:
+        if node.process is process and not self.world.is_over:
             node.start()
-            self._world.record_restart(node.name)
+            self.world.record_restart(node.name)
 
     async def _wait_for_end(self, node, process) -> None:
         """Wait until a process that was told to stop has ended.
@@ -189,7 +189,7 @@
         while process.poll() is None:
             await asyncio.sleep(0.02)
             if time.monotonic() - signal_at > GRACE_S:
-                self._world.record_late_stop(node.name, signal_at)
+                self.world.record_late_stop(node.name, signal_at)
                 process.kill()
                 process.wait()
 
@@ -209,14 +209,14 @@
             await asyncio.sleep(STARTED_DELAY_S * (variant % 97) / 97)
         if node.process is not process:
             return
-        self._world.record_disturbance(node.name, is_planned=True)
+        self.world.record_disturbance(node.name, is_planned=True)
         for number in STARTING_SIGNALS[variant // 2 % len(STARTING_SIGNALS)]:
             node.send(number)
             await asyncio.sleep(0.001)
         await self._wait_for_end(node, process)
-        if node.process is process and not self._world.is_over:
+        if node.process is process and not self.world.is_over:
             node.start()
-            self._world.record_restart(node.name)
+            self.world.record_restart(node.name)
 
     async def _node_kill(self, fault: Fault) -> None:
         await self._restart(self._node(fault), signal.SIGKILL)
@@ -225,18 +225,18 @@
         await self._restart(self._node(fault), signal.SIGTERM)
 
     async def _all_killed(self, fault: Fault) -> None:
-        nodes = self._world.fleet.nodes
+        nodes = self.world.fleet.nodes
         await asyncio.gather(
             *(self._restart(node, signal.SIGKILL) for node in nodes)
         )
 
     async def _node_freeze(self, fault: Fault) -> None:
         node = self._node(fault)
-        self._world.record_freeze(node.name)
+        self.world.record_freeze(node.name)
         node.send(signal.SIGSTOP)
         await asyncio.sleep(fault.duration_s)
         node.send(signal.SIGCONT)
-        self._world.record_freeze(node.name)
+        self.world.record_freeze(node.name)
 
     async def _node_hup(self, fault: Fault) -> None:
         node = self._node(fault)
@@ -252,30 +252,30 @@
         while process.poll() is None and time.monotonic() < deadline:
             await asyncio.sleep(0.02)
         if process.poll() is not None and node.process is process:
-            if not self._world.is_over:
-                self._world.record_disturbance(node.name)
+            if not self.world.is_over:
+                self.world.record_disturbance(node.name)
                 node.start()
 
     async def _nodes_stranded(self, fault: Fault) -> None:
         """Cut nodes off from all targets, but from nobody else."""
-        nodes = self._world.fleet.nodes
+        nodes = self.world.fleet.nodes
         count = 1 + int(fault.fraction * (len(nodes) - 1))
         first = int(fault.fraction * 1_000) % len(nodes)
         how = list(Cut)[int(fault.fraction * 100) % len(Cut)]
         stranded = [nodes[(first + n) % len(nodes)] for n in range(count)]
         for node in stranded:
-            self._world.begin_stranding(node.name)
+            self.world.begin_stranding(node.name)
             await node.links.cut(how)
         await asyncio.sleep(STRANDED_S)
         for node in stranded:
             # A later cut of the same node goes on.
-            if self._world.end_stranding(node.name):
+            if self.world.end_stranding(node.name):
                 await node.links.heal()
 
     # Faults of the store.
 
     def _node_names(self, fault: Fault) -> set[str]:
-        nodes = self._world.fleet.nodes
+        nodes = self.world.fleet.nodes
         count = 1 + int(fault.fraction * len(nodes))
         return {node.name for node in nodes[:count]}
 
@@ -283,36 +283,36 @@
         self, fault: Fault, faulted_names: set[str]
     ) -> None:
         added_names = self._node_names(fault)
-        self._world.record_store_disturbance()
+        self.world.record_store_disturbance()
         faulted_names |= added_names
         await asyncio.sleep(fault.duration_s)
         faulted_names -= added_names
-        self._world.record_store_disturbance()
+        self.world.record_store_disturbance()
 
     async def _store_busy(self, fault: Fault) -> None:
-        faults = self._world.fleet.store.faults
+        faults = self.world.fleet.store.faults
         await self._apply_store_fault(fault, faults.busy_for)
 
     async def _store_silent(self, fault: Fault) -> None:
-        faults = self._world.fleet.store.faults
+        faults = self.world.fleet.store.faults
         await self._apply_store_fault(fault, faults.silent_for)
 
     async def _store_slow(self, fault: Fault) -> None:
-        self._world.record_store_disturbance()
-        self._world.fleet.store.faults.slow_s = 0.2
+        self.world.record_store_disturbance()
+        self.world.fleet.store.faults.slow_s = 0.2
         await asyncio.sleep(fault.duration_s)
-        self._world.fleet.store.faults.slow_s = 0.0
-        self._world.record_store_disturbance()
+        self.world.fleet.store.faults.slow_s = 0.0
+        self.world.record_store_disturbance()
 
     async def _store_forgets(self, fault: Fault) -> None:
-        self._world.fleet.store.forget_history()
+        self.world.fleet.store.forget_history()
 
     async def _store_restored(self, fault: Fault) -> None:
         """Take the store away and restore it from a copy that lacks writes.
 
         Targets and operator repeat their last writes some time later.
         """
-        world = self._world
+        world = self.world
         store = world.fleet.store
         copy = store.copy()
         for _ in range(1 + int(fault.fraction * LOST_VERSIONS)):
@@ -325,31 +325,31 @@
         store.restore(copy)
         store.faults.silent_for -= names
         world.record_store_disturbance()
-        for kind in ('servers', 'config'):
+        for kind in world.repeated_kinds:
             await asyncio.sleep(fault.fraction * REPEATED_AFTER_S / 2)
             store.repeat_writes(kind, world.fleet.rng)
         world.record_store_disturbance()
 
     async def _entry_forged(self, fault: Fault) -> None:
-        store = self._world.fleet.store
+        store = self.world.fleet.store
         spec = FORGED_SPECS[int(fault.fraction * 100) % len(FORGED_SPECS)]
         store.put('servers', f'forged-{fault.start_s}', msgspec.Raw(spec))
         await asyncio.sleep(fault.duration_s)
         store.delete('servers', f'forged-{fault.start_s}')
 
     async def _store_cut(self, fault: Fault) -> None:
-        self._world.record_store_disturbance()
-        proxies = self._world.store_proxies
+        self.world.record_store_disturbance()
+        proxies = self.world.store_proxies
         proxy = proxies[int(fault.fraction * len(proxies))]
         proxy.discards_to_client = True
         await asyncio.sleep(fault.duration_s)
         proxy.clear_faults()
-        self._world.record_store_disturbance()
+        self.world.record_store_disturbance()
 
     # Faults of targets and of the connections to them.
 
     async def _enable_for_duration(self, fault: Fault, name: str) -> None:
-        target = await self._target(fault)
+        target = await self.select_target(fault)
         setattr(target.faults, name, True)
         await asyncio.sleep(fault.duration_s)
         setattr(target.faults, name, False)
@@ -370,20 +370,20 @@
         await self._enable_for_duration(fault, 'encodes')
 
     async def _target_crash(self, fault: Fault) -> None:
-        target = await self._target(fault)
-        await self._world.add_replacement(target)
-        self._world.withdrawn_target_ids.add(target.id)
+        target = await self.select_target(fault)
+        await self.world.add_replacement(target)
+        self.world.withdrawn_target_ids.add(target.id)
         target.stop()
         await asyncio.sleep(fault.duration_s)
-        self._world.fleet.store.delete('servers', target.id)
+        self.world.fleet.store.delete('servers', target.id)
 
     async def _target_drain(self, fault: Fault) -> None:
-        target = await self._target(fault)
-        await self._world.add_replacement(target)
-        self._world.drain(target)
+        target = await self.select_target(fault)
+        await self.world.add_replacement(target)
+        self.world.drain(target)
 
     def _target_proxy(self, fault: Fault):
-        proxies = list(self._world.target_proxies.values())
+        proxies = list(self.world.target_proxies.values())
         return proxies[int(fault.fraction * len(proxies))]
 
     async def _link_delay(self, fault: Fault) -> None:
@@ -405,9 +405,9 @@
         proxy.clear_faults()
 
     async def _target_leaves(self, fault: Fault) -> None:
-        target = await self._target(fault)
-        await self._world.add_replacement(target)
-        self._world.announce_leaving(target)
+        target = await self.select_target(fault)
+        await self.world.add_replacement(target)
+        self.world.announce_leaving(target)
 
     async def _request_rest(self, targets, fault: Fault) -> None:
         for target in targets:
@@ -418,16 +418,16 @@
             target.faults.sheds = False
 
     async def _target_rests(self, fault: Fault) -> None:
-        await self._request_rest([await self._target(fault)], fault)
+        await self._request_rest([await self.select_target(fault)], fault)
 
     async def _service_rests(self, fault: Fault) -> None:
-        selected = await self._target(fault)
-        await self._request_rest(self._targets_of(selected.service), fault)
+        selected = await self.select_target(fault)
+        await self._request_rest(self.targets_of(selected.service), fault)
 
     async def _service_copies(self, fault: Fault) -> None:
         """Refuse requests of a service now and then, and repeat refusals."""
-        selected = await self._target(fault)
-        targets = self._targets_of(selected.service)
+        selected = await self.select_target(fault)
+        targets = self.targets_of(selected.service)
         how = list(CopyHow)[int(fault.fraction * 100) % len(CopyHow)]
         for target in targets:
             target.faults.copies_refusals = how
@@ -443,29 +443,30 @@
     async def _limit(self, targets, fault: Fault) -> None:
         limit = TARGET_LIMIT_PER_S * (1 + int(fault.fraction * 5))
         for target in targets:
-            self._world.limit_target(target, limit)
+            self.world.limit_target(target, limit)
         await asyncio.sleep(TARGET_LIMIT_S)
         for target in targets:
-            self._world.end_limit(target)
+            self.world.end_limit(target)
 
     async def _target_limits(self, fault: Fault) -> None:
-        await self._limit([await self._target(fault)], fault)
+        await self._limit([await self.select_target(fault)], fault)
 
     async def _service_limits(self, fault: Fault) -> None:
-        selected = await self._target(fault)
-        await self._limit(self._targets_of(selected.service), fault)
+        selected = await self.select_target(fault)
+        await self._limit(self.targets_of(selected.service), fault)
 
-    def _targets_of(self, service: str):
-        targets = self._world.fleet.targets.values()
+    def targets_of(self, service: str):
+        """Return all targets of a service, also those withdrawn."""
+        targets = self.world.fleet.targets.values()
         return [target for target in targets if target.service == service]
 
     async def _request_crash(self, fault: Fault) -> None:
         kind = ('q', 'safe', 'once')[int(fault.fraction * 3)]
         how = list(CrashHow)[int(fault.fraction * 100) % len(CrashHow)]
-        self._world.start_crashing_request(kind, how)
+        self.world.start_crashing_request(kind, how)
 
     async def _target_floods(self, fault: Fault) -> None:
-        target = await self._target(fault)
+        target = await self.select_target(fault)
         target.faults.floods = list(FloodHow)[
             int(fault.fraction * 100) % len(FloodHow)
         ]
@@ -477,4 +478,4 @@
         await flood_front(self._node(fault), deadline)
 
     async def _config(self, fault: Fault) -> None:
-        self._world.change_config()
+        self.world.change_config()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -58,19 +58,19 @@
 
     def __init__(self, world: World, **kwargs):
         super().__init__(**kwargs)
-        self._world = world
+        self.world = world
 
     async def open_store(self, door: str) -> int:
         """Open a store port for one node; return the port of its proxy."""
-        return await self._world.proxy_store(await super().open_store(door))
+        return await self.world.proxy_store(await super().open_store(door))
 
     async def begin_target(self, target: ShardTarget) -> None:
         """Start a target and let nodes reach it through a proxy."""
         await super().begin_target(target)
-        target.port = await self._world.proxy_target(target)
+        target.port = await self.world.proxy_target(target)
 
     def _on_crash(self, target: ShardTarget) -> None:
-        self._world.handle_crash(target)
+        self.world.handle_crash(target)
         super()._on_crash(target)
 
 
@@ -84,13 +84,31 @@
 
 
 class World:
-    """Run one seed: a fleet with proxies, callers, faults and checks."""
+    """Run one seed: a fleet with proxies, callers, faults and checks.
+
+    A subclass may set further options of the fleet and inject further faults.
+    repeated_kinds are the kinds of objects that their writers write again
+    after a restore of the store, in this order. request_headers are those of
+    callers' requests.
+    """
+
+    fleet_class: type[SoakFleet] = SoakFleet
+    fleet_options: dict[str, object] = {}
+    injector_class: type[Injector] = Injector
+    kinds: tuple[str, ...] = KINDS
+    repeated_kinds: tuple[str, ...] = ('servers', 'config')
+    request_headers: tuple[tuple[str, str], ...] = ()
 
     def __init__(self, seed: int, nodes: int):
         self.seed = seed
         self.rng = random.Random(seed)
-        self.fleet = SoakFleet(
-            self, nodes=nodes, shards=SHARD_COUNT, seed=seed, linked=True
+        self.fleet = self.fleet_class(
+            self,
+            nodes=nodes,
+            shards=SHARD_COUNT,
+            seed=seed,
+            linked=True,
+            **self.fleet_options,
         )
         self.store_proxies: list[FaultProxy] = []
         self.target_proxies: dict[str, FaultProxy] = {}
@@ -158,7 +176,7 @@
         """Record a node that had to be killed, unless it was frozen."""
         now = time.monotonic()
         if self._frozen_at.get(node, 0.0) < signal_at:
-            self._add_violation(
+            self.add_violation(
                 f'{node} ran on {now - signal_at:.1f} s after a signal to stop'
             )
 
@@ -221,7 +239,12 @@
             self._crash_attempts[path].append(attempt)
             try:
                 reply = await self.fleet.ask(
-                    node, path, attempt.request_id, method, body
+                    node,
+                    path,
+                    attempt.request_id,
+                    method,
+                    body,
+                    headers=self.request_headers,
                 )
             except PlatformUnavailableError:
                 reply = None
@@ -288,9 +311,12 @@
     # The run and its callers.
 
     async def run(
-        self, length_s: float, kinds: tuple[str, ...] = KINDS
+        self, length_s: float, kinds: tuple[str, ...] | None = None
     ) -> list[str]:
-        """Run the seed's fault schedule under load; return the violations."""
+        """Run the seed's fault schedule under load; return the violations.
+
+        By default, faults of all kinds of this world are injected.
+        """
         async with asyncio.timeout(length_s + OVERTIME_LIMIT_S), self.fleet:
             self.change_config()
             callers = [
@@ -301,14 +327,15 @@
                 asyncio.create_task(self._probe_routes(node))
                 for node in self.fleet.nodes
             ]
-            await Injector(self).run_schedule(
-                schedule(self.seed, length_s, kinds)
+            callers += self.start_further_callers()
+            await self.injector_class(self).run_schedule(
+                schedule(self.seed, length_s, kinds or self.kinds)
             )
             await self._check_recovery()
             self.is_over = True
             await asyncio.gather(*callers, *self._crash_tasks)
             await asyncio.sleep(0.3)
-            self._check_after_run()
+            self.check_after_run()
             self._check_memory()
             if self.violations:
                 self._save_logs()
@@ -316,6 +343,10 @@
             proxy.stop()
         return self.violations
 
+    def start_further_callers(self) -> list[asyncio.Task]:
+        """Start the callers that only a subclass has."""
+        return []
+
     async def _run_caller(self, rng: random.Random) -> None:
         """Send requests over persistent connections until the run ends."""
         callers_by_node: dict[str, HttpCaller] = {}
@@ -341,7 +372,15 @@
         sent_at = time.monotonic()
         try:
             reply = await caller.call(
-                request(path, request_id, method, body, node), 2.0
+                request(
+                    path,
+                    request_id,
+                    method,
+                    body,
+                    node,
+                    headers=self.request_headers,
+                ),
+                2.0,
             )
         except PlatformUnavailableError:
             self._check_interrupted(node, request_id)
@@ -367,7 +406,10 @@
             process, sent_at = node.process.pid, time.monotonic()
             try:
                 reply = await self.fleet.ask(
-                    node, f'/extra-{route}/1', request_id
+                    node,
+                    f'/extra-{route}/1',
+                    request_id,
+                    headers=self.request_headers,
                 )
             except PlatformUnavailableError:
                 continue
@@ -400,7 +442,7 @@
                 ]
             self._record_leave_notices(targets)
         except (AssertionError, KeyError, ValueError) as exc:
-            self._add_violation(f'{kind} {request_id}: {exc!r}')
+            self.add_violation(f'{kind} {request_id}: {exc!r}')
 
     def _check_interrupted(self, node: str, request_id: str) -> None:
         """Check a request that ended without an answer.
@@ -414,7 +456,7 @@
         if now - terminated_at > 6.0 or now - faulted_at < 10.0:
             return
         if promises.runs_of(self.fleet, request_id):
-            self._add_violation(
+            self.add_violation(
                 f'{request_id} was interrupted by the shutdown of {node}'
             )
 
@@ -438,13 +480,15 @@
                 problems += await self._recovery_problems(node, path)
             await asyncio.sleep(0.1)
         for problem in problems:
-            self._add_violation(f'after the faults: {problem}')
+            self.add_violation(f'after the faults: {problem}')
 
     async def _recovery_problems(self, node, path: str) -> list[str]:
         problems = []
         try:
             request_id = self.fleet.request_id()
-            reply = await self.fleet.ask(node, '/q/1', request_id)
+            reply = await self.fleet.ask(
+                node, '/q/1', request_id, headers=self.request_headers
+            )
             covered = 0
             if reply.status == 200:
                 covered = promises.check_query(
@@ -454,7 +498,9 @@
                 problems.append(
                     f'{node.name} answers for {covered} shards only'
                 )
-            reply = await self.fleet.ask(node, path)
+            reply = await self.fleet.ask(
+                node, path, headers=self.request_headers
+            )
             if reply.status != 200:
                 problems.append(
                     f'{node.name}: {path} returns status {reply.status}'
@@ -463,12 +509,13 @@
             problems.append(f'{node.name}: {exc!r}')
         return problems
 
-    def _check_after_run(self) -> None:
+    def check_after_run(self) -> None:
+        """Check the promises that concern the run as a whole."""
         for reply, request_id in self._run_once_replies:
             try:
                 promises.check_once(self.fleet, reply, request_id)
             except AssertionError as exc:
-                self._add_violation(f'once {request_id}: {exc}')
+                self.add_violation(f'once {request_id}: {exc}')
         for target_id, drained_at in self._drained_at.items():
             self._check_drain(target_id, drained_at)
         for path, attempts in self._crash_attempts.items():
@@ -502,7 +549,7 @@
         try:
             promises.check_crashing(runs, disturbed)
         except AssertionError as exc:
-            self._add_violation(f'{path}: {exc}')
+            self.add_violation(f'{path}: {exc}')
 
     def _check_configurations(self) -> None:
         probes = self._probes
@@ -519,17 +566,12 @@
                 probes.values(), written_at, self._is_probe_disturbed
             )
         except AssertionError as exc:
-            self._add_violation(str(exc))
+            self.add_violation(str(exc))
 
     def _is_probe_disturbed(self, probe: promises.Probe) -> bool:
         """Return True if the node or the store was disturbed before."""
         since = probe.sent_at - EXCUSED_S
-        return self._any_disturbed(
-            (probe.node,), since, probe.ended_at
-        ) or any(
-            since <= at <= probe.ended_at
-            for at in self._store_disturbance_times
-        )
+        return self.is_excused(probe.node, since, probe.ended_at)
 
     def _check_stranded(self) -> None:
         """Check that callers of nodes cut off from all targets are served.
@@ -558,7 +600,7 @@
         try:
             promises.check_stranded(stranded, others)
         except AssertionError as exc:
-            self._add_violation(str(exc))
+            self.add_violation(str(exc))
 
     def _is_disturbed_at(self, node: str, at: float) -> bool:
         return self._any_disturbed((node,), at - EXCUSED_S, at + 1.0)
@@ -586,7 +628,7 @@
                     functools.partial(self._any_disturbed, (node.name,)),
                 )
         except AssertionError as exc:
-            self._add_violation(f'{target.id}: {exc}')
+            self.add_violation(f'{target.id}: {exc}')
 
     def _check_limits(self, target: ShardTarget) -> None:
         """Check that a target gets no more than its limit allows.
@@ -606,7 +648,7 @@
             try:
                 promises.check_limit(times, limit, since)
             except AssertionError as exc:
-                self._add_violation(f'{target.id}: {exc}')
+                self.add_violation(f'{target.id}: {exc}')
 
     def _sent_while_disturbed(self) -> set[str]:
         names = tuple(node.name for node in self.fleet.nodes)
@@ -616,6 +658,27 @@
             if self._any_disturbed(names, at - EXCUSED_S, at)
         }
 
+    def disturbance_times(self) -> list[float]:
+        """Return when any node or the store was disturbed, in order."""
+        times = list(self._store_disturbance_times)
+        for node_times in self._disturbance_times.values():
+            times += node_times
+        return sorted(times)
+
+    def is_excused(self, node: str, start: float, end: float) -> bool:
+        """Return whether the node or the store was disturbed meanwhile."""
+        return self.is_node_disturbed(
+            node, start, end
+        ) or self.is_store_disturbed(start, end)
+
+    def is_node_disturbed(self, node: str, start: float, end: float) -> bool:
+        """Return whether a node was disturbed meanwhile."""
+        return self._any_disturbed((node,), start, end)
+
+    def is_store_disturbed(self, start: float, end: float) -> bool:
+        """Return whether a fault of the store started or ended meanwhile."""
+        return any(start <= at <= end for at in self._store_disturbance_times)
+
     def _any_disturbed(
         self, names: tuple[str, ...], start: float, end: float
     ) -> bool:
@@ -630,7 +693,7 @@
         for line in node.lines('refused'):
             if line['reason'] == 'quarantined':
                 if line['path'] not in self._crash_attempts:
-                    self._add_violation(
+                    self.add_violation(
                         f'{node.name} quarantined {line["path"]}'
                     )
 
@@ -638,7 +701,7 @@
         for node in self.fleet.nodes:
             used_bytes = peak_bytes(node)
             if used_bytes > SMALLEST_VM_BYTES:
-                self._add_violation(
+                self.add_violation(
                     f'{node.name} used {used_bytes:,} bytes of memory'
                 )
 
@@ -656,12 +719,13 @@
             and run.at > last_disturbed_at + EXCUSED_S
         ]
         if late:
-            self._add_violation(
+            self.add_violation(
                 f'{target_id} got {late[0].request_id} '
                 f'{late[0].at - drained_at:.2f} s after it began to drain'
             )
 
-    def _add_violation(self, problem: str) -> None:
+    def add_violation(self, problem: str) -> None:
+        """Record a broken promise."""
         self.violations.append(problem)
 
     def _save_logs(self) -> None:
