--- a/sesameward/standin/fleet.py
+++ b/sesameward/standin/fleet.py
@@ -75,7 +75,11 @@
 
 
 class FleetNode:
-    """Run one node as a child process with its own settings and log."""
+    """Run one node as a child process with its own settings and log.
+
+    python and import_path, which select the build that it runs, may be
+    changed before each start.
+    """
 
     def __init__(
         self,
@@ -92,13 +96,15 @@
         self.settings = folder / f'{name}.json'
         self.log = folder / f'{name}.log'
         self.process: subprocess.Popen | None = None
+        self.python = sys.executable
+        self.import_path = tuple(sys.path)
 
     def start(self) -> None:
         """Start the process; it appends to the log of earlier starts."""
         env = {
             **os.environ,
             'SESAMEWARD_NODE_FILE': str(self.settings),
-            'PYTHONPATH': os.pathsep.join(sys.path),
+            'PYTHONPATH': os.pathsep.join(self.import_path),
             'PYTHONUNBUFFERED': '1',
         }
         module = 'sesameward.platform'
@@ -109,7 +115,7 @@
             self.process = subprocess.Popen(
                 # The same command as in deploy/system.toml; -S keeps the start
                 # from reading site packages.
-                [sys.executable, '-S', '-m', module],
+                [self.python, '-S', '-m', module],
                 stdout=log,
                 stderr=log,
                 env=env,
@@ -204,6 +210,7 @@
             host = f'{self._network_prefix}.{index + 1}'
             links = await self._make_links(index) if self._linked else None
             node = FleetNode(f'node-{index}', host, zone, folder, links)
+            self.select_build(node)
             await self._write_settings(node)
             self.nodes.append(node)
             node.start()
@@ -228,6 +235,9 @@
         await asyncio.sleep(0.01)
         self._temp_dir.cleanup()
 
+    def select_build(self, node: FleetNode) -> None:
+        """Set the build with which a node is started; by default this one."""
+
     async def _make_links(self, index: int) -> NodeLinks:
         links = NodeLinks(f'{self._network_prefix}.{FIRST_LINK_HOST + index}')
         for target in self.targets.values():
--- a/tests/soak/hard_load.py
+++ b/tests/soak/hard_load.py
@@ -232,6 +232,15 @@
         self.fleet.make_cold(target.id, left_ms)
         self._cold[target.id].append(Span(now, target.cold_until))
 
+    def register_warm(self, target: ShardTarget) -> None:
+        """Register a target as warm, unless it is cold or no longer serves."""
+        if (
+            target.id not in self.withdrawn_target_ids
+            and ('servers', target.id) in self.fleet.store.objects
+            and time.monotonic() >= target.cold_until
+        ):
+            self.fleet.make_cold(target.id, 0)
+
     def drain(self, target: ShardTarget) -> None:
         """Mark a target as draining; it then no longer counts as cold."""
         now = time.monotonic()
--- a/tests/soak/hard_load_faults.py
+++ b/tests/soak/hard_load_faults.py
@@ -71,7 +71,13 @@
             await asyncio.sleep(fault.fraction * REGISTERED_AFTER_S)
         for target in targets:
             self.world.register_cold(target)
+        await self._warm_up(targets)
+
+    async def _warm_up(self, targets) -> None:
+        """Wait until targets are warm; they then register anew."""
         await asyncio.sleep(COLD_S)
+        for target in targets:
+            self.world.register_warm(target)
 
     async def _target_cold(self, fault: Fault) -> None:
         await self._chill([await self.select_target(fault)], fault)
@@ -86,11 +92,12 @@
         zone = ZONES[number % len(ZONES)]
         self.world.begin_evacuation(zone)
         await asyncio.sleep(EVACUATED_S)
-        is_cold = number // len(ZONES) % 2 == 0
-        if is_cold:
-            for target in self.world.targets_in(zone):
-                self.world.begin_cold(target, COLD_S, tells=False)
-                self.world.register_cold(target)
+        cold = []
+        if number // len(ZONES) % 2 == 0:
+            cold = self.world.targets_in(zone)
+        for target in cold:
+            self.world.begin_cold(target, COLD_S, tells=False)
+            self.world.register_cold(target)
         self.world.end_evacuation(zone)
-        if is_cold:
-            await asyncio.sleep(COLD_S)
+        if cold:
+            await self._warm_up(cold)
