Move decisions about configurations out of platform/

sesameward/config_check/ finds contradicting limits, unused entries and differences on the plain types of serving/routes.py. platform/config_check.py keeps the reading and the places in the document, config_wording.py the texts, which name stored fields. Reports are the same as before.

--- a/sesameward/platform/cmdline.py
+++ b/sesameward/platform/cmdline.py
@@ -13,11 +13,14 @@
 from .. import cmdline
 from . import addresses
 from . import config_check
+from ..config_check.report import Finding
+from ..config_check.report import lines
+from ..config_check.report import Report
+from ..config_check.report import Severity
 from ..exceptions import PlatformError
 from . import objects
 from ..settings import Endpoint
 from . import store
-from .config_check import Severity
 
 # The store normally answers within milliseconds.
 STORE_TIMEOUT_S = 3.0
@@ -111,7 +114,7 @@
     place: str,
     exc: Exception,
     output: cmdline.Output,
-    report: config_check.Report | None = None,
+    report: Report | None = None,
 ) -> CheckExitCode:
     match exc:
         case OSError(filename=name, strerror=problem):
@@ -124,17 +127,15 @@
         case _:
             problem = f'the store gave no configuration: {exc}'
             remedy = 'check the address, or name a file with the version'
-    finding = config_check.Finding(Severity.ERROR, place, problem, remedy)
-    report = report or config_check.Report(None, None, ())
+    finding = Finding(Severity.ERROR, place, problem, remedy)
+    report = report or Report(None, None, ())
     return _print_report(
         msgspec.structs.replace(report, findings=(finding, *report.findings)),
         output,
     )
 
 
-def _print_report(
-    report: config_check.Report, output: cmdline.Output
-) -> CheckExitCode:
+def _print_report(report: Report, output: cmdline.Output) -> CheckExitCode:
     errors = report.count(Severity.ERROR)
     warnings = report.count(Severity.WARNING)
     code = CheckExitCode.FINE
@@ -146,7 +147,7 @@
         fields = msgspec.to_builtins(report) | {'exit_code': int(code)}
         print(msgspec.json.encode(fields).decode())
         return code
-    for line in config_check.lines(report):
+    for line in lines(report):
         print(line)
     return code
 
--- a/sesameward/platform/objects.py
+++ b/sesameward/platform/objects.py
@@ -128,6 +128,12 @@
     max_conns: PositiveInt
     warmup_per_s: NonNegativeFloat | None = None
 
+    def to_service(self) -> Service:
+        """Convert to the Service that the node uses."""
+        return Service(
+            ServiceName(self.name), self.max_conns, self.warmup_per_s
+        )
+
 
 class _Tenant(msgspec.Struct):
     """Hold an organisation as stored.
@@ -162,6 +168,15 @@
     header_timeout_ms: Milliseconds = 3_000
     idle_timeout_ms: Milliseconds = 15_000
 
+    def to_limits(self) -> CallerLimits:
+        """Convert to the CallerLimits that the node uses, in seconds."""
+        return CallerLimits(
+            self.max_header_bytes,
+            self.max_body_bytes,
+            self.header_timeout_ms / 1_000,
+            self.idle_timeout_ms / 1_000,
+        )
+
 
 class StoredConfig(msgspec.Struct):
     """Hold the configuration as stored."""
@@ -214,24 +229,11 @@
                 f'name the object {ROUTES_NAME}',
             )
         config = _decode(self._config, stored)
-        limits = config.limits
         return RouteTable(
             Version(config.version),
             [route.to_route() for route in config.routes],
-            [
-                Service(
-                    ServiceName(service.name),
-                    service.max_conns,
-                    service.warmup_per_s,
-                )
-                for service in config.services
-            ],
-            CallerLimits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.header_timeout_ms / 1_000,
-                limits.idle_timeout_ms / 1_000,
-            ),
+            [service.to_service() for service in config.services],
+            config.limits.to_limits(),
             None
             if config.tenants is None
             else [tenant.to_organisation() for tenant in config.tenants],
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,7 +29,7 @@
     {'admission', 'bookings', 'placement', 'routing'},
     {'clients'},
     {'controllers', 'filters'},
-    {'interface', 'organisations', 'serving'},
+    {'config_check', 'interface', 'organisations', 'serving'},
     {'agent', 'cmdline', 'entry', 'platform'},
     {'standin'},
 )
