--- a/tests/soak/hard_load.py
+++ b/tests/soak/hard_load.py
@@ -28,6 +28,7 @@
 BASE_KEY = f'{SECRET}base'
 KEYED_CALLER_COUNT = 2
 KEYED_THINK_TIME_S = 0.05
+KEYED_KINDS = ('q', 'once', 'safe', 'safe', 'safe', 'public')
 # Nodes that all start anew while the store is away, or was restored, may know
 # less than before for this time.
 FORGOTTEN_S = 8.0
@@ -279,16 +280,18 @@
             await self._send_keyed(key, rng)
             await asyncio.sleep(rng.uniform(0.0, 2 * KEYED_THINK_TIME_S))
 
-    async def send_as(self, name: str) -> None:
+    async def send_as(self, name: str, kind: str | None = None) -> None:
         """Send a request of an organisation, if it has a key."""
         keys = self._organisations[name].keys
         if keys:
-            await self._send_keyed(self.rng.choice(keys), self.rng)
+            await self._send_keyed(self.rng.choice(keys), self.rng, kind)
 
-    async def _send_keyed(self, key: str, rng: random.Random) -> None:
+    async def _send_keyed(
+        self, key: str, rng: random.Random, kind: str | None = None
+    ) -> None:
         """Send one request with a key, and sometimes a forged organisation."""
         node = rng.choice(self.fleet.nodes)
-        kind = rng.choice(('q', 'once', 'safe', 'safe', 'safe', 'public'))
+        kind = kind or rng.choice(KEYED_KINDS)
         request_id = self.fleet.request_id()
         method, body = ('POST', b'x') if kind == 'once' else ('GET', b'')
         headers = [(KEY_HEADER, key)]
--- a/tests/soak/hard_load_faults.py
+++ b/tests/soak/hard_load_faults.py
@@ -24,9 +24,15 @@
 HARD_LOAD_KINDS = (*KINDS, *4 * NEW_KINDS)
 
 # Requests per second of an organisation that sends far more than usual, and
-# the limits from which a new one is drawn. With 0 there is no limit.
+# the least time for which it does: shorter ones don't fill the window in which
+# requests are counted. With the last limit, two nodes that each use the whole
+# of it exceed the bound.
 FLOOD_PER_S = 70.0
+FLOOD_S = 4.0
 RATES_PER_S = (0.0, 3.0, 6.0, 12.0)
+# Further requests per second to a service without warm targets. The others
+# are too few to exceed the bound of two cold targets.
+COLD_SERVICE_LOAD_PER_S = 50.0
 # Time for which a target stays cold, and how long at most its answers tell so
 # before its registration does.
 COLD_S = 5.0
@@ -52,14 +58,22 @@
 
     async def _organisation_floods(self, fault: Fault) -> None:
         """Send an organisation's requests at many times its usual rate."""
-        until = time.monotonic() + 2 * fault.duration_s
         name = self.world.limited_organisation(fault.fraction)
+        await self._load(
+            lambda: self.world.send_as(name),
+            FLOOD_PER_S,
+            FLOOD_S + fault.duration_s,
+        )
+
+    async def _load(self, send, per_s: float, length_s: float) -> None:
+        """Call send at a rate, without waiting for earlier calls."""
+        until = time.monotonic() + length_s
         tasks: set[asyncio.Task] = set()
         while time.monotonic() < until:
-            task = asyncio.create_task(self.world.send_as(name))
+            task = asyncio.create_task(send())
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            await asyncio.sleep(1.0 / FLOOD_PER_S)
+            await asyncio.sleep(1.0 / per_s)
         await asyncio.gather(*tasks)
 
     async def _chill(self, targets, fault: Fault) -> None:
@@ -83,8 +97,16 @@
         await self._chill([await self.select_target(fault)], fault)
 
     async def _service_cold(self, fault: Fault) -> None:
-        selected = await self.select_target(fault)
-        await self._chill(self.targets_of(selected.service), fault)
+        service = (await self.select_target(fault)).service
+        kind = 'safe' if service == 'desk' else 'q'
+        await asyncio.gather(
+            self._chill(self.targets_of(service), fault),
+            self._load(
+                lambda: self.world.send_as('base', kind),
+                COLD_SERVICE_LOAD_PER_S,
+                COLD_S,
+            ),
+        )
 
     async def _zone_evacuated(self, fault: Fault) -> None:
         """Evacuate a zone; its targets may be cold when it is taken back."""
