--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -13,10 +13,14 @@
 import msgspec
 import pytest
 
+from sesameward.config_check.problems import Kind
+from sesameward.config_check.problems import Section
 from sesameward.exceptions import DeclarationError
 from sesameward.messages import StoredObject
 from sesameward.platform import cmdline
 from sesameward.platform import config_check
+from sesameward.platform import config_wording
+from sesameward.platform import objects
 from sesameward.platform.objects import ObjectDecoder
 from sesameward.standin.object_store import ObjectStore
 
@@ -315,6 +319,23 @@
     assert config_check.max_useful_attempts(ratio) == attempts
 
 
+# Guards against kinds of problems without a text, and against roles of fields
+# that no stored object has.
+def test_all_problems_and_roles_are_named():
+    assert set(config_wording.WORDING) == set(Kind)
+    assert set(config_wording.SECTION_NAMES) == set(Section)
+    fields = set()
+    for kind in (
+        objects._Route,
+        objects._Service,
+        objects._Tenant,
+        objects.CallerLimitFields,
+    ):
+        fields.update(kind.__struct_fields__)
+    assert set(config_wording.FIELD_ROLES) <= fields
+    assert set(config_wording.FIELD_NAMES.values()) <= fields
+
+
 names = st.text('abcdefgh', min_size=1, max_size=4)
 # Long and of other characters than names, so that no name contains a key.
 keys = st.text('QRSTUVWXYZ', min_size=12, max_size=24)
