Count all replies and what other nodes make a node hold

Replies below 16 KiB were not counted, and a node read batches, messages and calls of other nodes without a limit. Connections of other nodes have an account of their own: they are paused, then refused, then closed.

--- a/sesameward/serving/byte_limits.py
+++ b/sesameward/serving/byte_limits.py
@@ -10,7 +10,8 @@
 of a node share one limit. When it is exceeded, the largest message among the
 newer half is dropped and its connection closed. The older half is spared,
 because most of its messages belong to requests to which some targets have
-already replied.
+already replied. Messages below MIN_LARGE_BYTES are dropped only if no larger
+ones are left.
 """
 
 from __future__ import annotations
@@ -22,6 +23,8 @@
 
 from .caller_memory import CallerMemory
 from .caller_memory import DEFAULT_MAX_FDS
+from .caller_memory import LOW_WATER_FRACTION
+from .caller_memory import NodeMemory
 from .topk import RECORD_BYTES
 
 # Bytes allowed for the first line of a request and for line ends, in addition
@@ -54,13 +57,13 @@
 # without a limit: MESSAGE_MEMORY_FRACTION of the memory of the smallest VM
 # (300 MB).
 DEFAULT_MESSAGE_BYTES = 75_000_000
-# Fraction of the memory for messages that callers' connections may take. The
-# rest is for replies of targets.
+# Fraction of the memory for messages that callers' connections may take, and
+# that connections of other nodes may. The rest is for replies of targets.
 CALLERS_FRACTION = 0.6
-# Replies of targets smaller than this don't count toward the node's limit,
-# because their memory is bounded by the number of connections to targets. What
-# callers send counts from the first byte.
-MIN_COUNTED_BYTES = 16 * 1024
+NODES_FRACTION = 0.2
+# Replies of targets from this size are dropped before smaller ones. Most
+# replies are smaller, and dropping one of them frees little.
+MIN_LARGE_BYTES = 16 * 1024
 
 
 class ExceededLimit(enum.Enum):
@@ -122,9 +125,8 @@
 class MessageMeter:
     """Counter of the bytes of one message, which are counted on arrival.
 
-    A message of at least MIN_COUNTED_BYTES counts toward the memory limit for
-    all messages of the node. on_cut is called when the message must be dropped
-    because that limit is exceeded.
+    The message counts toward the memory limit for all messages of the node.
+    on_cut is called when it must be dropped because that limit is exceeded.
     """
 
     __slots__ = (
@@ -167,8 +169,7 @@
         add their number to MessageMeter.body.
         """
         self.received += size_bytes
-        if self.received >= MIN_COUNTED_BYTES:
-            self._message_memory.record_growth(self)
+        self._message_memory.record_growth(self)
 
     def reset(self) -> None:
         """Stop counting this message; count the next under the same limits."""
@@ -182,9 +183,9 @@
 class MessageMemory:
     """Account of the memory that others can make a node hold.
 
-    Replies of targets of at least MIN_COUNTED_BYTES are large. When the limit
-    is exceeded, large replies are dropped. What callers hold is counted in
-    callers, which has a part of the limit.
+    When the limit is exceeded, replies of targets are dropped. What callers
+    and other nodes hold is counted in callers and nodes, which have a part of
+    the limit each.
     """
 
     def __init__(
@@ -196,38 +197,73 @@
         self.callers = CallerMemory(
             int(limit_bytes * CALLERS_FRACTION), max_fds
         )
-        # Bytes that all large replies take at present.
+        self.nodes = NodeMemory(int(limit_bytes * NODES_FRACTION), max_fds)
+        # Bytes that all replies take at present.
         self._reply_bytes = 0
-        # Used as an ordered set: the message that first reached
-        # MIN_COUNTED_BYTES comes first.
+        # Used as ordered sets: the message that first reached MIN_LARGE_BYTES
+        # comes first in _large, the one that began first in _small.
         self._large: dict[MessageMeter, None] = {}
+        self._small: dict[MessageMeter, None] = {}
 
     @property
     def held_bytes(self) -> int:
-        """Return the bytes that replies and callers take at present."""
-        callers = self.callers
-        return self._reply_bytes + callers.held_bytes + callers.closing_bytes
+        """Return the bytes that replies, callers and nodes take at present."""
+        callers, nodes = self.callers, self.nodes
+        return (
+            self._reply_bytes
+            + callers.held_bytes
+            + callers.closing_bytes
+            + nodes.held_bytes
+            + nodes.closing_bytes
+            + nodes.detached_bytes
+        )
 
     def record_growth(self, meter: MessageMeter) -> None:
-        """Count the bytes of a large message that are not counted yet.
+        """Count the bytes of a message that are not counted yet.
 
-        Large messages are dropped until all together are within the limit.
+        Messages are dropped until all together are within the limit.
         """
         self._reply_bytes += meter.received - meter.held
+        if meter.received >= MIN_LARGE_BYTES:
+            if meter.held < MIN_LARGE_BYTES:
+                self._small.pop(meter, None)
+                self._large[meter] = None
+        elif meter.received and not meter.held:
+            self._small[meter] = None
         meter.held = meter.received
-        self._large.setdefault(meter)
-        while self.held_bytes > self.limit_bytes and self._large:
-            self._drop_largest_recent()
+        if self.held_bytes > self.limit_bytes:
+            self._drop_messages()
 
     def release(self, meter: MessageMeter) -> None:
         """Stop counting the bytes of a message toward the node's limit."""
         self._reply_bytes -= meter.held
         meter.held = 0
-        self._large.pop(meter, None)
+        if self._small.pop(meter, meter) is meter:
+            self._large.pop(meter, None)
 
-    def _drop_largest_recent(self) -> None:
-        newer_half = list(self._large)[len(self._large) // 2 :]
-        victim = max(newer_half, key=lambda meter: meter.held)
+    def _drop_messages(self) -> None:
+        while self.held_bytes > self.limit_bytes and self._large:
+            newer_half = list(self._large)[len(self._large) // 2 :]
+            self._drop(max(newer_half, key=lambda meter: meter.held))
+        if self.held_bytes <= self.limit_bytes:
+            return
+        # The low-water mark keeps the messages from being compared again for
+        # each further byte.
+        low = LOW_WATER_FRACTION * self.limit_bytes
+        newest_first = sorted(
+            reversed(list(self._small)[len(self._small) // 2 :]),
+            key=lambda meter: meter.held,
+            reverse=True,
+        )
+        older = reversed(list(self._small)[: len(self._small) // 2])
+        for victim in (*newest_first, *older):
+            if self.held_bytes <= low:
+                return
+            # An earlier drop may have ended it.
+            if victim.held:
+                self._drop(victim)
+
+    def _drop(self, victim: MessageMeter) -> None:
         victim.on_cut()
         # The meter is reset here, because on_cut() possibly does not reset it.
         # Otherwise the dropped message would still count toward the limit.
--- a/sesameward/serving/caller_memory.py
+++ b/sesameward/serving/caller_memory.py
@@ -1,11 +1,12 @@
-"""Limit the memory and the connections that callers take on a node.
+"""Limit the memory and the connections that others take on a node.
 
 All connections that others open to a node's HTTP servers (callers, directory,
 readiness, operators) share one account. It counts each connection, bytes that
 were read and not parsed, requests that were not answered, and answers that
 were not read. When the account is exceeded, connections are closed: those
-first that hold most for the longest time. docs/design/unbounded-callers.md has
-the reasons.
+first that hold most for the longest time. Connections that other nodes open
+have an account of the same kind. docs/design/unbounded-callers.md has the
+reasons.
 """
 
 from __future__ import annotations
@@ -27,6 +28,24 @@
 # Fraction of the other descriptors that callers' connections may take. The
 # rest is for connections to targets and to other nodes.
 CALLERS_FD_FRACTION = 0.5
+# The same for connections that other nodes open. A node opens at most five to
+# another one, and opens one anew if it was closed while nothing used it.
+NODES_FD_FRACTION = 0.25
+# Memory that a connection of another node takes in the process and in the
+# kernel while it holds nothing else (measured: 20 KB in the process).
+NODE_CONNECTION_BYTES = 23 * 1_024
+# Part of the nodes' memory that one connection may take before its calls are
+# not read any more, and the largest length of one message.
+NODE_SHARE = 0.5
+# While memory is short, batches are refused with which a connection would hold
+# more than this part of the nodes' memory.
+SMALL_NODE_SHARE = 0.125
+# Above this multiple of the limit, all calls and batches are refused: what was
+# held by connections that are being closed is not freed yet.
+CLOSING_FACTOR = 1.5
+# Part of the nodes' memory that batches may take whose connection is closed.
+# Above it, they are ended with their connection.
+DETACHED_FRACTION = 0.25
 # max_fds of settings that don't name it, unless the process has a lower limit.
 # Below 400 MB of memory, callers' connections are then limited by memory.
 DEFAULT_MAX_FDS = 20_000
@@ -43,14 +62,14 @@
 
 
 class Connection(typing.Protocol):
-    """Interface to one connection of a caller."""
+    """Interface to one connection of a caller or of another node."""
 
     held_bytes: int
 
     def waits_since(self) -> float | None:
-        """Return since when the node waits for the caller.
+        """Return since when the node waits for the other side.
 
-        Return None if the caller waits for the answer to a complete request.
+        Return None if that waits for the answer to a complete request.
         """
 
     def close_for_memory(self) -> None:
@@ -63,10 +82,17 @@
 class CallerMemory:
     """Account of the memory that callers' connections take together."""
 
+    FD_FRACTION = CALLERS_FD_FRACTION
+    CONNECTION_BYTES = CONNECTION_BYTES
+    # Log events for connections that are closed for lack of memory, and
+    # because there are too many.
+    CUT_EVENT = 'caller_cut'
+    TOO_MANY_EVENT = 'caller_connections_closed'
+
     def __init__(self, limit_bytes: int, max_fds: int = DEFAULT_MAX_FDS):
         self.limit_bytes = limit_bytes
-        by_fds = (max_fds - RESERVED_FDS) * CALLERS_FD_FRACTION
-        by_memory = limit_bytes // CONNECTION_BYTES
+        by_fds = (max_fds - RESERVED_FDS) * self.FD_FRACTION
+        by_memory = limit_bytes // self.CONNECTION_BYTES
         self.max_connections = max(1, min(int(by_fds), by_memory))
         self.held_bytes = 0
         # Bytes of connections that were closed here, whose buffers are freed
@@ -90,7 +116,7 @@
     def add(self, conn: Connection, now: float) -> None:
         """Count a new connection; close others if there are too many."""
         self._connections[conn] = None
-        self.set_held(conn, CONNECTION_BYTES, now)
+        self.set_held(conn, self.CONNECTION_BYTES, now)
         if len(self._connections) > self.max_connections:
             self._close_longest_waiting(now)
 
@@ -117,15 +143,20 @@
         self._closing[conn] = size_bytes
         self.closing_bytes += size_bytes
 
-    def log_closed(self, event: str, now: float) -> None:
-        """Log how many connections were closed, once in LOG_PERIOD_S."""
+    def log_event(
+        self, event: str, now: float, counted: str = 'closed'
+    ) -> None:
+        """Log how often this has happened, once in LOG_PERIOD_S.
+
+        counted is the name of the field that holds the count.
+        """
         count = self._unlogged[event] = self._unlogged.get(event, 0) + 1
         if now - self._logged_at.get(event, -LOG_PERIOD_S) >= LOG_PERIOD_S:
             self._logged_at[event] = now
             self._unlogged[event] = 0
             logs.log_event(
                 event,
-                closed=count,
+                **{counted: count},
                 held_bytes=self.held_bytes,
                 connections=len(self._connections),
             )
@@ -144,12 +175,12 @@
                 return
             self._begin_close(conn)
             conn.close_for_memory()
-            self.log_closed('caller_cut', now)
+            self.log_event(self.CUT_EVENT, now)
 
     def _close_longest_waiting(self, now: float) -> None:
         """Close connections on which the node waits, the longest first.
 
-        If the callers of all connections wait for answers, the newest
+        If the other sides of all connections wait for answers, the newest
         connections are closed.
         """
 
@@ -164,4 +195,45 @@
         for _, conn in numbered[:surplus]:
             self._begin_close(conn)
             conn.close_for_descriptors()
-            self.log_closed('caller_connections_closed', now)
+            self.log_event(self.TOO_MANY_EVENT, now)
+
+
+class NodeMemory(CallerMemory):
+    """Account of the memory that connections of other nodes take together.
+
+    A batch of sub-requests may go on after its connection has been closed. It
+    then counts in detached_bytes.
+    """
+
+    FD_FRACTION = NODES_FD_FRACTION
+    CONNECTION_BYTES = NODE_CONNECTION_BYTES
+    CUT_EVENT = 'node_cut'
+    TOO_MANY_EVENT = 'node_connections_closed'
+
+    def __init__(self, limit_bytes: int, max_fds: int = DEFAULT_MAX_FDS):
+        super().__init__(limit_bytes, max_fds)
+        self.share_bytes = int(limit_bytes * NODE_SHARE)
+        self.detached_bytes = 0
+
+    @property
+    def may_detach(self) -> bool:
+        """Return True if a batch may go on without its connection."""
+        return self.detached_bytes <= DETACHED_FRACTION * self.limit_bytes
+
+    @property
+    def refuses_all(self) -> bool:
+        """Return True if new calls and batches are to be refused."""
+        return self._taken_bytes > CLOSING_FACTOR * self.limit_bytes
+
+    def refuses_batch(self, size_bytes: int, conn: Connection) -> bool:
+        """Return True if a batch of a connection is to be refused."""
+        if self._taken_bytes + size_bytes <= SHORT_FRACTION * self.limit_bytes:
+            return False
+        own_bytes = conn.held_bytes + size_bytes
+        return (
+            own_bytes > SMALL_NODE_SHARE * self.limit_bytes or self.refuses_all
+        )
+
+    @property
+    def _taken_bytes(self) -> int:
+        return self.held_bytes + self.closing_bytes + self.detached_bytes
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import typing
 
 from grpclib import const
 from grpclib.exceptions import StreamTerminatedError
@@ -38,6 +39,8 @@
 from .exchange import Result
 from .exchange import SubRequest
 from .exchange import SubRequestExchange
+from .peer_server import current_source
+from .peer_server import Source
 from .result_outbox import ResultOutbox
 from .topk import Greatest
 from .topk import records_above
@@ -56,6 +59,10 @@
 # Figures of a target's load that are older than this are not passed on. They
 # have almost no weight in a choice, and bytes between zones are expensive.
 MAX_FIGURES_AGE_S = 2.0
+# Memory that a batch takes without its request, and that each of its
+# sub-requests takes until it has ended.
+BATCH_BYTES = 2 * 1_024
+ITEM_BYTES = 1_024
 
 
 class _Batch:
@@ -71,9 +78,19 @@
         batch: DelegatedBatch,
         outbox: ResultOutbox,
         may_send: bool = True,
+        source: Source | None = None,
+        on_done: typing.Callable[[], None] = lambda: None,
     ):
         self._tools = tools
         self._batch = batch
+        self._source = source
+        self._on_done = on_done
+        self._held_bytes = 0
+        # Numbers of the sub-requests whose exchange has not ended. Those that
+        # wait for a connection remain after the batch was abandoned.
+        self._unended: set[int] = set()
+        self._sub: SubRequest | None = None
+        self._end_timer: asyncio.TimerHandle | None = None
         self._outbox = outbox
         self._may_send = may_send
         self._is_relayed = False
@@ -98,6 +115,12 @@
         identity = RequestIdentity(batch.subject, batch.body)
         tools = self._tools
         is_refused = tools.crashes.is_refused(identity, tools.clock())
+        size_bytes = _request_bytes(batch) + ITEM_BYTES * len(batch.items)
+        if self._source is not None:
+            if self._source.refuses_batch(size_bytes):
+                self._refuse()
+                return
+            self._hold(size_bytes)
         self._is_relayed = any(
             tools.relays.get(item.target_id) is not None
             for item in batch.items
@@ -124,6 +147,7 @@
             ),
             share_group=batch.share_group or batch.route,
         )
+        self._sub = sub
         exchanges = [
             (
                 item,
@@ -131,13 +155,14 @@
                     self._tools,
                     sub,
                     item.target_id,
-                    lambda: self.is_wanted,
+                    functools.partial(self._is_item_wanted, item.no),
                     functools.partial(self._on_result, item),
                 ),
             )
             for item in batch.items
         ]
         self._running = {item.no: exchange for item, exchange in exchanges}
+        self._unended = set(self._running)
         for item, exchange in exchanges:
             target = self._tools.policy.targets.get(item.target_id)
             if tools.links.is_lost or not self._may_send:
@@ -151,8 +176,48 @@
                 self._on_result(item, Result(SubRequestFailure.NOT_SENT))
             else:
                 exchange.start()
-        loop = asyncio.get_running_loop()
-        loop.call_later(remaining_s + DEADLINE_GRACE_S, self._abandon)
+        if self._running:
+            loop = asyncio.get_running_loop()
+            self._end_timer = loop.call_later(
+                remaining_s + DEADLINE_GRACE_S, self._end
+            )
+
+    def _refuse(self) -> None:
+        """Report that nothing of the batch was sent, for lack of memory."""
+        self._item_results = [
+            ItemResult(item.no, SubRequestFailure.NOT_SENT)
+            for item in self._batch.items
+        ]
+        self._flush()
+        self._on_done()
+
+    def _hold(self, size_bytes: int) -> None:
+        if self._source is not None:
+            self._held_bytes += size_bytes
+            self._source.hold_batch(size_bytes)
+
+    def _is_item_wanted(self, item_no: int) -> bool:
+        if not self.is_wanted:
+            # The exchange asks when it could send, and then ends.
+            self._item_ended(item_no)
+        return self.is_wanted
+
+    def _item_ended(self, item_no: int) -> None:
+        if item_no not in self._unended:
+            return
+        self._unended.discard(item_no)
+        self._hold(-ITEM_BYTES)
+        if not self._unended:
+            self._release()
+
+    def _release(self) -> None:
+        """Stop counting the batch, of which nothing is left."""
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+            self._end_timer = None
+        self._unended.clear()
+        if self._held_bytes:
+            self._hold(-self._held_bytes)
 
     def _skips_slow_target(self, item: BatchItem) -> bool:
         # First sub-requests of a query (may_filter is True) are not sent to a
@@ -193,14 +258,44 @@
             loop = asyncio.get_running_loop()
             loop.call_later(CANCEL_GRACE_S, self._abandon)
 
+    def detach(self) -> None:
+        """Cancel the batch, whose node is gone.
+
+        It ends at once if batches of nodes that are gone hold too much, also
+        if it must not run twice: how it ended is told to nobody.
+        """
+        if self._source is None or self._source.memory.may_detach:
+            self.cancel()
+        else:
+            self._abandon()
+
     def _abandon(self) -> None:
         self.is_wanted = False
         running = tuple(self._running.values())
         self._running.clear()
         for exchange in running:
             exchange.abandon()
+        if self._sub is not None and self._unended:
+            # What waits for a connection ends without a further look at the
+            # request.
+            freed_bytes = min(self._held_bytes, _request_bytes(self._batch))
+            self._sub.head = b''
+            self._sub.identity = RequestIdentity(b'', b'')
+            self._batch = msgspec.structs.replace(
+                self._batch, head=b'', body=b'', subject=b'', items=()
+            )
+            self._sub = None
+            self._hold(_request_bytes(self._batch) - freed_bytes)
+        self._on_done()
+
+    def _end(self) -> None:
+        """End what is left of the batch at its deadline."""
+        self._end_timer = None
+        self._abandon()
+        self._release()
 
     def _on_result(self, item: BatchItem, result: Result) -> None:
+        self._item_ended(item.no)
         if self._running.pop(item.no, None) is None:
             return
         if self._batch.is_single:
@@ -256,6 +351,7 @@
             )
         if not self._running:
             self._flush()
+            self._on_done()
         elif self._flush_timer is None:
             loop = asyncio.get_running_loop()
             delay_s = RELAYED_FLUSH_S if self._is_relayed else FLUSH_S
@@ -319,6 +415,11 @@
         return tuple(figures)
 
 
+def _request_bytes(batch: DelegatedBatch) -> int:
+    """Return the memory that a batch takes without its sub-requests."""
+    return BATCH_BYTES + len(batch.subject) + len(batch.head) + len(batch.body)
+
+
 class DelegateHandler:
     """gRPC handler of the streams on which other nodes send batches."""
 
@@ -356,20 +457,23 @@
         }
 
     async def _serve(self, stream: server.Stream) -> None:
-        outbox = ResultOutbox(self._memory, self._tools.metrics)
+        source = current_source()
+        outbox = ResultOutbox(self._memory, self._tools.metrics, source)
         batches: dict[BatchNo, _Batch] = {}
         self._streams.append(batches)
         sender = asyncio.ensure_future(_send_all(stream, outbox))
         try:
             async for envelope in stream:
-                self._on_message(envelope.message, batches, outbox)
+                self._on_message(envelope.message, batches, outbox, source)
+                if source is not None:
+                    await source.wait_for_room()
         except StreamTerminatedError as exc:
             logs.log_event('delegation_stream_lost', error=str(exc))
         finally:
             sender.cancel()
             self._streams.remove(batches)
-            for batch in batches.values():
-                batch.cancel()
+            for batch in tuple(batches.values()):
+                batch.detach()
             outbox.close()
 
     def _on_message(
@@ -377,13 +481,20 @@
         message: object,
         batches: dict[BatchNo, _Batch],
         outbox: ResultOutbox,
+        source: Source | None,
     ) -> None:
         match message:
             case DelegatedBatch(batch_no=batch_no):
-                for done in [n for n, b in batches.items() if b.is_done]:
-                    del batches[done]
+                if batch_no in batches:
+                    # Only the newer one can be cancelled by this number.
+                    batches[batch_no].cancel()
                 batch = batches[batch_no] = _Batch(
-                    self._tools, message, outbox, not self._is_closed
+                    self._tools,
+                    message,
+                    outbox,
+                    not self._is_closed,
+                    source,
+                    functools.partial(_drop_done, batches, batch_no),
                 )
                 batch.start()
             case MarkSentElsewhere(batch_no, item_no, floor):
@@ -394,6 +505,12 @@
                     batches[batch_no].cancel()
 
 
+def _drop_done(batches: dict[BatchNo, _Batch], batch_no: BatchNo) -> None:
+    batch = batches.get(batch_no)
+    if batch is not None and batch.is_done:
+        del batches[batch_no]
+
+
 async def _send_all(stream: server.Stream, outbox: ResultOutbox) -> None:
     while True:
         await stream.send_message(await outbox.get())
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -573,7 +573,7 @@
     def _refuse_without_memory(self, responder: Responder) -> None:
         """Refuse a complete request that has not run and never will."""
         self._server.metrics.count('refused', 'no_memory')
-        self._memory.log_closed('caller_refused', self._server.now())
+        self._memory.log_event('caller_refused', self._server.now())
         wait_s = MEMORY_RETRY_AFTER_S * (1.0 + random.random())
         responder.send(Answer(503, [(b'Retry-After', b'%.2f' % wait_s)]))
 
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -181,6 +181,10 @@
             'caller_connections',
             lambda: float(self._message_memory.callers.connection_count),
         )
+        self.metrics.gauge(
+            'peer_connections',
+            lambda: float(self._message_memory.nodes.connection_count),
+        )
         self.metrics.gauge(
             'message_bytes', lambda: float(self._message_memory.held_bytes)
         )
@@ -197,7 +201,13 @@
         self.links = TargetLinks(self._rng)
         self.pools.may_connect = lambda: not self.links.is_lost
         splits = Splits()
-        self.peers = Peers(cfg, self.metrics, self._rng, self._clock)
+        self.peers = Peers(
+            cfg,
+            self.metrics,
+            self._rng,
+            self._clock,
+            self._message_memory.nodes,
+        )
         self.routing_state = RoutingState(
             adapter.decoder,
             self.targets,
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -7,7 +7,6 @@
 import typing
 
 from grpclib._typing import IServable
-from grpclib.server import Server
 
 from .. import logs
 from ..codec import MsgpackCodec
@@ -26,7 +25,9 @@
 from ..settings import Endpoint
 from ..types import Clock
 from ..types import NodeId
+from .caller_memory import NodeMemory
 from .listening import listen
+from .peer_server import PeerServer
 from .settings import NodeSettings
 
 # A node that is no longer a member may be cut off from gossip but still send
@@ -50,7 +51,9 @@
         metrics: Metrics,
         rng: random.Random,
         clock: Clock,
+        memory: NodeMemory,
     ):
+        self._memory = memory
         self._cfg = cfg
         self._metrics = metrics
         self._clock = clock
@@ -79,7 +82,7 @@
             PullHandler(self._answer_pull),
         ]
         self._listener: socket.socket | None = None
-        self._server: Server | None = None
+        self._server: PeerServer | None = None
 
     def set_pull_answerer(self, kind: str, answer: PullAnswerer) -> None:
         """Set the function that answers pulls of one kind of objects."""
@@ -98,7 +101,13 @@
             Endpoint(self._cfg.gossip.host, self._cfg.peer_port)
         )
         await self.gossip.start()
-        server = Server(self._handlers, codec=MsgpackCodec())
+        server = PeerServer(
+            self._handlers,
+            self._memory,
+            self._metrics,
+            self._clock,
+            codec=MsgpackCodec(),
+        )
         await server.start(sock=self._listener)
         self._server = server
 
--- a/tests/test_byte_limits.py
+++ b/tests/test_byte_limits.py
@@ -13,11 +13,11 @@
 from sesameward.serving.byte_limits import MessageLimits
 from sesameward.serving.byte_limits import MessageMemory
 from sesameward.serving.byte_limits import MessageMeter
-from sesameward.serving.byte_limits import MIN_COUNTED_BYTES
+from sesameward.serving.byte_limits import MIN_LARGE_BYTES
 from sesameward.serving.byte_limits import part_limits
 
 LIMITS = MessageLimits(max_head_bytes=1_000, max_body_bytes=5_000)
-LARGE = 2 * MIN_COUNTED_BYTES
+LARGE = 2 * MIN_LARGE_BYTES
 
 
 @pytest.fixture
@@ -90,10 +90,28 @@
     assert message_memory.held_bytes == 9 * LARGE
 
 
-def test_small_messages_are_neither_held_nor_cut(receive, message_memory):
-    for number in range(100):
-        receive(number, MIN_COUNTED_BYTES - 1)
-    assert (message_memory.held_bytes, receive.cut) == (0, [])
+def test_small_messages_are_cut_after_all_large_ones(receive, message_memory):
+    # Guards against very many small replies, which took memory uncounted, and
+    # against cutting them while larger ones hold the memory.
+    small = MIN_LARGE_BYTES - 1
+    receive('large', 2 * LARGE)
+    for number in range(16):
+        receive(number, small)
+    assert (receive.cut, message_memory.held_bytes) == (
+        [],
+        2 * LARGE + 16 * small,
+    )
+    receive(16, small)
+    assert receive.cut == ['large']
+    for number in range(17, 20):
+        receive(number, small)
+    assert receive.cut == ['large']
+    receive(20, small + 1)
+    assert receive.cut == ['large', 20]
+    receive(21, small)
+    assert message_memory.held_bytes <= 9 * LARGE
+    # The newer half is cut first.
+    assert all(name == 'large' or name >= 10 for name in receive.cut)
 
 
 @hypothesis.given(
@@ -111,9 +129,8 @@
         meters[number].count(size)
         if ends:
             meters[number].reset()
-        large = [m for m in meters if m.received >= MIN_COUNTED_BYTES]
         assert message_memory.held_bytes == sum(
-            meter.received for meter in large
+            meter.received for meter in meters
         )
         assert message_memory.held_bytes <= 10 * LARGE
     for meter in meters:
