Bound gossip records and what runs keep of replies

Records of members and rumors are refused above a 32nd of the machine's memory each. A query's signatures and records count until its last shard has answered, and are freed with the answer; a connection to a target no longer keeps the headers of its last reply, and an exchange no longer refers to itself.

--- a/sesameward/membership/events.py
+++ b/sesameward/membership/events.py
@@ -66,4 +66,21 @@
     incarnation: int
 
 
-Action = Send | MemberChanged | RumorAccepted | SyncWanted | NameConflict
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordRefused:
+    """Report that a record was not stored for lack of memory.
+
+    The kind is 'members' or 'rumors'.
+    """
+
+    kind: str
+
+
+Action = (
+    Send
+    | MemberChanged
+    | RumorAccepted
+    | SyncWanted
+    | NameConflict
+    | RecordRefused
+)
--- a/sesameward/membership/gossip.py
+++ b/sesameward/membership/gossip.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import hashlib
+import math
 import os
 import random
 import time
@@ -31,6 +32,7 @@
 from .events import MemberChanged
 from .events import NameConflict
 from .events import Received
+from .events import RecordRefused
 from .events import RumorAccepted
 from .events import Send
 from .events import SyncWanted
@@ -44,6 +46,8 @@
 JOIN_RETRY_S = 1.0
 UNKNOWN_PEER_RETRY_S = 30.0
 JOIN_FANOUT = 3
+# One log line tells of all records refused for lack of memory in this time.
+REFUSALS_LOG_PERIOD_S = 1.0
 # Limit of the anti-entropy exchanges in a row with one member; they are
 # repeated while they add members.
 MAX_SYNC_ROUNDS = 128
@@ -86,7 +90,11 @@
         rng: random.Random,
         transport: SyncTransport | None = None,
         wall_clock: Clock = time.time,
+        max_bytes: float = math.inf,
     ):
+        # Limit of the memory for the records of members, and for rumors.
+        self._max_bytes = max_bytes
+        self._refusals_logged_at = -math.inf
         self.wall_clock = wall_clock
         self._cfg = cfg
         self._metrics = metrics
@@ -125,7 +133,7 @@
             gossip_port=port,
             incarnation=self._me.incarnation or int(self.wall_clock()),
         )
-        self._swim = Swim(me, self._cfg.membership, self._rng)
+        self._swim = Swim(me, self._cfg.membership, self._rng, self._max_bytes)
         self._anti_entropy = AntiEntropy(self._swim, self._rng)
         self._swim.start(self._loop.time())
         self._schedule_timer()
@@ -329,6 +337,8 @@
                         callback(rumor)
                 case SyncWanted(member):
                     self._start_sync(member)
+                case RecordRefused(kind):
+                    self._report_refusal(kind)
                 case NameConflict(incarnation):
                     self._metrics.count('member_contests')
                     logs.log_event(
@@ -336,6 +346,13 @@
                         incarnation=incarnation,
                     )
 
+    def _report_refusal(self, kind: str) -> None:
+        self._metrics.count('gossip_refused', kind)
+        now = self._loop.time()
+        if now - self._refusals_logged_at >= REFUSALS_LOG_PERIOD_S:
+            self._refusals_logged_at = now
+            logs.log_event('gossip_refused', kind=kind)
+
     def _report_change(self, member: Member) -> None:
         self._metrics.count('member_changes', member.state.value)
         logs.log_event('member', member=member.node, state=member.state.value)
--- a/sesameward/membership/message_auth.py
+++ b/sesameward/membership/message_auth.py
@@ -22,6 +22,10 @@
 # remembered per session to refuse repeated messages. Lower ones are refused.
 REPLAY_WINDOW_SIZE = 1_024
 
+# Number of sessions that are remembered. Each process has one, and those of
+# ended processes are forgotten after some minutes. A session takes 0.4 KB.
+MAX_SESSIONS = 15_000
+
 _HEADER = struct.Struct('>8sQQ')
 _MIN_BYTES = MAC_BYTES + _HEADER.size
 _WINDOW_MASK = (1 << REPLAY_WINDOW_SIZE) - 1
@@ -71,7 +75,8 @@
         """Return the body of a message that is authentic and not repeated.
 
         Raise IntegrityError if the message is refused: too short, sealed with
-        another key or context, too old or received before.
+        another key or context, too old, received before, or of one sender too
+        many.
         """
         if len(data) < _MIN_BYTES:
             raise IntegrityError(
@@ -117,6 +122,13 @@
         self._drop_old_sessions(now)
         window = self._windows.get(session)
         if window is None:
+            if len(self._windows) >= MAX_SESSIONS:
+                raise IntegrityError(
+                    'too_many_senders',
+                    f'more than {MAX_SESSIONS} processes have sent messages '
+                    'within minutes; '
+                    'find out which host sends under ever new names',
+                )
             self._windows[session] = _ReplayWindow(sequence, 1, now)
             return True
         if sequence > window.highest_sequence:
--- a/sesameward/membership/roster.py
+++ b/sesameward/membership/roster.py
@@ -17,6 +17,12 @@
 BUCKET_COUNT = 256
 DIGEST_BYTES = 8
 
+# Memory that a record takes in addition to its text, and that each of its
+# addresses does (measured: 1,234 bytes with one address and 90 bytes of text,
+# queued for other members).
+MEMBER_BYTES = 1_000
+ENTRY_BYTES = 150
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Record:
@@ -32,6 +38,8 @@
     def __init__(self):
         self._records: dict[NodeId, _Record] = {}
         self._digests = [0] * BUCKET_COUNT
+        # Memory that all records take.
+        self.held_bytes = 0
 
     def __len__(self) -> int:
         return len(self._records)
@@ -56,9 +64,15 @@
         self._put(member, record)
         return True
 
+    def growth_bytes(self, member: Member) -> int:
+        """Return the memory by which storing a record enlarges held_bytes."""
+        known = self.get(member.node)
+        return _size_of(member) - (0 if known is None else _size_of(known))
+
     def remove(self, node: NodeId) -> None:
         """Remove the record of a node, also from the digest of its bucket."""
         record = self._records.pop(node)
+        self.held_bytes -= _size_of(record.member)
         self._digests[record.bucket] ^= record.digest
 
     def digests(self) -> bytes:
@@ -97,9 +111,11 @@
         copied = Roster()
         copied._records = dict(self._records)
         copied._digests = list(self._digests)
+        copied.held_bytes = self.held_bytes
         return copied
 
     def _put(self, member: Member, old: _Record | None) -> None:
+        self.held_bytes += self.growth_bytes(member)
         content_hash = datagrams.hash_content(member)
         bucket = old.bucket if old else _bucket_of(member.node)
         digest = _digest_of(member, content_hash) if is_live(member) else 0
@@ -114,6 +130,13 @@
     return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
+def _size_of(member: Member) -> int:
+    text_bytes = len(member.node) + len(member.zone) + len(member.host)
+    for entry in member.entries:
+        text_bytes += len(entry.node) + len(entry.host) + len(entry.zone)
+    return MEMBER_BYTES + ENTRY_BYTES * len(member.entries) + text_bytes
+
+
 def _overrides(member: Member, record: _Record) -> bool:
     old = record.member
     if member.incarnation != old.incarnation:
--- a/sesameward/membership/rumors.py
+++ b/sesameward/membership/rumors.py
@@ -10,6 +10,9 @@
 from ..messages import Rumor
 
 EXPIRED_RETENTION_S = 60.0
+# Memory that a stored rumor takes in addition to its text (measured: 941 bytes
+# with 110 bytes of text, queued for other members).
+RUMOR_BYTES = 850
 
 Key = tuple[str, str]
 
@@ -26,6 +29,14 @@
 
     def __init__(self):
         self._stored: dict[Key, _StoredRumor] = {}
+        # Memory that all stored rumors take.
+        self.held_bytes = 0
+
+    def growth_bytes(self, rumor: Rumor) -> int:
+        """Return the memory by which storing a rumor enlarges held_bytes."""
+        stored = self._stored.get((rumor.topic, rumor.key))
+        known_bytes = 0 if stored is None else _size_of(stored.rumor)
+        return _size_of(rumor) - known_bytes
 
     def merge(self, rumor: Rumor, now: float) -> bool:
         """Store a rumor if it is newer than the known one; tell if it was."""
@@ -35,6 +46,7 @@
             stored.rumor
         ):
             return False
+        self.held_bytes += self.growth_bytes(rumor)
         self._stored[key] = _StoredRumor(
             rumor, now + rumor.ttl_s, _digest_of(rumor)
         )
@@ -76,6 +88,14 @@
             for key, stored in self._stored.items()
             if stored.expires_at + EXPIRED_RETENTION_S > now
         }
+        self.held_bytes = sum(
+            _size_of(stored.rumor) for stored in self._stored.values()
+        )
+
+
+def _size_of(rumor: Rumor) -> int:
+    text_bytes = len(rumor.topic) + len(rumor.key) + len(rumor.body)
+    return RUMOR_BYTES + text_bytes
 
 
 def _precedence(rumor: Rumor) -> tuple[int, bytes]:
--- a/sesameward/membership/swim.py
+++ b/sesameward/membership/swim.py
@@ -6,6 +6,7 @@
 import enum
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -36,6 +37,7 @@
 from .events import MemberChanged
 from .events import NameConflict
 from .events import Received
+from .events import RecordRefused
 from .events import RumorAccepted
 from .events import Send
 from .events import SyncWanted
@@ -135,8 +137,14 @@
     """
 
     def __init__(
-        self, me: Member, cfg: MembershipSettings, rng: random.Random
+        self,
+        me: Member,
+        cfg: MembershipSettings,
+        rng: random.Random,
+        max_bytes: float = math.inf,
     ):
+        # Limit of the memory for the records of members, and for rumors.
+        self._max_bytes = max_bytes
         self._me = me
         self._cfg = cfg
         self._rng = rng
@@ -281,7 +289,7 @@
         if size > limit:
             raise RumorTooLargeError(size, limit)
         self._actions = []
-        self._merge_rumor(now, rumor)
+        self._merge_rumor(now, rumor, is_own=True)
         self._send_gossip(now)
         return self._actions
 
@@ -799,6 +807,13 @@
         content_hash = (
             self._roster.content_hash(member.node) if known else None
         )
+        growth_bytes = self._roster.growth_bytes(member)
+        if (
+            growth_bytes > 0
+            and self._roster.held_bytes + growth_bytes > self._max_bytes
+        ):
+            self._actions.append(RecordRefused('members'))
+            return
         if not self._roster.merge(member):
             return
         if content_hash == self._roster.content_hash(member.node):
@@ -877,7 +892,17 @@
         self._roster.merge(me)
         self._actions.append(MemberChanged(me))
 
-    def _merge_rumor(self, now: float, rumor: Rumor) -> None:
+    def _merge_rumor(
+        self, now: float, rumor: Rumor, is_own: bool = False
+    ) -> None:
+        growth_bytes = self._rumors.growth_bytes(rumor)
+        if (
+            growth_bytes > 0
+            and not is_own
+            and self._rumors.held_bytes + growth_bytes > self._max_bytes
+        ):
+            self._actions.append(RecordRefused('rumors'))
+            return
         if not self._rumors.merge(rumor, now):
             return
         self._actions.append(RumorAccepted(rumor))
--- a/sesameward/serving/delegating_run.py
+++ b/sesameward/serving/delegating_run.py
@@ -24,7 +24,6 @@
 from .delegation import LoadFigures
 from .deps import Deps
 from .exchange import Result
-from .exchange import SubRequestExchange
 from .replica_choice import Token
 from .routes import Repeat
 from .run import Arrival
@@ -182,10 +181,10 @@
         )
 
     def _on_exchange_end(
-        self, send: Send, exchange: SubRequestExchange, result: Result
+        self, send: Send, number: int, result: Result
     ) -> None:
         self._lacks_connection |= result.no_connection
-        super()._on_exchange_end(send, exchange, result)
+        super()._on_exchange_end(send, number, result)
 
     def _on_helper_message(
         self, batch: HelperBatch, parts: BatchResults | None
--- a/sesameward/serving/deps.py
+++ b/sesameward/serving/deps.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .admission_gate import AdmissionGate
+from .byte_limits import MessageMemory
 from .delegate_client import DelegateClient
 from .delegation import Delegation
 from .exchange import ExchangeDeps
@@ -36,6 +37,10 @@
     # One Run for each caller's request in progress, or its claim while it
     # waits for admission; their number is logged at shutdown.
     runs: set = msgspec.field(default_factory=set)
+    # What runs keep of replies counts here.
+    message_memory: MessageMemory = msgspec.field(
+        default_factory=MessageMemory
+    )
     # None where a node admits all requests, as in tests of other parts.
     admission: AdmissionGate | None = None
 
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -17,6 +17,7 @@
 from .attempts import Send
 from .attempts import SendReason
 from .attempts import SubRequestFailure
+from .byte_limits import MessageMeter
 from .delegating_run import DelegatingRun
 from .delegating_run import HelperBatch
 from .delegation import BatchNo
@@ -51,6 +52,10 @@
 # reply. With 90 shards on a link of 12.5 Mbit/s it takes 3 ms to send.
 ANSWER_HEAD_BYTES = 200
 SIGNATURE_BYTES = 50
+# Memory that a record takes which a run keeps, and a signature in addition to
+# its text.
+KEPT_RECORD_BYTES = 60
+KEPT_SIGNATURE_BYTES = 48
 # At most this part of the objective is subtracted. The round-trip time of a
 # caller on a slow link may be longer than the objective itself.
 MAX_DELIVERY_SHARE = 0.5
@@ -91,6 +96,10 @@
         self._shards = typing.cast(Shards, route.destination)
         self._signatures: list[bytes] = []
         self._greatest = Greatest(self._shards.top_k)
+        # Counts what is kept of replies until the last shard has answered.
+        self._meter = MessageMeter(
+            deps.message_memory, self._finish_without_memory
+        )
         rtt_s = round_trip_s(arrival.responder.raw_transport())
         cutoff_s = route.objective_s - delivery_s(
             route, req.is_first_on_connection, rtt_s, deps.link_bytes_per_s
@@ -142,10 +151,45 @@
             end = self._record_failure(send, result.end)
             return self._plan_failed(send, end, now)
         if self._plan.needs_result(send.shard):
-            self._signatures.append(result.signature or b'')
-            self._greatest.add(result.reply.body)
+            self._keep(result.signature or b'', result.reply.body)
         return self._plan.replied(send.shard, send.attempt, now)
 
+    def _keep(self, signature: bytes | None, body: bytes) -> None:
+        """Keep what the answer needs of a reply, and count it.
+
+        If all messages of the node exceed their memory, the request may end.
+        """
+        if self._is_over:
+            return
+        known = len(self._greatest)
+        self._greatest.add(body)
+        size_bytes = KEPT_RECORD_BYTES * (len(self._greatest) - known)
+        if signature is not None:
+            self._signatures.append(signature)
+            size_bytes += KEPT_SIGNATURE_BYTES + len(signature)
+        self._meter.count(size_bytes)
+
+    def _finish_without_memory(self) -> None:
+        """End the request, whose replies take too much memory.
+
+        It has run at some targets, so the answer is 504.
+        """
+        if self._is_over:
+            return
+        self._is_over = True
+        self._tools.metrics.count('messages_cut', 'gather')
+        self._signatures = []
+        self._greatest = Greatest(self._shards.top_k)
+        self._respond(Answer(504), 'no_memory')
+
+    def _release(self, was_served: bool = False) -> None:
+        self._meter.reset()
+        self._meter.on_cut = _do_nothing
+        # The run stays until its last sub-request has ended.
+        self._signatures = []
+        self._greatest = Greatest(0)
+        super()._release(was_served)
+
     def _plan_failed(
         self, send: Send, failure: SubRequestFailure, now: float
     ) -> list:
@@ -201,7 +245,7 @@
         if any(not self._is_needed(batch, end) for end in filtered):
             batch.filtered_unusable = True
         if filtered and not batch.filtered_unusable:
-            self._greatest.add(parts.records)
+            self._keep(None, parts.records)
 
     def _apply_helper_reply(
         self,
@@ -217,9 +261,7 @@
                 batch, send, SubRequestFailure.FAILED, now
             )
         if is_wanted:
-            self._signatures.append(end.signature)
-            if end.whole is not None:
-                self._greatest.add(end.whole)
+            self._keep(end.signature, end.whole or b'')
         service = self._shards.services[send.shard]
         self._tools.crashes.target_survived(self._sub.identity, service, now)
         return self._plan.replied(send.shard, send.attempt, now)
@@ -248,3 +290,7 @@
                 self._shards.services[index] for index in self._plan.missing()
             ],
         )
+
+
+def _do_nothing() -> None:
+    pass
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -351,6 +351,7 @@
                 splits,
                 self._rng.random,
                 cfg.link_bytes_per_s,
+                message_memory=self._message_memory,
                 admission=self.admission,
             ),
             self.routing_state,
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -38,6 +38,9 @@
 # before others hear that it leaves, and be late on a busy machine.
 LEAVING_MARGIN_S = 5.0
 PULL_TIMEOUT_S = 0.5
+# Fraction of the VM's memory that records of members may take, and that rumors
+# may: 6.2 MB of 200 MB, enough for 4,800 nodes with short names.
+GOSSIP_MEMORY_FRACTION = 1 / 32
 
 PullAnswerer = typing.Callable[[Pull], Delta]
 
@@ -75,7 +78,12 @@
             http_port=cfg.readiness.port,
         )
         self.gossip = Gossip(
-            cfg, own_member, metrics, rng, transport=PeerClient()
+            cfg,
+            own_member,
+            metrics,
+            rng,
+            transport=PeerClient(),
+            max_bytes=cfg.memory_bytes * GOSSIP_MEMORY_FRACTION,
         )
         self._handlers = [
             PeerHandler(self.gossip.answer_sync),
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -102,7 +102,9 @@
             if arrival.organisation is None
             else {'organisation': arrival.organisation}
         )
-        self._exchanges: set[SubRequestExchange] = set()
+        # The exchanges without a result, by the order of their start.
+        self._exchanges: dict[int, SubRequestExchange] = {}
+        self._exchange_count = 0
         self._timer: asyncio.TimerHandle | None = None
         self._is_over = False
         self._repeats: list[str] = []
@@ -160,15 +162,18 @@
         return end
 
     def _send(self, send: Send) -> None:
+        # The exchange must not refer to itself, or it would stay until the
+        # garbage collector finds it.
+        number = self._exchange_count = self._exchange_count + 1
         exchange = SubRequestExchange(
             self._tools,
             self._sub,
             send.target_id,
             lambda: self._needs_result(send),
-            lambda result: self._on_exchange_end(send, exchange, result),
+            lambda result: self._on_exchange_end(send, number, result),
             lambda: self._is_held(send),
         )
-        self._exchanges.add(exchange)
+        self._exchanges[number] = exchange
         exchange.start()
 
     def _needs_result(self, send: Send) -> bool:
@@ -179,9 +184,9 @@
         return False
 
     def _on_exchange_end(
-        self, send: Send, exchange: SubRequestExchange, result: Result
+        self, send: Send, number: int, result: Result
     ) -> None:
-        self._exchanges.discard(exchange)
+        self._exchanges.pop(number, None)
         self._perform(self._apply_result(send, result, self._tools.clock()))
 
     def _apply_result(self, send: Send, result: Result, now: float) -> list:
@@ -253,7 +258,7 @@
             'caller_gone',
             request=self._asked.request_id,
             route=self._route.name,
-            running=sum(one.is_running for one in self._exchanges),
+            running=sum(one.is_running for one in self._exchanges.values()),
         )
         self._release()
         if self._exchanges and self._route.repeat is Repeat.SAFE:
@@ -262,7 +267,7 @@
             )
 
     def _abandon(self) -> None:
-        for exchange in tuple(self._exchanges):
+        for exchange in tuple(self._exchanges.values()):
             exchange.abandon()
         self._exchanges.clear()
 
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -253,6 +253,10 @@
         self._fail(
             ExchangeFailure.CLOSED if exc is None else ExchangeFailure.RESET
         )
+        # The connection refers to its parser and its meter, and these to it,
+        # which would keep all until the garbage collector finds them.
+        del self._parser
+        self._meter.on_cut = _do_nothing
 
     # Callbacks of the httptools parser.
 
@@ -315,7 +319,8 @@
         reply = Reply(
             self._status, self._reason, self._headers, bytes(self._body)
         )
-        # An idle connection must not keep the body of its last reply.
+        # An idle connection must not keep its last reply.
+        self._headers = []
         self._body = bytearray()
         if not self._is_own(reply):
             # Skip a late reply to an earlier request; the reply to the current
@@ -362,6 +367,10 @@
         self._on_free(self)
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def is_known_status(status: int) -> bool:
     """Return True if a status is one of a final or an interim reply.
 
--- a/sesameward/serving/topk.py
+++ b/sesameward/serving/topk.py
@@ -32,6 +32,9 @@
         self._floor = floor
         self._best: list[bytes] = []
 
+    def __len__(self) -> int:
+        return len(self._best)
+
     def add(self, body: bytes) -> bytes:
         """Add a body; return its records that are among the greatest so far.
 
