--- a/sesameward/channels.py
+++ b/sesameward/channels.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from grpclib import client
 from grpclib.protocol import H2Protocol
 
@@ -33,7 +35,8 @@
 class Channels:
     """Cache channels by node; close the least recently used ones."""
 
-    def __init__(self):
+    def __init__(self, connect: typing.Callable[..., Channel] = Channel):
+        self._connect = connect
         self._channels: dict[NodeId, tuple[tuple, Channel]] = {}
 
     def get(self, member: Member) -> Channel:
@@ -44,7 +47,7 @@
             cached[1].close()
             cached = None
         if cached is None:
-            cached = address, Channel(*address, codec=MsgpackCodec())
+            cached = address, self._connect(*address, codec=MsgpackCodec())
         self._channels[member.node] = cached
         while len(self._channels) > MAX_CHANNELS:
             self.drop(next(iter(self._channels)))
--- a/sesameward/configuration/config_peers.py
+++ b/sesameward/configuration/config_peers.py
@@ -11,6 +11,7 @@
 from grpclib import server
 import msgspec
 
+from ..channels import Channel
 from ..channels import Channels
 from ..exceptions import PeerUnavailableError
 from ..messages import Delta
@@ -47,10 +48,15 @@
 class PullClient:
     """Pull objects from other agents or nodes over cached gRPC channels."""
 
-    def __init__(self, metrics: Metrics, timeout_s: float = PULL_TIMEOUT_S):
+    def __init__(
+        self,
+        metrics: Metrics,
+        timeout_s: float = PULL_TIMEOUT_S,
+        connect: collections.abc.Callable[..., Channel] = Channel,
+    ):
         self._metrics = metrics
         self._timeout_s = timeout_s
-        self._channels = Channels()
+        self._channels = Channels(connect)
 
     def close(self) -> None:
         """Close all channels."""
--- a/sesameward/membership/peers.py
+++ b/sesameward/membership/peers.py
@@ -54,12 +54,17 @@
 class PeerClient:
     """Send anti-entropy requests, each over a new connection."""
 
+    def __init__(self, connect: typing.Callable[..., Channel] = Channel):
+        self._connect = connect
+
     async def sync(self, member: Member, sealed: bytes) -> bytes:
         """Send a sealed request; return the sealed reply of the member.
 
         Raise PeerUnavailableError if the member does not answer.
         """
-        channel = Channel(member.host, member.grpc_port, codec=MsgpackCodec())
+        channel = self._connect(
+            member.host, member.grpc_port, codec=MsgpackCodec()
+        )
         method = UnaryUnaryMethod(
             channel, SYNC_PATH, SealedMessage, SealedMessage
         )
--- a/sesameward/serving/delegate_client.py
+++ b/sesameward/serving/delegate_client.py
@@ -15,12 +15,12 @@
 
 from .. import grpc_errors
 from .. import logs
-from ..channels import Channel
 from ..codec import MsgpackCodec
 from ..messages import Member
 from ..metrics import Metrics
 from ..types import Clock
 from ..types import NodeId
+from .byte_limits import MessageMemory
 from .delegation import BatchNo
 from .delegation import BatchResults
 from .delegation import CancelBatch
@@ -29,6 +29,7 @@
 from .delegation import HelperMessage
 from .delegation import make_probe
 from .delegation import TargetNotice
+from .peer_connections import PeerChannel
 
 METHOD = '/sesameward.Peer/Delegate'
 CONNECT_TIMEOUT_S = 0.3
@@ -70,7 +71,14 @@
     replies to cancelled batches said about their targets.
     """
 
-    def __init__(self, delegation: Delegation, metrics: Metrics, clock: Clock):
+    def __init__(
+        self,
+        delegation: Delegation,
+        metrics: Metrics,
+        clock: Clock,
+        memory: MessageMemory,
+    ):
+        self._memory = memory
         self._delegation = delegation
         self._metrics = metrics
         self._clock = clock
@@ -155,7 +163,14 @@
 
     async def _run(self, node: NodeId, stream: _Stream) -> None:
         host, port = stream.address
-        channel = Channel(host, port, codec=MsgpackCodec())
+        channel = PeerChannel(
+            host,
+            port,
+            self._memory,
+            self._metrics,
+            self._clock,
+            codec=MsgpackCodec(),
+        )
         problem = 'closed'
         try:
             await self._exchange_messages(node, stream, channel)
@@ -166,7 +181,7 @@
             self._on_stream_ended(node, stream, problem)
 
     async def _exchange_messages(
-        self, node: NodeId, stream: _Stream, channel: Channel
+        self, node: NodeId, stream: _Stream, channel: PeerChannel
     ) -> None:
         method = StreamStreamMethod(channel, METHOD, Envelope, BatchResults)
         async with method.open() as call:
--- a/sesameward/serving/delegate_server.py
+++ b/sesameward/serving/delegate_server.py
@@ -39,8 +39,8 @@
 from .exchange import Result
 from .exchange import SubRequest
 from .exchange import SubRequestExchange
-from .peer_server import current_source
-from .peer_server import Source
+from .peer_connections import current_source
+from .peer_connections import Source
 from .result_outbox import ResultOutbox
 from .topk import Greatest
 from .topk import records_above
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -206,7 +206,7 @@
             self.metrics,
             self._rng,
             self._clock,
-            self._message_memory.nodes,
+            self._message_memory,
         )
         self.routing_state = RoutingState(
             adapter.decoder,
@@ -328,7 +328,7 @@
         self.delegation.on_helper_heard = self._on_helper_heard
         self.selector.on_ejected = self._on_target_ejected
         self._delegates = DelegateClient(
-            self.delegation, self.metrics, self._clock
+            self.delegation, self.metrics, self._clock, self._message_memory
         )
         self._delegates.on_notice = self._on_helper_notice
         self._delegate_handler = DelegateHandler(tools, self._message_memory)
--- a/sesameward/serving/peer_server.py
+++ b/sesameward/serving/peer_connections.py
@@ -1,4 +1,4 @@
-"""gRPC server for other nodes that limits what they make this node hold.
+"""gRPC connections that limit what other nodes make this node hold.
 
 Load pattern: another node sends batches faster than targets reply, does not
 read their results, or sends messages without end. Each connection counts what
@@ -25,8 +25,12 @@
 from h2.errors import ErrorCodes
 import h2.events
 
+from ..channels import Channel
 from ..metrics import Metrics
 from ..types import Clock
+from .byte_limits import MAX_REPLY_BYTES
+from .byte_limits import MessageMemory
+from .byte_limits import MessageMeter
 from .caller_memory import NodeMemory
 
 # Memory that an open call takes in the process (measured: 21.4 KB for one that
@@ -50,6 +54,8 @@
 # Pings and settings that a connection may send before its next message. The
 # library's client sends settings once and no pings.
 MAX_CONTROL_FRAMES = 1_000
+# Limit for one message of results, which may hold a whole reply of a target.
+MAX_RESULTS_BYTES = MAX_REPLY_BYTES + 1_024 * 1_024
 # Closed calls that the library remembers for each connection, to tell late
 # frames of them from faults. Its own limit is 65,536, which take 10 MB.
 MAX_CLOSED_CALLS = 1_000
@@ -73,6 +79,7 @@
         # Set by the memory alone.
         self.held_bytes = 0
         self.memory = memory
+        self.max_message_bytes = memory.share_bytes
         self._metrics = metrics
         self._clock = clock
         self._on_memory = on_memory
@@ -83,7 +90,14 @@
         self._batch_bytes = 0
         self._is_closed = False
         self._has_room = asyncio.Event()
-        memory.add(self, self._active_at)
+        self._open()
+
+    def _open(self) -> None:
+        self.memory.add(self, self._active_at)
+
+    def hold_call(self, is_open: bool) -> None:
+        """Count a call that opens, or stop counting it."""
+        self.hold(CALL_BYTES if is_open else -CALL_BYTES)
 
     def hold(self, size_bytes: int) -> None:
         """Count bytes; connections are closed if all together hold too much.
@@ -177,6 +191,60 @@
         self._on_descriptors()
 
 
+class HelperSource(Source):
+    """Account of what is received on a connection to another node.
+
+    Results of a helper node count as replies of targets do, and are dropped
+    with their connection if all messages of this node exceed their memory.
+    """
+
+    def __init__(
+        self,
+        memory: MessageMemory,
+        metrics: Metrics,
+        clock: Clock,
+        on_memory: typing.Callable[[], None],
+    ):
+        self._message_memory = memory
+        self._meter = MessageMeter(memory, self.close_for_memory)
+        super().__init__(memory.nodes, metrics, clock, on_memory)
+        self.max_message_bytes = MAX_RESULTS_BYTES
+
+    def _open(self) -> None:
+        pass
+
+    def hold_call(self, is_open: bool) -> None:
+        """Count nothing: this node decides how many calls it makes."""
+
+    def hold(self, size_bytes: int) -> None:
+        """Count bytes; messages are dropped if all are too large."""
+        if self._is_closed:
+            return
+        self.held_bytes += size_bytes
+        if self.held_bytes > 0:
+            self._meter.received = self.held_bytes
+            self._message_memory.record_growth(self._meter)
+        else:
+            self._meter.reset()
+
+    def close(self) -> None:
+        """Stop counting."""
+        self._is_closed = True
+        self._meter.reset()
+        self._meter.on_cut = _do_nothing
+
+    def close_for_memory(self) -> None:
+        """Close the connection: messages exceed their memory."""
+        self._metrics.count('messages_cut', 'peer')
+        self.memory.log_event('node_cut', self._clock())
+        self.close()
+        self._on_memory()
+
+
+def _do_nothing() -> None:
+    pass
+
+
 # The account of the connection whose call a task serves.
 _current_source: contextvars.ContextVar[Source] = contextvars.ContextVar(
     'source'
@@ -209,12 +277,12 @@
 
         The length of a message is known from its first bytes.
         """
-        if size > self._source.memory.share_bytes:
+        if size > self._source.max_message_bytes:
             self._source.refuse_message()
             raise GRPCError(
                 Status.RESOURCE_EXHAUSTED,
                 f'a message of {size} bytes exceeds the limit of '
-                f'{self._source.memory.share_bytes}; it was not read',
+                f'{self._source.max_message_bytes}; it was not read',
             )
         data = await super().read(size)
         self._release(len(data))
@@ -240,7 +308,6 @@
     ) -> None:
         """Create the buffer for received bytes."""
         super().init_stream(stream_id, connection)
-        self.source = _current_source.get()
         self.buffer = _Buffer(self.buffer._ack_callback, self.source)
 
     async def send_data(self, data: bytes, end_stream: bool = False) -> None:
@@ -258,11 +325,13 @@
 
     def __init__(
         self,
-        handler: Handler,
+        handler: protocol.AbstractHandler,
         connection: protocol.Connection,
         source: Source,
     ):
         super().__init__(handler, connection)
+        # The client's side still needs the error when it releases a call.
+        self._is_server = isinstance(handler, Handler)
         self._source = source
         self._control_frames = 0
 
@@ -302,39 +371,34 @@
     def register(self, stream: protocol.Stream) -> typing.Callable[[], None]:
         """Count a new call until the returned function is called."""
         release_stream = super().register(stream)
-        self._source.hold(CALL_BYTES)
+        self._source.hold_call(True)
 
         def release() -> None:
             release_stream()
             typing.cast(_Buffer, stream.buffer).release_all()
-            self._source.hold(-CALL_BYTES)
+            self._source.hold_call(False)
             # The error that ended a call refers to the frames of its handler,
             # and these to the call, which would keep all until the garbage
             # collector finds them.
-            if stream.wrapper is not None:
+            if self._is_server and stream.wrapper is not None:
                 stream.wrapper._error = None
                 stream.wrapper = None
 
         return release
 
 
+# Makes the account of a connection from the function that aborts it.
+MakeSource = typing.Callable[[typing.Callable[[], None]], Source]
+
+
 class PeerConnection(protocol.H2Protocol):
-    """Server side of one connection of another node."""
+    """One connection between nodes, whose account is its source."""
 
     source: Source
 
-    def __init__(
-        self,
-        memory: NodeMemory,
-        metrics: Metrics,
-        clock: Clock,
-        handler: Handler,
-        *config: typing.Any,
-    ):
-        super().__init__(handler, *config)
-        self._memory = memory
-        self._metrics = metrics
-        self._clock = clock
+    def __init__(self, make_source: MakeSource, base: protocol.H2Protocol):
+        super().__init__(base.handler, base.config, base.h2_config)
+        self._make_source = make_source
         self._transport: asyncio.Transport | None = None
         self._unsent_bytes = 0
         self._unparsed_bytes = 0
@@ -351,18 +415,25 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         self._frames = self.connection._connection
         self._frames._closed_streams._size_limit = MAX_CLOSED_CALLS
-        self.source = Source(
-            self._memory, self._metrics, self._clock, self._abort, self._abort
-        )
+        self.source = self._make_source(self._abort)
         # The replaced object would refer to itself.
         del self.processor.processors
         self.processor = _Calls(self.handler, self.connection, self.source)
         self.connection.create_stream = self._create_call
 
-    def _create_call(self, *, stream_id: int) -> _Call:
-        return _Call(
-            self.connection, self._frames, self._transport, stream_id=stream_id
+    def _create_call(
+        self,
+        *,
+        stream_id: int | None = None,
+        wrapper: typing.Any = None,
+    ) -> _Call:
+        call = _Call(
+            self.connection, self._frames, self._transport, wrapper=wrapper
         )
+        call.source = self.source
+        if stream_id is not None:
+            call.init_stream(stream_id, self.connection)
+        return call
 
     def _abort(self) -> None:
         if self._transport is not None:
@@ -471,12 +542,35 @@
         self._clock = clock
 
     def _protocol_factory(self) -> PeerConnection:
-        connection = super()._protocol_factory()
-        return PeerConnection(
-            self._node_memory,
-            self._metrics,
-            self._clock,
-            connection.handler,
-            connection.config,
-            connection.h2_config,
+        return PeerConnection(self._make_source, super()._protocol_factory())
+
+    def _make_source(self, abort: typing.Callable[[], None]) -> Source:
+        return Source(
+            self._node_memory, self._metrics, self._clock, abort, abort
+        )
+
+
+class PeerChannel(Channel):
+    """Channel to another node, whose messages count until they are read."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        memory: MessageMemory,
+        metrics: Metrics,
+        clock: Clock,
+        **options: typing.Any,
+    ):
+        super().__init__(host, port, **options)
+        self._message_memory = memory
+        self._metrics = metrics
+        self._clock = clock
+
+    def _protocol_factory(self) -> PeerConnection:
+        return PeerConnection(self._make_source, super()._protocol_factory())
+
+    def _make_source(self, abort: typing.Callable[[], None]) -> Source:
+        return HelperSource(
+            self._message_memory, self._metrics, self._clock, abort
         )
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import socket
 import typing
@@ -25,9 +26,10 @@
 from ..settings import Endpoint
 from ..types import Clock
 from ..types import NodeId
-from .caller_memory import NodeMemory
+from .byte_limits import MessageMemory
 from .listening import listen
-from .peer_server import PeerServer
+from .peer_connections import PeerChannel
+from .peer_connections import PeerServer
 from .settings import NodeSettings
 
 # A node that is no longer a member may be cut off from gossip but still send
@@ -54,7 +56,7 @@
         metrics: Metrics,
         rng: random.Random,
         clock: Clock,
-        memory: NodeMemory,
+        memory: MessageMemory,
     ):
         self._memory = memory
         self._cfg = cfg
@@ -68,7 +70,10 @@
         self._left_since: dict[Endpoint, float] = {}
         self._counted_members: typing.Sequence[Member] | None = None
         self._pull_answerers: dict[str, PullAnswerer] = {}
-        self._pull_client = PullClient(metrics, PULL_TIMEOUT_S)
+        connect = functools.partial(
+            PeerChannel, memory=memory, metrics=metrics, clock=clock
+        )
+        self._pull_client = PullClient(metrics, PULL_TIMEOUT_S, connect)
         own_member = Member(
             node=cfg.node,
             zone=cfg.zone,
@@ -82,7 +87,7 @@
             own_member,
             metrics,
             rng,
-            transport=PeerClient(),
+            transport=PeerClient(connect),
             max_bytes=cfg.memory_bytes * GOSSIP_MEMORY_FRACTION,
         )
         self._handlers = [
@@ -111,7 +116,7 @@
         await self.gossip.start()
         server = PeerServer(
             self._handlers,
-            self._memory,
+            self._memory.nodes,
             self._metrics,
             self._clock,
             codec=MsgpackCodec(),
--- a/sesameward/serving/result_outbox.py
+++ b/sesameward/serving/result_outbox.py
@@ -18,7 +18,7 @@
 from .byte_limits import MessageMeter
 from .delegation import BatchResults
 from .delegation import ItemResult
-from .peer_server import Source
+from .peer_connections import Source
 
 # Memory that a message takes without the replies in it, and that each result
 # and each figure of a target's load takes.
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -4,6 +4,9 @@
 or descriptors, and against closing the connections of ordinary callers first.
 """
 
+import asyncio
+import time
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -12,10 +15,13 @@
 from sesameward.serving.byte_limits import MessageMemory
 from sesameward.serving.caller_memory import CallerMemory
 from sesameward.serving.caller_memory import CONNECTION_BYTES
+from sesameward.serving.caller_memory import NodeMemory
 from sesameward.serving.delegation import BatchNo
 from sesameward.serving.delegation import BatchResults
 from sesameward.serving.delegation import ItemResult
 from sesameward.serving.delegation import WholeReply
+from sesameward.serving.peer_connections import HelperSource
+from sesameward.serving.peer_connections import Source
 from sesameward.serving.result_outbox import ResultOutbox
 
 LIMIT_BYTES = 100 * CONNECTION_BYTES
@@ -127,3 +133,73 @@
         assert item.reply or item.end is SubRequestFailure.FAILED
         entry.meter.reset()
     assert memory.held_bytes == 0
+
+
+def test_batches_of_the_heaviest_node_are_refused_first(events):
+    # Guards against refusing batches of ordinary nodes while another one
+    # holds the memory.
+    async def main():
+        memory = NodeMemory(1_000_000, max_fds=1_000)
+        heavy, light = (
+            Source(memory, Metrics('t'), time.monotonic) for _ in range(2)
+        )
+        heavy.hold_batch(800_000)
+        assert heavy.refuses_batch(100)
+        assert not light.refuses_batch(50_000)
+        heavy.hold_batch(-800_000)
+        assert not heavy.refuses_batch(100)
+
+    asyncio.run(main())
+
+
+def test_batch_counts_until_it_ends_also_without_its_connection():
+    # Guards against nodes that connect again and again and leave batches.
+    async def main():
+        memory = NodeMemory(1_000_000, max_fds=1_000)
+        source = Source(memory, Metrics('t'), time.monotonic)
+        source.hold(1_000)
+        source.hold_batch(300_000)
+        source.close()
+        assert memory.held_bytes == 0
+        assert memory.detached_bytes == 300_000
+        assert not memory.may_detach
+        source.hold(-1_000)
+        source.hold_batch(-300_000)
+        assert memory.held_bytes == memory.detached_bytes == 0
+
+    asyncio.run(main())
+
+
+def test_source_over_its_share_waits_until_it_holds_less(events):
+    async def main():
+        memory = NodeMemory(1_000_000, max_fds=1_000)
+        metrics = Metrics('t')
+        source = Source(memory, metrics, time.monotonic)
+        source.hold(memory.share_bytes)
+        waiting = asyncio.ensure_future(source.wait_for_room())
+        await asyncio.sleep(0.01)
+        assert not waiting.done()
+        assert metrics.value('peer_pauses') == 1
+        source.hold(-memory.share_bytes)
+        await waiting
+
+    asyncio.run(main())
+
+
+def test_results_of_helpers_count_as_replies_until_they_are_read():
+    # Guards against helpers that send results faster than they are read.
+    async def main():
+        memory = MessageMemory(1_000_000)
+        aborted = []
+        source = HelperSource(
+            memory, Metrics('t'), time.monotonic, lambda: aborted.append(1)
+        )
+        for size in (400_000, -399_000, 10_000, -11_000, 900_000, -1):
+            source.hold(size)
+            assert memory.held_bytes == source.held_bytes
+        assert not aborted
+        source.hold(200_000)
+        assert aborted
+        assert memory.held_bytes == 0
+
+    asyncio.run(main())
--- a/tests/test_unbounded_nodes.py
+++ b/tests/test_unbounded_nodes.py
@@ -24,6 +24,7 @@
 
 from sesameward.codec import MsgpackCodec
 from sesameward.configuration.config_peers import PULL_METHOD
+from sesameward.exceptions import PlatformUnavailableError
 from sesameward.membership import datagrams
 from sesameward.membership.message_auth import MessageAuthenticator
 from sesameward.membership.peers import SYNC_PATH
@@ -50,6 +51,9 @@
 GONE_COUNT = 16
 HOLD_S = 3.0
 GOSSIP_HOLD_S = 8.0
+# Helper nodes, and what each of them sends.
+HELPER_COUNT = 8
+HELPER_BYTES = 40_000_000
 CALLS = 100
 BODY = b'b' * 200_000
 UNKNOWN_ITEMS = tuple(BatchItem(n, f'nothing-{n}') for n in range(400))
@@ -415,3 +419,92 @@
             await check(fleet, node, [send(node)], GOSSIP_HOLD_S)
 
     asyncio.run(main())
+
+
+class EndlessNode:
+    """Node that answers each call, such as a pull, with an endless message."""
+
+    def __init__(self):
+        self.call_count = 0
+
+    async def serve(self, reader, writer):
+        conn = h2.connection.H2Connection(
+            h2.config.H2Configuration(client_side=False)
+        )
+        conn.initiate_connection()
+        stream_id = None
+        sent = 0
+        with contextlib.suppress(OSError, h2.exceptions.ProtocolError):
+            while data := await reader.read(65_536):
+                for event in conn.receive_data(data):
+                    if isinstance(event, h2.events.RequestReceived):
+                        self.call_count += 1
+                        stream_id = event.stream_id
+                        conn.send_headers(
+                            stream_id,
+                            [
+                                (':status', '200'),
+                                ('content-type', 'application/grpc+msgpack'),
+                            ],
+                        )
+                        conn.send_data(
+                            stream_id, struct.pack('>?I', False, 1 << 31)
+                        )
+                while stream_id is not None and sent < HELPER_BYTES:
+                    size = min(
+                        conn.local_flow_control_window(stream_id), 16_384
+                    )
+                    if size <= 0:
+                        break
+                    conn.send_data(stream_id, b'b' * size)
+                    sent += size
+                writer.write(conn.data_to_send())
+        writer.close()
+
+
+def test_node_outlasts_replies_of_nodes_without_end():
+    async def main():
+        limits = {'memory_mb': MEMORY_MB, 'max_fds': MAX_FDS}
+        async with Fleet(nodes=1, shards=1, limits=limits) as fleet:
+            node = fleet.nodes[0]
+            await ask_until_answered(fleet, node)
+            helper = EndlessNode()
+            network = node.host.rsplit('.', 1)[0]
+            servers = [
+                await asyncio.start_server(
+                    helper.serve, f'{network}.{100 + n}', PEER_PORT
+                )
+                for n in range(HELPER_COUNT)
+            ]
+            members = tuple(
+                datagrams.Introduction(
+                    f'helper-{n}',
+                    ZONES[1],
+                    f'{network}.{100 + n}',
+                    GOSSIP_PORT,
+                    PEER_PORT,
+                    1,
+                    1,
+                    0,
+                    False,
+                )
+                for n in range(HELPER_COUNT)
+            )
+            for target_id in fleet.targets_in(ZONES[0]):
+                fleet.drain(target_id)
+
+            async def ask_meanwhile():
+                sender = Sender(node)
+                for _ in range(30):
+                    sender.send(members)
+                    with contextlib.suppress(PlatformUnavailableError):
+                        await fleet.ask(node, '/q/2', timeout_s=0.3)
+                    await asyncio.sleep(0.05)
+
+            await check(fleet, node, [ask_meanwhile()], GOSSIP_HOLD_S)
+            for server in servers:
+                server.close()
+            # Otherwise nothing was tested.
+            assert helper.call_count >= HELPER_COUNT // 2
+
+    asyncio.run(main())
