--- a/sesameward/serving/peer_connections.py
+++ b/sesameward/serving/peer_connections.py
@@ -456,6 +456,7 @@
             self._receive(unread[position : position + PIECE_BYTES])
             position += PIECE_BYTES
         self._unread = unread[position:]
+        self._count_unparsed()
 
     def _may_receive(self) -> bool:
         transport = self._transport
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -5,22 +5,32 @@
 """
 
 import asyncio
+import socket
 import time
 
+from grpclib import client
+from grpclib import const
+from grpclib.exceptions import GRPCError
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
+from sesameward.codec import MsgpackCodec
 from sesameward.metrics import Metrics
 from sesameward.serving.attempts import SubRequestFailure
 from sesameward.serving.byte_limits import MessageMemory
 from sesameward.serving.caller_memory import CallerMemory
 from sesameward.serving.caller_memory import CONNECTION_BYTES
+from sesameward.serving.caller_memory import NODE_CONNECTION_BYTES
 from sesameward.serving.caller_memory import NodeMemory
 from sesameward.serving.delegation import BatchNo
 from sesameward.serving.delegation import BatchResults
 from sesameward.serving.delegation import ItemResult
 from sesameward.serving.delegation import WholeReply
+from sesameward.serving.peer_connections import current_source
 from sesameward.serving.peer_connections import HelperSource
+from sesameward.serving.peer_connections import PeerChannel
+from sesameward.serving.peer_connections import PeerServer
 from sesameward.serving.peer_connections import Source
 from sesameward.serving.result_outbox import ResultOutbox
 
@@ -203,3 +213,51 @@
         assert memory.held_bytes == 0
 
     asyncio.run(main())
+
+
+def test_connection_of_a_node_counts_nothing_after_its_calls():
+    # Guards against an account that grows with each message, until ordinary
+    # nodes are refused. The message is larger than what is parsed at once.
+    class Handler:
+        def __mapping__(self):
+            types = const.Cardinality.UNARY_UNARY, bytes, bytes
+            return {'/t/T': const.Handler(self.serve, *types)}
+
+        async def serve(self, stream):
+            source = current_source()
+            await stream.send_message(await stream.recv_message())
+            held.append(source.held_bytes)
+
+    held = []
+
+    async def main():
+        memory = MessageMemory(50_000_000)
+        clock, metrics = time.monotonic, Metrics('t')
+        server = PeerServer(
+            [Handler()], memory.nodes, metrics, clock, codec=MsgpackCodec()
+        )
+        listener = socket.create_server(('127.0.0.1', 0))
+        await server.start(sock=listener)
+        port = listener.getsockname()[1]
+        channel = PeerChannel(
+            '127.0.0.1', port, memory, metrics, clock, codec=MsgpackCodec()
+        )
+        method = client.UnaryUnaryMethod(channel, '/t/T', bytes, bytes)
+        for size in (10, 300_000, 2_000_000):
+            assert await method(b'x' * size) == b'x' * size
+            await asyncio.sleep(0.05)
+            assert memory.held_bytes == NODE_CONNECTION_BYTES
+        too_long = memory.nodes.share_bytes + 1
+        with pytest.raises(GRPCError):
+            await method(b'x' * too_long)
+        assert metrics.value('messages_cut', 'peer_message') == 1
+        assert await method(b'x') == b'x'
+        await asyncio.sleep(0.05)
+        assert memory.held_bytes == NODE_CONNECTION_BYTES
+        channel.close()
+        await asyncio.sleep(0.05)
+        assert memory.held_bytes == 0
+        server.close()
+        assert all(size > NODE_CONNECTION_BYTES for size in held)
+
+    asyncio.run(main())
