--- a/sesameward/channels.py
+++ b/sesameward/channels.py
@@ -78,10 +78,16 @@
 class Channels:
     """Cache channels by node; close the least recently used ones.
 
-    on_lost is called with the node to which a connection is lost.
+    connect makes a channel to an address; on_lost is called with the node to
+    which a connection is lost.
     """
 
-    def __init__(self, on_lost: typing.Callable[[NodeId], None] | None = None):
+    def __init__(
+        self,
+        connect: typing.Callable[..., Channel] = Channel,
+        on_lost: typing.Callable[[NodeId], None] | None = None,
+    ):
+        self._connect = connect
         self._on_lost = on_lost
         self._channels: dict[NodeId, tuple[tuple, Channel]] = {}
 
@@ -100,7 +106,7 @@
         return cached[1]
 
     def _make(self, node: NodeId, address: tuple[str, int]) -> Channel:
-        channel = Channel(*address, codec=MsgpackCodec())
+        channel = self._connect(*address, codec=MsgpackCodec())
         if self._on_lost is not None:
             channel.on_lost = functools.partial(self._on_lost, node)
         return channel
--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -136,7 +136,7 @@
         self._publish = publish
         self._metrics = metrics
         self.clock = clock
-        self._channels = Channels(self._on_connection_lost)
+        self._channels = Channels(on_lost=self._on_connection_lost)
         # The node that is called, its address, and the time from which on no
         # other address has been called within the time of a lease.
         self._called: tuple[NodeId, tuple[str, int], float] | None = None
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -181,6 +181,10 @@
             'caller_connections',
             lambda: float(self._message_memory.callers.connection_count),
         )
+        self.metrics.gauge(
+            'peer_connections',
+            lambda: float(self._message_memory.nodes.connection_count),
+        )
         self.metrics.gauge(
             'message_bytes', lambda: float(self._message_memory.held_bytes)
         )
@@ -197,7 +201,13 @@
         self.links = TargetLinks(self._rng)
         self.pools.may_connect = lambda: not self.links.is_lost
         splits = Splits()
-        self.peers = Peers(cfg, self.metrics, self._rng, self._clock)
+        self.peers = Peers(
+            cfg,
+            self.metrics,
+            self._rng,
+            self._clock,
+            self._message_memory,
+        )
         self.routing_state = RoutingState(
             adapter.decoder,
             self.targets,
@@ -319,7 +329,7 @@
         self.delegation.on_helper_heard = self._on_helper_heard
         self.selector.on_ejected = self._on_target_ejected
         self._delegates = DelegateClient(
-            self.delegation, self.metrics, self._clock
+            self.delegation, self.metrics, self._clock, self._message_memory
         )
         self._delegates.on_notice = self._on_helper_notice
         self._delegate_handler = DelegateHandler(tools, self._message_memory)
@@ -342,6 +352,7 @@
                 splits,
                 self._rng.random,
                 cfg.link_bytes_per_s,
+                message_memory=self._message_memory,
                 admission=self.admission,
             ),
             self.routing_state,
--- a/sesameward/serving/peers.py
+++ b/sesameward/serving/peers.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import socket
 import typing
 
 from grpclib._typing import IServable
-from grpclib.server import Server
 
 from .. import logs
 from ..codec import MsgpackCodec
@@ -26,7 +26,10 @@
 from ..settings import Endpoint
 from ..types import Clock
 from ..types import NodeId
+from .byte_limits import MessageMemory
 from .listening import listen
+from .peer_connections import PeerChannel
+from .peer_connections import PeerServer
 from .settings import NodeSettings
 
 # A node that is no longer a member may be cut off from gossip but still send
@@ -37,6 +40,9 @@
 # before others hear that it leaves, and be late on a busy machine.
 LEAVING_MARGIN_S = 5.0
 PULL_TIMEOUT_S = 0.5
+# Fraction of the VM's memory that records of members may take, and that rumors
+# may: 6.2 MB of 200 MB, enough for 4,800 nodes with short names.
+GOSSIP_MEMORY_FRACTION = 1 / 32
 
 PullAnswerer = typing.Callable[[Pull], Delta]
 
@@ -50,7 +56,9 @@
         metrics: Metrics,
         rng: random.Random,
         clock: Clock,
+        memory: MessageMemory,
     ):
+        self._memory = memory
         self._cfg = cfg
         self._metrics = metrics
         self._clock = clock
@@ -62,7 +70,10 @@
         self._left_since: dict[Endpoint, float] = {}
         self._counted_members: typing.Sequence[Member] | None = None
         self._pull_answerers: dict[str, PullAnswerer] = {}
-        self._pull_client = PullClient(metrics, PULL_TIMEOUT_S)
+        connect = functools.partial(
+            PeerChannel, memory=memory, metrics=metrics, clock=clock
+        )
+        self._pull_client = PullClient(metrics, PULL_TIMEOUT_S, connect)
         own_member = Member(
             node=cfg.node,
             zone=cfg.zone,
@@ -72,14 +83,19 @@
             http_port=cfg.readiness.port,
         )
         self.gossip = Gossip(
-            cfg, own_member, metrics, rng, transport=PeerClient()
+            cfg,
+            own_member,
+            metrics,
+            rng,
+            transport=PeerClient(connect),
+            max_bytes=cfg.memory_bytes * GOSSIP_MEMORY_FRACTION,
         )
         self._handlers = [
             PeerHandler(self.gossip.answer_sync),
             PullHandler(self._answer_pull),
         ]
         self._listener: socket.socket | None = None
-        self._server: Server | None = None
+        self._server: PeerServer | None = None
 
     def set_pull_answerer(self, kind: str, answer: PullAnswerer) -> None:
         """Set the function that answers pulls of one kind of objects."""
@@ -98,7 +114,13 @@
             Endpoint(self._cfg.gossip.host, self._cfg.peer_port)
         )
         await self.gossip.start()
-        server = Server(self._handlers, codec=MsgpackCodec())
+        server = PeerServer(
+            self._handlers,
+            self._memory.nodes,
+            self._metrics,
+            self._clock,
+            codec=MsgpackCodec(),
+        )
         await server.start(sock=self._listener)
         self._server = server
 
