--- a/tests/local_node.py
+++ b/tests/local_node.py
@@ -11,6 +11,7 @@
 from sesameward.serving.node import Adapter
 from sesameward.serving.node import Node
 from tests.test_platform_adapter import parse_settings
+from tests.test_platform_adapter import SETTINGS
 
 CALLERS_PORT = 7020
 READINESS_PORT = 7021
@@ -26,7 +27,7 @@
     return f'127.250.{random.randrange(1, 250)}.{random.randrange(1, 250)}'
 
 
-def make_settings(host, store_port):
+def make_settings(host, store_port, **bounds):
     """Return the settings of a node that knows no other node."""
     return parse_settings(
         ip=host,
@@ -38,6 +39,7 @@
         },
         seeds=[],
         platform={'address': f'127.0.0.1:{store_port}'},
+        bounds=SETTINGS['bounds'] | bounds,
     )
 
 
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+import pathlib
 import random
+import re
 import types
 
 from grpclib import const
 from grpclib.server import Server
 import pytest
 
+import sesameward
 from sesameward.codec import MsgpackCodec
 from sesameward.membership.events import RumorAccepted
 from sesameward.membership.events import Send
@@ -86,7 +89,8 @@
 
     async def main(scenario, prepare):
         store = ObjectStore()
-        cfg = make_settings(random_host(), await store.open_door('n1'))
+        port = await store.open_door('n1')
+        cfg = make_settings(random_host(), port, evac_ms=5_000)
         store.put(
             'config',
             'main',
@@ -139,6 +143,9 @@
     'mirror servers': lambda node: fail_once(
         node.targets_mirror, '_should_watch'
     ),
+    'mirror evacuations': lambda node: fail_once(
+        node.evacuations_mirror, '_should_watch'
+    ),
     'gossip join': lambda node: fail_once(
         node.peers.gossip, '_unknown_endpoints'
     ),
@@ -209,7 +216,7 @@
 # Guards against a node that stays ready though it has stopped reading, and
 # whose routes and targets are outdated for good.
 @pytest.mark.parametrize('is_other_offered', [False, True])
-@pytest.mark.parametrize('kind', ['config', 'servers'])
+@pytest.mark.parametrize('kind', ['config', 'servers', 'evacuations'])
 def test_node_whose_reading_has_stopped_is_not_ready(
     with_node, events, monkeypatch, kind, is_other_offered
 ):
@@ -267,11 +274,11 @@
         hanging = asyncio.Event()
         store_mirror._read = hanging.wait
         store_mirror.refresh()
-        store_mirror._fresh_at -= mirror.MAX_ROUND_S
-        now = node._clock()
-        assert not store_mirror.has_stopped(now)
-        await asyncio.sleep(0.3)
-        assert store_mirror.has_stopped(now + mirror.MAX_ROUND_S)
+        # The round before the one that hangs ends in this time.
+        await asyncio.sleep(0.5)
+        late = node._clock() + mirror.MAX_ROUND_S
+        assert not store_mirror.has_stopped(late - 1.0)
+        assert store_mirror.has_stopped(late)
 
     with_node(scenario)
 
@@ -461,3 +468,25 @@
     gate._expire(claim)
     assert [answer.status for answer in answers] == [500]
     assert metrics.value('handler_faults', 'RecursionError') == 1
+
+
+PACKAGES = ('admission', 'membership', 'organisations', 'platform', 'serving')
+# Modules with tasks that are not under the supervisor, and their number. Those
+# of mirror and delegate_client are awaited by a task that is; the others are
+# named in docs/design/tasks.md as left.
+OTHER_TASKS = {
+    'mirror.py': 3,
+    'delegate_client.py': 2,
+    'delegate_server.py': 1,
+    'limit_exchange.py': 1,
+}
+
+
+# Guards against a new task that may end unnoticed.
+def test_tasks_are_started_by_the_supervisor():
+    root = pathlib.Path(sesameward.__file__).parent
+    for package in PACKAGES:
+        for path in (root / package).glob('*.py'):
+            text = path.read_text()
+            count = len(re.findall(r'ensure_future\(|create_task\(', text))
+            assert count <= OTHER_TASKS.get(path.name, 0), path
