--- a/sesameward/organisations/quota_ledger.py
+++ b/sesameward/organisations/quota_ledger.py
@@ -35,6 +35,20 @@
 MIN_GROWTH = 1e-6
 
 
+def bucket_size(rate_per_s: float, burst: float) -> float:
+    """Return how many permits of a whole limit are saved up at most."""
+    return burst + MARGIN_PERMITS + MAX_JITTER_S * rate_per_s
+
+
+def has_whole_permit(nodes: int, burst: float, slack: float) -> bool:
+    """Return True if a part of a limit always saves up a whole permit.
+
+    If all nodes use their own shares, each one's permit is covered by the
+    burst and the slack.
+    """
+    return nodes <= burst + slack
+
+
 class _Bucket:
     """Unused permits, and the time of held shares that they are from."""
 
@@ -107,10 +121,10 @@
         factor = 1.0 + self._overshoot * RATE_OVERSHOOT_PART
         part = min(1.0, self._part * factor)
         burst = self._burst_of(name)
-        capacity = part * (burst + MARGIN_PERMITS + MAX_JITTER_S * rate_per_s)
-        if 0.0 < capacity < 1.0 and self._nodes <= burst + self._slack:
-            # If all nodes use their own shares, each one's permit is covered
-            # by the burst and the slack.
+        capacity = part * bucket_size(rate_per_s, burst)
+        if 0.0 < capacity < 1.0 and has_whole_permit(
+            self._nodes, burst, self._slack
+        ):
             capacity = 1.0
         accrued = (self._held_s - bucket.held_s) * rate_per_s
         bucket.level = min(capacity, bucket.level + accrued)
--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -49,6 +49,11 @@
 # periodic call is left to the next interval.
 MAX_ENDED_COORDINATORS = 3
 
+# A request that has waited this long for the coordinator's answer is admitted
+# without it, if that is possible. Queries lose most of their value after a
+# quarter of their objective, which is 57 ms at least.
+UNANSWERED_S = 0.02
+
 TOPIC = 'limits'
 
 MAX_WEIGHT = float(2 ** (8 * rendezvous.WEIGHT_BYTES))
@@ -258,13 +263,12 @@
         )
 
     async def _request_permits(self, waiting: list[_Waiting]) -> None:
-        for _ in range(MAX_ENDED_COORDINATORS):
-            call = self._permit_call(waiting)
-            if call is None or await self._call(call):
-                break
-            coordinator = self.limits.coordinator
-            self.limits.choose_coordinator(self._members(), self.clock())
-            self._log_coordinator(coordinator)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(UNANSWERED_S, self._on_no_answer, waiting)
+        try:
+            await self._ask_coordinators(waiting)
+        finally:
+            timer.cancel()
         for one in waiting:
             permit = self.limits.acquire_waited(
                 one.target_id, one.priority, self.clock()
@@ -274,6 +278,26 @@
             )
             one.on_permit(permit)
 
+    def _on_no_answer(self, waiting: list[_Waiting]) -> None:
+        """Let requests go on waiting only if nothing else admits them."""
+        for one in tuple(waiting):
+            permit = self.limits.acquire_unanswered(
+                one.target_id, self.clock()
+            )
+            if permit is not None:
+                waiting.remove(one)
+                self._metrics.count(self._kind.permits_metric, 'granted')
+                one.on_permit(permit)
+
+    async def _ask_coordinators(self, waiting: list[_Waiting]) -> None:
+        for _ in range(MAX_ENDED_COORDINATORS):
+            call = self._permit_call(waiting)
+            if call is None or await self._call(call):
+                break
+            coordinator = self.limits.coordinator
+            self.limits.choose_coordinator(self._members(), self.clock())
+            self._log_coordinator(coordinator)
+
     async def _call(self, call: Call) -> bool:
         """Make a call; return False if the coordinator's process has ended."""
         member = next(
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -282,6 +282,7 @@
             origin,
             cfg.bounds.quota_overshoot,
             cfg.bounds.quota_slack,
+            cfg.bounds.quota_window_s,
             _since_boot_s(),
         )
         self._quotas = PermitExchange(
--- a/sesameward/serving/permit_ledger.py
+++ b/sesameward/serving/permit_ledger.py
@@ -74,6 +74,11 @@
         self._total_weight = 0.0
         self._next_expiry_at = math.inf
 
+    @property
+    def nodes(self) -> int:
+        """Return the number of nodes among which each limit is divided."""
+        return self._nodes
+
     def set_nodes(self, nodes: int) -> None:
         """Set the number of nodes among which each limit is divided."""
         self._nodes = max(nodes, 1)
--- a/sesameward/serving/settings.py
+++ b/sesameward/serving/settings.py
@@ -31,9 +31,9 @@
     target gets at most its rate x warmup_overshoot + warmup_slack requests;
     without warmup_overshoot no target counts as cold. A zone gets no more
     requests evac_s after the store accepted its evacuation; without evac_s no
-    evacuations are read. In any period of w seconds, at most (rate x w +
-    burst) x (1 + quota_overshoot) + quota_slack requests of an organisation
-    run.
+    evacuations are read. In any period of quota_window_s, at most (rate x
+    quota_window_s + burst) x (1 + quota_overshoot) + quota_slack requests of
+    an organisation run.
     """
 
     retry_ratio: float = 0.2
@@ -50,6 +50,7 @@
     evac_s: Seconds | None = None
     quota_overshoot: float = 0.1
     quota_slack: float = 20.0
+    quota_window_s: Seconds = 5.0
 
 
 # A node's process takes some 40 MB even if it holds no received messages. With
--- a/sesameward/serving/target_limits.py
+++ b/sesameward/serving/target_limits.py
@@ -271,6 +271,12 @@
             permit = taken if isinstance(taken, Permit) else None
         return permit
 
+    def acquire_unanswered(
+        self, target_id: TargetId, now: float
+    ) -> Permit | None:
+        """Acquire a permit for a request while the coordinator is silent."""
+        return None
+
     def is_valid(self, permit: Permit, now: float) -> bool:
         """Return True if a request may be sent with a permit now."""
         if self.limit(permit.target_id) is None:
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -13,6 +13,7 @@
 from sesameward.organisations.quotas import OrganisationLimits
 from sesameward.organisations.quotas import PRIORITY
 from sesameward.organisations.quotas import QUOTA_ENTRUST_INTERVAL_S
+from sesameward.serving.limit_exchange import UNANSWERED_S
 from sesameward.serving.routes import CallerLimits
 from sesameward.serving.routes import Organisation
 from sesameward.serving.routes import RouteTable
@@ -49,7 +50,7 @@
     def __init__(self, fleet, name, now):
         self.name = name
         self.limits = OrganisationLimits(
-            name, f'{name}:{now}', OVERSHOOT, SLACK, now
+            name, f'{name}:{now}', OVERSHOOT, SLACK, WINDOW_S, now
         )
         self.waiting = []
         self.apply(fleet.organisation)
@@ -110,13 +111,24 @@
     def _request_permits(self, node, waiting):
         needs = [(TARGET, PRIORITY, len(waiting))]
         call = node.limits.permit_call(needs, self.now)
+        self.at(
+            UNANSWERED_S, self._on_no_answer, node, waiting, node=node.name
+        )
         if call is None:
             self._pass_on(node, waiting)
         else:
             self._send_call(node, call, waiting)
 
+    def _on_no_answer(self, node, waiting):
+        for record in tuple(waiting):
+            permit = node.limits.acquire_unanswered(TARGET, self.now)
+            if permit is not None:
+                waiting.remove(record)
+                self._send_request(node, permit, record)
+
     def _pass_on(self, node, waiting):
-        for record in waiting:
+        while waiting:
+            record = waiting.pop(0)
             permit = node.limits.acquire_waited(TARGET, PRIORITY, self.now)
             if permit is not None:
                 self._send_request(node, permit, record)
--- a/tests/test_limit_exchange.py
+++ b/tests/test_limit_exchange.py
@@ -26,7 +26,7 @@
 
 def make_limits(name, now):
     # Started long ago, so it has its whole share.
-    limits = OrganisationLimits(name, f'{name}:1', 0.1, 20.0, now - 60.0)
+    limits = OrganisationLimits(name, f'{name}:1', 0.1, 20.0, 5.0, now - 60.0)
     limits.configured.apply_table(
         RouteTable(1, (), (), CallerLimits(), [ACME])
     )
