Let restarted nodes use their shares before they have seen the others

They divide each limit among at least the registered nodes, whatever they have seen. New processes also count the others every 0.05 s.

--- a/sesameward/organisations/quotas.py
+++ b/sesameward/organisations/quotas.py
@@ -36,10 +36,6 @@
 # Interval at which a node entrusts its share again while any organisation has
 # a limit. Two attempts fit into QUOTA_SHARE_TTL_S.
 QUOTA_ENTRUST_INTERVAL_S = 0.8
-# A restarted node uses its whole share once it has seen this part of the
-# registered nodes: then it chooses the same coordinator as the others, and its
-# part of each limit is not too large. Some registered nodes may be gone.
-SEEN_NODES_PART = 0.8
 # Time from the first answer of a new coordinator in which it may still lack
 # permits: the shares come within QUOTA_ENTRUST_INTERVAL_S.
 UNSETTLED_S = 1.0
@@ -178,10 +174,11 @@
 
     def _weight(self, now: float) -> float:
         # A new bucket is empty, so it doesn't matter what the former process
-        # of this node has used. A node that was not registered before may
-        # know too few others, and gets its share little by little.
-        needed = SEEN_NODES_PART * self._registered_nodes
-        if self._registered_nodes and self._seen_nodes >= needed:
+        # of this node has used. All nodes that were registered before have
+        # the limit divided among at least as many as are registered, so it
+        # doesn't matter how many each has seen. A node that was not registered
+        # may know too few others, and gets its share little by little.
+        if self._registered_nodes:
             return 1.0
         return super()._weight(now)
 
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -93,6 +93,7 @@
 from .settings import NodeSettings
 from .splits import Splits
 from .takeover import Takeover
+from .target_limits import FULL_SHARE_AFTER_S
 from .target_limits import TargetLimits
 from .target_links import TargetLinks
 from .targets import DepartureSource
@@ -104,6 +105,9 @@
 # requests, opens spare connections to targets, drops expired targets, and
 # checks whether the process was suspended or its settings were changed.
 UPKEEP_INTERVAL_S = WARM_PERIOD_S
+# Interval at which a new process counts the other nodes. Until it knows them,
+# requests of organisations are refused for lack of permits.
+FIRST_COUNTS_INTERVAL_S = 0.05
 # If an upkeep round comes this much later than planned, the process was
 # suspended or blocked. Routes and targets may be outdated, so they are read
 # again.
@@ -539,6 +543,7 @@
             ('registration', registration.run),
             ('limits', self._limit_exchange.run),
             ('organisation limits', self._quotas.run),
+            ('first counts', self._run_first_counts),
             ('admission', self.admission.run),
         ):
             self._spawn_loop(name, run_loop)
@@ -670,6 +675,23 @@
                 if self._adapter.settings_changed():
                     self._reload()
 
+    async def _run_first_counts(self) -> None:
+        """Count the other nodes more often while this process is new.
+
+        With each one, organisations' limits may have another coordinator.
+        """
+        until = self._clock() + FULL_SHARE_AFTER_S
+        while self._clock() < until:
+            await asyncio.sleep(FIRST_COUNTS_INTERVAL_S)
+            self._count_unproven_nodes(self._clock())
+
+    def _count_unproven_nodes(self, now: float) -> None:
+        unproven_nodes = self.peers.unproven_nodes(now)
+        self.organisation_limits.set_nodes(unproven_nodes, _since_boot_s())
+        if unproven_nodes != self._unproven_nodes:
+            self._unproven_nodes = unproven_nodes
+            self._quotas.call_soon()
+
     def _upkeep(self, now: float) -> None:
         self._check_evacuations_known()
         self._settle_evacuations(now)
@@ -686,11 +708,7 @@
         sharing_nodes = self.peers.sharing_nodes(now)
         self.budget.set_nodes(sharing_nodes)
         self.limits.set_nodes(sharing_nodes, now)
-        unproven_nodes = self.peers.unproven_nodes(now)
-        self.organisation_limits.set_nodes(unproven_nodes, _since_boot_s())
-        if unproven_nodes != self._unproven_nodes:
-            self._unproven_nodes = unproven_nodes
-            self._quotas.call_soon()
+        self._count_unproven_nodes(now)
         self.pools.set_limits(
             self.routing_state.max_connections,
             sharing_nodes,
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -10,9 +10,11 @@
 
 import msgspec
 
+from sesameward.messages import Member
 from sesameward.organisations.quotas import OrganisationLimits
 from sesameward.organisations.quotas import PRIORITY
 from sesameward.organisations.quotas import QUOTA_ENTRUST_INTERVAL_S
+from sesameward.serving.limit_exchange import CALL_DELAY_S
 from sesameward.serving.limit_exchange import UNANSWERED_S
 from sesameward.serving.routes import CallerLimits
 from sesameward.serving.routes import Organisation
@@ -138,6 +140,56 @@
         record[1] = True
         self.arrivals.append(self.now)
 
+    # Restart of all nodes.
+
+    def restart_all(self, count_interval_s, start_s=0.3, join_s=(0.02, 0.2)):
+        """Kill all nodes; restart them within start_s, as real ones do.
+
+        Each node learns of another one within join_s after both have started.
+        It counts the others every count_interval_s, and calls the coordinator
+        when their number has changed.
+        """
+        for name in self.names:
+            self.kill(name)
+        self.run(0.5)
+        for name in self.names:
+            self._members[name] = (Member(name, 'z', 'h', 1, 2, 3),)
+            self.counted[name] = 1
+        delays_s = {n: self.rng.uniform(0.0, start_s) for n in self.names}
+        for name, delay_s in delays_s.items():
+            self.at(delay_s, self._start_anew, name, count_interval_s)
+        for name, delay_s in delays_s.items():
+            for other, other_delay_s in delays_s.items():
+                if other != name:
+                    known_s = max(delay_s, other_delay_s)
+                    known_s += self.rng.uniform(*join_s)
+                    self.at(known_s, self._learn, name, other)
+
+    def _start_anew(self, name, count_interval_s):
+        self.start_node(name)
+        node = self.nodes[name]
+        node.limits.set_registered_nodes(len(self.names), self.now)
+        self.at(CALL_DELAY_S, self.call, node, node=name)
+        self._count(node, count_interval_s)
+
+    def _learn(self, name, other):
+        self._members[name] += (Member(other, 'z', 'h', 1, 2, 3),)
+
+    def _count(self, node, interval_s):
+        if self.nodes[node.name] is not node:
+            return
+        nodes = len(self._members[node.name])
+        if nodes != self.counted[node.name]:
+            self.counted[node.name] = nodes
+            node.limits.set_nodes(nodes, self.now)
+            self.at(CALL_DELAY_S, self.call, node, node=node.name)
+        if nodes < len(self.names):
+            self.at(interval_s, self._count, node, interval_s, node=node.name)
+
+    def _update_views(self):
+        if not self.counted:
+            super()._update_views()
+
     # Results.
 
     def coordinator(self):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sesameward.organisations.quotas import PRIORITY
+from sesameward.serving.node import FIRST_COUNTS_INTERVAL_S
 from sesameward.serving.routes import CallerLimits
 from sesameward.serving.routes import RouteTable
 from sesameward.serving.target_limits import Denial
@@ -213,6 +214,22 @@
     assert len(refused) <= 4 + 0.05 * limit[0]
 
 
+# Guards against requests refused while a coordinator leaves: it gives the
+# shares back, and each node has another one within one call.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [5, 26, 91, 300])
+def test_coordinator_that_leaves_costs_few_requests(nodes, limit, seed):
+    fleet = make_fleet(nodes, limit, seed)
+    fleet.is_shaped = True
+    demand(fleet, 0.3)
+    fleet.run(5.0)
+    fleet.stop(fleet.coordinator())
+    fleet.run(8.0)
+    fleet.check_bound()
+    assert len(fleet.refused()) <= 3 + 0.03 * limit[0]
+
+
 # Guards against new processes that use up a share again that their
 # predecessors have used.
 @pytest.mark.parametrize('nodes', [1, 5, 26])
@@ -256,6 +273,42 @@
     assert admitted >= 0.8 * 3.0 * fleet.organisation.rate_per_s - 1
 
 
+# Guards against permits that accrue only once most nodes have started, and
+# against counts of the others that come too late: 10 requests were refused.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [5, 26, 91, 300])
+def test_restart_of_all_nodes_refuses_little(nodes, limit, seed):
+    fleet = make_fleet(nodes, limit, seed)
+    fleet.is_shaped = True
+    demand(fleet, 0.3)
+    fleet.run(5.0)
+    fleet.restart_all(FIRST_COUNTS_INTERVAL_S)
+    restarted_at = fleet.now
+    fleet.run(6.0)
+    fleet.check_bound()
+    refused = [at for at in fleet.refused() if at >= restarted_at]
+    assert [at for at in refused if at > restarted_at + 1.0] == []
+    assert len(refused) <= 3 + 0.08 * limit[0]
+
+
+# Guards against restarts one after the other, at nine times the load, whose
+# nodes use their whole shares before they have seen the others.
+@pytest.mark.parametrize('limit', LIMITS)
+@pytest.mark.parametrize('nodes', [2, 5, 26, 91])
+def test_bound_holds_while_registered_nodes_restart_again_and_again(
+    nodes, limit
+):
+    fleet = make_fleet(nodes, limit)
+    demand(fleet, 9.0)
+    fleet.run(5.0)
+    for _ in range(5):
+        fleet.restart_all(FIRST_COUNTS_INTERVAL_S)
+        fleet.run(1.5)
+    fleet.run(5.0)
+    fleet.check_bound()
+
+
 # Guards against restarted nodes that know only some of the others, each of
 # which would use the share of a small fleet.
 @pytest.mark.parametrize('nodes', [26, 91])
