--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -25,6 +25,7 @@
 from sesameward.messages import Rumor
 from sesameward.metrics import Metrics
 from sesameward.serving.admission_gate import AdmissionGate
+from sesameward.serving.byte_limits import MessageMemory
 from sesameward.serving.delegate_client import DelegateClient
 from sesameward.serving.delegate_client import Envelope
 from sesameward.serving.delegate_client import METHOD
@@ -341,7 +342,9 @@
         await server.start('127.0.0.1', 0)
         port = server._server.sockets[0].getsockname()[1]
         helper = Member('b1', 'b', '127.0.0.1', 1, port, 1)
-        client = DelegateClient(Delegation('me', 'z'), metrics, loop.time)
+        client = DelegateClient(
+            Delegation('me', 'z'), metrics, loop.time, MessageMemory()
+        )
         ended = loop.create_future()
         # No message can hold an integer of that size.
         batch = DelegatedBatch(
