--- a/sesameward/platform/boot.py
+++ b/sesameward/platform/boot.py
@@ -64,6 +64,7 @@
     evac_ms: PositiveFloat | None = None
     quota_overshoot: NonNegativeFloat = 0.1
     quota_slack: NonNegativeFloat = 20.0
+    quota_window_s: PositiveFloat = 5.0
 
 
 class _Boot(msgspec.Struct):
@@ -172,6 +173,7 @@
             evac_s=None if bounds.evac_ms is None else bounds.evac_ms / 1_000,
             quota_overshoot=bounds.quota_overshoot,
             quota_slack=bounds.quota_slack,
+            quota_window_s=bounds.quota_window_s,
         ),
         memory_bytes=boot.limits.memory_mb * 1_000_000,
         link_bytes_per_s=boot.limits.link_mbps * BYTES_PER_MBIT,
--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -566,10 +566,10 @@
             ('registration', registration.run),
             ('limits', self._limit_exchange.run),
             ('organisation limits', self._quotas.run),
-            ('first counts', self._run_first_counts),
             ('admission', self.admission.run),
         ):
             self._supervisor.start_loop(name, run_loop)
+        self._supervisor.start('first counts', self._run_first_counts())
 
     def _on_restart(self, registered_nodes: int) -> None:
         self.organisation_limits.set_registered_nodes(
