--- a/tests/test_message_auth.py
+++ b/tests/test_message_auth.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sesameward.exceptions import IntegrityError
+from sesameward.membership import message_auth
 from sesameward.membership.message_auth import MAX_AGE_S
 from sesameward.membership.message_auth import MessageAuthenticator
 from sesameward.membership.message_auth import REPLAY_WINDOW_SIZE
@@ -110,3 +111,21 @@
         receiver.verify(other.sign(b'y', RECEIVER, now), RECEIVER, now)
         expected = 'replayed' if step <= 2 else 'stale'
         assert refusal_reason(receiver, sealed, now=now) == expected
+
+
+def test_number_of_remembered_senders_is_bounded(monkeypatch):
+    # Guards against datagrams that each name a new sender.
+    monkeypatch.setattr(message_auth, 'MAX_SESSIONS', 10)
+    receiver = build_seals()
+
+    def seal(number):
+        sender = build_seals(session=b'sender%02d' % number)
+        return sender.sign(b'body', RECEIVER, NOW)
+
+    for number in range(10):
+        receiver.verify(seal(number), RECEIVER, NOW)
+    assert refusal_reason(receiver, seal(10)) == 'too_many_senders'
+    later = build_seals(session=b'sender99').sign(
+        b'body', RECEIVER, NOW + 4 * MAX_AGE_S
+    )
+    receiver.verify(later, RECEIVER, NOW + 4 * MAX_AGE_S)
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -27,6 +27,7 @@
 from sesameward.membership.datagrams import WireRumor
 from sesameward.membership.events import NameConflict
 from sesameward.membership.events import Received
+from sesameward.membership.events import RecordRefused
 from sesameward.membership.events import RumorAccepted
 from sesameward.membership.events import Send
 from sesameward.membership.events import TimerDue
@@ -397,3 +398,33 @@
 def test_a_rumor_too_large_for_a_datagram_is_refused(swim):
     with pytest.raises(RumorTooLargeError, match='publish a reference'):
         swim.publish(0.0, Rumor('t', 'k', 1, b'x' * 600))
+
+
+def test_records_above_the_limit_are_refused():
+    # Guards against a sender of ever new members and rumors, whose records
+    # would take all memory of the machine.
+    me, *others = build_members(60)
+    agent = Swim(me, CFG, random.Random(1), max_bytes=20_000)
+    agent.start(0.0)
+    actions = agent.merge(0.0, others)
+    refused = [a for a in actions if isinstance(a, RecordRefused)]
+    known = agent.known()
+    assert refused and len(known) + len(refused) == 60
+    assert agent._roster.held_bytes <= 20_000
+    # What is known still changes.
+    leaving = msgspec.structs.replace(
+        known[1], leaving=True, incarnation=known[1].incarnation + 1
+    )
+    agent.merge(1.0, [leaving])
+    assert agent._roster.get(leaving.node).leaving
+    rumors = [Rumor('t', str(n), 1, b'r' * 100, 5.0) for n in range(60)]
+    actions = agent.merge_rumors(1.0, rumors)
+    refused = [a for a in actions if isinstance(a, RecordRefused)]
+    assert len(agent.rumors(1.0)) + len(refused) == 60
+    assert agent._rumors.held_bytes <= 20_000
+    # Its own rumors are always spread.
+    agent.publish(1.0, Rumor('t', 'own', 1, b'', 5.0))
+    assert any(rumor.key == 'own' for rumor in agent.rumors(1.0))
+    # Expired ones make room.
+    agent._rumors.expire(100.0)
+    assert agent._rumors.held_bytes == 0
