--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -412,7 +412,9 @@
     assert refused and len(known) + len(refused) == 60
     assert agent._roster.held_bytes <= 20_000
     # What is known still changes.
-    leaving = msgspec.structs.replace(known[1], leaving=True, incarnation=9)
+    leaving = msgspec.structs.replace(
+        known[1], leaving=True, incarnation=known[1].incarnation + 1
+    )
     agent.merge(1.0, [leaving])
     assert agent._roster.get(leaving.node).leaving
     rumors = [Rumor('t', str(n), 1, b'r' * 100, 5.0) for n in range(60)]
