--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 import time
 import typing
@@ -15,6 +16,8 @@
 from grpclib.exceptions import StreamTerminatedError
 from grpclib import server
 
+from ..background import call_all
+from ..background import log_task_failure
 from .. import grpc_errors
 from .. import logs
 from .. import rendezvous
@@ -267,16 +270,22 @@
         timer = loop.call_later(UNANSWERED_S, self._on_no_answer, waiting)
         try:
             await self._ask_coordinators(waiting)
+        except Exception as exc:
+            # Without permits the requests end at once; nothing else ends them
+            # before their deadlines.
+            log_task_failure(self._metrics, self._kind.permits_metric, exc)
         finally:
             timer.cancel()
-        for one in waiting:
-            permit = self.limits.acquire_waited(
-                one.target_id, one.priority, self.clock()
-            )
-            self._metrics.count(
-                self._kind.permits_metric, 'granted' if permit else 'denied'
-            )
-            one.on_permit(permit)
+        call_all(functools.partial(self._end_wait, one) for one in waiting)
+
+    def _end_wait(self, one: _Waiting) -> None:
+        permit = self.limits.acquire_waited(
+            one.target_id, one.priority, self.clock()
+        )
+        self._metrics.count(
+            self._kind.permits_metric, 'granted' if permit else 'denied'
+        )
+        one.on_permit(permit)
 
     def _on_no_answer(self, waiting: list[_Waiting]) -> None:
         """Let requests go on waiting only if nothing else admits them."""
--- a/tests/test_limit_exchange.py
+++ b/tests/test_limit_exchange.py
@@ -218,3 +218,33 @@
         assert one.limits.part(one.clock()) == 0.0
 
     play(scenario)
+
+
+def test_fault_of_one_request_leaves_no_other_without_an_end(play):
+    """Guards against requests that wait until their deadlines.
+
+    A call that fails unexpectedly, or a request that can't take its permit,
+    must not keep the other requests of the call from theirs.
+    """
+
+    async def scenario(run):
+        async def fail(waiting):
+            raise RuntimeError('a fault of the exchange')
+
+        def refuse(permit):
+            raise RuntimeError('a fault of the request')
+
+        server = await run.start_coordinator()
+        try:
+            assert await run.entrust()
+            run.exchange._ask_coordinators = fail
+            taken = asyncio.get_running_loop().create_future()
+            run.exchange.acquire('acme', 0, refuse)
+            run.exchange.acquire('acme', 0, taken.set_result)
+            assert await asyncio.wait_for(taken, 5.0) is None
+        finally:
+            await server.end()
+        metrics = run.exchange._metrics
+        assert metrics.value('tasks_failed', 'organisation_permits') == 1
+
+    play(scenario)
