--- a/sesameward/serving/limit_exchange.py
+++ b/sesameward/serving/limit_exchange.py
@@ -16,11 +16,11 @@
 from grpclib.exceptions import StreamTerminatedError
 from grpclib import server
 
-from ..background import call_all
-from ..background import log_task_failure
 from .. import grpc_errors
 from .. import logs
 from .. import rendezvous
+from ..background import call_all
+from ..background import log_task_failure
 from ..channels import Channel
 from ..channels import Channels
 from ..messages import Member
