Close meters, and sum what connections take, in one place each

Four modules had the same function and statements to close a meter. What callers and other nodes take was summed up in two classes; it is taken_bytes of their accounts now. These derive from ConnectionMemory, so that the account of nodes is not a kind of that of callers.

--- a/sesameward/serving/byte_limits.py
+++ b/sesameward/serving/byte_limits.py
@@ -175,11 +175,24 @@
         """Stop counting this message; count the next under the same limits."""
         self.start(self.limits)
 
+    def close(self) -> None:
+        """Stop counting for good.
+
+        The owner and its meter refer to each other, which would keep both
+        until the garbage collector finds them.
+        """
+        self.reset()
+        self.on_cut = _do_nothing
+
     def exceeded_limit(self, has_head: bool) -> ExceededLimit | None:
         """Return which limit the message exceeds, or None."""
         return exceeded_limit(self.limits, self.received, self.body, has_head)
 
 
+def _do_nothing() -> None:
+    pass
+
+
 class MessageMemory:
     """Account of the memory that others can make a node hold.
 
@@ -208,15 +221,8 @@
     @property
     def held_bytes(self) -> int:
         """Return the bytes that replies, callers and nodes take at present."""
-        callers, nodes = self.callers, self.nodes
-        return (
-            self._reply_bytes
-            + callers.held_bytes
-            + callers.closing_bytes
-            + nodes.held_bytes
-            + nodes.closing_bytes
-            + nodes.detached_bytes
-        )
+        others = self.callers.taken_bytes + self.nodes.taken_bytes
+        return self._reply_bytes + others
 
     def record_growth(self, meter: MessageMeter) -> None:
         """Count the bytes of a message that are not counted yet.
--- a/sesameward/serving/caller_memory.py
+++ b/sesameward/serving/caller_memory.py
@@ -79,15 +79,17 @@
         """Close the connection at once, because there are too many."""
 
 
-class CallerMemory:
-    """Account of the memory that callers' connections take together."""
+class ConnectionMemory:
+    """Account of the memory that connections of one kind take together."""
 
-    FD_FRACTION = CALLERS_FD_FRACTION
-    CONNECTION_BYTES = CONNECTION_BYTES
+    # Fraction of the descriptors for the connections, and the memory that one
+    # takes while it holds nothing else.
+    FD_FRACTION: float
+    CONNECTION_BYTES: int
     # Log events for connections that are closed for lack of memory, and
     # because there are too many.
-    CUT_EVENT = 'caller_cut'
-    TOO_MANY_EVENT = 'caller_connections_closed'
+    CUT_EVENT: str
+    TOO_MANY_EVENT: str
 
     def __init__(self, limit_bytes: int, max_fds: int = DEFAULT_MAX_FDS):
         self.limit_bytes = limit_bytes
@@ -109,9 +111,9 @@
         return len(self._connections)
 
     @property
-    def is_short(self) -> bool:
-        """Return True if large requests are to be refused."""
-        return self.held_bytes > SHORT_FRACTION * self.limit_bytes
+    def taken_bytes(self) -> int:
+        """Return what open connections hold, and what is not freed yet."""
+        return self.held_bytes + self.closing_bytes
 
     def add(self, conn: Connection, now: float) -> None:
         """Count a new connection; close others if there are too many."""
@@ -198,7 +200,21 @@
             self.log_event(self.TOO_MANY_EVENT, now)
 
 
-class NodeMemory(CallerMemory):
+class CallerMemory(ConnectionMemory):
+    """Account of the memory that callers' connections take together."""
+
+    FD_FRACTION = CALLERS_FD_FRACTION
+    CONNECTION_BYTES = CONNECTION_BYTES
+    CUT_EVENT = 'caller_cut'
+    TOO_MANY_EVENT = 'caller_connections_closed'
+
+    @property
+    def is_short(self) -> bool:
+        """Return True if large requests are to be refused."""
+        return self.held_bytes > SHORT_FRACTION * self.limit_bytes
+
+
+class NodeMemory(ConnectionMemory):
     """Account of the memory that connections of other nodes take together.
 
     A batch of sub-requests may go on after its connection has been closed. It
@@ -223,11 +239,11 @@
     @property
     def refuses_all(self) -> bool:
         """Return True if new calls and batches are to be refused."""
-        return self._taken_bytes > CLOSING_FACTOR * self.limit_bytes
+        return self.taken_bytes > CLOSING_FACTOR * self.limit_bytes
 
     def refuses_batch(self, size_bytes: int, conn: Connection) -> bool:
         """Return True if a batch of a connection is to be refused."""
-        if self._taken_bytes + size_bytes <= SHORT_FRACTION * self.limit_bytes:
+        if self.taken_bytes + size_bytes <= SHORT_FRACTION * self.limit_bytes:
             return False
         own_bytes = conn.held_bytes + size_bytes
         return (
@@ -235,5 +251,6 @@
         )
 
     @property
-    def _taken_bytes(self) -> int:
-        return self.held_bytes + self.closing_bytes + self.detached_bytes
+    def taken_bytes(self) -> int:
+        """Return the same with batches whose connection is closed."""
+        return super().taken_bytes + self.detached_bytes
--- a/sesameward/serving/gather_run.py
+++ b/sesameward/serving/gather_run.py
@@ -183,8 +183,7 @@
         self._respond(Answer(504), 'no_memory')
 
     def _release(self, was_served: bool = False) -> None:
-        self._meter.reset()
-        self._meter.on_cut = _do_nothing
+        self._meter.close()
         # The run stays until its last sub-request has ended.
         self._signatures = []
         self._greatest = Greatest(0)
@@ -290,7 +289,3 @@
                 self._shards.services[index] for index in self._plan.missing()
             ],
         )
-
-
-def _do_nothing() -> None:
-    pass
--- a/sesameward/serving/peer_connections.py
+++ b/sesameward/serving/peer_connections.py
@@ -230,8 +230,7 @@
     def close(self) -> None:
         """Stop counting."""
         self._is_closed = True
-        self._meter.reset()
-        self._meter.on_cut = _do_nothing
+        self._meter.close()
 
     def close_for_memory(self) -> None:
         """Close the connection: messages exceed their memory."""
@@ -241,10 +240,6 @@
         self._on_memory()
 
 
-def _do_nothing() -> None:
-    pass
-
-
 # The account of the connection whose call a task serves.
 _current_source: contextvars.ContextVar[Source] = contextvars.ContextVar(
     'source'
--- a/sesameward/serving/result_outbox.py
+++ b/sesameward/serving/result_outbox.py
@@ -108,9 +108,7 @@
             self._sent = None
 
     def _release(self, entry: _Entry) -> None:
-        entry.meter.reset()
-        # The entry and its meter would refer to each other.
-        entry.meter.on_cut = _do_nothing
+        entry.meter.close()
         self._hold(-entry.own_bytes)
 
     def _hold(self, size_bytes: int) -> None:
@@ -118,10 +116,6 @@
             self._source.hold(size_bytes)
 
 
-def _do_nothing() -> None:
-    pass
-
-
 def _size_bytes(message: BatchResults) -> int:
     size = len(message.records)
     for item in message.item_results:
--- a/sesameward/serving/target_connection.py
+++ b/sesameward/serving/target_connection.py
@@ -253,10 +253,10 @@
         self._fail(
             ExchangeFailure.CLOSED if exc is None else ExchangeFailure.RESET
         )
-        # The connection refers to its parser and its meter, and these to it,
-        # which would keep all until the garbage collector finds them.
+        # The connection refers to its parser, and this to it, which would keep
+        # both until the garbage collector finds them.
         del self._parser
-        self._meter.on_cut = _do_nothing
+        self._meter.close()
 
     # Callbacks of the httptools parser.
 
@@ -367,10 +367,6 @@
         self._on_free(self)
 
 
-def _do_nothing() -> None:
-    pass
-
-
 def is_known_status(status: int) -> bool:
     """Return True if a status is one of a final or an interim reply.
 
