--- a/sesameward/organisations/quota_ledger.py
+++ b/sesameward/organisations/quota_ledger.py
@@ -35,6 +35,11 @@
 MIN_GROWTH = 1e-6
 
 
+def used_factor(overshoot: float) -> float:
+    """Return by how much a ledger exceeds the shares that it holds."""
+    return 1.0 + overshoot * RATE_OVERSHOOT_PART
+
+
 def bucket_size(rate_per_s: float, burst: float) -> float:
     """Return how many permits of a whole limit are saved up at most."""
     return burst + MARGIN_PERMITS + MAX_JITTER_S * rate_per_s
@@ -72,7 +77,7 @@
         burst_of: typing.Callable[[OrganisationName], float],
     ):
         super().__init__(QUOTA_SHARE_TTL_S)
-        self._overshoot = overshoot
+        self._used_factor = used_factor(overshoot)
         self._slack = slack
         self._burst_of = burst_of
         self._buckets: dict[OrganisationName, _Bucket] = {}
@@ -118,8 +123,7 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             bucket = self._buckets[name] = _Bucket()
-        factor = 1.0 + self._overshoot * RATE_OVERSHOOT_PART
-        part = min(1.0, self._part * factor)
+        part = min(1.0, self._part * self._used_factor)
         burst = self._burst_of(name)
         capacity = part * bucket_size(rate_per_s, burst)
         if 0.0 < capacity < 1.0 and has_whole_permit(
@@ -147,8 +151,7 @@
             self._drop_unused()
         elif now > self._accrued_at:
             # Shares that came or expired since then don't count.
-            factor = 1.0 + self._overshoot * RATE_OVERSHOOT_PART
-            held = min(1.0, min(part, self._part) * factor)
+            held = min(1.0, min(part, self._part) * self._used_factor)
             self._held_s += held * (now - self._accrued_at)
         self._part = part
         self._accrued_at = max(now, self._accrued_at)
--- a/sesameward/organisations/reserve.py
+++ b/sesameward/organisations/reserve.py
@@ -19,7 +19,7 @@
 from ..types import NodeId
 from .quota_ledger import bucket_size
 from .quota_ledger import has_whole_permit
-from .quota_ledger import RATE_OVERSHOOT_PART
+from .quota_ledger import used_factor
 
 
 class Bound(typing.NamedTuple):
@@ -42,9 +42,9 @@
     """
     rate_per_s = organisation.rate_per_s
     burst = organisation.burst
-    used_factor = 1.0 + bound.overshoot * RATE_OVERSHOOT_PART
-    saved = used_factor * bucket_size(rate_per_s, burst)
-    accrued = used_factor * rate_per_s * (bound.window_s + CALL_TIMEOUT_S)
+    factor = used_factor(bound.overshoot)
+    saved = factor * bucket_size(rate_per_s, burst)
+    accrued = factor * rate_per_s * (bound.window_s + CALL_TIMEOUT_S)
     allowed = rate_per_s * bound.window_s + burst
     allowed = allowed * (1.0 + bound.overshoot) + bound.slack
     spare = allowed - accrued - saved
