--- a/sesameward/configuration/config_peers.py
+++ b/sesameward/configuration/config_peers.py
@@ -19,6 +19,7 @@
 from ..messages import Pull
 from ..metrics import Metrics
 from . import page_compression
+from ..types import Revision
 
 PULL_METHOD = '/sesameward.Peer/Pull'
 PULL_TIMEOUT_S = 1.0
@@ -82,13 +83,8 @@
             if page.cursor is None:
                 return msgspec.structs.replace(page, objects=tuple(objects))
             full, epoch = page.full, page.epoch
-            request = Pull(
-                request.digest,
-                after=page.cursor,
-                kind=request.kind,
-                epoch=request.epoch,
-                wants_kept=request.wants_kept,
-                accepts_compressed=True,
+            request = msgspec.structs.replace(
+                request, after=page.cursor, wanted=Revision(0), wait_s=0.0
             )
             page = await self._pull_page(member, request)
             objects += page.objects
