--- a/sesameward/membership/swim.py
+++ b/sesameward/membership/swim.py
@@ -807,10 +807,8 @@
         content_hash = (
             self._roster.content_hash(member.node) if known else None
         )
-        growth_bytes = self._roster.growth_bytes(member)
-        if (
-            growth_bytes > 0
-            and self._roster.held_bytes + growth_bytes > self._max_bytes
+        if self._lacks_room(
+            self._roster.held_bytes, self._roster.growth_bytes(member)
         ):
             self._actions.append(RecordRefused('members'))
             return
@@ -892,14 +890,14 @@
         self._roster.merge(me)
         self._actions.append(MemberChanged(me))
 
+    def _lacks_room(self, held_bytes: int, growth_bytes: int) -> bool:
+        return growth_bytes > 0 and held_bytes + growth_bytes > self._max_bytes
+
     def _merge_rumor(
         self, now: float, rumor: Rumor, is_own: bool = False
     ) -> None:
-        growth_bytes = self._rumors.growth_bytes(rumor)
-        if (
-            growth_bytes > 0
-            and not is_own
-            and self._rumors.held_bytes + growth_bytes > self._max_bytes
+        if not is_own and self._lacks_room(
+            self._rumors.held_bytes, self._rumors.growth_bytes(rumor)
         ):
             self._actions.append(RecordRefused('rumors'))
             return
