--- a/sesameward/serving/node.py
+++ b/sesameward/serving/node.py
@@ -59,6 +59,7 @@
 from .directory import Directory
 from .endpoints import EndpointAdapter
 from .endpoints import Endpoints
+from .entry_offer import EntryOffer
 from .evacuations import Evacuations
 from .evacuations import ZoneChange
 from .exchange import ExchangeDeps
@@ -388,12 +389,9 @@
         self._supervisor = Supervisor(self.metrics, self._rng, self._clock)
         self._settings_checked_at = now
         self._was_ready = False
-        self._is_entry_offered = False
+        self._entry_offer = EntryOffer()
         # Kinds of objects whose reading has stopped, as last logged.
         self._stopped_kinds: list[str] = []
-        # Whether this node is offered to callers though its reading has
-        # stopped, because no other node was offered.
-        self._is_last_resort = False
         self._unproven_nodes = 0
 
     def _make_evacuations_mirror(self) -> Mirror | None:
@@ -754,13 +752,7 @@
             self.callers.limits = table.limits
 
     def _offer_entry(self, now: float) -> None:
-        """Announce this node to callers while it is ready.
-
-        A node that is not ready only because its reading has stopped stays
-        announced while no other node is: old routes are better than none. It
-        then stays so until it is ready, because nodes that all follow each
-        other would be announced and withdrawn in turn.
-        """
+        """Announce this node to callers, or no longer."""
         self._log_stopped_reading(now)
         if self._lifecycle.is_stop_requested:
             return
@@ -768,14 +760,10 @@
         if is_ready != self._was_ready:
             self._was_ready = is_ready
             logs.log_event('ready' if is_ready else 'not_ready')
-        if is_ready or not self._knows_enough():
-            self._is_last_resort = False
-        elif not self._is_other_offered():
-            self._is_last_resort = True
-        is_offered = is_ready or self._is_last_resort
-        if is_offered != self._is_entry_offered:
-            self._is_entry_offered = is_offered
-            self.peers.offer_entry(is_offered)
+        if self._entry_offer.update(
+            is_ready, self._knows_enough(), self._is_other_offered
+        ):
+            self.peers.offer_entry(self._entry_offer.is_offered)
 
     def _log_stopped_reading(self, now: float) -> None:
         kinds = [one.kind for one in self._mirrors if one.has_stopped(now)]
