--- a/sesameward/serving/admission_gate.py
+++ b/sesameward/serving/admission_gate.py
@@ -21,6 +21,7 @@
 from ..types import ServiceName
 from .attempts import AttemptPolicy
 from .http_server import answer_fault
+from .http_server import record_caller_gone
 
 if typing.TYPE_CHECKING:
     from .run import Arrival
@@ -192,12 +193,8 @@
         if claim in self._timers:
             self._leave_queue(claim)
             self.control.withdraw(claim)
-            self._metrics.count('callers_gone')
-            logs.log_event(
-                'caller_gone',
-                request=claim.item.asked.request_id,
-                route=claim.route,
-                running=0,
+            record_caller_gone(
+                self._metrics, claim.item.asked.request_id, claim.route
             )
 
     def _leave_queue(self, claim: Claim) -> None:
--- a/sesameward/serving/front.py
+++ b/sesameward/serving/front.py
@@ -20,6 +20,7 @@
 from .deps import RETRY_AFTER_S
 from .gather_run import GatherRun
 from .http_server import Answer
+from .http_server import record_caller_gone
 from .http_server import Request
 from .http_server import Responder
 from .limit_exchange import PermitExchange
@@ -198,12 +199,10 @@
 
     def _on_caller_disconnect(self, wait: _PermitWait) -> None:
         wait.is_gone = True
-        self.deps.tools.metrics.count('callers_gone')
-        logs.log_event(
-            'caller_gone',
-            request=wait.arrival.asked.request_id,
-            route=wait.arrival.route.name,
-            running=0,
+        record_caller_gone(
+            self.deps.tools.metrics,
+            wait.arrival.asked.request_id,
+            wait.arrival.route.name,
         )
         wait.arrival.on_end(End.OTHER)
 
--- a/sesameward/serving/http_server.py
+++ b/sesameward/serving/http_server.py
@@ -24,6 +24,7 @@
 from . import listening
 from ..metrics import Metrics
 from ..settings import Endpoint
+from ..types import RequestId
 from .byte_limits import exceeded_limit
 from .byte_limits import ExceededLimit
 from .byte_limits import FIRST_LINE_BYTES
@@ -34,6 +35,7 @@
 from .caller_memory import REQUEST_BYTES
 from .caller_memory import SMALL_REQUEST_BYTES
 from .routes import CallerLimits
+from .routes import RouteName
 from .target_connection import Headers
 from .target_connection import set_dead_peer_timeout
 
@@ -712,6 +714,19 @@
     responder.send(Answer(500))
 
 
+def record_caller_gone(
+    metrics: Metrics, request_id: RequestId, route: RouteName, running: int = 0
+) -> None:
+    """Log and count a caller that disconnected before its answer.
+
+    running is the number of sub-requests that run for it.
+    """
+    metrics.count('callers_gone')
+    logs.log_event(
+        'caller_gone', request=request_id, route=route, running=running
+    )
+
+
 class HttpServer:
     """HTTP server on one address, which passes requests to a handler.
 
--- a/sesameward/serving/run.py
+++ b/sesameward/serving/run.py
@@ -27,6 +27,7 @@
 from .gather import Gather
 from .http_server import Answer
 from .http_server import answer_fault
+from .http_server import record_caller_gone
 from .http_server import Request
 from .http_server import Responder
 from .relay import Relay
@@ -262,12 +263,11 @@
         if self._is_over:
             return
         self._is_over = True
-        self._tools.metrics.count('callers_gone')
-        logs.log_event(
-            'caller_gone',
-            request=self._asked.request_id,
-            route=self._route.name,
-            running=sum(one.is_running for one in self._exchanges.values()),
+        record_caller_gone(
+            self._tools.metrics,
+            self._asked.request_id,
+            self._route.name,
+            sum(one.is_running for one in self._exchanges.values()),
         )
         self._release()
         if self._exchanges and self._route.repeat is Repeat.SAFE:
