--- a/tests/test_unbounded_callers.py
+++ b/tests/test_unbounded_callers.py
@@ -108,32 +108,36 @@
             if target.service == 'desk':
                 target.faults.body_bytes = body_bytes
         await ask_until_answered(fleet, node)
-        start_bytes, start_fds = peak_bytes(node), descriptor_count(node)
         senders = [
-            asyncio.ensure_future(
-                send_and_hold(node.host, PORTS[address], make_data(number))
-            )
+            send_and_hold(node.host, PORTS[address], make_data(number))
             for number in range(count)
         ]
-        max_fds = 0
-        for _ in range(int(HOLD_S / 0.1)):
-            await asyncio.sleep(0.1)
-            if node.is_running:
-                max_fds = max(max_fds, descriptor_count(node))
-        is_answered = True
-        try:
-            await ask_until_answered(fleet, node)
-        except TimeoutError:
-            is_answered = False
-        is_running, peak = node.is_running, peak_bytes(node)
-        for sender in senders:
-            sender.cancel()
-        await asyncio.gather(*senders, return_exceptions=True)
-        print(
-            f'MEASURED {address}: memory {start_bytes / 1e6:.1f} to '
-            f'{peak / 1e6:.1f} MB, descriptors {start_fds} to {max_fds}, '
-            f'running {is_running}, answered {is_answered}'
-        )
+        await check(fleet, node, senders, HOLD_S)
+
+
+async def check(fleet, node, coroutines, hold_s):
+    """Run an attack; assert that the node keeps to its limits and serves."""
+    start_bytes, start_fds = peak_bytes(node), descriptor_count(node)
+    senders = [asyncio.ensure_future(one) for one in coroutines]
+    max_fds = 0
+    for _ in range(int(hold_s / 0.1)):
+        await asyncio.sleep(0.1)
+        if node.is_running:
+            max_fds = max(max_fds, descriptor_count(node))
+    is_answered = True
+    try:
+        await ask_until_answered(fleet, node)
+    except TimeoutError:
+        is_answered = False
+    is_running, peak = node.is_running, peak_bytes(node)
+    for sender in senders:
+        sender.cancel()
+    await asyncio.gather(*senders, return_exceptions=True)
+    print(
+        f'MEASURED memory {start_bytes / 1e6:.1f} to {peak / 1e6:.1f} MB, '
+        f'descriptors {start_fds} to {max_fds}, running {is_running}, '
+        f'answered {is_answered}'
+    )
     assert is_running and is_answered
     assert peak <= MEMORY_MB * 1_000_000
     assert max_fds <= MAX_FDS
--- a/tests/test_unbounded_nodes.py
+++ b/tests/test_unbounded_nodes.py
@@ -37,9 +37,8 @@
 from sesameward.standin.fleet import Fleet
 from sesameward.standin.fleet import INTERNAL_PORTS
 from sesameward.standin.fleet import ZONES
-from tests.floods import peak_bytes
 from tests.test_unbounded_callers import ask_until_answered
-from tests.test_unbounded_callers import descriptor_count
+from tests.test_unbounded_callers import check
 from tests.test_unbounded_callers import MAX_FDS
 from tests.test_unbounded_callers import MEMORY_MB
 
@@ -362,36 +361,10 @@
             fleet,
             node,
             [act(node.host, target_id, act_arg) for _ in range(count)],
+            HOLD_S,
         )
 
 
-async def check(fleet, node, coroutines, hold_s=HOLD_S):
-    start_bytes, start_fds = peak_bytes(node), descriptor_count(node)
-    senders = [asyncio.ensure_future(one) for one in coroutines]
-    max_fds = 0
-    for _ in range(int(hold_s / 0.1)):
-        await asyncio.sleep(0.1)
-        if node.is_running:
-            max_fds = max(max_fds, descriptor_count(node))
-    is_answered = True
-    try:
-        await ask_until_answered(fleet, node)
-    except TimeoutError:
-        is_answered = False
-    is_running, peak = node.is_running, peak_bytes(node)
-    for sender in senders:
-        sender.cancel()
-    await asyncio.gather(*senders, return_exceptions=True)
-    print(
-        f'MEASURED memory {start_bytes / 1e6:.1f} to {peak / 1e6:.1f} MB, '
-        f'descriptors {start_fds} to {max_fds}, running {is_running}, '
-        f'answered {is_answered}'
-    )
-    assert is_running and is_answered
-    assert peak <= MEMORY_MB * 1_000_000
-    assert max_fds <= MAX_FDS
-
-
 @pytest.mark.parametrize('name', ATTACKS)
 def test_node_outlasts_nodes_without_limits(name):
     asyncio.run(attack(SENDER_COUNT, connect_and_send, ATTACKS[name]))
