Review: show nodes that stand still over an entry that can't be read

Looked for: what the postmortem of the unreadable registration lists as left, an undecodable object of the largest size.

How: review/7/run.sh, five nodes, one entry of 1,047,040 bytes by another writer, written every 1.2 s, eight times.

It takes the place of the case of retries beyond the budget; the others move down by one.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,9 @@
-"""One node is frozen while configurations come in quick succession."""
+"""Another writer keeps an entry of the largest size that can't be read."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
@@ -15,184 +14,138 @@
 
 import deployment_2 as small  # noqa: E402
 
-# Two growths of the configuration by 350 routes each.
-ADDED_ROUTES = 700
-STORM_VERSIONS = 25
-STORM_GAP_S = 0.1
-FREEZE_S = 3.5
-# The node is frozen after this many versions of the storm.
-FREEZE_AFTER = 2
-WATCHED_S = 14.0
-ASK_GAP_S = 0.25
-SHARDS = [f'trip-desk-shard-{n:02d}' for n in range(50)]
+TIMEOUT_S = 0.4
+# The rule looks at the requests this long after the route's timeout.
+LATE_S = 0.5
+CALM_S = 2.0
+# The entry is written as often as servers write theirs.
+HEARTBEAT_S = 1.2
+WRITES = 8
+LENGTH_S = 14.0
+ASK_GAP_S = 0.1
+CLIENT_WAIT_S = 8.0
+EMPTY_ARRAYS = 349_000
+
+
+def entry(number: int) -> msgspec.Raw:
+    """Return an entry with half a character and many empty arrays."""
+    return msgspec.Raw(
+        b'{"service":"\\ud800","seq":%d,"zone":[%s]}'
+        % (number, b','.join([b'[]'] * EMPTY_ARRAYS))
+    )
 
 
 class Case:
-    """Play the case and count the requests that the old service ran."""
+    """Play the case and time the answers."""
 
     def __init__(self, deployment: small.Deployment):
         self.deployment = deployment
-        self.version = 1
-        self.old_runs: list[str] = []
-        self.new_runs = 0
-        self.others = 0
-
-    def config(self, service: str, added: int) -> dict:
-        """Return the next version; one route goes to the service."""
-        self.version += 2
-        routes = [
-            small.route('browse', '/browse/', service=service),
-            small.route(
-                'sweep',
-                '/sweep/',
-                gather=['shard-0', 'shard-1'],
-                top_k=5,
-                min_coverage=0.5,
-            ),
-        ]
-        for number in range(added):
-            routes.append(
-                small.route(
-                    f'added-{number}',
-                    f'/added-{number}/',
-                    gather=SHARDS,
-                    top_k=50,
-                    min_coverage=0.89,
-                )
-            )
+        self.tasks: list[asyncio.Task] = []
+        # For each request, the seconds until its end.
+        self.took_s: list[float] = []
+
+    def config(self) -> dict:
+        """Return the configuration."""
+        names = ['desk', 'shard-0', 'shard-1']
         return {
-            'version': self.version,
-            'routes': routes,
-            'services': small.services(
-                ['desk', 'roster', 'shard-0', 'shard-1', *SHARDS]
-            ),
+            'version': 3,
+            'routes': [
+                small.route(
+                    'browse',
+                    '/browse/',
+                    service='desk',
+                    timeout_ms=int(TIMEOUT_S * 1_000),
+                ),
+                small.route(
+                    'sweep',
+                    '/sweep/',
+                    gather=names[1:],
+                    top_k=5,
+                    min_coverage=0.5,
+                ),
+            ],
+            'services': small.services(names),
             'limits': {'idle_timeout_ms': 15_000},
         }
 
     async def play(self) -> None:
-        """Write the configurations, freeze a node, and ask the others."""
+        """Send requests to all nodes while the entry is written."""
         deployment = self.deployment
         await deployment.wait_until_ready()
-        for added in (ADDED_ROUTES // 2, ADDED_ROUTES):
-            spec = self.config('desk', added)
-            deployment.write_config(spec)
-            await asyncio.sleep(3.0)
-        size_bytes = len(msgspec.json.encode(spec))
-        deployment.record('configuration', bytes=size_bytes)
-        frozen = await self.play_storm()
-        confirmed_at = time.monotonic()
-        thaw = asyncio.create_task(self.thaw(frozen))
-        calm = [n for n in deployment.nodes if n is not frozen]
-        await asyncio.sleep(small.CONFIG_S)
-        while time.monotonic() < confirmed_at + WATCHED_S:
-            for node in calm:
-                await self.ask(node, confirmed_at)
-            deployment.store.drop_old_history()
+        await asyncio.sleep(small.STABLE_WINDOW_S + 1.0)
+        began_at = time.monotonic()
+        writes = 0
+        while time.monotonic() < began_at + LENGTH_S:
+            now = time.monotonic()
+            is_due = now >= began_at + CALM_S + writes * HEARTBEAT_S
+            if small.has_trouble() and writes < WRITES and is_due:
+                writes += 1
+                spec = entry(writes)
+                deployment.store.put('servers', 'i-other', spec)
+                deployment.record('entry', bytes=len(bytes(spec)))
+            for node in deployment.nodes:
+                self.tasks.append(asyncio.create_task(self.ask(node)))
             await asyncio.sleep(ASK_GAP_S)
-        await thaw
+        await asyncio.gather(*self.tasks)
 
-    async def play_storm(self):
-        """Write versions in quick succession; return the node frozen."""
-        deployment = self.deployment
-        frozen = None
-        began_at = time.monotonic()
-        for number in range(STORM_VERSIONS):
-            is_last = number == STORM_VERSIONS - 1
-            service = 'roster' if is_last else 'desk'
-            deployment.write_config(self.config(service, ADDED_ROUTES))
-            deployment.record('confirmed', version=self.version, to=service)
-            if number == FREEZE_AFTER:
-                frozen = self.freeze_reader()
-            due_at = began_at + (number + 1) * STORM_GAP_S
-            if not is_last:
-                await asyncio.sleep(max(0.0, due_at - time.monotonic()))
-        return frozen
-
-    def freeze_reader(self):
-        """Freeze the node that read the store last."""
-        deployment = self.deployment
-        name = deployment.store.watcher['config']
-        node = next(n for n in deployment.nodes if n.name == name)
-        self.frozen_at = time.monotonic()
-        if small.has_trouble():
-            node.send(signal.SIGSTOP)
-            deployment.record('frozen', node=name)
-        return node
-
-    async def thaw(self, node) -> None:
-        """Let the frozen node run again."""
-        await asyncio.sleep(self.frozen_at + FREEZE_S - time.monotonic())
-        node.send(signal.SIGCONT)
-        self.deployment.record('continued', node=node.name)
-
-    async def ask(self, node, confirmed_at: float) -> None:
-        """Send a request on the route that the last version has moved."""
+    async def ask(self, node) -> None:
+        """Send a request and record how long it has no answer."""
         deployment = self.deployment
         request_id = deployment.request_id()
-        after_s = time.monotonic() - confirmed_at
+        sent_at = time.monotonic()
         try:
             reply = await deployment.ask(
-                node, '/browse/1', request_id, deadline_ms=1_500
+                node,
+                '/browse/1',
+                request_id,
+                timeout_s=CLIENT_WAIT_S,
+                deadline_ms=int(TIMEOUT_S * 1_000),
             )
-            status = reply.status
+            status = str(reply.status)
         except Exception as exc:
-            status = repr(exc)
-        ran_by = [
-            target.service
-            for target in deployment.targets.values()
-            for run in target.runs
-            if run.request_id == request_id
-        ]
+            status = type(exc).__name__
+        took_s = time.monotonic() - sent_at
+        self.took_s.append(took_s)
         deployment.record(
             'asked',
             node=node.name,
             id=request_id,
-            after_confirmation_s=round(after_s, 3),
             status=status,
-            ran_by=ran_by,
+            took_s=round(took_s, 3),
         )
-        if 'desk' in ran_by:
-            self.old_runs.append(f'{node.name} after {after_s:.1f} s')
-        elif 'roster' in ran_by:
-            self.new_runs += 1
-        else:
-            self.others += 1
-
 
-class StormDeployment(small.Deployment):
-    """Run a second service beside the ones of the shards."""
 
-    async def start_targets(self) -> None:
-        """Start the servers."""
-        await super().start_targets()
-        for zone in ('zone-a', 'zone-b'):
-            await self.add_target('roster', zone)
+class OtherWriterDeployment(small.Deployment):
+    """Run a service of two servers, and two shards."""
 
     def put_config(self, *args: object, **fields: object) -> int:
-        """Write the first configuration."""
+        """Write the configuration."""
         self.case = Case(self)
-        self.write_config(self.case.config('desk', 0))
+        self.write_config(self.case.config())
         return 0
 
 
 async def run() -> tuple[int, str]:
     """Return the exit code and a line about the result."""
-    deployment = StormDeployment(HERE / 'record.txt')
+    deployment = OtherWriterDeployment(HERE / 'record.txt')
     async with deployment:
         case = deployment.case
         await case.play()
+        unanswered = [one for one in case.took_s if one > TIMEOUT_S]
+        late = [one for one in unanswered if one > TIMEOUT_S + LATE_S]
+        still_s = {
+            node.name: [one['for_s'] for one in node.lines('stood_still')]
+            for node in deployment.nodes
+        }
         text = (
-            f'{len(case.old_runs)} requests were run by the old service '
-            f'later than config_ms, {case.new_runs} by the new one, '
-            f'{case.others} by none'
+            f'{len(late)} of {len(unanswered)} requests without an answer at '
+            f'timeout_ms had none half a second later, of {len(case.took_s)} '
+            f'in all; the longest took {max(case.took_s):.2f} s; the nodes '
+            f'stood still for seconds: {still_s}'
         )
-        if case.old_runs:
-            text += f'; the last: {case.old_runs[-1]}'
         deployment.record('result', text=text)
-    if case.old_runs:
+    if len(late) > len(unanswered) / 2 and len(late) > 20:
         return small.EXIT_BROKEN, f'CONFIG broken: {text}'
-    if not case.new_runs:
-        return small.EXIT_NOT_RUN, f'not run: {text}'
     return small.EXIT_HELD, f'held: {text}'
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,48 +1,46 @@
-"""Most nodes are killed after a request that crashes servers was found."""
+"""One node is frozen as all servers of a service leave."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import signal
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
 import deployment_2 as small  # noqa: E402
-from sesameward.standin.shard_target import CrashHow  # noqa: E402
-
-SERVERS = 6
-CRASHING_PATH = '/book/poison'
-# The caller sends the request this often, at another machine each time.
-TRIES = 8
-TRY_GAP_S = 0.25
-# Time between two rounds of tries.
-ROUND_GAP_S = 8.0
-MAX_RETRIES = 3
-DOWN_S = 2.0
-# Number of the nodes that are killed; one lives on and knows the request.
-KILLED = 4
-KILLS = 2
+
+DRAIN_S = 3.0
+FREEZE_S = 3.5
+# The servers go on serving for drain_ms and a little longer.
+SERVES_ON_S = 8.0
+# Another server leaves just before, so that all nodes have read the store.
+BEFORE_S = 0.3
+ASK_GAP_S = 0.05
 
 
 class Case:
-    """Play the case and count the retries that reach servers."""
+    """Play the case and count the requests that reach the servers late."""
 
     def __init__(self, deployment: small.Deployment):
         self.deployment = deployment
-        self.turn = 0
+        self.requests: list[asyncio.Task] = []
+        self.left_at = 0.0
+        self.leaving: list[str] = []
 
     def config(self) -> dict:
         """Return the configuration."""
-        names = ['desk', 'shard-0', 'shard-1']
+        names = ['desk', 'roster', 'shard-0', 'shard-1']
         routes = [
-            small.route('book', '/book/', service='desk', route_type='unsafe'),
-            small.route('safe', '/browse/', service='desk'),
+            small.route('browse', '/browse/', service='desk'),
+            small.route('roster', '/roster/', service='roster'),
             small.route(
                 'sweep',
                 '/sweep/',
-                gather=names[1:],
+                gather=names[2:],
                 top_k=5,
                 min_coverage=0.5,
             ),
@@ -55,100 +53,74 @@
         }
 
     async def play(self) -> None:
-        """Send the request, kill most nodes, and send it again."""
+        """Let the servers leave, freeze a node and ask the others."""
         deployment = self.deployment
         await deployment.wait_until_ready()
         await asyncio.sleep(small.STABLE_WINDOW_S + 1.0)
-        deployment.crash_on({CRASHING_PATH}, CrashHow.RESET)
-        for number in range(2):
-            await self.play_round(number)
-            await asyncio.sleep(ROUND_GAP_S)
-        for kill in range(KILLS):
-            if small.has_trouble():
-                await self.kill_most()
-            await self.play_round(2 + kill)
-            await asyncio.sleep(ROUND_GAP_S)
-
-    async def kill_most(self) -> None:
-        """Kill most nodes and start them; wait until all are in touch."""
-        deployment = self.deployment
-        killed = deployment.nodes[:KILLED]
-        deployment.kill(killed)
-        deployment.record('killed', nodes=[one.name for one in killed])
-        await asyncio.sleep(DOWN_S)
-        for node in killed:
-            node.start()
-        await deployment.wait_until_ready()
-        deployment.record('ready_again')
-        await asyncio.sleep(small.STABLE_WINDOW_S + 0.5)
-
-    async def play_round(self, number: int) -> None:
-        """Send the request again and again, each time at the next machine."""
-        for _ in range(TRIES):
-            nodes = self.deployment.nodes
-            node = nodes[self.turn % len(nodes)]
-            self.turn += 1
-            await self.ask(node, number)
-            await asyncio.sleep(TRY_GAP_S)
-
-    async def ask(self, node, number: int) -> None:
+        store = deployment.store
+        store.delete('servers', deployment.services['roster'][0])
+        await asyncio.sleep(BEFORE_S)
+        name = store.watcher['servers']
+        frozen = next(n for n in deployment.nodes if n.name == name)
+        frozen_at = time.monotonic()
+        if small.has_trouble():
+            frozen.send(signal.SIGSTOP)
+            deployment.record('frozen', node=name)
+        self.left_at = time.monotonic()
+        self.leaving = list(deployment.services['desk'])
+        for target_id in self.leaving:
+            store.delete('servers', target_id)
+            deployment.record('entry_removed', server=target_id)
+        calm = [n for n in deployment.nodes if n is not frozen]
+        is_frozen = True
+        while time.monotonic() < self.left_at + SERVES_ON_S:
+            if is_frozen and time.monotonic() >= frozen_at + FREEZE_S:
+                frozen.send(signal.SIGCONT)
+                deployment.record('continued', node=name)
+                is_frozen = False
+            for node in calm:
+                self.requests.append(asyncio.create_task(self.ask(node)))
+            await asyncio.sleep(ASK_GAP_S)
+        await asyncio.gather(*self.requests)
+
+    async def ask(self, node) -> None:
+        """Send a request on the route to the service."""
         deployment = self.deployment
         request_id = deployment.request_id()
+        sent_s = time.monotonic() - self.left_at
         try:
             reply = await deployment.ask(
-                node, CRASHING_PATH, request_id, 'POST', b'seat 4'
+                node, '/browse/1', request_id, deadline_ms=1_500
             )
             status = reply.status
         except Exception as exc:
             status = repr(exc)
         deployment.record(
             'asked',
-            round=number,
             node=node.name,
             id=request_id,
+            sent_after_s=round(sent_s, 3),
             status=status,
-            ran_at=[
-                run.target
-                for run in self.runs()
-                if run.request_id == request_id
-            ],
-        )
-
-    def runs(self) -> list:
-        """Return all runs of the request, the earliest first."""
-        return sorted(
-            (
-                run
-                for target in self.deployment.targets.values()
-                for run in target.runs
-                if run.path == CRASHING_PATH
-            ),
-            key=lambda run: run.at,
         )
 
-    def late_retries(self) -> list[str]:
-        """Return the ids of the retries that count for the rule.
-
-        They reached servers later than the stable window after the third
-        crash. The nodes were then started longer ago than that, too.
-        """
-        runs = self.runs()
-        if len(runs) < MAX_RETRIES:
-            return []
-        since = runs[MAX_RETRIES - 1].at + small.STABLE_WINDOW_S
-        return list(
-            dict.fromkeys(run.request_id for run in runs if run.at > since)
-        )
+    def late_arrivals(self) -> list[float]:
+        """Return the times after the removal at which requests came late."""
+        times = [
+            arrival.at - self.left_at
+            for target_id in self.leaving
+            for arrival in self.deployment.targets[target_id].arrivals
+        ]
+        return sorted(after_s for after_s in times if after_s > DRAIN_S)
 
 
-class CrashDeployment(small.Deployment):
-    """Run a service whose servers come back some seconds after a crash."""
+class LeavingDeployment(small.Deployment):
+    """Run a second service beside the first one."""
 
     async def start_targets(self) -> None:
         """Start the servers."""
         await super().start_targets()
-        for index in range(SERVERS - self._replica_count):
-            await self.add_target('desk', ('zone-a', 'zone-b')[index % 2])
+        for zone in ('zone-a', 'zone-b'):
+            await self.add_target('roster', zone)
 
     def put_config(self, *args: object, **fields: object) -> int:
         """Write the configuration."""
@@ -159,22 +131,20 @@
 
 async def run() -> tuple[int, str]:
     """Return the exit code and a line about the result."""
-    deployment = CrashDeployment(HERE / 'record.txt')
+    deployment = LeavingDeployment(HERE / 'record.txt')
     async with deployment:
         case = deployment.case
         await case.play()
-        late = case.late_retries()
-        count = len(case.runs())
+        late = case.late_arrivals()
         text = (
-            f'{len(late)} retries reached servers later than '
-            f'stable_window_ms after the third crash, {MAX_RETRIES} are '
-            f'allowed; {count} servers crashed in all'
+            f'{len(late)} of {len(case.requests)} requests reached a server '
+            'later than drain_ms after the store had removed its entry'
         )
-        deployment.record('result', text=text, late=late)
-    if len(late) > MAX_RETRIES:
-        return small.EXIT_BROKEN, f'BUDGET broken: {text}'
-    if count < MAX_RETRIES:
-        return small.EXIT_NOT_RUN, f'not run: {text}'
+        if late:
+            text += f'; the last after {late[-1]:.2f} s'
+        deployment.record('result', text=text)
+    if late:
+        return small.EXIT_BROKEN, f'DRAIN broken: {text}'
     return small.EXIT_HELD, f'held: {text}'
 
 
