--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
-import sys
 import time
 
 import msgspec
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
+from review import deployment_2 as small
 
-import deployment_2 as small  # noqa: E402
+HERE = pathlib.Path(__file__).resolve().parent
+# With TROUBLE=0 the case is played without its disturbance.
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 TIMEOUT_S = 0.4
 # The rule looks at the requests this long after the route's timeout.
@@ -78,7 +79,7 @@
         while time.monotonic() < began_at + LENGTH_S:
             now = time.monotonic()
             is_due = now >= began_at + CALM_S + writes * HEARTBEAT_S
-            if small.has_trouble() and writes < WRITES and is_due:
+            if HAS_TROUBLE and writes < WRITES and is_due:
                 writes += 1
                 spec = entry(writes)
                 deployment.store.put('servers', 'i-other', spec)
@@ -149,14 +150,5 @@
     return small.EXIT_HELD, f'held: {text}'
 
 
-def main() -> None:
-    """Run the case."""
-    try:
-        code, text = asyncio.run(run())
-    except Exception as exc:
-        small.end(small.EXIT_NOT_RUN, f'not run: {exc!r}')
-    small.end(code, text)
-
-
 if __name__ == '__main__':
-    main()
+    small.main(run)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import signal
-import sys
 import time
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
+from review import deployment_2 as small
 
-import deployment_2 as small  # noqa: E402
+HERE = pathlib.Path(__file__).resolve().parent
+# With TROUBLE=0 the case is played without its disturbance.
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 DRAIN_S = 3.0
 FREEZE_S = 3.5
@@ -56,14 +57,14 @@
         """Let the servers leave, freeze a node and ask the others."""
         deployment = self.deployment
         await deployment.wait_until_ready()
-        await asyncio.sleep(small.STABLE_WINDOW_S + 1.0)
+        await asyncio.sleep(small.STABLE_WINDOW_S + small.READER_WINDOW_S)
         store = deployment.store
         store.delete('servers', deployment.services['roster'][0])
         await asyncio.sleep(BEFORE_S)
-        name = store.watcher['servers']
+        name = store.reader('servers')
         frozen = next(n for n in deployment.nodes if n.name == name)
         frozen_at = time.monotonic()
-        if small.has_trouble():
+        if HAS_TROUBLE:
             frozen.send(signal.SIGSTOP)
             deployment.record('frozen', node=name)
         self.left_at = time.monotonic()
@@ -148,14 +149,5 @@
     return small.EXIT_HELD, f'held: {text}'
 
 
-def main() -> None:
-    """Run the case."""
-    try:
-        code, text = asyncio.run(run())
-    except Exception as exc:
-        small.end(small.EXIT_NOT_RUN, f'not run: {exc!r}')
-    small.end(code, text)
-
-
 if __name__ == '__main__':
-    main()
+    small.main(run)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,10 +3,10 @@
 # the libraries in target/deps, so they are compiled and imported once.
 set -e
 cd "$(dirname "$0")/.."
-PYTHONPATH="$PWD/target/deps:$PWD:$PWD/review"
+PYTHONPATH="$PWD/target/deps:$PWD"
 export PYTHONPATH
 export PYTHONDONTWRITEBYTECODE=1
-python3 -c 'import deployment_2, sesameward.standin.shard_target'
+python3 -c 'import review.deployment_2, sesameward.standin.shard_target'
 for script in review/6 review/7 review/8 review/9 review/10; do
     if [ -e "$script/case.py" ]; then
         python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' \
--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -6,14 +6,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections
 import functools
 import json
-import os
 import pathlib
-import random
 import signal
 import sys
 import time
+import typing
 
 import msgspec
 
@@ -35,6 +36,8 @@
 STABLE_WINDOW_S = 4.0
 CONFIG_S = 3.0
 HISTORY_S = 20.0
+# Time in which the watches are counted that tell who reads the store.
+READER_WINDOW_S = 5.0
 # The bounds of the deployment kerkis-auditions.
 BOUNDS = {
     'seed_lag_s': 3,
@@ -72,8 +75,8 @@
 
     def __init__(self):
         super().__init__()
-        # The client whose watch of a kind is the newest.
-        self.watcher: dict[str, str] = {}
+        # Time, kind and client of each watch.
+        self._watches: list[tuple[float, str, str]] = []
         # Time and revision of each event that is still kept.
         self._event_times: list[tuple[float, int]] = []
 
@@ -94,9 +97,18 @@
     ) -> None:
         if b'watch=' in req.query:
             kind = req.path.removeprefix('/v1/objects/')
-            self.watcher[kind] = client
+            self._watches.append((time.monotonic(), kind, client))
         self._handle(client, req, responder)
 
+    def reader(self, kind: str) -> str:
+        """Return the client that has watched a kind most of late."""
+        since = time.monotonic() - READER_WINDOW_S
+        return collections.Counter(
+            client
+            for at, watched, client in self._watches
+            if at >= since and watched == kind
+        ).most_common(1)[0][0]
+
     def _record_event(self, kind: str, stored: dict, deleted: bool) -> None:
         now = time.monotonic()
         self._event_times.append((now, self.revision))
@@ -132,6 +144,15 @@
         self.record_file = record_path.open('w')
         self.began_at = time.monotonic()
 
+    async def __aenter__(self) -> Deployment:
+        """Start all parts; end them again if one can't be started."""
+        try:
+            await super().__aenter__()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
     async def __aexit__(self, *exc: object) -> None:
         """End all processes, and close the record."""
         await super().__aexit__(*exc)
@@ -233,17 +254,22 @@
     ]
 
 
-def has_trouble() -> bool:
-    """Return whether the case is run with its disturbance."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
+def main(run: typing.Callable[[], typing.Awaitable[tuple[int, str]]]) -> None:
+    """Run a case and exit with its code, also if it is told to stop.
 
-def rng_of(name: str) -> random.Random:
-    """Return a random generator that is the same in each run."""
-    return random.Random(name)
+    run returns the exit code and a line about the result.
+    """
 
+    async def run_until_stopped() -> tuple[int, str]:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        return await run()
 
-def end(code: int, text: str) -> None:
-    """Print the result and end the process."""
+    try:
+        code, text = asyncio.run(run_until_stopped())
+    except (Exception, asyncio.CancelledError) as exc:
+        code, text = EXIT_NOT_RUN, f'not run: {exc!r}'
     print(text, flush=True)
     sys.exit(code)
